--- /dev/null
+++ b/cmake/pch_daemon.h
@@ -0,0 +1,2 @@
+#include <boost/asio.hpp>
+#include <caf/all.hpp>
--- /dev/null
+++ b/cmake/pch_http.h
@@ -0,0 +1,3 @@
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
--- /dev/null
+++ b/cmake/pch_wire.h
@@ -0,0 +1,3 @@
+#include <string>
+#include <vector>
+#include <zmq.hpp>
--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,21 @@
+# test/unit: pure modules; test/fuzz: RapidCheck; test/shell: modules with I/O.
+add_library(bulrush_test_main STATIC test/main.cpp)
+
+function(bulrush_tests Name)
+  file(GLOB Sources CONFIGURE_DEPENDS test/${Name}/*.cpp)
+  if(NOT Sources)
+    return()
+  endif()
+  add_executable(${Name}_tests ${Sources})
+  target_include_directories(${Name}_tests PRIVATE test)
+  target_link_libraries(${Name}_tests PRIVATE bulrush_test_main ${ARGN})
+  add_test(NAME ${Name} COMMAND ${Name}_tests)
+  set_tests_properties(${Name} PROPERTIES ENVIRONMENT "BULRUSH_SOURCE=${CMAKE_SOURCE_DIR}")
+endfunction()
+
+set(PureLibraries bulrush_query bulrush_control bulrush_store bulrush_settings bulrush_telemetry)
+bulrush_tests(unit ${PureLibraries})
+bulrush_tests(fuzz ${PureLibraries} rapidcheck)
+if(BULRUSH_SHELLS)
+  bulrush_tests(shell bulrush_daemon)
+endif()
--- /dev/null
+++ b/src/telemetry/log.cpp
@@ -0,0 +1,93 @@
+#include "telemetry/log.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/global_logger_storage.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/file.hpp>
+#include <iostream>
+
+namespace bulrush::telemetry {
+
+namespace {
+
+namespace expr = boost::log::expressions;
+namespace keywords = boost::log::keywords;
+
+BOOST_LOG_INLINE_GLOBAL_LOGGER_DEFAULT(
+    event_logger, boost::log::sources::severity_logger_mt<severity>)
+
+std::string_view nameOf(severity Severity) {
+  switch (Severity) {
+  case severity::debug:
+    return "debug";
+  case severity::info:
+    return "info";
+  case severity::warning:
+    return "warning";
+  case severity::error:
+    return "error";
+  }
+  return "info";
+}
+
+std::string quoted(const std::string &Value) {
+  const bool IsPlain =
+      !Value.empty() && Value.find_first_of(" \"=\n\r\t") == std::string::npos;
+  if (IsPlain)
+    return Value;
+  std::string Out = "\"";
+  for (char C : Value) {
+    if (C == '"' || C == '\\')
+      Out += '\\';
+    Out += (C == '\n' || C == '\r') ? ' ' : C;
+  }
+  return Out + '"';
+}
+
+} // namespace
+
+std::string formatLine(std::string_view Event,
+                       const std::vector<field> &Fields) {
+  std::string Line = "event=";
+  Line += Event;
+  for (const field &F : Fields)
+    Line += ' ' + F.Key + '=' + quoted(F.Value);
+  return Line;
+}
+
+void startLog(const log_settings &Settings) {
+  const auto Format =
+      expr::stream << "time="
+                   << expr::format_date_time<boost::posix_time::ptime>(
+                          "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                   << " process=" << Settings.Process << ' ' << expr::smessage;
+  if (Settings.File.empty())
+    boost::log::add_console_log(std::clog, keywords::format = Format,
+                                keywords::auto_flush = true);
+  else
+    boost::log::add_file_log(
+        keywords::file_name = Settings.File, keywords::format = Format,
+        keywords::open_mode = std::ios::app, keywords::auto_flush = true);
+  boost::log::add_common_attributes();
+  const severity Least = Settings.Least;
+  boost::log::core::get()->set_filter(
+      [Least](const boost::log::attribute_value_set &Set) {
+        const auto Value = Set["Severity"].extract<severity>();
+        return !Value || *Value >= Least;
+      });
+}
+
+void logEvent(severity Severity, std::string_view Event,
+              const std::vector<field> &Fields) {
+  std::string Line = "severity=";
+  Line += nameOf(Severity);
+  Line += ' ' + formatLine(Event, Fields);
+  BOOST_LOG_SEV(event_logger::get(), Severity) << Line;
+}
+
+} // namespace bulrush::telemetry
