--- /dev/null
+++ b/test/small_deployment.h
@@ -0,0 +1,45 @@
+/// A deployment for tests: three zones, six machines, two pools.
+#pragma once
+
+#include "bulrushtray/world.h"
+
+namespace bulrush::test {
+
+/// Adds a pool whose replicas lie in different zones.
+inline void addPool(deployment &D, std::string Name, std::uint32_t Shards) {
+  pool Pool{
+      pool_id{std::uint16_t(D.Pools.size())}, std::move(Name), Shards, 2, {}};
+  for (std::uint32_t Place = 0; Place < Shards * 2; ++Place) {
+    const endpoint_id Id{std::uint32_t(D.Endpoints.size())};
+    const std::uint32_t Zone = (Place % Shards + Place / Shards) % 3;
+    D.Endpoints.push_back(
+        {Id, Pool.Id, zone_id{std::uint16_t(Zone)}, {}, {2, 25, millis{6}}});
+    Pool.Endpoints.push_back(Id);
+  }
+  D.Pools.push_back(std::move(Pool));
+}
+
+/// Pool 0 "driver" has 20 shards, pool 1 "billing" 3; each shard 2 replicas.
+inline deployment smallDeployment() {
+  deployment D{"small", {}, {}, {}, {}, {}, {}};
+  D.Zones = {
+      {zone_id{0}, "vienna-1"}, {zone_id{1}, "vienna-2"}, {zone_id{2}, "linz"}};
+  for (std::uint32_t Vm = 0; Vm < 6; ++Vm)
+    D.Vms.push_back(
+        {vm_id{Vm}, zone_id{std::uint16_t(Vm % 3)}, {}, {}, Vm < 3, {}, {}});
+  addPool(D, "driver", 20);
+  addPool(D, "billing", 3);
+  D.Callers = {{caller_id{0}, "driver-app", pool_id{0}, "key-d"},
+               {caller_id{1}, "billing-portal", pool_id{1}, "key-b"}};
+  return D;
+}
+
+/// Ids of all machines.
+inline std::vector<vm_id> allVms(const deployment &D) {
+  std::vector<vm_id> Out;
+  for (const vm &Vm : D.Vms)
+    Out.push_back(Vm.Id);
+  return Out;
+}
+
+} // namespace bulrush::test
