Control: state machine, ledger, leases and membership as pure cores

Cause: operators' commands, ownership of endpoints and non-idempotent work need decisions that survive resends, races, failover and clock drift. Change: state_machine applies commands of the log (revision check, remembered answers, history, assignments, ledger); lease_holder and lease_table time leases from when the heartbeat was sent and move an endpoint only after hand-back or expiry; member_list judges heartbeats, the platform's list only hints.

--- /dev/null
+++ b/src/control/lease_holder.cpp
@@ -0,0 +1,49 @@
+#include "control/lease_holder.h"
+
+#include <algorithm>
+
+namespace bulrush::control {
+
+heartbeat lease_holder::beat(instant Now, revision Applied,
+                             std::uint64_t MembershipEpoch) {
+  ++LastSequence;
+  Sent[LastSequence % RememberedBeats] = {LastSequence, Now, IsLeaving};
+  return {LastSequence, Applied, MembershipEpoch, Version, IsLeaving};
+}
+
+bool lease_holder::take(const heartbeat_reply &Reply, revision Applied,
+                        instant Now) {
+  const sent_beat &Beat = Sent[Reply.Sequence % RememberedBeats];
+  if (Reply.Sequence == 0 || Beat.Sequence != Reply.Sequence)
+    return false;
+  if (Reply.Term < Term)
+    return false;
+  Term = Reply.Term;
+  const bool Changed = Reply.Owned && Reply.Grants > Version;
+  if (Changed)
+    replaceGrants(Reply, Now);
+  if (Reply.Grants == Version) {
+    OwnedUntil = std::max(OwnedUntil, Beat.SentAt + Reply.Ownership);
+    LeftAcknowledged = Beat.Leaving && Granted.empty();
+  }
+  if (Applied >= Reply.Revision)
+    FreshUntil = std::max(FreshUntil, Beat.SentAt + Reply.Freshness);
+  return Changed;
+}
+
+bool lease_holder::owns(endpoint_id Endpoint, instant Now) const {
+  return Now < OwnedUntil && Granted.contains(Endpoint);
+}
+
+void lease_holder::replaceGrants(const heartbeat_reply &Reply, instant Now) {
+  std::map<endpoint_id, instant> Next;
+  for (const grant &Grant : *Reply.Owned) {
+    const auto Kept = Granted.find(Grant.Endpoint);
+    Next[Grant.Endpoint] =
+        Kept == Granted.end() ? Now + Grant.InheritedFor : Kept->second;
+  }
+  Granted = std::move(Next);
+  Version = Reply.Grants;
+}
+
+} // namespace bulrush::control
--- /dev/null
+++ b/src/control/lease_table.h
@@ -0,0 +1,75 @@
+/// The leader's side of the ownership of endpoints.
+#pragma once
+
+#include "control/lease_terms.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace bulrush::control {
+
+/// Lives for one term of one leader. Who holds an endpoint is replicated; who
+/// has a lease until when is not: a new leader takes every holder it has not
+/// heard from to hold its lease until one full lease after the election.
+/// An endpoint moves in this order: it leaves the old holder's set of grants;
+/// the old holder acts on that set, or its lease runs out; the move is
+/// replicated; it enters the new holder's set.
+class lease_table {
+public:
+  /// Work of holders before the election may be in flight for `InFlight`.
+  lease_table(term_id Term, instant ElectedAt, millis InFlight,
+              const std::map<endpoint_id, daemon_id> &Assignments);
+
+  /// Says which daemon each endpoint should move to.
+  void aim(const std::vector<assignment> &Targets);
+
+  /// Takes what a heartbeat acknowledges.
+  void heard(const daemon_id &Daemon, const heartbeat &Beat);
+
+  /// The part of a reply to a heartbeat that arrived at `HeardAt` that carries
+  /// the ownership lease; the lease counts from now on.
+  void grantTo(const daemon_id &Daemon, instant HeardAt, instant Now,
+               heartbeat_reply &Reply);
+
+  /// Moves that are safe now and not yet handed out by this call.
+  std::vector<assignment> readyMoves(instant Now);
+
+  /// A move has been replicated. Work of the earlier holder may be in flight
+  /// for another `InFlight`.
+  void moved(const assignment &Move, instant Now, millis InFlight);
+
+  /// Whether the daemon should get a reply at once, as its set has changed.
+  bool isBehind(const daemon_id &Daemon) const;
+
+  /// Endpoints whose holder is not the one aimed at.
+  std::size_t movesLeft() const;
+
+private:
+  struct holding {
+    std::optional<daemon_id> Holder;
+    std::optional<daemon_id> Target;
+    bool MayBeHeld = false;      ///< the holder may have been told of it
+    std::uint64_t RevokedBy = 0; ///< version without it; 0 while granted
+    instant RevokedEnd;          ///< the holder's lease ends here at the latest
+    bool Proposed = false;
+    instant InheritedUntil;
+  };
+  struct daemon_lease {
+    std::uint64_t Version = 1; ///< of its set of grants in this term
+    std::uint64_t Acknowledged = 0;
+    instant End;
+  };
+
+  daemon_lease &leaseOf(const daemon_id &Daemon);
+  bool isReleased(const holding &Holding, instant Now) const;
+  void revoke(holding &Holding);
+  void grantAgain(holding &Holding);
+
+  term_id Term;
+  instant UnknownEnd;
+  std::map<endpoint_id, holding> Holdings;
+  std::map<daemon_id, daemon_lease> Leases;
+};
+
+} // namespace bulrush::control
--- /dev/null
+++ b/test/unit/lease_test.cpp
@@ -0,0 +1,155 @@
+#include "control/lease_holder.h"
+#include "control/lease_table.h"
+#include "control/member_list.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::control;
+
+namespace {
+
+const daemon_id Anna{vm_id{1}, incarnation_id{1}};
+const daemon_id Ben{vm_id{2}, incarnation_id{1}};
+const endpoint_id Bay{7};
+constexpr millis InFlight{600};
+
+/// One heartbeat that takes `Delay` each way.
+bool exchange(lease_table &Table, const daemon_id &Who, lease_holder &Holder,
+              instant SentAt, millis Delay = {}) {
+  const heartbeat Beat = Holder.beat(SentAt, {}, 0);
+  const instant HeardAt = SentAt + Delay;
+  Table.heard(Who, Beat);
+  heartbeat_reply Reply;
+  Reply.Sequence = Beat.Sequence;
+  Reply.Term = term_id{1};
+  Reply.Freshness = FreshnessLease;
+  Table.grantTo(Who, HeardAt, HeardAt, Reply);
+  return Holder.take(Reply, {}, HeardAt + Delay);
+}
+
+} // namespace
+
+TEST_CASE("a lease is timed from when the heartbeat was sent") {
+  lease_table Table({1}, {0}, InFlight, {{Bay, Anna}});
+  lease_holder Holder;
+  exchange(Table, Anna, Holder, {1000}, millis{800});
+  CHECK(Holder.owns(Bay, instant{3999}));
+  CHECK_FALSE(Holder.owns(Bay, instant{4000}));
+  CHECK(Holder.isFresh(instant{2999}));
+  CHECK_FALSE(Holder.isFresh(instant{3000}));
+  CHECK_FALSE(Holder.owns(endpoint_id{8}, instant{1700}));
+}
+
+TEST_CASE("an endpoint moves once the old holder has handed it back") {
+  lease_table Table({1}, {0}, InFlight, {{Bay, Anna}});
+  lease_holder Old, New;
+  exchange(Table, Anna, Old, {0});
+  exchange(Table, Ben, New, {0});
+  Table.aim({{Bay, Ben}});
+  CHECK(Table.readyMoves({100}).empty());
+  CHECK(exchange(Table, Anna, Old, {100}));
+  CHECK_FALSE(Old.owns(Bay, {101}));
+  CHECK(Table.readyMoves({150}).empty());
+  exchange(Table, Anna, Old, {200});
+  REQUIRE(Table.readyMoves({200}) == std::vector<assignment>{{Bay, Ben}});
+  CHECK(Table.readyMoves({200}).empty());
+  exchange(Table, Ben, New, {250});
+  CHECK_FALSE(New.owns(Bay, {251}));
+  Table.moved({Bay, Ben}, {300}, InFlight);
+  exchange(Table, Ben, New, {400});
+  CHECK(New.owns(Bay, {401}));
+  CHECK(New.granted().at(Bay) >= instant{900});
+}
+
+TEST_CASE("a silent holder's endpoint moves only after its lease has run out") {
+  lease_table Table({1}, {0}, InFlight, {{Bay, Anna}});
+  lease_holder Holder;
+  exchange(Table, Anna, Holder, {5000}, millis{10});
+  Table.aim({{Bay, Ben}});
+  CHECK(Table.readyMoves(Holder.ownedUntil()).empty());
+  CHECK(Table.readyMoves({5010 + worstCase(OwnerLease).Count}).size() == 1);
+}
+
+TEST_CASE("a holder that hears nothing can't hold an endpoint by sending") {
+  lease_table Table({1}, {0}, InFlight, {{Bay, Anna}});
+  lease_holder Holder;
+  exchange(Table, Anna, Holder, {0});
+  Table.aim({{Bay, Ben}});
+  for (double At = 500; At < 3500; At += 500) {
+    heartbeat_reply Lost;
+    Table.heard(Anna, Holder.beat({At}, {}, 0));
+    Table.grantTo(Anna, {At}, {At}, Lost);
+  }
+  CHECK(Table.readyMoves({3500}).size() == 1);
+}
+
+TEST_CASE("a new leader waits out leases that it can't know") {
+  lease_table Table({2}, {10'000}, InFlight, {{Bay, Anna}});
+  Table.aim({{Bay, Ben}});
+  CHECK(Table.readyMoves({13'000}).empty());
+  CHECK(Table.readyMoves({10'000 + worstCase(OwnerLease).Count}).size() == 1);
+}
+
+TEST_CASE("a holder keeps no endpoint by an older leader or set of grants") {
+  lease_holder Holder;
+  const std::uint64_t First = Holder.beat({0}, {}, 0).Sequence;
+  heartbeat_reply New{First, {2}, FreshnessLease, OwnerLease, {}, {}, {},
+                      {},    {}};
+  New.Grants = {{2}, 3};
+  New.Owned.emplace();
+  heartbeat_reply Old = New;
+  Old.Grants = {{2}, 2};
+  Old.Owned = {{Bay, {}}};
+  Holder.take(New, {}, {1});
+  CHECK_FALSE(Holder.take(Old, {}, {2}));
+  Old.Term = {1};
+  Old.Grants = {{1}, 9};
+  CHECK_FALSE(Holder.take(Old, {}, {2}));
+  CHECK_FALSE(Holder.owns(Bay, {3}));
+}
+
+TEST_CASE("freshness is not renewed while the daemon is behind") {
+  lease_holder Holder;
+  const std::uint64_t First = Holder.beat({0}, {}, 0).Sequence;
+  heartbeat_reply Reply;
+  Reply.Sequence = First;
+  Reply.Freshness = FreshnessLease;
+  Reply.Revision = {5};
+  Holder.take(Reply, revision{4}, {1});
+  CHECK_FALSE(Holder.isFresh({2}));
+  Holder.take(Reply, revision{5}, {3});
+  CHECK(Holder.isFresh({4}));
+}
+
+TEST_CASE("a planned stop hands all leases back") {
+  lease_table Table({1}, {0}, InFlight, {{Bay, Anna}});
+  lease_holder Holder;
+  exchange(Table, Anna, Holder, {0});
+  Holder.leave();
+  Table.aim({{Bay, Ben}});
+  CHECK_FALSE(Holder.hasLeft());
+  exchange(Table, Anna, Holder, {100});
+  CHECK(Holder.hasLeft());
+}
+
+TEST_CASE("members come from heartbeats and the platform's list only hints") {
+  member_list List({3}, {0});
+  List.heard(Anna, {}, {100});
+  List.heard(Ben, {}, {900});
+  CHECK_FALSE(List.update({500}));
+  CHECK(List.update({1000}));
+  CHECK(List.members().Live == std::vector<vm_id>{{1}, {2}});
+  const std::uint64_t Epoch = List.members().Epoch;
+  List.hint({vm_id{9}});
+  CHECK_FALSE(List.update({1050}));
+  CHECK(List.update({1100}));
+  CHECK(List.members().Live == std::vector<vm_id>{{2}});
+  CHECK(List.members().Epoch > Epoch);
+  heartbeat Leaving;
+  Leaving.Leaving = true;
+  List.heard(Ben, Leaving, {1200});
+  CHECK(List.update({1200}));
+  CHECK(List.members().Live.empty());
+  CHECK(member_list({4}, {0}).update({1000}));
+}
