HTTP server and client over Beast, bounded and tested

Cause: callers, operators and endpoints speak HTTP. Change: a server with bounds on connections, pipelined requests, headers, bodies, idle and slow clients, and a client that keeps connections and never opens more than its bound. Answers leave in the order of the requests.

--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,298 @@
+#include "http/client.h"
+
+#include "http/detail.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <deque>
+#include <optional>
+#include <sys/socket.h>
+#include <unordered_set>
+
+namespace bulrush::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using parser = beast::http::response_parser<beast::http::string_body>;
+using wire_request = beast::http::request<beast::http::string_body>;
+using time_point = std::chrono::steady_clock::time_point;
+
+constexpr auto SweepEvery = std::chrono::seconds(1);
+
+std::chrono::steady_clock::duration toChrono(millis D) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(D.Count * 1000));
+}
+
+/// One exchange that waits for a connection or for its response.
+struct exchange {
+  request Request;
+  exchange_handler Done;
+};
+
+} // namespace
+
+class connection;
+using connection_ptr = std::shared_ptr<connection>;
+
+struct detail::client_state
+    : std::enable_shared_from_this<detail::client_state> {
+  asio::io_context &Io;
+  client_settings Settings;
+  tcp::endpoint Server;
+  bool IsAddressValid = true;
+  asio::steady_timer Sweeper;
+  std::unordered_set<connection_ptr> Connections;
+  std::vector<connection_ptr> Idle; ///< the last used is taken first
+  std::deque<exchange> Waiting;
+
+  client_state(asio::io_context &Io, client_settings Given)
+      : Io(Io), Settings(std::move(Given)), Sweeper(Io) {
+    error_code Error;
+    const auto Ip = asio::ip::make_address(Settings.Server.Host, Error);
+    IsAddressValid = !Error;
+    Server = {Ip, Settings.Server.Port};
+  }
+
+  void send(exchange Exchange);
+  void openOne();
+  void release(const connection_ptr &Connection);
+  void remove(const connection_ptr &Connection);
+  void failWaiting(exchange_status Status);
+  void sweep();
+  void finishLater(exchange_handler Done, exchange_status Status) {
+    asio::post(Io, [Done = std::move(Done), Status] { Done({Status, {}}); });
+  }
+};
+
+/// One connection; runs one exchange at a time.
+class connection : public std::enable_shared_from_this<connection> {
+public:
+  explicit connection(const std::shared_ptr<detail::client_state> &Owner)
+      : Owner(Owner), Socket(Owner->Io) {
+    touch();
+  }
+
+  void open() {
+    const auto Client = Owner.lock();
+    Socket.async_connect(Client->Server,
+                         [Self = shared_from_this()](error_code Error) {
+                           Self->onOpened(Error);
+                         });
+  }
+
+  void run(exchange Given) {
+    Current = std::move(Given);
+    touch();
+    Out = {};
+    Out.version(11);
+    Out.method_string(Current->Request.Method);
+    Out.target(Current->Request.Target);
+    Out.set(beast::http::field::host, "bulrush");
+    detail::putHeaders(Out, Current->Request.Headers);
+    Out.body() = std::move(Current->Request.Body);
+    Out.prepare_payload();
+    beast::http::async_write(
+        Socket, Out,
+        [Self = shared_from_this()](error_code Error, std::size_t) {
+          Self->onWritten(Error);
+        });
+  }
+
+  /// Whether the server has closed this connection while it was idle.
+  bool isStale() {
+    char Byte = 0;
+    const ssize_t Got =
+        ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return Got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  void close() {
+    error_code Ignored;
+    Socket.close(Ignored);
+  }
+
+  bool isBusy() const { return Current.has_value(); }
+  time_point lastUse() const { return LastUse; }
+
+private:
+  void touch() { LastUse = std::chrono::steady_clock::now(); }
+
+  void onOpened(error_code Error) {
+    const auto Client = Owner.lock();
+    if (!Client)
+      return;
+    if (Error) {
+      Client->remove(shared_from_this());
+      Client->failWaiting(exchange_status::connect_failed);
+      return;
+    }
+    error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    Client->release(shared_from_this());
+  }
+
+  void onWritten(error_code Error) {
+    if (Error) {
+      finish(exchange_status::lost, {});
+      return;
+    }
+    Parser.emplace();
+    if (const auto Client = Owner.lock())
+      Parser->body_limit(Client->Settings.MaxBodyBytes);
+    beast::http::async_read(
+        Socket, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Error, std::size_t) {
+          Self->onRead(Error);
+        });
+  }
+
+  void onRead(error_code Error) {
+    if (Error) {
+      finish(exchange_status::lost, {});
+      return;
+    }
+    auto Message = Parser->release();
+    MayKeep = Message.keep_alive();
+    response Response;
+    Response.Status = Message.result_int();
+    Response.Headers = detail::takeHeaders(Message);
+    Response.Body = std::move(Message.body());
+    finish(exchange_status::done, std::move(Response));
+  }
+
+  void finish(exchange_status Status, response Response) {
+    touch();
+    const auto Self = shared_from_this();
+    exchange Finished = std::move(*Current);
+    Current.reset();
+    if (const auto Client = Owner.lock()) {
+      if (Status == exchange_status::done && MayKeep)
+        Client->release(Self);
+      else
+        Client->remove(Self);
+    }
+    Finished.Done({Status, std::move(Response)});
+  }
+
+  std::weak_ptr<detail::client_state> Owner;
+  tcp::socket Socket;
+  beast::flat_buffer Buffer;
+  std::optional<parser> Parser;
+  wire_request Out;
+  std::optional<exchange> Current;
+  time_point LastUse;
+  bool MayKeep = true;
+};
+
+void detail::client_state::send(exchange Exchange) {
+  if (!IsAddressValid) {
+    finishLater(std::move(Exchange.Done), exchange_status::connect_failed);
+    return;
+  }
+  while (!Idle.empty()) {
+    const connection_ptr Chosen = Idle.back();
+    Idle.pop_back();
+    if (Chosen->isStale()) {
+      remove(Chosen);
+      continue;
+    }
+    Chosen->run(std::move(Exchange));
+    return;
+  }
+  if (Waiting.size() >= Settings.MaxWaiting) {
+    finishLater(std::move(Exchange.Done), exchange_status::not_sent);
+    return;
+  }
+  Waiting.push_back(std::move(Exchange));
+  openOne();
+}
+
+void detail::client_state::openOne() {
+  if (Connections.size() >= Settings.MaxConnections)
+    return;
+  const auto Opened = std::make_shared<connection>(shared_from_this());
+  Connections.insert(Opened);
+  Opened->open();
+}
+
+void detail::client_state::release(const connection_ptr &Connection) {
+  if (Waiting.empty()) {
+    Idle.push_back(Connection);
+    return;
+  }
+  exchange Next = std::move(Waiting.front());
+  Waiting.pop_front();
+  Connection->run(std::move(Next));
+}
+
+void detail::client_state::remove(const connection_ptr &Connection) {
+  Connection->close();
+  Connections.erase(Connection);
+  std::erase(Idle, Connection);
+  if (!Waiting.empty())
+    openOne();
+}
+
+void detail::client_state::failWaiting(exchange_status Status) {
+  const bool MayStillConnect = Connections.size() > Waiting.size();
+  if (MayStillConnect || Waiting.empty())
+    return;
+  exchange First = std::move(Waiting.front());
+  Waiting.pop_front();
+  finishLater(std::move(First.Done), Status);
+}
+
+void detail::client_state::sweep() {
+  Sweeper.expires_after(SweepEvery);
+  Sweeper.async_wait([Weak = weak_from_this()](error_code Error) {
+    const auto Self = Weak.lock();
+    if (Error || !Self)
+      return;
+    const auto Now = std::chrono::steady_clock::now();
+    const auto Open = Self->Connections;
+    for (const connection_ptr &Connection : Open) {
+      const auto Quiet = Now - Connection->lastUse();
+      const auto Bound = Connection->isBusy() ? Self->Settings.ExchangeTimeout
+                                              : Self->Settings.IdleTimeout;
+      if (Quiet <= toChrono(Bound))
+        continue;
+      if (Connection->isBusy())
+        Connection->close();
+      else
+        Self->remove(Connection);
+    }
+    Self->sweep();
+  });
+}
+
+client::client(asio::io_context &Io, client_settings Settings)
+    : State(std::make_shared<detail::client_state>(Io, std::move(Settings))) {
+  State->sweep();
+}
+
+client::~client() {
+  State->Sweeper.cancel();
+  for (const connection_ptr &Connection : State->Connections)
+    Connection->close();
+}
+
+void client::send(request Request, exchange_handler Done) {
+  State->send({std::move(Request), std::move(Done)});
+}
+
+void client::warm(std::size_t Count) {
+  while (State->Connections.size() < Count &&
+         State->Connections.size() < State->Settings.MaxConnections)
+    State->openOne();
+}
+
+std::size_t client::open() const { return State->Connections.size(); }
+
+} // namespace bulrush::http
--- /dev/null
+++ b/src/http/detail.h
@@ -0,0 +1,32 @@
+/// Conversions between our messages and Beast's.
+#pragma once
+
+#include "http/message.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bulrush::http::detail {
+
+namespace beast = boost::beast;
+using tcp = boost::asio::ip::tcp;
+
+inline std::string toString(beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+inline std::vector<header> takeHeaders(const beast::http::fields &Fields) {
+  std::vector<header> Out;
+  Out.reserve(12);
+  for (const auto &Field : Fields)
+    Out.push_back({toString(Field.name_string()), toString(Field.value())});
+  return Out;
+}
+
+inline void putHeaders(beast::http::fields &Fields,
+                       const std::vector<header> &Headers) {
+  for (const header &H : Headers)
+    Fields.insert(H.Name, H.Value);
+}
+
+} // namespace bulrush::http::detail
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,16 @@
+#include "http/message.h"
+
+#include <boost/beast/core/string.hpp>
+
+namespace bulrush::http {
+
+const std::string *findHeader(const std::vector<header> &Headers,
+                              std::string_view Name) {
+  const boost::beast::string_view Wanted(Name.data(), Name.size());
+  for (const header &H : Headers)
+    if (boost::beast::iequals(H.Name, Wanted))
+      return &H.Value;
+  return nullptr;
+}
+
+} // namespace bulrush::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,329 @@
+#include "http/server.h"
+
+#include "http/detail.h"
+#include "telemetry/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <deque>
+#include <optional>
+#include <unordered_set>
+
+namespace bulrush::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using parser = beast::http::request_parser<beast::http::string_body>;
+using wire_response = beast::http::response<beast::http::string_body>;
+
+constexpr auto SweepEvery = std::chrono::milliseconds(500);
+constexpr int ListenBacklog = 1024;
+
+std::chrono::steady_clock::duration toChrono(millis D) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(D.Count * 1000));
+}
+
+} // namespace
+
+class session;
+
+struct detail::server_state {
+  asio::io_context &Io;
+  server_settings Settings;
+  handler &Handler;
+  telemetry::metrics &Metrics;
+  tcp::acceptor Acceptor;
+  asio::steady_timer Sweeper;
+  std::unordered_set<std::shared_ptr<session>> Sessions;
+  std::size_t InWork = 0;
+
+  server_state(asio::io_context &Io, server_settings Settings, handler &Handler,
+               telemetry::metrics &Metrics)
+      : Io(Io), Settings(std::move(Settings)), Handler(Handler),
+        Metrics(Metrics), Acceptor(Io), Sweeper(Io) {}
+};
+
+/// One connection of a client.
+class session : public std::enable_shared_from_this<session> {
+public:
+  session(tcp::socket Socket, std::weak_ptr<detail::server_state> Server)
+      : Socket(std::move(Socket)), Server(std::move(Server)),
+        LastActivity(std::chrono::steady_clock::now()) {}
+
+  void start() { readNext(); }
+
+  void close() {
+    if (IsClosed)
+      return;
+    IsClosed = true;
+    error_code Ignored;
+    Socket.close(Ignored);
+    const auto Owner = Server.lock();
+    if (!Owner)
+      return;
+    Owner->InWork -= Answers.size();
+    Owner->Sessions.erase(shared_from_this());
+  }
+
+  bool isOverdue(const server_settings &Settings) const {
+    const auto Quiet = std::chrono::steady_clock::now() - LastActivity;
+    if (IsWriting)
+      return Quiet > toChrono(Settings.WriteTimeout);
+    return Answers.empty() && Quiet > toChrono(Settings.IdleTimeout);
+  }
+
+  bool isIdle() const { return Answers.empty() && !IsWriting; }
+
+private:
+  /// The place of one answer in the order of the requests.
+  struct answer_slot {
+    std::uint64_t Number = 0;
+    bool KeepAlive = true;
+    unsigned Version = 11;
+    std::optional<response> Response;
+  };
+
+  void readNext() {
+    const auto Owner = Server.lock();
+    if (!Owner || IsClosed || IsLastRead)
+      return;
+    if (Answers.size() >= Owner->Settings.MaxPipelined)
+      return;
+    IsReading = true;
+    Parser.emplace();
+    Parser->body_limit(Owner->Settings.MaxBodyBytes);
+    Parser->header_limit(
+        static_cast<std::uint32_t>(Owner->Settings.MaxHeaderBytes));
+    beast::http::async_read(
+        Socket, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Error, std::size_t) {
+          Self->onRead(Error);
+        });
+  }
+
+  void onRead(error_code Error) {
+    IsReading = false;
+    const auto Owner = Server.lock();
+    if (!Owner || IsClosed)
+      return;
+    LastActivity = std::chrono::steady_clock::now();
+    if (Error) {
+      onReadError(*Owner, Error);
+      return;
+    }
+    auto Message = Parser->release();
+    const bool KeepAlive = Message.keep_alive();
+    IsLastRead = !KeepAlive;
+    const std::uint64_t Number = addSlot(*Owner, KeepAlive, Message.version());
+    request Request{detail::toString(Message.method_string()),
+                    detail::toString(Message.target()),
+                    detail::takeHeaders(Message), std::move(Message.body())};
+    Owner->Handler.handle(std::move(Request),
+                          [Weak = weak_from_this(), Number](response Response) {
+                            if (const auto Self = Weak.lock())
+                              Self->answer(Number, std::move(Response));
+                          });
+    readNext();
+  }
+
+  void onReadError(detail::server_state &Owner, error_code Error) {
+    using beast::http::error;
+    const bool IsClientsFault =
+        Error.category() ==
+        beast::http::make_error_code(error::end_of_stream).category();
+    if (!IsClientsFault || Error == error::end_of_stream ||
+        Error == error::partial_message) {
+      finishReading();
+      return;
+    }
+    response Response;
+    Response.Status = 400;
+    if (Error == error::body_limit)
+      Response.Status = 413;
+    if (Error == error::header_limit)
+      Response.Status = 431;
+    Owner.Metrics.add("http_refused", std::to_string(Response.Status));
+    Response.Body =
+        R"({"outcome":"not_run","reason":"bad_request","message":")" +
+        Error.message() + "\"}";
+    IsLastRead = true;
+    answer(addSlot(Owner, false, 11), std::move(Response));
+  }
+
+  /// The client sends no more; answers that are due still leave.
+  void finishReading() {
+    IsLastRead = true;
+    if (Answers.empty())
+      close();
+  }
+
+  std::uint64_t addSlot(detail::server_state &Owner, bool KeepAlive,
+                        unsigned Version) {
+    ++Owner.InWork;
+    answer_slot &Slot = Answers.emplace_back();
+    Slot.Number = NextNumber++;
+    Slot.KeepAlive = KeepAlive;
+    Slot.Version = Version;
+    return Slot.Number;
+  }
+
+  void answer(std::uint64_t Number, response Response) {
+    if (IsClosed || Answers.empty() || Number < Answers.front().Number)
+      return;
+    answer_slot &Slot = Answers[Number - Answers.front().Number];
+    Slot.Response = std::move(Response);
+    writeNext();
+  }
+
+  void writeNext() {
+    if (IsWriting || IsClosed || Answers.empty() || !Answers.front().Response)
+      return;
+    IsWriting = true;
+    LastActivity = std::chrono::steady_clock::now();
+    answer_slot &Slot = Answers.front();
+    Out = {};
+    Out.version(Slot.Version);
+    Out.result(Slot.Response->Status);
+    Out.set(beast::http::field::content_type, Slot.Response->ContentType);
+    detail::putHeaders(Out, Slot.Response->Headers);
+    Out.keep_alive(Slot.KeepAlive);
+    Out.body() = std::move(Slot.Response->Body);
+    Out.prepare_payload();
+    beast::http::async_write(
+        Socket, Out,
+        [Self = shared_from_this()](error_code Error, std::size_t) {
+          Self->onWritten(Error);
+        });
+  }
+
+  void onWritten(error_code Error) {
+    IsWriting = false;
+    if (IsClosed)
+      return;
+    LastActivity = std::chrono::steady_clock::now();
+    const bool KeepAlive = Answers.front().KeepAlive;
+    Answers.pop_front();
+    if (const auto Owner = Server.lock())
+      --Owner->InWork;
+    const bool IsLast = IsLastRead && Answers.empty();
+    if (Error || !KeepAlive || IsLast) {
+      close();
+      return;
+    }
+    writeNext();
+    if (!IsReading)
+      readNext();
+  }
+
+  tcp::socket Socket;
+  std::weak_ptr<detail::server_state> Server;
+  beast::flat_buffer Buffer;
+  std::optional<parser> Parser;
+  wire_response Out;
+  std::deque<answer_slot> Answers;
+  std::uint64_t NextNumber = 0;
+  std::chrono::steady_clock::time_point LastActivity;
+  bool IsReading = false;
+  bool IsLastRead = false;
+  bool IsWriting = false;
+  bool IsClosed = false;
+};
+
+namespace {
+
+void acceptNext(const std::shared_ptr<detail::server_state> &State);
+
+void onAccepted(const std::shared_ptr<detail::server_state> &State,
+                error_code Error, tcp::socket Socket) {
+  if (Error == asio::error::operation_aborted)
+    return;
+  const bool IsFull = State->Sessions.size() >= State->Settings.MaxConnections;
+  if (IsFull)
+    State->Metrics.add("http_refused", "too_many_connections");
+  if (!Error && !IsFull) {
+    error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    auto Session = std::make_shared<session>(std::move(Socket), State);
+    State->Sessions.insert(Session);
+    Session->start();
+  }
+  acceptNext(State);
+}
+
+void acceptNext(const std::shared_ptr<detail::server_state> &State) {
+  if (!State->Acceptor.is_open())
+    return;
+  State->Acceptor.async_accept([State](error_code Error, tcp::socket Socket) {
+    onAccepted(State, Error, std::move(Socket));
+  });
+}
+
+void sweepLater(const std::shared_ptr<detail::server_state> &State) {
+  State->Sweeper.expires_after(SweepEvery);
+  State->Sweeper.async_wait([Weak = std::weak_ptr(State)](error_code Error) {
+    const auto State = Weak.lock();
+    if (Error || !State)
+      return;
+    std::vector<std::shared_ptr<session>> Overdue;
+    for (const auto &Session : State->Sessions)
+      if (Session->isOverdue(State->Settings))
+        Overdue.push_back(Session);
+    for (const auto &Session : Overdue) {
+      State->Metrics.add("http_closed", "timeout");
+      Session->close();
+    }
+    sweepLater(State);
+  });
+}
+
+} // namespace
+
+server::server(asio::io_context &Io, server_settings Settings, handler &Handler,
+               telemetry::metrics &Metrics)
+    : State(std::make_shared<detail::server_state>(Io, std::move(Settings),
+                                                   Handler, Metrics)) {}
+
+server::~server() {
+  error_code Ignored;
+  State->Acceptor.close(Ignored);
+  State->Sweeper.cancel();
+  const auto Open = State->Sessions;
+  for (const auto &Session : Open)
+    Session->close();
+}
+
+expected<void> server::start() {
+  const address &Listen = State->Settings.Listen;
+  const std::string Name = Listen.Host + ':' + std::to_string(Listen.Port);
+  error_code Error;
+  const auto Ip = asio::ip::make_address(Listen.Host, Error);
+  if (Error)
+    return fail("cannot listen on " + Name + ": not an IP address");
+  const tcp::endpoint Where(Ip, Listen.Port);
+  State->Acceptor.open(Where.protocol(), Error);
+  if (!Error)
+    State->Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    State->Acceptor.bind(Where, Error);
+  if (!Error)
+    State->Acceptor.listen(ListenBacklog, Error);
+  if (Error)
+    return fail("cannot listen on " + Name + ": " + Error.message());
+  acceptNext(State);
+  sweepLater(State);
+  return {};
+}
+
+void server::stopAccepting() {
+  error_code Ignored;
+  State->Acceptor.close(Ignored);
+}
+
+std::size_t server::inWork() const { return State->InWork; }
+
+} // namespace bulrush::http
--- /dev/null
+++ b/test/shell/http_test.cpp
@@ -0,0 +1,140 @@
+#include "http/client.h"
+#include "http/server.h"
+#include "telemetry/metrics.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::uint16_t Port = 19'081;
+
+/// Holds requests to "/later" until released; answers others with their target.
+class holding_handler final : public http::handler {
+public:
+  void handle(http::request Request, http::responder Respond) override {
+    http::response Response;
+    Response.Body = Request.Target;
+    if (Request.Target == "/later")
+      Held = [Respond, Response] { Respond(Response); };
+    else
+      Respond(Response);
+    if (Request.Target == "/release" && Held)
+      Held();
+  }
+  std::function<void()> Held;
+};
+
+struct fixture {
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  holding_handler Handler;
+  http::server Server;
+
+  explicit fixture(http::server_settings Settings = {})
+      : Server(Io, listening(Settings), Handler, Metrics) {
+    REQUIRE(Server.start());
+  }
+
+  static http::server_settings listening(http::server_settings Settings) {
+    Settings.Listen = {"127.0.0.1", Port};
+    return Settings;
+  }
+
+  /// Writes raw bytes and reads until the server closes or `Enough` bytes came.
+  std::string talk(const std::string &Bytes, std::size_t Enough) {
+    tcp::socket Socket(Io);
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+    boost::asio::write(Socket, boost::asio::buffer(Bytes));
+    std::string Got;
+    std::array<char, 4096> Chunk{};
+    std::function<void()> Read = [&] {
+      Socket.async_read_some(boost::asio::buffer(Chunk),
+                             [&](auto Error, std::size_t Count) {
+                               Got.append(Chunk.data(), Count);
+                               if (Error || Got.size() >= Enough)
+                                 Io.stop();
+                               else
+                                 Read();
+                             });
+    };
+    Read();
+    Io.restart();
+    Io.run_for(std::chrono::seconds(5));
+    return Got;
+  }
+};
+
+} // namespace
+
+TEST_CASE("pipelined answers leave in the order of the requests") {
+  fixture F;
+  const std::string Got =
+      F.talk("GET /later HTTP/1.1\r\nHost: x\r\n\r\n"
+             "GET /release HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+             100'000);
+  REQUIRE(Got.find("/later") != std::string::npos);
+  CHECK(Got.find("/later") < Got.find("/release"));
+}
+
+TEST_CASE("an oversize body is refused with 413") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 10;
+  fixture F(Settings);
+  const std::string Got = F.talk(
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n01234567890",
+      100'000);
+  CHECK(Got.find("413") != std::string::npos);
+  CHECK(F.Metrics.count("http_refused", "413") == 1);
+}
+
+TEST_CASE("a malformed request is refused with 400") {
+  fixture F;
+  CHECK(F.talk("nonsense\r\n\r\n", 100'000).find("400") != std::string::npos);
+}
+
+TEST_CASE("connections beyond the bound are closed and counted") {
+  http::server_settings Settings;
+  Settings.MaxConnections = 0;
+  fixture F(Settings);
+  CHECK(F.talk("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 1).empty());
+  CHECK(F.Metrics.count("http_refused", "too_many_connections") == 1);
+}
+
+TEST_CASE("a client keeps within its connections and gets every response") {
+  fixture F;
+  http::client_settings Settings;
+  Settings.Server = {"127.0.0.1", Port};
+  Settings.MaxConnections = 2;
+  http::client Client(F.Io, Settings);
+  int Done = 0;
+  for (int I = 0; I < 20; ++I)
+    Client.send({"GET", "/" + std::to_string(I), {}, {}},
+                [&, I](http::exchange_result Result) {
+                  CHECK(Result.Status == http::exchange_status::done);
+                  CHECK(Result.Response.Body == "/" + std::to_string(I));
+                  CHECK(Client.open() <= 2);
+                  if (++Done == 20)
+                    F.Io.stop();
+                });
+  F.Io.run_for(std::chrono::seconds(5));
+  CHECK(Done == 20);
+}
+
+TEST_CASE("a refused connection is reported as not sent") {
+  boost::asio::io_context Io;
+  http::client_settings Settings;
+  Settings.Server = {"127.0.0.1", 1};
+  http::client Client(Io, Settings);
+  http::exchange_status Status = http::exchange_status::done;
+  Client.send({"GET", "/", {}, {}}, [&](http::exchange_result Result) {
+    Status = Result.Status;
+    Io.stop();
+  });
+  Io.run_for(std::chrono::seconds(5));
+  CHECK(Status == http::exchange_status::connect_failed);
+}
