--- /dev/null
+++ b/src/settings/deployment.cpp
@@ -0,0 +1,215 @@
+#include "settings/deployment.h"
+
+#include "settings/json_reader.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bulrush::settings {
+
+namespace {
+
+constexpr double MostEndpoints = 20'000;
+constexpr double MostVms = 4'000;
+constexpr double MostShards = 10'000;
+constexpr double MostMillis = 600'000;
+
+template <class Object>
+const Object *findNamed(const std::vector<Object> &Objects,
+                        const std::string &Name) {
+  const auto Found =
+      std::find_if(Objects.begin(), Objects.end(),
+                   [&](const Object &Each) { return Each.Name == Name; });
+  return Found == Objects.end() ? nullptr : &*Found;
+}
+
+template <class Object>
+std::string namesOf(const std::vector<Object> &Objects) {
+  std::string Out = "one of";
+  for (const Object &Each : Objects)
+    Out += ' ' + Each.Name;
+  return Out;
+}
+
+zone_id readZone(object_reader &Reader, const char *Key, const deployment &Of) {
+  const std::string Name = Reader.text(Key);
+  if (const zone *Found = findNamed(Of.Zones, Name))
+    return Found->Id;
+  Reader.reject(Key, namesOf(Of.Zones));
+  return {};
+}
+
+std::string readNewName(object_reader &Reader, std::set<std::string> &Taken) {
+  std::string Name = Reader.text("name");
+  if (!Taken.insert(Name).second)
+    Reader.reject("name", "a name that no other entry of this list has");
+  return Name;
+}
+
+void readZones(object_reader &Reader, deployment &Out) {
+  std::set<std::string> Taken;
+  Reader.objects("zones", true, [&](object_reader &Item) {
+    const zone_id Id{static_cast<std::uint16_t>(Out.Zones.size())};
+    Out.Zones.push_back({Id, readNewName(Item, Taken)});
+  });
+}
+
+void readLinks(object_reader &Reader, deployment &Out) {
+  Reader.objects("links", false, [&](object_reader &Item) {
+    zone_link Link;
+    Link.From = readZone(Item, "from", Out);
+    Link.To = readZone(Item, "to", Out);
+    Link.OneWay = Item.duration("oneWayMs", {.Least = 0, .Most = 1000});
+    Out.Links.push_back(Link);
+  });
+}
+
+void readVms(object_reader &Reader, deployment &Out) {
+  std::set<std::uint32_t> Taken;
+  Reader.objects("vms", true, [&](object_reader &Item) {
+    vm Vm;
+    Vm.Id.Value =
+        Item.whole<std::uint32_t>("id", {.Least = 1, .Most = MostVms});
+    if (!Taken.insert(Vm.Id.Value).second)
+      Item.reject("id", "a number that no other vm has");
+    Vm.Zone = readZone(Item, "zone", Out);
+    Vm.Callers = Item.socketAddress("callers");
+    Vm.Peers = Item.socketAddress("peers");
+    Vm.HasDisk = Item.flag("disk", false);
+    Vm.Operators = Item.socketAddress("operators", !Vm.HasDisk);
+    Vm.Control = Item.socketAddress("control", !Vm.HasDisk);
+    Out.Vms.push_back(Vm);
+  });
+}
+
+/// Reads `count` endpoints with consecutive ports, spread over `zones` in turn.
+void readEndpointGroup(object_reader &Item, pool &Pool, deployment &Out) {
+  const auto Count = Item.whole<std::uint32_t>(
+      "count", {.Least = 1, .Most = MostEndpoints, .Fallback = 1});
+  const address First = Item.socketAddress("firstAddress");
+  std::vector<zone_id> Zones;
+  for (const std::string &Name : Item.texts("zones"))
+    if (const zone *Found = findNamed(Out.Zones, Name))
+      Zones.push_back(Found->Id);
+    else
+      Item.reject("zones", namesOf(Out.Zones));
+  if (Zones.empty())
+    Item.reject("zones", "an array of zone names that is not empty");
+  endpoint_limits Limits;
+  Limits.Slots = Item.whole<std::uint32_t>("slots", {.Least = 1, .Most = 1000});
+  Limits.Connections =
+      Item.whole<std::uint32_t>("connections", {.Least = 1, .Most = 10'000});
+  Limits.ConnectCost =
+      Item.duration("connectCostMs", {.Least = 0, .Most = 1000, .Fallback = 0});
+  if (First.Port + Count > 65'536U)
+    Item.reject("firstAddress", "a port that leaves room for `count` ports");
+  if (Limits.Connections <= Limits.Slots)
+    Item.reject("connections",
+                "more than `slots`, for cancels and health checks");
+  if (Zones.empty())
+    return;
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    endpoint Endpoint;
+    Endpoint.Id.Value = static_cast<std::uint32_t>(Out.Endpoints.size());
+    Endpoint.Pool = Pool.Id;
+    Endpoint.Zone = Zones[I % Zones.size()];
+    Endpoint.Address = {First.Host, static_cast<std::uint16_t>(First.Port + I)};
+    Endpoint.Limits = Limits;
+    Pool.Endpoints.push_back(Endpoint.Id);
+    Out.Endpoints.push_back(Endpoint);
+  }
+}
+
+void readPools(object_reader &Reader, deployment &Out) {
+  std::set<std::string> Taken;
+  Reader.objects("pools", true, [&](object_reader &Item) {
+    pool Pool;
+    Pool.Id.Value = static_cast<std::uint16_t>(Out.Pools.size());
+    Pool.Name = readNewName(Item, Taken);
+    Pool.Shards =
+        Item.whole<std::uint32_t>("shards", {.Least = 1, .Most = MostShards});
+    Pool.Replicas =
+        Item.whole<std::uint32_t>("replicas", {.Least = 1, .Most = 100});
+    Item.objects("endpoints", true, [&](object_reader &Group) {
+      readEndpointGroup(Group, Pool, Out);
+    });
+    if (Pool.Replicas > Pool.Endpoints.size())
+      Item.reject("replicas", "at most the number of endpoints");
+    Out.Pools.push_back(Pool);
+  });
+}
+
+void readCallers(object_reader &Reader, deployment &Out) {
+  std::set<std::string> Taken;
+  std::set<std::string> Keys;
+  Reader.objects("callers", true, [&](object_reader &Item) {
+    caller Caller;
+    Caller.Id.Value = static_cast<std::uint16_t>(Out.Callers.size());
+    Caller.Name = readNewName(Item, Taken);
+    const std::string PoolName = Item.text("pool");
+    if (const pool *Found = findNamed(Out.Pools, PoolName))
+      Caller.Pool = Found->Id;
+    else
+      Item.reject("pool", namesOf(Out.Pools));
+    Caller.ApiKey = Item.text("apiKey");
+    if (!Keys.insert(Caller.ApiKey).second)
+      Item.reject("name", "a caller with an apiKey of its own");
+    Out.Callers.push_back(Caller);
+  });
+}
+
+} // namespace
+
+expected<deployment> parseDeployment(std::string_view Text,
+                                     const std::string &File) {
+  deployment Out;
+  const auto Read = readObject(Text, File, [&](object_reader &Reader) {
+    Out.Name = Reader.text("name");
+    readZones(Reader, Out);
+    readLinks(Reader, Out);
+    readVms(Reader, Out);
+    readPools(Reader, Out);
+    readCallers(Reader, Out);
+  });
+  if (!Read)
+    return fail(Read.error());
+  return Out;
+}
+
+expected<deployment> loadDeployment(const std::string &Path) {
+  const auto Text = readFile(Path);
+  if (!Text)
+    return fail(Text.error());
+  return parseDeployment(*Text, Path);
+}
+
+expected<std::vector<intent>> parseIntents(std::string_view Text,
+                                           const std::string &File,
+                                           const deployment &Of) {
+  std::vector<intent> Out;
+  std::set<std::string> Taken;
+  const auto Read = readObject(Text, File, [&](object_reader &Reader) {
+    Reader.objects("intents", true, [&](object_reader &Item) {
+      intent Intent;
+      Intent.Name.Value = readNewName(Item, Taken);
+      Intent.Caller = Item.text("caller", "");
+      if (!Intent.Caller.empty() && !findNamed(Of.Callers, Intent.Caller))
+        Item.reject("caller", namesOf(Of.Callers));
+      Intent.PathPrefix = Item.text("kind", "");
+      Intent.Deadline =
+          Item.duration("deadlineMs", {.Least = 1, .Most = MostMillis});
+      Intent.MinCoverage.Value = Item.number(
+          "minCoveragePercent", {.Least = 0, .Most = 100, .Fallback = 0});
+      Intent.Weight =
+          Item.number("weight", {.Least = 0.01, .Most = 1000, .Fallback = 1});
+      Intent.ExtraLoad.Value = Item.number(
+          "extraLoadPercent", {.Least = 0, .Most = 100, .Fallback = 5});
+      Out.push_back(Intent);
+    });
+  });
+  if (!Read)
+    return fail(Read.error());
+  return Out;
+}
+
+} // namespace bulrush::settings
