--- a/src/control/changes.cpp
+++ b/src/control/changes.cpp
@@ -231,6 +231,19 @@
   return XXH64(Text.data(), Text.size(), 0);
 }
 
+std::uint64_t digest(const fleet_config &Config) {
+  std::ostringstream Out;
+  Out << Config.Revision << '\n';
+  for (const intent &I : Config.Intents)
+    Out << describe(put_intent{I}) << '\n';
+  for (const zone_id Zone : Config.ZonesOut)
+    Out << describe(zone_out{Zone}) << '\n';
+  for (const endpoint_id Endpoint : Config.Leaving)
+    Out << describe(endpoint_leave{Endpoint}) << '\n';
+  const std::string Text = Out.str();
+  return XXH64(Text.data(), Text.size(), 0);
+}
+
 expected<void> validate(const deployment &Deployment,
                         const fleet_config &Config, const change &Change) {
   return std::visit(validator{Deployment, Config}, Change);
--- a/src/control/changes.h
+++ b/src/control/changes.h
@@ -70,6 +70,10 @@
 /// A number that tells different changes apart, for recognising a resend.
 std::uint64_t fingerprint(const change &Change);
 
+/// A number that tells different configurations apart, for finding a copy that
+/// has gone astray.
+std::uint64_t digest(const fleet_config &Config);
+
 /// Checks a change against the deployment and the configuration it would apply
 /// to. The error names the field, the value and what is allowed.
 expected<void> validate(const deployment &Deployment,
--- /dev/null
+++ b/src/control/control_core.h
@@ -0,0 +1,136 @@
+/// The decisions of one control VM: joins the replicated state, the operators'
+/// requests and the leader's work for the entry daemons.
+#pragma once
+
+#include "control/leader_term.h"
+#include "control/operator_desk.h"
+#include "control/planner.h"
+
+#include <memory>
+#include <variant>
+
+namespace bulrush::control {
+
+/// Hand a command to the replicated log.
+struct propose {
+  command Command;
+  std::uint64_t Ticket = 0; ///< of the operator's request, or 0
+};
+
+/// An operator's request, from this VM's HTTP API or forwarded by another.
+struct operator_asked {
+  request_origin From;
+  operator_request Request;
+};
+/// The leader's result for a request that this VM has forwarded.
+struct forward_answered {
+  std::uint64_t Ticket = 0;
+  operator_result Result;
+};
+/// A heartbeat of an entry daemon.
+struct beat_received {
+  daemon_id From;
+  heartbeat Beat;
+};
+/// A daemon asks for, or reports, a run of a non-idempotent request.
+struct ledger_asked {
+  std::variant<ledger_start, ledger_finish> Request;
+};
+/// What owners say of their endpoints.
+struct reports_received {
+  std::vector<query::endpoint_report> Reports;
+};
+/// The platform's list of live machines; it may lag.
+struct platform_listed {
+  std::vector<vm_id> Live;
+};
+/// This VM's voter was elected. `ReadyAt` is the place of the first entry of
+/// the term: until it is applied the state may be old.
+struct became_leader {
+  term_id Term;
+  log_index ReadyAt;
+};
+struct lost_leadership {};
+/// The leader, as this VM's voter knows it.
+struct leader_known {
+  std::optional<vm_id> Leader;
+};
+/// A majority has acknowledged this leader in answer to messages that were sent
+/// at `AsOf` or later.
+struct quorum_confirmed {
+  instant AsOf;
+};
+/// The log committed an entry; one without a command only moves the index.
+struct entry_committed {
+  log_index Index;
+  std::optional<command> Command;
+};
+/// The log took over a snapshot, or read one at the start.
+struct snapshot_loaded {
+  control_state State;
+};
+/// The log did not take a proposal: it is proved to have no effect. One that
+/// may yet be committed must not be reported here.
+struct proposal_refused {
+  propose Proposal;
+};
+/// Raise it at least every 50 ms.
+struct control_tick {
+  wall_time Wall;
+};
+
+using control_event =
+    std::variant<operator_asked, forward_answered, beat_received, ledger_asked,
+                 reports_received, platform_listed, became_leader,
+                 lost_leadership, leader_known, quorum_confirmed,
+                 entry_committed, snapshot_loaded, proposal_refused,
+                 control_tick>;
+
+/// Pass a request on to the leader, which answers with `Ticket`.
+struct forward_request {
+  vm_id Leader;
+  std::uint64_t Ticket = 0;
+  operator_request Request;
+};
+/// Send the ledger's answer to the daemon of its run.
+struct answer_ledger {
+  ledger_answer Answer;
+};
+/// Make a machine a voter, or no voter any more; only the leader is told.
+struct change_voter {
+  vm_id Vm;
+  bool Add = true;
+};
+/// The snapshot could not be taken: stop, the state is not to be trusted.
+struct state_refused {
+  error Reason;
+};
+
+/// `operator_answer` goes to its origin, `addressed_reply` to a daemon.
+using control_action =
+    std::variant<propose, operator_answer, forward_request, addressed_reply,
+                 answer_ledger, change_voter, state_refused>;
+
+/// Pure core. An operator's request to any VM reaches the leader; a confirm is
+/// answered once its entry is applied here, also when another VM proposed it.
+class control_core {
+public:
+  control_core(vm_id Self, deployment Deployment, memory_limits Limits = {});
+  ~control_core();
+
+  void step(const control_event &Event, instant Now,
+            std::vector<control_action> &Out);
+
+  /// The replicated state as applied here.
+  const state_machine &machine() const;
+  /// What owners last said of their endpoints.
+  const endpoint_reports &reports() const;
+  /// Whether this VM is the leader and has applied all earlier terms' entries.
+  bool isLeading() const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace bulrush::control
--- a/src/control/lease_holder.cpp
+++ b/src/control/lease_holder.cpp
@@ -11,13 +11,17 @@
   return {LastSequence, Applied, MembershipEpoch, Version, IsLeaving};
 }
 
+bool lease_holder::expects(const heartbeat_reply &Reply) const {
+  const sent_beat &Beat = Sent[Reply.Sequence % RememberedBeats];
+  return Reply.Sequence != 0 && Beat.Sequence == Reply.Sequence &&
+         Reply.Term >= Term;
+}
+
 bool lease_holder::take(const heartbeat_reply &Reply, revision Applied,
                         instant Now) {
-  const sent_beat &Beat = Sent[Reply.Sequence % RememberedBeats];
-  if (Reply.Sequence == 0 || Beat.Sequence != Reply.Sequence)
-    return false;
-  if (Reply.Term < Term)
+  if (!expects(Reply))
     return false;
+  const sent_beat &Beat = Sent[Reply.Sequence % RememberedBeats];
   Term = Reply.Term;
   const bool Changed = Reply.Owned && Reply.Grants > Version;
   if (Changed)
--- a/src/control/lease_holder.h
+++ b/src/control/lease_holder.h
@@ -19,6 +19,10 @@
   /// The next heartbeat, taken to be sent at `Now`.
   heartbeat beat(instant Now, revision Applied, std::uint64_t MembershipEpoch);
 
+  /// Whether the reply answers a recent heartbeat and comes from no older
+  /// leader than any seen before.
+  bool expects(const heartbeat_reply &Reply) const;
+
   /// Takes a reply; `Applied` is the daemon's revision after it has taken what
   /// the reply carries. Returns whether the set of grants changed: then the
   /// leader waits for the next heartbeat, so send one at once.
--- a/src/control/lease_table.cpp
+++ b/src/control/lease_table.cpp
@@ -66,6 +66,15 @@
   return Out;
 }
 
+void lease_table::refused(const std::vector<assignment> &Moves) {
+  for (const assignment &Move : Moves) {
+    holding &Holding = Holdings[Move.Endpoint];
+    Holding.Proposed = false;
+    if (Holding.Holder && Holding.Holder == Holding.Target)
+      grantAgain(Holding);
+  }
+}
+
 void lease_table::moved(const assignment &Move, instant Now, millis InFlight) {
   holding &Holding = Holdings[Move.Endpoint];
   const bool IsFirst = !Holding.Holder;
--- a/src/control/lease_table.h
+++ b/src/control/lease_table.h
@@ -35,6 +35,9 @@
   /// Moves that are safe now and not yet handed out by this call.
   std::vector<assignment> readyMoves(instant Now);
 
+  /// Moves that were handed out have no effect: hand them out again.
+  void refused(const std::vector<assignment> &Moves);
+
   /// A move has been replicated. Work of the earlier holder may be in flight
   /// for another `InFlight`.
   void moved(const assignment &Move, instant Now, millis InFlight);
--- /dev/null
+++ b/src/control/operator_desk.cpp
@@ -0,0 +1,87 @@
+#include "control/operator_desk.h"
+
+namespace bulrush::control {
+
+namespace {
+
+/// The answer to a request that the log did not decide.
+operator_result undecided(const operator_request &Request,
+                          std::uint32_t Handings) {
+  const auto *Confirm = std::get_if<confirm_request>(&Request);
+  if (!Confirm)
+    return request_refused{refusal::no_quorum, "no control leader is known"};
+  const bool Proved = Handings == 0 && Confirm->IsFirstSend;
+  return confirm_result{
+      Proved ? confirm_status::not_run : confirm_status::unknown, {}};
+}
+
+bool isFor(const operator_request &Request, const operator_command &Command) {
+  const auto *Confirm = std::get_if<confirm_request>(&Request);
+  return Confirm && Confirm->Plan.Operator == Command.Operator &&
+         Confirm->Plan.Command == Command.Command &&
+         Confirm->Plan.Change == Command.Change;
+}
+
+} // namespace
+
+confirm_result toConfirmResult(const command_answer &Answer) {
+  switch (Answer.Result) {
+  case command_result::accepted:
+    return {confirm_status::accepted, Answer.Revision};
+  case command_result::conflict:
+    return {confirm_status::conflict, Answer.Revision};
+  case command_result::invalid:
+    return {confirm_status::invalid, Answer.Revision};
+  case command_result::reused_id:
+    break;
+  }
+  return {confirm_status::reused_id, Answer.Revision};
+}
+
+void operator_desk::take(const request_origin &From,
+                         const operator_request &Request, instant Now,
+                         std::vector<operator_answer> &Out) {
+  if (Waiting.size() >= MaxWaiting) {
+    Out.push_back({From, undecided(Request, 0)});
+    return;
+  }
+  Waiting[++LastTicket] = {From, Request, Now + Patience, Now, 0};
+}
+
+void operator_desk::answer(std::uint64_t Ticket, const operator_result &Result,
+                           std::vector<operator_answer> &Out) {
+  const auto Found = Waiting.find(Ticket);
+  if (Found == Waiting.end())
+    return;
+  Out.push_back({Found->second.From, Result});
+  Waiting.erase(Found);
+}
+
+void operator_desk::applied(const operator_command &Command,
+                            const command_answer &Answer,
+                            std::vector<operator_answer> &Out) {
+  std::erase_if(Waiting, [&](const auto &Entry) {
+    if (!isFor(Entry.second.Request, Command))
+      return false;
+    Out.push_back({Entry.second.From, toConfirmResult(Answer)});
+    return true;
+  });
+}
+
+void operator_desk::refused(std::uint64_t Ticket) {
+  const auto Found = Waiting.find(Ticket);
+  if (Found != Waiting.end() && Found->second.Handings > 0)
+    --Found->second.Handings;
+}
+
+void operator_desk::expire(instant Now, std::vector<operator_answer> &Out) {
+  std::erase_if(Waiting, [&](const auto &Entry) {
+    if (Now < Entry.second.Deadline)
+      return false;
+    Out.push_back({Entry.second.From,
+                   undecided(Entry.second.Request, Entry.second.Handings)});
+    return true;
+  });
+}
+
+} // namespace bulrush::control
