--- a/cmake/shells.cmake
+++ b/cmake/shells.cmake
@@ -1,5 +1,5 @@
 # Everything that does I/O: messages, HTTP, daemons, programs and the bench.
-bulrush_library(wire bulrush_world bulrush_query bulrush_control zmq protobuf)
+bulrush_library(wire bulrush_world bulrush_query bulrush_control bulrush_telemetry zmq protobuf)
 bulrush_library(http bulrush_world bulrush_telemetry Threads::Threads)
 bulrush_library(daemon bulrush_query bulrush_control bulrush_store bulrush_settings bulrush_wire
                 bulrush_http bulrush_telemetry caf_core)
