--- /dev/null
+++ b/src/settings/paths.h
@@ -0,0 +1,21 @@
+/// Paths in settings files are relative to the file that names them.
+#pragma once
+
+#include "bulrushtray/error.h"
+#include "bulrushtray/world.h"
+
+#include <string>
+
+namespace bulrush::settings {
+
+/// `Named` as seen from the folder of `File`; an empty name stays empty.
+std::string besideFile(const std::string &File, const std::string &Named);
+
+/// The vm with this number, or an error that names `File`.
+expected<vm> findVm(const deployment &Deployment, vm_id Id, const std::string &File);
+
+/// The values of `logLevel`.
+inline constexpr const char *LogLevels = "debug, info, warning or error";
+bool isLogLevel(const std::string &Text);
+
+} // namespace bulrush::settings
