--- /dev/null
+++ b/src/query/outbox.h
@@ -0,0 +1,40 @@
+/// Collects what one step sends, so that each owner gets one message.
+#pragma once
+
+#include "query/router_events.h"
+
+namespace bulrush::query {
+
+/// The sub-requests of one query and the cancels of one step, by owner.
+class outbox {
+public:
+  explicit outbox(vm_id Self) : Self(Self) {}
+
+  /// Adds a sub-request of the query under way.
+  void add(vm_id Owner, sub_request Item);
+
+  /// Appends one batch for each owner of the query under way.
+  void flushBatches(const shared_body &Body, millis Remaining,
+                    std::vector<router_action> &Out);
+
+  /// Adds a cancel.
+  void cancel(vm_id Owner, sub_id Sub);
+
+  /// Appends one cancel for each owner.
+  void flushCancels(std::vector<router_action> &Out);
+
+private:
+  struct owner_box {
+    std::vector<sub_request> Items;
+    std::vector<sub_id> Cancels;
+  };
+
+  owner_box &box(vm_id Owner);
+
+  vm_id Self;
+  std::vector<owner_box> Boxes; ///< at the place of the owner's number
+  std::vector<vm_id> WithItems;
+  std::vector<vm_id> WithCancels;
+};
+
+} // namespace bulrush::query
--- /dev/null
+++ b/src/query/router_answer.cpp
@@ -0,0 +1,171 @@
+#include "query/router_impl.h"
+
+#include <algorithm>
+
+namespace bulrush::query {
+
+namespace {
+
+/// Whether a caller may do better by asking again.
+bool isWorthARetry(refusal Reason) {
+  return Reason != refusal::no_intent && Reason != refusal::duplicate_key &&
+         Reason != refusal::key_expired && Reason != refusal::bad_request;
+}
+
+} // namespace
+
+void router::impl::refuse(query_state &Query, refusal Reason) {
+  answer Answer;
+  Answer.Outcome = outcome::not_run;
+  Answer.Reason = Reason;
+  reply(Query, std::move(Answer));
+}
+
+/// Refuses before anything is sent, and names the shards nobody can search.
+void router::impl::refuseUnpromised(query_state &Query,
+                                    const snapshot_choice &Pinned) {
+  const shard_map &Map = *Pinned.Map;
+  Query.Newest = Pinned.Newest;
+  Query.Promised = Pinned.Promised;
+  answer Answer;
+  Answer.Outcome = outcome::not_run;
+  Answer.Reason =
+      Pinned.Promised > 0 ? refusal::incomplete : whyNone(Map.Holders.front());
+  Answer.Snapshot = Map.Snapshot;
+  Answer.Total = Map.total();
+  for (std::uint32_t Shard = 0; Shard < Map.total(); ++Shard)
+    if (!isUsable(Map.Holders[Shard]))
+      Answer.Missing.push_back({Shard});
+  reply(Query, std::move(Answer));
+}
+
+bool router::impl::isUsable(const std::vector<endpoint_id> &Holders) const {
+  for (const endpoint_id Id : Holders)
+    if (Endpoints[Id].usable())
+      return true;
+  return false;
+}
+
+void router::impl::atDeadline(query_state &Query) {
+  if (Query.IsCommand)
+    return commandAtDeadline(Query);
+  if (Query.Phase == query_phase::snapshot)
+    return refuse(Query, refusal::incomplete);
+  Query.LastFailure = refusal::timed_out;
+  finish(Query);
+}
+
+/// Answers a search with what there is, or refuses it.
+void router::impl::finish(query_state &Query) {
+  gather &Gather = Query.Gather;
+  const bool IsEnough =
+      Gather.covered() > 0 && isEnough(Query, Gather.covered(), Gather.total());
+  answer Answer;
+  Answer.Snapshot = Gather.snapshot();
+  Answer.Covered = Gather.covered();
+  Answer.Total = Gather.total();
+  if (Gather.covered() < Gather.total())
+    Answer.Missing = Gather.missing();
+  if (IsEnough) {
+    Answer.Outcome = outcome::answered;
+    Answer.Results = Gather.takeBodies();
+    return reply(Query, std::move(Answer));
+  }
+  Answer.Outcome = Gather.nothingRan() ? outcome::not_run : outcome::unknown;
+  const bool HasOwnReason =
+      Gather.covered() == 0 || Query.LastFailure == refusal::timed_out;
+  Answer.Reason = HasOwnReason ? Query.LastFailure : refusal::incomplete;
+  reply(Query, std::move(Answer));
+}
+
+/// The one answer of a query; the query is gone afterwards.
+void router::impl::reply(query_state &Query, answer Answer) {
+  Answer.RequestId = Query.RequestId;
+  if (Query.Intent)
+    Answer.Intent = Query.Intent->Intent.Name;
+  if (Answer.Outcome != outcome::answered) {
+    if (isWorthARetry(Answer.Reason))
+      Answer.RetryAfter =
+          Query.RetryAfter > millis{0} ? Query.RetryAfter : Settings.RetryAfter;
+    Out->emplace_back(count_refusal{Answer.Reason, 1});
+  }
+  cancelPending(Query);
+  remember(Query, Answer);
+  Out->emplace_back(send_answer{Query.Id, std::move(Answer)});
+  forget(Query);
+}
+
+void router::impl::cancelPending(query_state &Query) {
+  if (Query.IsCommand)
+    return releaseCommand(Query);
+  if (Query.Gather.pending() == 0)
+    return;
+  for (std::uint32_t Shard = 0; Shard < Query.Gather.total(); ++Shard)
+    abandon(Query, {Shard}, attempt_state::cancelled, refusal::cancelled);
+}
+
+/// A command that may have run is not cancelled, only no longer counted.
+void router::impl::releaseCommand(const query_state &Query) {
+  for (std::uint32_t Shard = 0; Shard < Query.Gather.total(); ++Shard) {
+    const shard_progress &Progress = Query.Gather[shard_id{Shard}];
+    if (Progress.Pending > 0)
+      --Endpoints[Progress.Attempts[0].Endpoint].Outstanding;
+  }
+}
+
+void router::impl::remember(const query_state &Query, const answer &Answer) {
+  query_record *Record = Explain.next();
+  if (!Record)
+    return;
+  const gather &Gather = Query.Gather;
+  Record->Query = Query.Id;
+  Record->RequestId = Query.RequestId;
+  Record->Caller = Query.Caller;
+  Record->Pool = Query.Pool;
+  Record->Intent = Answer.Intent;
+  Record->Revision = Query.Revision;
+  Record->IsCommand = Query.IsCommand;
+  Record->Snapshot = Answer.Snapshot;
+  Record->Newest = Query.Newest;
+  Record->Promised = Query.Promised;
+  Record->Covered = Answer.Covered;
+  Record->Total = Answer.Total;
+  Record->Outcome = Answer.Outcome;
+  Record->Reason = Answer.Reason;
+  Record->Arrived = Query.Arrived;
+  Record->Took = Now - Query.Arrived;
+  Record->Repins = Query.Repins;
+  Record->HedgeDenial = Query.HedgeDenial;
+  for (std::uint32_t Shard = 0; Shard < Gather.total(); ++Shard)
+    appendAttempts(Gather[shard_id{Shard}], {Shard}, Query.Arrived,
+                   Record->Attempts);
+}
+
+void router::impl::appendAttempts(const shard_progress &Progress,
+                                  shard_id Shard, instant Arrived,
+                                  std::vector<attempt_record> &Records) {
+  const auto After = [&](instant At) {
+    return static_cast<float>((At - Arrived).Count);
+  };
+  for (std::uint32_t At = 0; At < Progress.Count; ++At) {
+    const attempt &Attempt = Progress.Attempts[At];
+    Records.push_back(
+        {Shard, Attempt.Endpoint, Attempt.Owner, After(Attempt.SentAt),
+         After(std::max(Attempt.EndedAt, Attempt.SentAt)), Attempt.IsPrimary,
+         Attempt.Cause, Attempt.State, Attempt.Reason});
+  }
+}
+
+void router::impl::forget(query_state &Query) {
+  const auto Place = Queries.find(Query.Id);
+  std::unique_ptr<query_state> State = std::move(Place->second);
+  Queries.erase(Place);
+  if (Spare.size() >= MaxSpare)
+    return;
+  gather Gather = std::move(State->Gather);
+  *State = query_state{};
+  State->Gather = std::move(Gather);
+  Spare.push_back(std::move(State));
+}
+
+} // namespace bulrush::query
--- /dev/null
+++ b/src/query/router_search.cpp
@@ -0,0 +1,160 @@
+#include "query/router_impl.h"
+
+#include <algorithm>
+
+namespace bulrush::query {
+
+void router::impl::pinOrWait(query_state &Query) {
+  if (!Ready)
+    return refuse(Query, refusal::not_ready);
+  const std::optional<snapshot_choice> Pinned =
+      Directory.choose(Query.Pool, *Out);
+  if (!Pinned)
+    return refuse(Query, refusal::snapshot_missing);
+  if (promisesEnough(Query, *Pinned))
+    return scatter(Query, *Pinned, false);
+  if (Pinned->Promised == 0 || Now >= Query.WholeBy)
+    return refuseUnpromised(Query, *Pinned);
+  Query.Phase = query_phase::snapshot;
+  Waiting.push_back(Query.Id);
+  wakeAt(Query, Query.WholeBy);
+}
+
+bool router::impl::promisesEnough(const query_state &Query,
+                                  const snapshot_choice &Pinned) {
+  return Pinned.Promised > 0 &&
+         isEnough(Query, Pinned.Promised, Pinned.Map->total());
+}
+
+bool router::impl::isEnough(const query_state &Query, std::uint32_t Covered,
+                            std::uint32_t Total) {
+  constexpr double Rounding = 1e-9;
+  const double Needed = Query.Intent->Intent.MinCoverage.share() * Total;
+  return Covered >= Needed - Rounding;
+}
+
+/// Pins the snapshot and sends the primary attempt for each shard. `Again` when
+/// the query starts over on another snapshot.
+void router::impl::scatter(query_state &Query, const snapshot_choice &Pinned,
+                           bool Again) {
+  const shard_map &Map = *Pinned.Map;
+  Query.Phase = query_phase::replies;
+  Query.Newest = Pinned.Newest;
+  Query.Promised = Pinned.Promised;
+  const sub_id FirstSub{NextSub};
+  NextSub += gather::subsNeeded(Map.total());
+  if (Again)
+    Query.Gather.beginAgain(Map.Snapshot, Map.total(), FirstSub);
+  else
+    Query.Gather.begin(Map.Snapshot, Map.total(), FirstSub);
+  for (std::uint32_t Shard = 0; Shard < Map.total(); ++Shard)
+    sendFirst(Query, Map, {Shard}, Again);
+  if (!Again)
+    budgetOf(Query).earn(Query.Gather.pending(),
+                         Query.Intent->Intent.ExtraLoad);
+  flush(Query);
+  settle(Query);
+}
+
+void router::impl::sendFirst(query_state &Query, const shard_map &Map,
+                             shard_id Shard, bool Again) {
+  const std::vector<endpoint_id> &Holders = Map.Holders[Shard.Value];
+  Tried.clear();
+  const std::optional<endpoint_id> Target = Choice.choose(Holders, Tried);
+  if (Target)
+    return send(Query, Shard, *Target, !Again, retry_reason::wrong_snapshot);
+  Query.LastFailure = whyNone(Holders);
+  Query.Gather.markLost(Shard);
+}
+
+/// Why no holder of a shard may get work.
+refusal router::impl::whyNone(const std::vector<endpoint_id> &Holders) const {
+  if (Holders.empty())
+    return refusal::snapshot_missing;
+  const endpoint_view &View = Endpoints[Holders.front()];
+  if (View.ZoneOut)
+    return refusal::zone_out;
+  if (View.Leaving || View.Condition == endpoint_condition::leaving)
+    return refusal::endpoint_leaving;
+  if (!View.Owner || View.OwnerSuspected)
+    return refusal::no_owner;
+  return refusal::endpoint_lost;
+}
+
+void router::impl::send(query_state &Query, shard_id Shard,
+                        endpoint_id Endpoint, bool IsPrimary,
+                        retry_reason Cause) {
+  endpoint_view &View = Endpoints[Endpoint];
+  const matched_intent &Intent = *Query.Intent;
+  attempt Attempt;
+  Attempt.Endpoint = Endpoint;
+  Attempt.Owner = *View.Owner;
+  Attempt.SentAt = Now;
+  Attempt.IsPrimary = IsPrimary;
+  Attempt.Cause = Cause;
+  const std::uint32_t Number = Query.Gather[Shard].Count;
+  sub_request Item;
+  Item.Sub = Query.Gather.add(Shard, Attempt);
+  Item.Query = Query.Id;
+  Item.Endpoint = Endpoint;
+  Item.Shard = Shard;
+  Item.Snapshot = Query.Gather.snapshot();
+  Item.Attempt = Number;
+  Item.IsHedge = !IsPrimary && Cause == retry_reason::hedge;
+  Item.IsCommand = Query.IsCommand;
+  Item.Weight = Intent.Intent.Weight;
+  Item.Caller = Query.Caller;
+  Item.Key = Query.Key;
+  Outbox.add(Attempt.Owner, std::move(Item));
+  ++View.Outstanding;
+  if (Query.IsCommand || !Settings.Hedge.Enabled)
+    return;
+  shard_progress &Progress = Query.Gather[Shard];
+  if (Progress.HedgeClosed)
+    return;
+  Progress.HedgeAt =
+      Now + Hedges.delay(Endpoint, Intent.Class, Intent.Intent.Deadline);
+  wakeAt(Query, Progress.HedgeAt);
+}
+
+void router::impl::flush(const query_state &Query) {
+  Outbox.flushBatches(Query.Body, Query.Deadline - Now, *Out);
+}
+
+/// Ends the query as soon as no reply can change its answer for the better.
+void router::impl::settle(query_state &Query) {
+  const gather &Gather = Query.Gather;
+  if (Query.Phase != query_phase::replies || Query.IsCommand)
+    return;
+  const std::uint32_t Reachable = Gather.covered() + Gather.open();
+  const bool IsHopeless =
+      Reachable == 0 || !isEnough(Query, Reachable, Gather.total());
+  if (IsHopeless && repin(Query))
+    return;
+  if (IsHopeless || Gather.open() == 0)
+    finish(Query);
+}
+
+/// Starts a query over on another snapshot that promises enough, when there is
+/// time and budget for it; true when the query was taken care of.
+bool router::impl::repin(query_state &Query) {
+  const millis Used = Now - Query.Arrived;
+  const bool HasTime = Used < Query.Intent->Intent.Deadline * MaxRepinShare;
+  if (!Ready || Query.Repins > 0 || !HasTime)
+    return false;
+  const std::optional<snapshot_choice> Other =
+      Directory.choose(Query.Pool, *Out);
+  if (!Other || Other->Map->Snapshot == Query.Gather.snapshot() ||
+      !promisesEnough(Query, *Other))
+    return false;
+  const std::uint32_t Total = Other->Map->total();
+  if (!budgetOf(Query).spendRetries(Total))
+    return false;
+  ++Query.Repins;
+  cancelPending(Query);
+  Out->emplace_back(count_retry{retry_reason::wrong_snapshot, Total});
+  scatter(Query, *Other, true);
+  return true;
+}
+
+} // namespace bulrush::query
