--- a/src/query/router_events.h
+++ b/src/query/router_events.h
@@ -1,7 +1,7 @@
 /// What the router is told and what it asks its shell to do.
 #pragma once
 
-#include "bulrushtray/fleet_config.h"
+#include "query/events.h"
 #include "query/messages.h"
 
 #include <variant>
@@ -63,11 +63,6 @@
   std::vector<endpoint_report> Reports;
 };
 
-/// A configuration; an older revision than the one in force is ignored.
-struct config_changed {
-  fleet_config Config;
-};
-
 /// A membership; an older epoch than the one in force is ignored.
 struct membership_changed {
   membership Membership;
@@ -93,12 +88,6 @@
   query_id Query;
 };
 
-/// The process is to stop: no new work, work in flight runs to its end.
-struct stop_requested {};
-
-/// The instant of the last `set_timer` has come.
-struct timer_fired {};
-
 using router_event =
     std::variant<search_arrived, command_arrived, ledger_granted,
                  ledger_recorded, replies_arrived, reports_arrived,
@@ -160,17 +149,6 @@
   shared_body Body;
 };
 
-/// Send `timer_fired` at this instant. Replaces the instant set before.
-struct set_timer {
-  instant At;
-};
-
-/// Count `Count` queries that were refused to callers for this reason.
-struct count_refusal {
-  refusal Reason = refusal::none;
-  std::uint32_t Count = 1;
-};
-
 /// Count `Count` additional sub-requests.
 struct count_retry {
   retry_reason Reason = retry_reason::hedge;
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -15,17 +15,22 @@
 void readCallers(object_reader &Reader, caller_limits &Out) {
   const auto Count = [&](const char *Key, std::size_t Fallback) {
     return Reader.whole<std::size_t>(
-        Key, {.Least = 1, .Most = MostCount, .Fallback = static_cast<double>(Fallback)});
+        Key, {.Least = 1,
+              .Most = MostCount,
+              .Fallback = static_cast<double>(Fallback)});
   };
   Out.MaxConnections = Count("maxConnections", Out.MaxConnections);
   Out.MaxPipelined = Count("maxPipelined", Out.MaxPipelined);
   Out.MaxBodyBytes = Reader.whole<std::size_t>(
-      "maxBodyBytes",
-      {.Least = 1, .Most = MostBytes, .Fallback = static_cast<double>(Out.MaxBodyBytes)});
+      "maxBodyBytes", {.Least = 1,
+                       .Most = MostBytes,
+                       .Fallback = static_cast<double>(Out.MaxBodyBytes)});
   Out.IdleTimeout = Reader.duration(
-      "idleTimeoutMs", {.Least = 100, .Most = MostMillis, .Fallback = Out.IdleTimeout.Count});
+      "idleTimeoutMs",
+      {.Least = 100, .Most = MostMillis, .Fallback = Out.IdleTimeout.Count});
   Out.WriteTimeout = Reader.duration(
-      "writeTimeoutMs", {.Least = 100, .Most = MostMillis, .Fallback = Out.WriteTimeout.Count});
+      "writeTimeoutMs",
+      {.Least = 100, .Most = MostMillis, .Fallback = Out.WriteTimeout.Count});
 }
 
 void readRouter(object_reader &Reader, query::router_settings &Out) {
@@ -35,16 +40,21 @@
   else if (Policy != "mostCoverage")
     Reader.reject("snapshotPolicy", "mostCoverage or newest");
   Out.Hedge.Enabled = Reader.flag("hedging", Out.Hedge.Enabled);
-  Out.Hedge.Quantile =
-      Reader.number("hedgeQuantile", {.Least = 0.5, .Most = 0.999, .Fallback = Out.Hedge.Quantile});
+  Out.Hedge.Quantile = Reader.number(
+      "hedgeQuantile",
+      {.Least = 0.5, .Most = 0.999, .Fallback = Out.Hedge.Quantile});
   Out.Hedge.MinDelay = Reader.duration(
-      "hedgeMinDelayMs", {.Least = 0, .Most = MostMillis, .Fallback = Out.Hedge.MinDelay.Count});
+      "hedgeMinDelayMs",
+      {.Least = 0, .Most = MostMillis, .Fallback = Out.Hedge.MinDelay.Count});
   Out.RetryAfter = Reader.duration(
-      "retryAfterMs", {.Least = 1, .Most = MostMillis, .Fallback = Out.RetryAfter.Count});
+      "retryAfterMs",
+      {.Least = 1, .Most = MostMillis, .Fallback = Out.RetryAfter.Count});
   Out.ExplainQueries = Reader.whole<std::uint32_t>(
-      "explainQueries",
-      {.Least = 0, .Most = MostCount, .Fallback = static_cast<double>(Out.ExplainQueries)});
-  Out.Seed = Reader.whole<std::uint64_t>("seed", {.Least = 0, .Fallback = static_cast<double>(Out.Seed)});
+      "explainQueries", {.Least = 0,
+                         .Most = MostCount,
+                         .Fallback = static_cast<double>(Out.ExplainQueries)});
+  Out.Seed = Reader.whole<std::uint64_t>(
+      "seed", {.Least = 0, .Fallback = static_cast<double>(Out.Seed)});
 }
 
 void readOwner(object_reader &Reader, query::owner_settings &Out) {
@@ -59,11 +69,15 @@
   else if (Cold != "inferred")
     Reader.reject("coldStart", "inferred or trustHealth");
   Out.MaxQueued = Reader.whole<std::size_t>(
-      "maxQueued", {.Least = 1, .Most = MostCount, .Fallback = static_cast<double>(Out.MaxQueued)});
+      "maxQueued", {.Least = 1,
+                    .Most = MostCount,
+                    .Fallback = static_cast<double>(Out.MaxQueued)});
   Out.HealthPeriod = Reader.duration(
-      "healthPeriodMs", {.Least = 10, .Most = MostMillis, .Fallback = Out.HealthPeriod.Count});
+      "healthPeriodMs",
+      {.Least = 10, .Most = MostMillis, .Fallback = Out.HealthPeriod.Count});
   Out.ReportPeriod = Reader.duration(
-      "reportPeriodMs", {.Least = 10, .Most = MostMillis, .Fallback = Out.ReportPeriod.Count});
+      "reportPeriodMs",
+      {.Least = 10, .Most = MostMillis, .Fallback = Out.ReportPeriod.Count});
 }
 
 } // namespace
@@ -80,13 +94,19 @@
     if (!isLogLevel(Out.LogLevel))
       Reader.reject("logLevel", LogLevels);
     Out.KeysFile = besideFile(Path, Reader.text("keysFile", ""));
-    Reader.object("callers", [&](object_reader &Inner) { readCallers(Inner, Out.Callers); });
-    Reader.object("router", [&](object_reader &Inner) { readRouter(Inner, Out.Router); });
-    Reader.object("owner", [&](object_reader &Inner) { readOwner(Inner, Out.Owner); });
+    Reader.object("callers", [&](object_reader &Inner) {
+      readCallers(Inner, Out.Callers);
+    });
+    Reader.object("router",
+                  [&](object_reader &Inner) { readRouter(Inner, Out.Router); });
+    Reader.object("owner",
+                  [&](object_reader &Inner) { readOwner(Inner, Out.Owner); });
     Out.StopBound = Reader.duration(
-        "stopBoundMs", {.Least = 0, .Most = MostMillis, .Fallback = Out.StopBound.Count});
+        "stopBoundMs",
+        {.Least = 0, .Most = MostMillis, .Fallback = Out.StopBound.Count});
     Out.ConnectTimeout = Reader.duration(
-        "connectTimeoutMs", {.Least = 1, .Most = MostMillis, .Fallback = Out.ConnectTimeout.Count});
+        "connectTimeoutMs",
+        {.Least = 1, .Most = MostMillis, .Fallback = Out.ConnectTimeout.Count});
     Out.Testing = Reader.flag("testing", false);
   });
   if (!Read)
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -24,7 +24,7 @@
   deployment Deployment;
   vm Self;
   std::string LogLevel = "info";
-  std::string KeysFile;         ///< CURVE keys of the system; empty: none
+  std::string KeysFile; ///< CURVE keys of the system; empty: none
   caller_limits Callers;
   query::router_settings Router;
   query::owner_settings Owner;
--- a/src/settings/paths.cpp
+++ b/src/settings/paths.cpp
@@ -11,9 +11,11 @@
   return (std::filesystem::path(File).parent_path() / Named).string();
 }
 
-expected<vm> findVm(const deployment &Deployment, vm_id Id, const std::string &File) {
-  const auto Found = std::find_if(Deployment.Vms.begin(), Deployment.Vms.end(),
-                                  [&](const vm &Each) { return Each.Id == Id; });
+expected<vm> findVm(const deployment &Deployment, vm_id Id,
+                    const std::string &File) {
+  const auto Found =
+      std::find_if(Deployment.Vms.begin(), Deployment.Vms.end(),
+                   [&](const vm &Each) { return Each.Id == Id; });
   if (Found != Deployment.Vms.end())
     return *Found;
   return fail(File + ": /vms: found no vm with id " + std::to_string(Id.Value) +
@@ -21,7 +23,8 @@
 }
 
 bool isLogLevel(const std::string &Text) {
-  return Text == "debug" || Text == "info" || Text == "warning" || Text == "error";
+  return Text == "debug" || Text == "info" || Text == "warning" ||
+         Text == "error";
 }
 
 } // namespace bulrush::settings
--- a/src/settings/paths.h
+++ b/src/settings/paths.h
@@ -12,7 +12,8 @@
 std::string besideFile(const std::string &File, const std::string &Named);
 
 /// The vm with this number, or an error that names `File`.
-expected<vm> findVm(const deployment &Deployment, vm_id Id, const std::string &File);
+expected<vm> findVm(const deployment &Deployment, vm_id Id,
+                    const std::string &File);
 
 /// The values of `logLevel`.
 inline constexpr const char *LogLevels = "debug, info, warning or error";
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -57,7 +57,8 @@
   std::vector<peer> Peers;
   int QueueBound =
       2'000; ///< messages waiting for one peer; more are dropped and counted
-  std::int64_t MaxMessageBytes = 64 << 20; ///< a larger message closes the connection
+  std::int64_t MaxMessageBytes =
+      64 << 20; ///< a larger message closes the connection
   std::optional<link_keys>
       Keys; ///< without keys nothing is encrypted or checked
 };
