--- /dev/null
+++ b/src/query/endpoint_queue.cpp
@@ -0,0 +1,195 @@
+#include "query/endpoint_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+namespace bulrush::query {
+
+namespace {
+
+/// Attempts ordered by a key; equal keys by age.
+struct ordered_attempt {
+  double Key = 0;
+  attempt_id Attempt;
+
+  auto operator<=>(const ordered_attempt &) const = default;
+};
+using attempt_set = std::pmr::set<ordered_attempt>;
+
+/// One class of work that shares an endpoint with others.
+struct work_class {
+  caller_id Caller;
+  double Weight = 1;
+  double VirtualStart = 0; ///< service received, divided by the weight
+  attempt_set Waiting;     ///< by deadline
+};
+
+/// Start-time fair queueing among classes, earliest deadline first within one.
+/// The number of classes is that of the intents that reach the endpoint.
+class weighted_deadline_queue final : public endpoint_queue {
+public:
+  explicit weighted_deadline_queue(std::pmr::memory_resource &Memory)
+      : Memory(Memory) {}
+
+  void push(const queued_work &Work) override {
+    work_class &Class = classOf(Work);
+    if (Class.Waiting.empty())
+      Class.VirtualStart = std::max(Class.VirtualStart, VirtualTime);
+    Class.Waiting.insert({Work.Deadline.Ms, Work.Attempt});
+    ++Count;
+  }
+
+  void remove(const queued_work &Work) override {
+    Count -= classOf(Work).Waiting.erase({Work.Deadline.Ms, Work.Attempt});
+  }
+
+  attempt_id pop() override {
+    work_class *Next = nullptr;
+    for (work_class &Class : Classes)
+      if (!Class.Waiting.empty() &&
+          (!Next || Class.VirtualStart < Next->VirtualStart))
+        Next = &Class;
+    assert(Next);
+    VirtualTime = Next->VirtualStart;
+    Next->VirtualStart += 1 / Next->Weight;
+    const attempt_id Attempt = Next->Waiting.begin()->Attempt;
+    Next->Waiting.erase(Next->Waiting.begin());
+    --Count;
+    return Attempt;
+  }
+
+  std::size_t size() const override { return Count; }
+
+  double ahead(const queued_work &Work) const override {
+    const work_class *Own = find(Work);
+    const double Earlier = Own ? earlierIn(*Own, Work) : 0;
+    const double OwnStart =
+        Own && !Own->Waiting.empty() ? Own->VirtualStart : VirtualTime;
+    const double Turn = OwnStart + Earlier / Work.Weight;
+    double Sum = Earlier;
+    for (const work_class &Class : Classes) {
+      if (&Class == Own || Class.Waiting.empty())
+        continue;
+      const double Turns = (Turn - Class.VirtualStart) * Class.Weight + 1;
+      Sum += std::clamp(Turns, 0.0, static_cast<double>(Class.Waiting.size()));
+    }
+    return Sum;
+  }
+
+  queued_work mostUrgent() const override {
+    const work_class *Least = nullptr;
+    for (const work_class &Class : Classes)
+      if (!Class.Waiting.empty() &&
+          (!Least || Class.Waiting.begin()->Key < Least->Waiting.begin()->Key))
+        Least = &Class;
+    assert(Least);
+    const ordered_attempt &First = *Least->Waiting.begin();
+    return {First.Attempt, {First.Key}, Least->Caller, Least->Weight};
+  }
+
+private:
+  const work_class *find(const queued_work &Work) const {
+    for (const work_class &Class : Classes)
+      if (Class.Caller == Work.Caller && Class.Weight == Work.Weight)
+        return &Class;
+    return nullptr;
+  }
+
+  work_class &classOf(const queued_work &Work) {
+    if (const work_class *Found = find(Work))
+      return const_cast<work_class &>(*Found);
+    dropIdleClasses();
+    Classes.push_back(
+        {Work.Caller, Work.Weight, VirtualTime, attempt_set(&Memory)});
+    return Classes.back();
+  }
+
+  /// Classes end when operators change weights.
+  void dropIdleClasses() {
+    std::erase_if(Classes, [this](const work_class &Class) {
+      return Class.Waiting.empty() && Class.VirtualStart <= VirtualTime;
+    });
+  }
+
+  /// New work mostly has the latest deadline, so the count starts at the end.
+  static double earlierIn(const work_class &Class, const queued_work &Work) {
+    std::size_t Later = 0;
+    for (auto It = Class.Waiting.rbegin();
+         It != Class.Waiting.rend() && It->Key > Work.Deadline.Ms; ++It)
+      ++Later;
+    return static_cast<double>(Class.Waiting.size() - Later);
+  }
+
+  std::pmr::memory_resource &Memory;
+  std::vector<work_class> Classes;
+  double VirtualTime = 0;
+  std::size_t Count = 0;
+};
+
+/// Arrival order for all.
+class fifo_queue final : public endpoint_queue {
+public:
+  explicit fifo_queue(std::pmr::memory_resource &Memory)
+      : ByArrival(&Memory), ByDeadline(&Memory) {}
+
+  void push(const queued_work &Work) override {
+    const arrival Arrival{++Arrivals, Work};
+    ByArrival.insert({static_cast<double>(Arrivals), Work.Attempt});
+    ByDeadline.insert(Arrival);
+  }
+
+  void remove(const queued_work &Work) override {
+    const auto Found = std::find_if(
+        ByDeadline.begin(), ByDeadline.end(), [&](const arrival &Arrival) {
+          return Arrival.Work.Attempt == Work.Attempt;
+        });
+    if (Found == ByDeadline.end())
+      return;
+    ByArrival.erase({static_cast<double>(Found->Number), Work.Attempt});
+    ByDeadline.erase(Found);
+  }
+
+  attempt_id pop() override {
+    assert(!ByArrival.empty());
+    const attempt_id Attempt = ByArrival.begin()->Attempt;
+    remove({Attempt, {}, {}, 0});
+    return Attempt;
+  }
+
+  std::size_t size() const override { return ByArrival.size(); }
+
+  double ahead(const queued_work &) const override {
+    return static_cast<double>(ByArrival.size());
+  }
+
+  queued_work mostUrgent() const override { return ByDeadline.begin()->Work; }
+
+private:
+  struct arrival {
+    std::uint64_t Number = 0;
+    queued_work Work;
+  };
+  struct earlier_deadline {
+    bool operator()(const arrival &A, const arrival &B) const {
+      if (A.Work.Deadline != B.Work.Deadline)
+        return A.Work.Deadline < B.Work.Deadline;
+      return A.Number < B.Number;
+    }
+  };
+
+  attempt_set ByArrival;
+  std::pmr::set<arrival, earlier_deadline> ByDeadline;
+  std::uint64_t Arrivals = 0;
+};
+
+} // namespace
+
+std::unique_ptr<endpoint_queue> makeQueue(admission_policy Policy,
+                                          std::pmr::memory_resource &Memory) {
+  if (Policy == admission_policy::fifo)
+    return std::make_unique<fifo_queue>(Memory);
+  return std::make_unique<weighted_deadline_queue>(Memory);
+}
+
+} // namespace bulrush::query
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -38,6 +38,7 @@
       Remaining; ///< until the query's deadline, counted from when it is sent
   shared_body Body; ///< the caller's query
   std::vector<sub_request> Items;
+  incarnation_id Incarnation; ///< of the sender: a `sub_id` is unique in one
 };
 
 /// How one sub-request ended.
@@ -81,6 +82,7 @@
   std::uint32_t Limit = 0; ///< in-flight requests allowed now
   std::uint32_t Queued = 0;
   std::vector<held_snapshot> Held;
+  double AdmitShare = 1; ///< share of the offered work that it takes now, 0..1
 };
 
 } // namespace bulrush::query
--- /dev/null
+++ b/src/query/service_time.h
@@ -0,0 +1,42 @@
+/// A running estimate of an endpoint's service time.
+#pragma once
+
+#include "bulrushtray/clock.h"
+
+#include <cmath>
+
+namespace bulrush::query {
+
+/// Exponentially weighted mean and mean deviation, as in TCP's round-trip
+/// estimate.
+class service_time {
+public:
+  explicit service_time(millis First) : Mean(First), Deviation(First * 0.5) {}
+
+  void add(millis Sample) {
+    if (!Seen) {
+      Seen = true;
+      Mean = Sample;
+      Deviation = Sample * 0.5;
+      return;
+    }
+    const millis Error = Sample - Mean;
+    Mean += Error * MeanGain;
+    Deviation += (millis{std::abs(Error.Count)} - Deviation) * DeviationGain;
+  }
+
+  millis mean() const { return Mean; }
+  /// The mean and `Deviations` mean deviations above it.
+  millis high(double Deviations) const { return Mean + Deviation * Deviations; }
+  bool seen() const { return Seen; }
+
+private:
+  static constexpr double MeanGain = 1.0 / 16;
+  static constexpr double DeviationGain = 1.0 / 8;
+
+  millis Mean;
+  millis Deviation;
+  bool Seen = false;
+};
+
+} // namespace bulrush::query
