--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -38,7 +38,7 @@
       Remaining; ///< until the query's deadline, counted from when it is sent
   shared_body Body; ///< the caller's query
   std::vector<sub_request> Items;
-  incarnation_id Incarnation; ///< of the sender: a `sub_id` is unique in one
+  incarnation_id Incarnation = {}; ///< of the sender; the link layer sets it
 };
 
 /// How one sub-request ended.
