--- /dev/null
+++ b/src/control/ledger_client.cpp
@@ -0,0 +1,126 @@
+#include "control/ledger_client.h"
+
+namespace bulrush::control {
+
+namespace {
+
+constexpr millis BusyRetryAfter{1000};
+
+start_decided decide(const ledger_key &Key, const ledger_answer &Answer) {
+  start_decided Out{
+      Answer.Run.Number, Key, start_verdict::finished, {}, {}, {}, {}};
+  switch (Answer.Verdict) {
+  case ledger_verdict::granted:
+    Out.Verdict = start_verdict::granted;
+    break;
+  case ledger_verdict::finished:
+    Out.Outcome = Answer.Outcome;
+    Out.Reason = Answer.Reason;
+    Out.Body = Answer.Body;
+    break;
+  case ledger_verdict::reused:
+    Out.Verdict = start_verdict::refused;
+    Out.Reason = refusal::duplicate_key;
+    break;
+  case ledger_verdict::bad_key:
+    Out.Verdict = start_verdict::refused;
+    Out.Reason = refusal::bad_request;
+    break;
+  case ledger_verdict::full:
+    Out.Verdict = start_verdict::refused;
+    Out.Reason = refusal::queue_full;
+    Out.RetryAfter = BusyRetryAfter;
+    break;
+  case ledger_verdict::expired:
+    Out.Outcome = outcome::unknown;
+    Out.Reason = refusal::key_expired;
+    break;
+  case ledger_verdict::started:
+  case ledger_verdict::recorded:
+    Out.Outcome = outcome::unknown;
+    Out.RetryAfter = BusyRetryAfter;
+    break;
+  }
+  return Out;
+}
+
+} // namespace
+
+void ledger_client::step(const client_event &Event, instant Now,
+                         std::vector<client_action> &Out) {
+  std::visit([&](const auto &E) { on(E, Now, Out); }, Event);
+}
+
+void ledger_client::on(const start_wanted &Event, instant Now,
+                       std::vector<client_action> &Out) {
+  if (Starts.size() >= MaxAsks) {
+    Out.push_back(start_decided{Event.Run,
+                                Event.Key,
+                                start_verdict::finished,
+                                outcome::unknown,
+                                refusal::queue_full,
+                                {},
+                                BusyRetryAfter});
+    return;
+  }
+  const ledger_start Start{{Self, Event.Run}, Event.Key, Event.Fingerprint, {}};
+  Starts[Event.Run] = {Start, Now + AskInterval, Now + AskPatience};
+  Out.push_back(ask_ledger{Start, false});
+}
+
+void ledger_client::on(const record_wanted &Event, instant Now,
+                       std::vector<client_action> &Out) {
+  const auto Run = Granted.find(Event.Key);
+  if (Run == Granted.end())
+    return;
+  const ledger_finish Finish{{Self, Run->second}, Event.Key,  Event.Outcome,
+                             Event.Reason,        Event.Body, {}};
+  if (Finishes.size() < MaxAsks)
+    Finishes[Run->second] = {Finish, Now + AskInterval, Now + AskPatience};
+  Granted.erase(Run);
+  Out.push_back(ask_ledger{Finish, false});
+}
+
+void ledger_client::on(const ledger_answered &Event, instant,
+                       std::vector<client_action> &Out) {
+  const ledger_answer &Answer = Event.Answer;
+  if (Answer.Run.Daemon != Self)
+    return;
+  if (Answer.Verdict == ledger_verdict::recorded) {
+    const auto Ask = Finishes.find(Answer.Run.Number);
+    if (Ask == Finishes.end())
+      return;
+    const ledger_key Key = std::get<ledger_finish>(Ask->second.Request).Key;
+    Finishes.erase(Ask);
+    Out.push_back(outcome_recorded{Key});
+    return;
+  }
+  const auto Ask = Starts.find(Answer.Run.Number);
+  if (Ask == Starts.end())
+    return;
+  const ledger_key Key = std::get<ledger_start>(Ask->second.Request).Key;
+  Starts.erase(Ask);
+  if (Answer.Verdict == ledger_verdict::granted)
+    Granted[Key] = Answer.Run.Number;
+  Out.push_back(decide(Key, Answer));
+}
+
+void ledger_client::on(const client_tick &, instant Now,
+                       std::vector<client_action> &Out) {
+  askAgain(Starts, Now, Out);
+  askAgain(Finishes, Now, Out);
+}
+
+void ledger_client::askAgain(pending_map &Asks, instant Now,
+                             std::vector<client_action> &Out) {
+  std::erase_if(Asks,
+                [&](const auto &Entry) { return Now >= Entry.second.GiveUp; });
+  for (auto &[Run, Ask] : Asks) {
+    if (Now < Ask.AskAgain)
+      continue;
+    Ask.AskAgain = Now + AskInterval;
+    Out.push_back(ask_ledger{Ask.Request, true});
+  }
+}
+
+} // namespace bulrush::control
--- a/src/wire/query_codec.cpp
+++ b/src/wire/query_codec.cpp
@@ -4,8 +4,6 @@
 
 namespace bulrush::wire {
 
-namespace {
-
 outcome outcomeOf(std::uint32_t Value) {
   const bool IsKnown = Value <= static_cast<std::uint32_t>(outcome::unknown);
   return IsKnown ? static_cast<outcome>(Value) : outcome::unknown;
@@ -15,6 +13,8 @@
   return Value < RefusalCount ? static_cast<refusal>(Value) : refusal::none;
 }
 
+namespace {
+
 query::endpoint_condition conditionOf(std::uint32_t Value) {
   const bool IsKnown =
       Value <= static_cast<std::uint32_t>(query::endpoint_condition::lost);
@@ -117,7 +117,9 @@
   return To;
 }
 
-void putItem(const intent &From, Intent &To) {
+} // namespace
+
+void put(const intent &From, Intent &To) {
   To.set_name(From.Name.Value);
   To.set_caller(From.Caller);
   To.set_path_prefix(From.PathPrefix);
@@ -127,14 +129,12 @@
   To.set_extra_load(From.ExtraLoad.Value);
 }
 
-intent takeItem(const Intent &From) {
+intent take(const Intent &From) {
   return {{From.name()},        From.caller(),         From.path_prefix(),
           {From.deadline_ms()}, {From.min_coverage()}, From.weight(),
           {From.extra_load()}};
 }
 
-} // namespace
-
 void put(const query::sub_batch &From, SubBatch &To) {
   To.set_remaining_ms(From.Remaining.Count);
   if (From.Body)
@@ -161,7 +161,7 @@
 void put(const fleet_config &From, FleetConfig &To) {
   To.set_revision(From.Revision.Value);
   for (const intent &Each : From.Intents)
-    putItem(Each, *To.add_intents());
+    put(Each, *To.add_intents());
   for (const zone_id Zone : From.ZonesOut)
     To.add_zones_out(Zone.Value);
   for (const endpoint_id Endpoint : From.Leaving)
@@ -211,7 +211,7 @@
   fleet_config To;
   To.Revision.Value = From.revision();
   for (const Intent &Each : From.intents())
-    To.Intents.push_back(takeItem(Each));
+    To.Intents.push_back(take(Each));
   for (const std::uint32_t Zone : From.zones_out())
     To.ZonesOut.push_back({static_cast<std::uint16_t>(Zone)});
   for (const std::uint32_t Endpoint : From.leaving())
--- /dev/null
+++ b/test/shell/control_codec_test.cpp
@@ -0,0 +1,120 @@
+#include "small_deployment.h"
+#include "wire/control_codec.h"
+#include "wire/daemon_codec.h"
+#include "wire/generated/control.pb.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::control;
+
+namespace {
+
+const run_id Run{{vm_id{2}, incarnation_id{9}}, 4};
+const ledger_key Key{caller_id{1}, {"1000-a"}};
+
+put_intent quote() {
+  return {{{"quote"}, "driver-app", "/q", millis{45.5}, {99}, 2.5, {4}}};
+}
+
+std::vector<change> everyChange() {
+  return {quote(),
+          drop_intent{{"quote"}},
+          zone_out{zone_id{0}},
+          zone_in{zone_id{2}},
+          endpoint_leave{endpoint_id{0}},
+          endpoint_return{endpoint_id{7}},
+          add_voter{vm_id{0}},
+          remove_voter{vm_id{3}}};
+}
+
+control_state someState() {
+  state_machine Machine(test::smallDeployment());
+  Machine.apply(operator_command{{"anna"}, {"1"}, {0}, quote(), {5}}, {1});
+  Machine.apply(assign_endpoints{{{endpoint_id{3}, Run.Daemon}}}, {2});
+  Machine.apply(ledger_start{Run, Key, 77, {1000}}, {3});
+  Machine.apply(ledger_finish{Run, Key, outcome::answered, {}, "body", {1001}},
+                {4});
+  return Machine.snapshot();
+}
+
+} // namespace
+
+TEST_CASE("every change survives as a log entry and as a plan id") {
+  for (const change &Change : everyChange()) {
+    INFO(describe(Change));
+    const command Command =
+        operator_command{{"anna"}, {"c-1"}, {7}, Change, {1234}};
+    const auto Decoded = wire::decodeCommand(wire::encode(Command));
+    REQUIRE(Decoded);
+    CHECK(*Decoded == Command);
+    const plan Plan{{"anna"}, {"c-1"}, {7}, Change};
+    const auto Parsed = wire::parsePlanId(wire::planId(Plan));
+    REQUIRE(Parsed);
+    CHECK(*Parsed == Plan);
+  }
+}
+
+TEST_CASE("a plan id with a wrong letter is refused") {
+  const std::string Good = wire::planId({{"a"}, {"b"}, {1}, quote()});
+  for (std::size_t Place = 0; Place + 1 < Good.size(); ++Place) {
+    std::string Bad = Good;
+    Bad[Place] = Bad[Place] == 'A' ? 'B' : 'A';
+    CHECK_FALSE(wire::parsePlanId(Bad));
+  }
+  CHECK_FALSE(wire::parsePlanId(""));
+  CHECK_FALSE(wire::parsePlanId("no plan!"));
+}
+
+TEST_CASE("the state survives a snapshot, and rubbish is refused") {
+  const control_state State = someState();
+  const auto Decoded = wire::decodeState(wire::encode(State));
+  REQUIRE(Decoded);
+  CHECK(*Decoded == State);
+  CHECK_FALSE(wire::decodeState("\xff\xff\xff"));
+  CHECK_FALSE(wire::decodeCommand("\xff"));
+  CHECK_FALSE(wire::decodeCommand(""));
+}
+
+TEST_CASE("heartbeats and replies survive the wire") {
+  const heartbeat Beat{5, {6}, 7, {{8}, 9}, true};
+  wire::Heartbeat BeatMessage;
+  wire::put(Beat, BeatMessage);
+  CHECK(wire::take(BeatMessage) == Beat);
+  heartbeat_reply Reply{5, {8}, {2000}, {3000}, {6}, {}, {}, {{8}, 10}, {}};
+  Reply.Config = config_update{{5}, everyChange(), {}, 42};
+  Reply.Members = membership{9, {vm_id{1}, vm_id{2}}};
+  Reply.Owned = {{endpoint_id{0}, millis{12.5}}};
+  wire::HeartbeatReply ReplyMessage;
+  wire::put(Reply, ReplyMessage);
+  REQUIRE(wire::take(ReplyMessage));
+  CHECK(*wire::take(ReplyMessage) == Reply);
+  Reply.Owned.emplace();
+  ReplyMessage.Clear();
+  wire::put(Reply, ReplyMessage);
+  CHECK(wire::take(ReplyMessage)->Owned.has_value());
+}
+
+TEST_CASE("requests and results survive a forward to the leader") {
+  const confirm_request Confirm{{{"anna"}, {"1"}, {3}, quote()}, true};
+  wire::OperatorForward Forward;
+  wire::put(forward_request{vm_id{1}, 12, Confirm}, Forward);
+  const auto Asked = wire::take(vm_id{2}, Forward);
+  REQUIRE(Asked);
+  CHECK(Asked->From == request_origin{vm_id{2}, 12});
+  const auto &Got = std::get<confirm_request>(Asked->Request);
+  CHECK(Got.Plan == Confirm.Plan);
+  CHECK(Got.IsFirstSend);
+  plan_effects Effects;
+  Effects.Callers = {"driver-app"};
+  Effects.Pools = {{"driver", 40, 26, true}};
+  Effects.Lost = {{"driver", {shard_id{0}, shard_id{4}}}};
+  Effects.Deadline = {45.5};
+  wire::OperatorResult Message;
+  wire::put(operator_answer{{vm_id{2}, 12}, plan_result{Confirm.Plan, Effects}},
+            Message);
+  const auto Answered = wire::take(Message);
+  REQUIRE(Answered);
+  CHECK(Answered->Ticket == 12);
+  CHECK(std::get<plan_result>(Answered->Result).Effects == Effects);
+}
--- /dev/null
+++ b/test/unit/control_core_test.cpp
@@ -0,0 +1,194 @@
+#include "control/control_agent.h"
+#include "control/control_core.h"
+#include "small_deployment.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::control;
+
+namespace {
+
+constexpr vm_id Self{0};
+const daemon_id Daemon{vm_id{1}, incarnation_id{1}};
+
+/// One voter whose log commits at once unless `IsStuck`.
+struct single_voter {
+  control_core Core{Self, test::smallDeployment()};
+  std::uint64_t LastIndex = 0;
+  bool IsStuck = false;
+  std::vector<control_action> Seen;
+
+  void step(const control_event &Event, instant Now) {
+    std::vector<control_action> Out;
+    Core.step(Event, Now, Out);
+    for (const control_action &Action : Out) {
+      Seen.push_back(Action);
+      const auto *Proposal = std::get_if<propose>(&Action);
+      if (Proposal && !IsStuck)
+        step(entry_committed{{++LastIndex}, Proposal->Command}, Now);
+    }
+  }
+  void lead(instant Now) {
+    step(became_leader{{1}, {1}}, Now);
+    step(entry_committed{{++LastIndex}, std::nullopt}, Now);
+  }
+  template <class T> std::vector<T> all() {
+    std::vector<T> Out;
+    for (const control_action &Action : Seen)
+      if (const auto *Found = std::get_if<T>(&Action))
+        Out.push_back(*Found);
+    Seen.clear();
+    return Out;
+  }
+};
+
+plan_request planZoneOut(std::string Operator) {
+  return {{std::move(Operator)}, {"1"}, zone_out{zone_id{2}}};
+}
+
+plan planned(single_voter &Voter, const plan_request &Request, instant Now) {
+  Voter.all<operator_answer>();
+  Voter.step(operator_asked{{Self, 1}, Request}, Now);
+  const auto Answers = Voter.all<operator_answer>();
+  return std::get<plan_result>(Answers.at(0).Result).Plan;
+}
+
+confirm_result confirmed(single_voter &Voter) {
+  return std::get<confirm_result>(Voter.all<operator_answer>().at(0).Result);
+}
+
+} // namespace
+
+TEST_CASE("nothing takes effect before confirm, then it does once") {
+  single_voter Voter;
+  Voter.lead({0});
+  const plan Plan = planned(Voter, planZoneOut("anna"), {1});
+  CHECK(Voter.Core.machine().config().ZonesOut.empty());
+  Voter.step(operator_asked{{Self, 2}, confirm_request{Plan, true}}, {2});
+  CHECK(confirmed(Voter).Status == confirm_status::accepted);
+  Voter.step(operator_asked{{Self, 3}, confirm_request{Plan, false}}, {3});
+  CHECK(confirmed(Voter).Status == confirm_status::accepted);
+  CHECK(Voter.Core.machine().config().Revision == revision{1});
+}
+
+TEST_CASE("of two plans on one revision the second gets conflict") {
+  single_voter Voter;
+  Voter.lead({0});
+  const plan Anna = planned(Voter, planZoneOut("anna"), {1});
+  const plan Ben = planned(Voter, planZoneOut("ben"), {1});
+  Voter.step(operator_asked{{Self, 2}, confirm_request{Ben, true}}, {2});
+  CHECK(confirmed(Voter).Status == confirm_status::accepted);
+  Voter.step(operator_asked{{Self, 3}, confirm_request{Anna, true}}, {2});
+  const confirm_result Loser = confirmed(Voter);
+  CHECK(Loser.Status == confirm_status::conflict);
+  CHECK(Loser.Revision == revision{1});
+}
+
+TEST_CASE("without a leader a first send is not run and a resend unknown") {
+  single_voter Voter;
+  const plan Plan{{"anna"}, {"1"}, {0}, zone_out{zone_id{2}}};
+  const instant Late = instant{0} + operator_desk::Patience;
+  Voter.step(operator_asked{{Self, 1}, confirm_request{Plan, true}}, {0});
+  Voter.step(control_tick{}, Late);
+  CHECK(confirmed(Voter).Status == confirm_status::not_run);
+  Voter.step(operator_asked{{Self, 2}, confirm_request{Plan, false}}, {0});
+  Voter.step(control_tick{}, Late);
+  CHECK(confirmed(Voter).Status == confirm_status::unknown);
+}
+
+TEST_CASE("a confirm whose entry is not committed in time is unknown") {
+  single_voter Voter;
+  Voter.lead({0});
+  const plan Plan = planned(Voter, planZoneOut("anna"), {1});
+  Voter.IsStuck = true;
+  Voter.step(operator_asked{{Self, 2}, confirm_request{Plan, true}}, {2});
+  Voter.step(lost_leadership{}, {3});
+  Voter.step(control_tick{}, {5000});
+  CHECK(confirmed(Voter).Status == confirm_status::unknown);
+}
+
+TEST_CASE("a follower forwards and takes the answer from its own log") {
+  single_voter Voter;
+  Voter.step(leader_known{vm_id{2}}, {0});
+  const plan Plan{{"anna"}, {"1"}, {0}, zone_out{zone_id{2}}};
+  Voter.step(operator_asked{{Self, 1}, confirm_request{Plan, true}}, {0});
+  const auto Forwards = Voter.all<forward_request>();
+  REQUIRE(Forwards.size() == 1);
+  CHECK(Forwards[0].Leader == vm_id{2});
+  Voter.step(
+      entry_committed{{1},
+                      operator_command{{"anna"}, {"1"}, {0}, Plan.Change, {}}},
+      {10});
+  CHECK(confirmed(Voter).Status == confirm_status::accepted);
+}
+
+TEST_CASE("a heartbeat is answered only after the quorum has confirmed") {
+  single_voter Voter;
+  Voter.lead({0});
+  control_agent Agent;
+  std::vector<agent_action> Out;
+  Agent.step(agent_tick{}, {10}, Out);
+  const heartbeat Beat = std::get<send_heartbeat>(Out.at(0)).Beat;
+  Voter.step(quorum_confirmed{{9}}, {9});
+  Voter.step(beat_received{Daemon, Beat}, {10});
+  CHECK(Voter.all<addressed_reply>().empty());
+  Voter.step(quorum_confirmed{{10}}, {15});
+  const auto Replies = Voter.all<addressed_reply>();
+  REQUIRE(Replies.size() == 1);
+  Agent.step(agent_reply{Replies[0].Reply}, {20}, Out);
+  CHECK(Agent.leases().isFresh({21}));
+}
+
+TEST_CASE("status goes from accepted to in force and names who is behind") {
+  single_voter Voter;
+  Voter.lead({0});
+  control_agent Agent;
+  std::vector<agent_action> Out;
+  const auto Exchange = [&](instant Now) {
+    Out.clear();
+    Agent.step(agent_tick{}, Now, Out);
+    for (const agent_action &Action : Out)
+      if (const auto *Send = std::get_if<send_heartbeat>(&Action))
+        Voter.step(beat_received{Daemon, Send->Beat}, Now);
+    Voter.step(quorum_confirmed{Now}, Now);
+    for (const addressed_reply &Reply : Voter.all<addressed_reply>())
+      Agent.step(agent_reply{Reply.Reply}, Now, Out);
+  };
+  for (double At = 0; At <= 3000; At += 500)
+    Exchange({At});
+  const plan Plan = planned(Voter, planZoneOut("anna"), {3000});
+  Voter.step(operator_asked{{Self, 2}, confirm_request{Plan, true}}, {3001});
+  const auto Status = [&](instant Now) {
+    Voter.all<operator_answer>();
+    Voter.step(operator_asked{{Self, 3}, status_request{}}, Now);
+    const auto Answer = Voter.all<operator_answer>().at(0);
+    return std::get<status_result>(Answer.Result).Rollout;
+  };
+  CHECK(Status({3002}).Behind == std::vector<vm_id>{Daemon.Vm});
+  CHECK_FALSE(Status({3002}).IsInForce);
+  Exchange({3500});
+  Exchange({4000});
+  CHECK(Agent.config().ZonesOut == std::vector<zone_id>{{2}});
+  CHECK(Status({4001}).IsInForce);
+}
+
+TEST_CASE("one daemon comes to own every endpoint") {
+  single_voter Voter;
+  Voter.lead({0});
+  control_agent Agent;
+  std::vector<agent_action> Out;
+  for (double At = 0; At <= 3000; At += 100) {
+    Out.clear();
+    Agent.step(agent_tick{}, {At}, Out);
+    for (const agent_action &Action : Out)
+      if (const auto *Send = std::get_if<send_heartbeat>(&Action))
+        Voter.step(beat_received{Daemon, Send->Beat}, {At});
+    Voter.step(quorum_confirmed{{At}}, {At});
+    for (const addressed_reply &Reply : Voter.all<addressed_reply>())
+      Agent.step(agent_reply{Reply.Reply}, {At}, Out);
+  }
+  CHECK(Agent.leases().granted().size() ==
+        test::smallDeployment().Endpoints.size());
+  CHECK(Agent.leases().owns(endpoint_id{0}, {3001}));
+}
--- /dev/null
+++ b/test/unit/planner_test.cpp
@@ -0,0 +1,75 @@
+#include "control/planner.h"
+#include "small_deployment.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::control;
+
+namespace {
+
+/// Endpoints of pool 0 hold one shard each; replicas are 20 places apart.
+endpoint_reports reportsOf(const deployment &D) {
+  endpoint_reports Out;
+  const pool &P = D.Pools[0];
+  for (std::uint32_t Place = 0; Place < P.Endpoints.size(); ++Place) {
+    query::endpoint_report &Report = Out[P.Endpoints[Place]];
+    Report.Endpoint = P.Endpoints[Place];
+    Report.Held = {{snapshot_id{1}, P.Shards, {shard_id{Place % P.Shards}}}};
+  }
+  return Out;
+}
+
+intent billing(double Weight, double Coverage) {
+  return {{"b"}, "driver-app", "", millis{50}, {Coverage}, Weight, {5}};
+}
+
+} // namespace
+
+TEST_CASE("a zone out says which endpoints, slots and shards it takes") {
+  const deployment D = test::smallDeployment();
+  const auto Effects = planEffects(D, {}, reportsOf(D), zone_out{zone_id{2}});
+  REQUIRE(Effects);
+  CHECK(Effects->Zones == std::vector<std::string>{"linz"});
+  REQUIRE(Effects->Pools.size() == 2);
+  CHECK(Effects->Pools[0].SlotsBefore == 80);
+  CHECK(Effects->Pools[0].SlotsAfter == 54);
+  CHECK(Effects->Pools[0].IsShardMapKnown);
+  CHECK_FALSE(Effects->Pools[1].IsShardMapKnown);
+  CHECK(Effects->Lost.empty());
+}
+
+TEST_CASE("the last replica's loss and the intents it breaks are named") {
+  const deployment D = test::smallDeployment();
+  fleet_config Config;
+  Config.Intents = {billing(1, 100)};
+  Config.Leaving = {endpoint_id{4}};
+  const auto Effects =
+      planEffects(D, Config, reportsOf(D), endpoint_leave{endpoint_id{24}});
+  REQUIRE(Effects);
+  CHECK(Effects->Lost == std::vector<lost_shards>{{"driver", {shard_id{4}}}});
+  CHECK(Effects->IncompleteIntents == std::vector<std::string>{"b"});
+}
+
+TEST_CASE("an intent's plan names callers and what it outweighs") {
+  const deployment D = test::smallDeployment();
+  fleet_config Config;
+  Config.Intents = {billing(1, 0)};
+  intent Quote = billing(5, 0);
+  Quote.Name = {"quote"};
+  Quote.ExtraLoad = {8};
+  const auto Effects = planEffects(D, Config, {}, put_intent{Quote});
+  REQUIRE(Effects);
+  CHECK(Effects->Callers == std::vector<std::string>{"driver-app"});
+  CHECK(Effects->Displaced == std::vector<std::string>{"b"});
+  CHECK(Effects->ExtraLoad == percent{8});
+  CHECK(Effects->Endpoints.size() == 40);
+}
+
+TEST_CASE("a change that changes nothing says so") {
+  const deployment D = test::smallDeployment();
+  const auto Effects = planEffects(D, {}, {}, zone_in{zone_id{1}});
+  REQUIRE(Effects);
+  CHECK(Effects->IsNoChange);
+  CHECK_FALSE(planEffects(D, {}, {}, zone_in{zone_id{9}}));
+}
