--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -293,6 +293,12 @@
     State->openOne();
 }
 
+void client::closeIdle() {
+  const auto Closing = State->Idle;
+  for (const connection_ptr &Connection : Closing)
+    State->remove(Connection);
+}
+
 std::size_t client::open() const { return State->Connections.size(); }
 
 } // namespace bulrush::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -59,6 +59,8 @@
   void send(request Request, exchange_handler Done);
   /// Opens connections until `Count` are open, within the bound.
   void warm(std::size_t Count);
+  /// Closes the connections that run no exchange.
+  void closeIdle();
   /// Open connections, those being opened included.
   std::size_t open() const;
 
