--- /dev/null
+++ b/src/daemon/caller_api.cpp
@@ -0,0 +1,274 @@
+#include "daemon/caller_api.h"
+
+#include "telemetry/metrics.h"
+
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+
+namespace bulrush::daemon {
+
+namespace {
+
+constexpr std::string_view SearchPath = "/v1/search/";
+constexpr std::string_view CommandPath = "/v1/command/";
+constexpr std::string_view ExplainPath = "/v1/explain/";
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::size_t MaxIdBytes = 200;
+
+std::string quoted(const std::string &Text) {
+  return nlohmann::json(Text).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
+}
+
+http::response refuse(unsigned Status, refusal Reason,
+                      const std::string &Message) {
+  http::response Out;
+  Out.Status = Status;
+  Out.Body = "{\"outcome\":\"not_run\",\"reason\":\"" +
+             std::string(toString(Reason)) + "\",\"message\":" +
+             quoted(Message) + "}";
+  return Out;
+}
+
+http::response plainText(unsigned Status, std::string Text) {
+  http::response Out;
+  Out.Status = Status;
+  Out.ContentType = "text/plain";
+  Out.Body = std::move(Text);
+  return Out;
+}
+
+std::string_view afterPrefix(const std::string &Target,
+                             std::string_view Prefix) {
+  return std::string_view(Target).substr(Prefix.size());
+}
+
+bool isIdText(const std::string &Text) {
+  return !Text.empty() && Text.size() <= MaxIdBytes &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C > ' ' && C < 127; });
+}
+
+} // namespace
+
+std::string answerText(const query::answer &Answer) {
+  std::size_t Size = 300;
+  for (const query::shared_body &Result : Answer.Results)
+    Size += Result->size() + 1;
+  std::string Out;
+  Out.reserve(Size);
+  Out += "{\"request\":" + quoted(Answer.RequestId);
+  Out += ",\"outcome\":\"" + std::string(toString(Answer.Outcome)) + '"';
+  if (Answer.Reason != refusal::none)
+    Out += ",\"reason\":\"" + std::string(toString(Answer.Reason)) + '"';
+  Out += ",\"intent\":" + quoted(Answer.Intent.Value);
+  Out += ",\"snapshot\":" + std::to_string(Answer.Snapshot.Value);
+  Out += ",\"covered\":" + std::to_string(Answer.Covered);
+  Out += ",\"total\":" + std::to_string(Answer.Total);
+  Out += ",\"missing\":[";
+  for (std::size_t I = 0; I < Answer.Missing.size(); ++I)
+    Out += (I ? "," : "") + std::to_string(Answer.Missing[I].Value);
+  Out += "],\"results\":[";
+  bool IsFirst = true;
+  for (const query::shared_body &Result : Answer.Results) {
+    if (Result->empty())
+      continue;
+    if (!IsFirst)
+      Out += ',';
+    Out += *Result;
+    IsFirst = false;
+  }
+  Out += "],\"retryAfterMs\":" +
+         std::to_string(static_cast<std::int64_t>(Answer.RetryAfter.Count)) + '}';
+  return Out;
+}
+
+unsigned answerStatus(const query::answer &Answer) {
+  if (Answer.Outcome == outcome::answered)
+    return 200;
+  if (Answer.Outcome == outcome::unknown)
+    return 504;
+  switch (Answer.Reason) {
+  case refusal::bad_request:
+    return 400;
+  case refusal::no_intent:
+    return 404;
+  case refusal::duplicate_key:
+  case refusal::key_expired:
+    return 409;
+  case refusal::queue_full:
+  case refusal::deadline_unmeetable:
+  case refusal::endpoint_shed:
+    return 429;
+  default:
+    return 503;
+  }
+}
+
+struct caller_api::state {
+  const deployment &Deployment;
+  caller_api_host &Host;
+  telemetry::metrics &Metrics;
+  const clock_source &Clock;
+
+  struct waiting {
+    http::responder Respond;
+    caller_id Caller;
+    instant ArrivedAt;
+  };
+  std::unordered_map<query_id, waiting> Waiting;
+  std::unordered_map<std::string, caller_id> CallerByKey;
+  std::uint64_t LastQuery = 0;
+
+  state(const deployment &Deployment, caller_api_host &Host,
+        telemetry::metrics &Metrics, const clock_source &Clock)
+      : Deployment(Deployment), Host(Host), Metrics(Metrics), Clock(Clock) {
+    for (const caller &Each : Deployment.Callers)
+      CallerByKey.emplace(Each.ApiKey, Each.Id);
+  }
+
+  const caller_id *findCaller(const http::request &Request) const {
+    const std::string *Text = http::findHeader(Request.Headers, "Authorization");
+    if (!Text || !Text->starts_with(BearerPrefix))
+      return nullptr;
+    const auto Found = CallerByKey.find(Text->substr(BearerPrefix.size()));
+    return Found == CallerByKey.end() ? nullptr : &Found->second;
+  }
+
+  void refuseNow(const http::responder &Respond, unsigned Status,
+                 refusal Reason, const std::string &Message) {
+    Metrics.countRefusal(Reason);
+    Respond(refuse(Status, Reason, Message));
+  }
+
+  query_id remember(caller_id Caller, http::responder Respond) {
+    const query_id Query{++LastQuery};
+    Waiting.emplace(Query, waiting{std::move(Respond), Caller, Clock.now()});
+    return Query;
+  }
+
+  void takeWork(http::request Request, http::responder Respond);
+  void takeSearch(http::request &Request, caller_id Caller, std::string Id,
+                  http::responder Respond);
+  void takeCommand(http::request &Request, caller_id Caller, std::string Id,
+                   http::responder Respond);
+};
+
+void caller_api::state::takeWork(http::request Request,
+                                 http::responder Respond) {
+  if (Request.Method != "POST") {
+    refuseNow(Respond, 405, refusal::bad_request, "method: allowed is POST");
+    return;
+  }
+  const caller_id *Caller = findCaller(Request);
+  if (!Caller) {
+    refuseNow(Respond, 401, refusal::bad_request,
+              "Authorization: allowed is Bearer and the API key of a caller");
+    return;
+  }
+  const std::string *Given =
+      http::findHeader(Request.Headers, "Bulrush-Request-Id");
+  if (Given && !isIdText(*Given)) {
+    refuseNow(Respond, 400, refusal::bad_request,
+              "Bulrush-Request-Id: allowed are 1 to 200 printable characters");
+    return;
+  }
+  if (!nlohmann::json::accept(Request.Body)) {
+    refuseNow(Respond, 400, refusal::bad_request, "body: allowed is JSON");
+    return;
+  }
+  std::string Id = Given ? *Given : std::string();
+  if (Request.Target.starts_with(SearchPath))
+    takeSearch(Request, *Caller, std::move(Id), std::move(Respond));
+  else
+    takeCommand(Request, *Caller, std::move(Id), std::move(Respond));
+}
+
+void caller_api::state::takeSearch(http::request &Request, caller_id Caller,
+                                   std::string Id, http::responder Respond) {
+  query::search_arrived Event;
+  Event.Query = remember(Caller, std::move(Respond));
+  Event.Caller = Caller;
+  Event.Kind = afterPrefix(Request.Target, SearchPath);
+  Event.Body = std::make_shared<const std::string>(std::move(Request.Body));
+  Event.RequestId = std::move(Id);
+  Host.submit(std::move(Event));
+}
+
+void caller_api::state::takeCommand(http::request &Request, caller_id Caller,
+                                    std::string Id, http::responder Respond) {
+  const std::string *Key =
+      http::findHeader(Request.Headers, "Idempotency-Key");
+  if (!Key || !isIdText(*Key)) {
+    refuseNow(Respond, 400, refusal::bad_request,
+              "Idempotency-Key: allowed are 1 to 200 printable characters");
+    return;
+  }
+  query::command_arrived Event;
+  Event.Key.Value = *Key;
+  Event.Query = remember(Caller, std::move(Respond));
+  Event.Caller = Caller;
+  Event.Kind = afterPrefix(Request.Target, CommandPath);
+  Event.Body = std::make_shared<const std::string>(std::move(Request.Body));
+  Event.RequestId = std::move(Id);
+  Host.submit(std::move(Event));
+}
+
+caller_api::caller_api(const deployment &Deployment, caller_api_host &Host,
+                       telemetry::metrics &Metrics, const clock_source &Clock)
+    : State(std::make_unique<state>(Deployment, Host, Metrics, Clock)) {}
+
+caller_api::~caller_api() = default;
+
+void caller_api::handle(http::request Request, http::responder Respond) {
+  const std::string &Target = Request.Target;
+  if (Target.starts_with(SearchPath) || Target.starts_with(CommandPath)) {
+    State->takeWork(std::move(Request), std::move(Respond));
+    return;
+  }
+  if (Target == "/livez") {
+    Respond(plainText(200, "alive\n"));
+    return;
+  }
+  if (Target == "/readyz") {
+    const bool IsReady = State->Host.isReady();
+    Respond(plainText(IsReady ? 200 : 503, IsReady ? "ready\n" : "not ready\n"));
+    return;
+  }
+  if (Target == "/metrics") {
+    Respond(plainText(200, State->Metrics.text()));
+    return;
+  }
+  if (Target.starts_with(ExplainPath)) {
+    State->Host.explain(std::string(afterPrefix(Target, ExplainPath)),
+                        std::move(Respond));
+    return;
+  }
+  if (Target == "/test/cut") {
+    Respond(State->Host.cutLinks(Request.Body));
+    return;
+  }
+  Respond(refuse(404, refusal::bad_request, "path: not known"));
+}
+
+void caller_api::answer(query_id Query, const query::answer &Answer) {
+  const auto Found = State->Waiting.find(Query);
+  if (Found == State->Waiting.end())
+    return;
+  const state::waiting Waiting = std::move(Found->second);
+  State->Waiting.erase(Found);
+  const std::string &Caller =
+      State->Deployment.Callers[Waiting.Caller.Value].Name;
+  State->Metrics.observe("answer", Caller, State->Clock.now() - Waiting.ArrivedAt);
+  State->Metrics.add("outcome", toString(Answer.Outcome));
+  http::response Response;
+  Response.Status = answerStatus(Answer);
+  if (Answer.RetryAfter > millis{0})
+    Response.Headers.push_back(
+        {"Retry-After-Ms", std::to_string(static_cast<std::int64_t>(
+                               Answer.RetryAfter.Count))});
+  Response.Body = answerText(Answer);
+  Waiting.Respond(std::move(Response));
+}
+
+} // namespace bulrush::daemon
