--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -48,7 +48,7 @@
     std::visit(
         [&](auto Request) {
           Request.Time = Wall;
-          Out.push_back(propose{std::move(Request), 0});
+          Out.push_back(propose_command{std::move(Request), 0});
         },
         E.Request);
   }
@@ -60,12 +60,12 @@
     if (Leading)
       Leading->hint(E.Live);
   }
-  void on(const became_leader &E, instant Now) {
+  void on(const leadership_gained &E, instant Now) {
     Leading.reset();
     Elected = election{E.Term, E.ReadyAt, Now};
     Leader = Self;
   }
-  void on(const lost_leadership &, instant) {
+  void on(const leadership_lost &, instant) {
     Leading.reset();
     Elected.reset();
     Leader.reset();
@@ -173,7 +173,7 @@
       return;
     }
     Entry.handOn(Now);
-    Out.push_back(propose{Command, Ticket});
+    Out.push_back(propose_command{Command, Ticket});
   }
   void lead(std::uint64_t Ticket, operator_desk::waiting &,
             const status_request &, instant Now) {
@@ -183,7 +183,7 @@
   void proposeMoves(instant Now) {
     std::vector<assignment> Moves = Leading->maintain(Now, Replies);
     if (!Moves.empty())
-      Out.push_back(propose{assign_endpoints{std::move(Moves)}, 0});
+      Out.push_back(propose_command{assign_endpoints{std::move(Moves)}, 0});
   }
 
   status_result status(instant Now) const {
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -12,7 +12,7 @@
 namespace bulrush::control {
 
 /// Hand a command to the replicated log.
-struct propose {
+struct propose_command {
   command Command;
   std::uint64_t Ticket = 0; ///< of the operator's request, or 0
 };
@@ -46,11 +46,11 @@
 };
 /// This VM's voter was elected. `ReadyAt` is the place of the first entry of
 /// the term: until it is applied the state may be old.
-struct became_leader {
+struct leadership_gained {
   term_id Term;
   log_index ReadyAt;
 };
-struct lost_leadership {};
+struct leadership_lost {};
 /// The leader, as this VM's voter knows it.
 struct leader_known {
   std::optional<vm_id> Leader;
@@ -72,7 +72,7 @@
 /// The log did not take a proposal: it is proved to have no effect. One that
 /// may yet be committed must not be reported here.
 struct proposal_refused {
-  propose Proposal;
+  propose_command Proposal;
 };
 /// Raise it at least every 50 ms.
 struct control_tick {
@@ -81,8 +81,8 @@
 
 using control_event =
     std::variant<operator_asked, forward_answered, beat_received, ledger_asked,
-                 reports_received, platform_listed, became_leader,
-                 lost_leadership, leader_known, quorum_confirmed,
+                 reports_received, platform_listed, leadership_gained,
+                 leadership_lost, leader_known, quorum_confirmed,
                  entry_committed, snapshot_loaded, proposal_refused,
                  control_tick>;
 
@@ -108,8 +108,8 @@
 
 /// `operator_answer` goes to its origin, `addressed_reply` to a daemon.
 using control_action =
-    std::variant<propose, operator_answer, forward_request, addressed_reply,
-                 answer_ledger, change_voter, state_refused>;
+    std::variant<propose_command, operator_answer, forward_request,
+                 addressed_reply, answer_ledger, change_voter, state_refused>;
 
 /// Pure core. An operator's request to any VM reaches the leader; a confirm is
 /// answered once its entry is applied here, also when another VM proposed it.
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -25,8 +25,8 @@
   http::response Out;
   Out.Status = Status;
   Out.Body = "{\"outcome\":\"not_run\",\"reason\":\"" +
-             std::string(toString(Reason)) + "\",\"message\":" +
-             quoted(Message) + "}";
+             std::string(toString(Reason)) +
+             "\",\"message\":" + quoted(Message) + "}";
   return Out;
 }
 
@@ -79,7 +79,8 @@
     IsFirst = false;
   }
   Out += "],\"retryAfterMs\":" +
-         std::to_string(static_cast<std::int64_t>(Answer.RetryAfter.Count)) + '}';
+         std::to_string(static_cast<std::int64_t>(Answer.RetryAfter.Count)) +
+         '}';
   return Out;
 }
 
@@ -128,7 +129,8 @@
   }
 
   const caller_id *findCaller(const http::request &Request) const {
-    const std::string *Text = http::findHeader(Request.Headers, "Authorization");
+    const std::string *Text =
+        http::findHeader(Request.Headers, "Authorization");
     if (!Text || !Text->starts_with(BearerPrefix))
       return nullptr;
     const auto Found = CallerByKey.find(Text->substr(BearerPrefix.size()));
@@ -197,8 +199,7 @@
 
 void caller_api::state::takeCommand(http::request &Request, caller_id Caller,
                                     std::string Id, http::responder Respond) {
-  const std::string *Key =
-      http::findHeader(Request.Headers, "Idempotency-Key");
+  const std::string *Key = http::findHeader(Request.Headers, "Idempotency-Key");
   if (!Key || !isIdText(*Key)) {
     refuseNow(Respond, 400, refusal::bad_request,
               "Idempotency-Key: allowed are 1 to 200 printable characters");
@@ -232,7 +233,8 @@
   }
   if (Target == "/readyz") {
     const bool IsReady = State->Host.isReady();
-    Respond(plainText(IsReady ? 200 : 503, IsReady ? "ready\n" : "not ready\n"));
+    Respond(
+        plainText(IsReady ? 200 : 503, IsReady ? "ready\n" : "not ready\n"));
     return;
   }
   if (Target == "/metrics") {
@@ -259,14 +261,15 @@
   State->Waiting.erase(Found);
   const std::string &Caller =
       State->Deployment.Callers[Waiting.Caller.Value].Name;
-  State->Metrics.observe("answer", Caller, State->Clock.now() - Waiting.ArrivedAt);
+  State->Metrics.observe("answer", Caller,
+                         State->Clock.now() - Waiting.ArrivedAt);
   State->Metrics.add("outcome", toString(Answer.Outcome));
   http::response Response;
   Response.Status = answerStatus(Answer);
   if (Answer.RetryAfter > millis{0})
     Response.Headers.push_back(
-        {"Retry-After-Ms", std::to_string(static_cast<std::int64_t>(
-                               Answer.RetryAfter.Count))});
+        {"Retry-After-Ms",
+         std::to_string(static_cast<std::int64_t>(Answer.RetryAfter.Count))});
   Response.Body = answerText(Answer);
   Waiting.Respond(std::move(Response));
 }
--- a/src/daemon/event_gate.h
+++ b/src/daemon/event_gate.h
@@ -8,8 +8,8 @@
 
 namespace bulrush::daemon {
 
-/// Runs on the I/O thread. Under load one message carries many events; when idle
-/// an event leaves at once.
+/// Runs on the I/O thread. Under load one message carries many events; when
+/// idle an event leaves at once.
 class event_gate {
 public:
   event_gate(boost::asio::io_context &Io, data_path &Target)
