--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -44,8 +44,8 @@
 struct platform_listed {
   std::vector<vm_id> Live;
 };
-/// This VM's voter was elected. `ReadyAt` is the place of the first entry of
-/// the term: until it is applied the state may be old.
+/// This VM's voter was elected and has applied every entry of earlier terms.
+/// Raised earlier, `ReadyAt` says which entry must be applied first.
 struct leadership_gained {
   term_id Term;
   log_index ReadyAt;
