--- a/src/control/changes.cpp
+++ b/src/control/changes.cpp
@@ -37,11 +37,10 @@
     const intent &I = C.Intent;
     Out.precision(17);
     Out << "putIntent name=" << quoted(I.Name.Value)
-        << " caller=" << quoted(I.Caller)
-        << " pathPrefix=" << quoted(I.PathPrefix)
+        << " caller=" << quoted(I.Caller) << " kind=" << quoted(I.PathPrefix)
         << " deadlineMs=" << I.Deadline.Count
-        << " minCoverage=" << I.MinCoverage.Value << " weight=" << I.Weight
-        << " extraLoad=" << I.ExtraLoad.Value;
+        << " minCoveragePercent=" << I.MinCoverage.Value
+        << " weight=" << I.Weight << " extraLoadPercent=" << I.ExtraLoad.Value;
   }
   void operator()(const drop_intent &C) {
     Out << "dropIntent " << quoted(C.Name.Value);
@@ -85,7 +84,7 @@
       return invalid("putIntent.name", quoted(I.Name.Value),
                      "1 to 100 characters");
     if (I.PathPrefix.size() > MaxNameLength)
-      return invalid("putIntent.pathPrefix", quoted(I.PathPrefix),
+      return invalid("putIntent.kind", quoted(I.PathPrefix),
                      "up to 100 characters");
     if (!I.Caller.empty() && !knowsCaller(I.Caller))
       return invalid("putIntent.caller", quoted(I.Caller), callerNames());
@@ -100,7 +99,7 @@
     if (!Deadline)
       return Deadline;
     const auto Coverage =
-        inRange("putIntent.minCoverage", I.MinCoverage.Value, 0, 100);
+        inRange("putIntent.minCoveragePercent", I.MinCoverage.Value, 0, 100);
     if (!Coverage)
       return Coverage;
     if (I.Weight <= 0)
@@ -108,7 +107,7 @@
     const auto Weight = inRange("putIntent.weight", I.Weight, 0, MaxWeight);
     if (!Weight)
       return Weight;
-    return inRange("putIntent.extraLoad", I.ExtraLoad.Value, 0, 100);
+    return inRange("putIntent.extraLoadPercent", I.ExtraLoad.Value, 0, 100);
   }
   expected<void> operator()(const drop_intent &C) const {
     if (knowsIntent(C.Name))
--- a/src/settings/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -183,6 +183,23 @@
   return parseDeployment(*Text, Path);
 }
 
+intent readIntent(object_reader &Item, const deployment &Of) {
+  intent Out;
+  Out.Name.Value = Item.text("name");
+  Out.Caller = Item.text("caller", "");
+  if (!Out.Caller.empty() && !findNamed(Of.Callers, Out.Caller))
+    Item.reject("caller", namesOf(Of.Callers));
+  Out.PathPrefix = Item.text("kind", "");
+  Out.Deadline = Item.duration("deadlineMs", {.Least = 1, .Most = MostMillis});
+  Out.MinCoverage.Value = Item.number("minCoveragePercent",
+                                      {.Least = 0, .Most = 100, .Fallback = 0});
+  Out.Weight =
+      Item.number("weight", {.Least = 0.01, .Most = 1000, .Fallback = 1});
+  Out.ExtraLoad.Value =
+      Item.number("extraLoadPercent", {.Least = 0, .Most = 100, .Fallback = 5});
+  return Out;
+}
+
 expected<std::vector<intent>> parseIntents(std::string_view Text,
                                            const std::string &File,
                                            const deployment &Of) {
@@ -190,21 +207,8 @@
   std::set<std::string> Taken;
   const auto Read = readObject(Text, File, [&](object_reader &Reader) {
     Reader.objects("intents", true, [&](object_reader &Item) {
-      intent Intent;
-      Intent.Name.Value = readNewName(Item, Taken);
-      Intent.Caller = Item.text("caller", "");
-      if (!Intent.Caller.empty() && !findNamed(Of.Callers, Intent.Caller))
-        Item.reject("caller", namesOf(Of.Callers));
-      Intent.PathPrefix = Item.text("kind", "");
-      Intent.Deadline =
-          Item.duration("deadlineMs", {.Least = 1, .Most = MostMillis});
-      Intent.MinCoverage.Value = Item.number(
-          "minCoveragePercent", {.Least = 0, .Most = 100, .Fallback = 0});
-      Intent.Weight =
-          Item.number("weight", {.Least = 0.01, .Most = 1000, .Fallback = 1});
-      Intent.ExtraLoad.Value = Item.number(
-          "extraLoadPercent", {.Least = 0, .Most = 100, .Fallback = 5});
-      Out.push_back(Intent);
+      readNewName(Item, Taken);
+      Out.push_back(readIntent(Item, Of));
     });
   });
   if (!Read)
--- a/src/settings/deployment.h
+++ b/src/settings/deployment.h
@@ -16,6 +16,11 @@
 /// Reads and parses a deployment file.
 expected<deployment> loadDeployment(const std::string &Path);
 
+class object_reader;
+
+/// Reads the fields of one intent. Its caller is checked against `Of`.
+intent readIntent(object_reader &Item, const deployment &Of);
+
 /// Parses a list of intents: `{"intents": [...]}`. Caller names are checked
 /// against `Of`.
 expected<std::vector<intent>> parseIntents(std::string_view Text,
--- /dev/null
+++ b/test/unit/operator_json_test.cpp
@@ -0,0 +1,85 @@
+#include "settings/operator_json.h"
+#include "small_deployment.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::control;
+using namespace bulrush::settings;
+
+namespace {
+
+expected<plan_request> parse(const std::string &Change) {
+  return parsePlanRequest(R"({"operator":"anna","command":"1","change":)" +
+                              Change + "}",
+                          test::smallDeployment());
+}
+
+std::string fault(const std::string &Change) {
+  const auto Parsed = parse(Change);
+  return Parsed ? "" : Parsed.error().Message;
+}
+
+} // namespace
+
+TEST_CASE("each change is read from JSON") {
+  CHECK(parse(R"({"zoneOut":"linz"})")->Change == change{zone_out{{2}}});
+  CHECK(parse(R"({"zoneIn":"linz"})")->Change == change{zone_in{{2}}});
+  CHECK(parse(R"({"endpointLeave":12})")->Change ==
+        change{endpoint_leave{{12}}});
+  CHECK(parse(R"({"endpointReturn":0})")->Change ==
+        change{endpoint_return{{0}}});
+  CHECK(parse(R"({"dropIntent":"quote"})")->Change ==
+        change{drop_intent{{"quote"}}});
+  CHECK(parse(R"({"addVoter":1})")->Change == change{add_voter{{1}}});
+  CHECK(parse(R"({"removeVoter":1})")->Change == change{remove_voter{{1}}});
+  const auto Put = parse(R"({"putIntent":{"name":"quote","kind":"q",
+      "caller":"driver-app","deadlineMs":45,"weight":3}})");
+  REQUIRE(Put);
+  CHECK(Put->Change ==
+        change{put_intent{
+            {{"quote"}, "driver-app", "q", millis{45}, {0}, 3, {5}}}});
+  CHECK(Put->Operator == operator_id{"anna"});
+}
+
+TEST_CASE("faults name the field, the value and what is allowed") {
+  CHECK(fault(R"({"zoneOut":"graz"})") ==
+        "request: /change/zoneOut: found \"graz\", allowed is one of vienna-1 "
+        "vienna-2 linz");
+  CHECK(fault(R"({"endpointLeave":999})") ==
+        "request: /change/endpointLeave: found 999, allowed is a number from "
+        "0 to 45");
+  CHECK(fault("{}").find("exactly one of putIntent") != std::string::npos);
+  CHECK(fault(R"({"zoneOut":"linz","zoneIn":"linz"})").find("exactly one") !=
+        std::string::npos);
+  CHECK(fault(R"({"zoneOut":"linz","x":1})").find("unknown key") !=
+        std::string::npos);
+  CHECK_FALSE(parsePlanRequest("{", test::smallDeployment()));
+  CHECK_FALSE(parsePlanRequest(R"({"operator":"a","command":"1"})",
+                               test::smallDeployment()));
+}
+
+TEST_CASE("a confirm must carry the operator and the command of its plan") {
+  const auto Fields =
+      parseConfirm(R"({"operator":"anna","command":"1","plan":"x"})");
+  REQUIRE(Fields);
+  CHECK_FALSE(Fields->IsFirstSend);
+  CHECK(joinConfirm(*Fields, {{"anna"}, {"1"}, {0}, zone_out{{2}}}));
+  CHECK_FALSE(joinConfirm(*Fields, {{"ben"}, {"1"}, {0}, zone_out{{2}}}));
+  CHECK_FALSE(joinConfirm(*Fields, {{"anna"}, {"2"}, {0}, zone_out{{2}}}));
+}
+
+TEST_CASE("results have a status and a body that say the same") {
+  const json_answer Won = toJson(confirm_result{confirm_status::accepted, {6}});
+  CHECK(Won.Status == 200);
+  CHECK(Won.Body == R"({"result":"accepted","revision":6})");
+  const json_answer Lost =
+      toJson(confirm_result{confirm_status::conflict, {6}});
+  CHECK(Lost.Status == 409);
+  const json_answer Unsure =
+      toJson(confirm_result{confirm_status::unknown, {}});
+  CHECK(Unsure.Status == 504);
+  CHECK(Unsure.Body == R"({"result":"unknown"})");
+  CHECK(badRequest("no").Status == 400);
+  CHECK(toJson(request_refused{refusal::no_quorum, "no"}).Status == 503);
+}
