--- /dev/null
+++ b/src/daemon/peer_mail.cpp
@@ -0,0 +1,59 @@
+#include "daemon/peer_mail.h"
+
+#include "wire/generated/bulrush.pb.h"
+#include "wire/query_codec.h"
+
+namespace bulrush::daemon {
+
+namespace {
+
+wire::process_id entryOn(vm_id Vm) { return {Vm, wire::role::entry}; }
+
+} // namespace
+
+peer_mail::peer_mail(wire::link_set &Links, const deployment &Deployment,
+                     vm_id Self)
+    : Links(Links) {
+  for (const vm &Each : Deployment.Vms)
+    if (Each.Id != Self)
+      Others.push_back(Each.Id);
+}
+
+bool peer_mail::send(const query::send_batch &Batch) {
+  wire::Envelope Message;
+  wire::put(Batch.Batch, *Message.mutable_sub_batch());
+  return Links.send(entryOn(Batch.To), Message);
+}
+
+void peer_mail::send(const query::send_cancel &Cancel) {
+  wire::Envelope Message;
+  wire::put(Cancel.Subs, *Message.mutable_sub_cancel());
+  Links.send(entryOn(Cancel.To), Message);
+}
+
+void peer_mail::add(query::reply_to_entry Reply) {
+  Replies[{Reply.To, Reply.Incarnation}].push_back(std::move(Reply.Reply));
+}
+
+void peer_mail::add(query::endpoint_report Report) {
+  Reports.push_back(std::move(Report));
+}
+
+void peer_mail::flush() {
+  for (const auto &[To, Items] : Replies) {
+    wire::Envelope Message;
+    wire::put(Items, *Message.mutable_sub_replies());
+    Message.mutable_sub_replies()->set_for_incarnation(To.Incarnation.Value);
+    Links.send(entryOn(To.Vm), Message);
+  }
+  Replies.clear();
+  if (Reports.empty())
+    return;
+  wire::Envelope Message;
+  wire::put(Reports, *Message.mutable_endpoint_reports());
+  for (const vm_id Vm : Others)
+    Links.send(entryOn(Vm), Message);
+  Reports.clear();
+}
+
+} // namespace bulrush::daemon
--- /dev/null
+++ b/src/daemon/process.cpp
@@ -0,0 +1,57 @@
+#include "daemon/process.h"
+
+#include "settings/json_reader.h"
+#include "telemetry/log.h"
+
+#include <chrono>
+#include <random>
+
+namespace bulrush::daemon {
+
+incarnation_id drawIncarnation() {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  const auto Micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(Now).count();
+  return {static_cast<std::uint64_t>(Micros)};
+}
+
+std::uint64_t drawSeed() {
+  std::random_device Source;
+  return (static_cast<std::uint64_t>(Source()) << 32) | Source();
+}
+
+expected<std::optional<wire::link_keys>> loadKeys(const std::string &Path) {
+  constexpr std::size_t KeyCharacters = 40;
+  if (Path.empty())
+    return std::optional<wire::link_keys>{};
+  const auto Text = settings::readFile(Path);
+  if (!Text)
+    return fail(Text.error());
+  wire::link_keys Keys;
+  const auto Read =
+      settings::readObject(*Text, Path, [&](settings::object_reader &Reader) {
+        Keys.Public = Reader.text("public");
+        Keys.Secret = Reader.text("secret");
+      });
+  if (!Read)
+    return fail(Read.error());
+  if (Keys.Public.size() != KeyCharacters ||
+      Keys.Secret.size() != KeyCharacters)
+    return fail(Path + ": /public, /secret: allowed are Z85 texts of 40 "
+                       "characters, as `bulrushctl keys new` writes them");
+  return std::optional(Keys);
+}
+
+void startProcessLog(const std::string &Process, const std::string &Level) {
+  telemetry::log_settings Settings;
+  Settings.Process = Process;
+  if (Level == "debug")
+    Settings.Least = telemetry::severity::debug;
+  if (Level == "warning")
+    Settings.Least = telemetry::severity::warning;
+  if (Level == "error")
+    Settings.Least = telemetry::severity::error;
+  telemetry::startLog(Settings);
+}
+
+} // namespace bulrush::daemon
--- /dev/null
+++ b/src/daemon/process.h
@@ -0,0 +1,26 @@
+/// What every program of the system does at its start.
+#pragma once
+
+#include "bulrushtray/error.h"
+#include "bulrushtray/ids.h"
+#include "wire/link.h"
+
+#include <optional>
+#include <string>
+
+namespace bulrush::daemon {
+
+/// A number that is larger at each start of a process on this machine.
+incarnation_id drawIncarnation();
+
+/// A seed from the operating system.
+std::uint64_t drawSeed();
+
+/// Reads the CURVE keys of the system: `{"public": "...", "secret": "..."}`.
+/// An empty path gives no keys.
+expected<std::optional<wire::link_keys>> loadKeys(const std::string &Path);
+
+/// Starts the log of this process. `Level` is debug, info, warning or error.
+void startProcessLog(const std::string &Process, const std::string &Level);
+
+} // namespace bulrush::daemon
