Store and replicated log: files, identity, elections, replication, membership

Cause: the control plane needs a durable log of its own that never goes back to an old state.

A message that depends on a write leaves after the write is on disk.

Tests: unit tests of both over a fake disk and a small message queue.

--- /dev/null
+++ b/src/control/replica.cpp
@@ -0,0 +1,226 @@
+#include "control/replica.h"
+
+#include "control/invariant.h"
+#include "control/replica_core.h"
+
+namespace bulrush::control {
+
+replica::replica(replica_options Options, recovered_state State,
+                 std::uint64_t Seed)
+    : Core(std::make_unique<replica_core>(std::move(Options), std::move(State),
+                                          Seed)) {}
+replica::~replica() = default;
+replica::replica(replica &&) noexcept = default;
+replica &replica::operator=(replica &&) noexcept = default;
+
+void replica::step(std::span<const event> Events, instant Now,
+                   std::vector<action> &Out) {
+  Core->step(Events, Now, Out);
+}
+
+replica_status replica::status() const { return Core->status(); }
+
+replica_core::replica_core(replica_options Options, recovered_state State,
+                           std::uint64_t Seed)
+    : Options(std::move(Options)), Self(State.Self), Vm(State.Vm),
+      Boot(State.Boot), Random(Seed), Term(State.Hard.Term),
+      Vote(State.Hard.Vote), Snapshot(std::move(State.Snapshot)) {
+  Groups.emplace_back(log_index{0}, voter_group{});
+  if (Snapshot) {
+    Log.reset(Snapshot->Index, Snapshot->Term);
+    Groups.front() = {Snapshot->Index, Snapshot->Group};
+    InstallPending = true;
+  }
+  for (log_entry &Entry : State.Entries) {
+    if (Entry.Kind == entry_kind::group)
+      Groups.emplace_back(Entry.Index, *decodeGroup(*Entry.Payload));
+    Log.append(std::move(Entry));
+  }
+  for (const held_position &Position : State.Hard.Held)
+    Held[Position.Voter] = Position;
+  Commit = Applied = Log.base();
+  DurableIndex = Log.last();
+  DurableTerm = Term;
+  if (Log.lastTerm() > Term) { // the snapshot came before the term was written
+    Term = Log.lastTerm();
+    Vote = NoVoter;
+    HardChanged = true;
+  }
+}
+
+void replica_core::step(std::span<const event> Events, instant Time,
+                        std::vector<action> &Out) {
+  Now = Time;
+  Sink = &Out;
+  if (!Started) {
+    Started = true;
+    resetElectionTimer();
+    if (!group().Members.empty()) {
+      LeaderSeen = Now; // a vote may have been promised in an earlier life
+      emit(group_changed{group()});
+    }
+  }
+  checkQuorum();
+  for (const event &Event : Events)
+    if (!Retired)
+      std::visit([this](const auto &E) { on(E); }, Event);
+  if (!Retired)
+    flush();
+  Sink = nullptr;
+}
+
+replica_status replica_core::status() const {
+  replica_status Status;
+  Status.Role = Role;
+  Status.Self = Self;
+  Status.Leader = Leader;
+  if (const group_member *Member = group().find(Leader))
+    Status.LeaderVm = Member->Vm;
+  Status.Term = Term;
+  Status.LastIndex = Log.last();
+  Status.Commit = Commit;
+  Status.Applied = Applied;
+  Status.Ready = Ready;
+  if (Role == replica_role::leader)
+    Status.ConfirmedAt = confirmedAt();
+  Status.Group = group();
+  return Status;
+}
+
+void replica_core::on(const message_received &Event) {
+  if (admit(Event.Message))
+    dispatch(Event.Message);
+}
+
+void replica_core::dispatch(const message &Message) {
+  const auto *Ask = std::get_if<vote_request>(&Message.Body);
+  const bool Disturbs = Ask && !Ask->Transfer && hearsLeader();
+  if (Disturbs && !Ask->PreVote)
+    return;
+  if (Message.Term > Term && !Disturbs)
+    becomeFollower(Message.Term, NoVoter);
+  std::visit([&](const auto &Body) { onMessage(Message, Body); }, Message.Body);
+}
+
+void replica_core::on(const tick &) {
+  seekGroup();
+  if (Role == replica_role::leader) {
+    if (TransferTo && Now >= TransferEnds)
+      TransferTo.reset();
+    if (Now >= HeartbeatAt)
+      sendToAll(true);
+    return;
+  }
+  if (Now < ElectionAt)
+    return;
+  resetElectionTimer();
+  if (group().hasVoter(Self))
+    campaign(true, false);
+}
+
+void replica_core::on(const propose &Event) {
+  if (!acceptsProposals()) {
+    refuse(Event.Proposal);
+    return;
+  }
+  Proposals[{Log.last().Value + 1}] = Event.Proposal;
+  appendOwn(entry_kind::command, Event.Payload);
+}
+
+void replica_core::replyTo(const message &From, message_body Body) {
+  post(From.Vm, From.From, std::move(Body));
+}
+
+bool replica_core::acceptsProposals() const {
+  return Role == replica_role::leader && !TransferTo;
+}
+
+void replica_core::refuse(proposal_id Proposal) {
+  emit(proposal_result{Proposal, outcome::not_run, refusal::no_quorum, {}});
+}
+
+void replica_core::appendOwn(entry_kind Kind, shared_bytes Payload) {
+  const log_index Index{Log.last().Value + 1};
+  if (Kind == entry_kind::group)
+    adoptGroup(Index, *decodeGroup(*Payload));
+  Log.append({Index, Term, Kind, std::move(Payload)});
+  noteChange(Index);
+}
+
+void replica_core::on(const persisted &Event) {
+  while (!Writes.empty() && Writes.front().Write <= Event.Write) {
+    DurableTerm = Writes.front().Term;
+    DurableIndex = Writes.front().Last;
+    Writes.pop_front();
+  }
+  if (Role == replica_role::candidate)
+    countVotes();
+  if (Role == replica_role::leader)
+    advanceCommit();
+}
+
+void replica_core::on(const snapshot_taken &Event) {
+  SnapshotAsked = false;
+  const bool Useful = !Snapshot || Event.Index > Snapshot->Index;
+  if (!Useful || Event.Index > Applied || !Log.knows(Event.Index))
+    return;
+  Snapshot = log_snapshot{Event.Index, Log.termAt(Event.Index),
+                          groupAt(Event.Index), Event.Bytes};
+  SnapshotChanged = true;
+  while (Groups.size() > 1 && Groups[1].first <= Event.Index)
+    Groups.erase(Groups.begin());
+  if (Event.Index.Value > Options.KeepEntries)
+    Log.compactTo({Event.Index.Value - Options.KeepEntries});
+}
+
+void replica_core::on(const form_group &Event) {
+  if (!group().Members.empty() || Log.last().Value != 0 || Snapshot)
+    return;
+  const term_id FirstTerm{1};
+  const log_index FirstIndex{1};
+  Snapshot = log_snapshot{FirstIndex, FirstTerm, Event.Group, Event.Bytes};
+  Log.reset(FirstIndex, FirstTerm);
+  adoptGroup(FirstIndex, Event.Group);
+  Term = std::max(Term, FirstTerm);
+  Commit = FirstIndex;
+  DurableIndex = {0};
+  InstallPending = HardChanged = SnapshotChanged = LogDropped = true;
+  ElectionAt = Now;
+}
+
+void replica_core::applyCommitted() {
+  if (InstallPending) {
+    if (DurableIndex < Snapshot->Index)
+      return;
+    InstallPending = false;
+    Applied = Snapshot->Index;
+    emit(install_snapshot{Snapshot->Index, Snapshot->Bytes});
+  }
+  const log_index End = std::min(Commit, DurableIndex);
+  while (Applied < End) {
+    ++Applied.Value;
+    applyEntry(Log.at(Applied));
+  }
+  if (Role == replica_role::leader && !Ready && Applied >= FirstOwn) {
+    Ready = true;
+    emit(leader_ready{Term});
+  }
+  const log_index Since = Snapshot ? Snapshot->Index : log_index{0};
+  if (!SnapshotAsked && Applied.Value - Since.Value >= Options.SnapshotEvery) {
+    SnapshotAsked = true;
+    emit(snapshot_wanted{});
+  }
+}
+
+void replica_core::applyEntry(const log_entry &Entry) {
+  if (Entry.Kind == entry_kind::command)
+    emit(apply{Entry.Index, Entry.Term, Entry.Payload});
+  const auto Waiting = Proposals.find(Entry.Index);
+  if (Waiting == Proposals.end())
+    return;
+  emit(proposal_result{Waiting->second, outcome::answered, refusal::none,
+                       Entry.Index});
+  Proposals.erase(Waiting);
+}
+
+} // namespace bulrush::control
--- /dev/null
+++ b/src/control/replica_append.cpp
@@ -0,0 +1,197 @@
+// Replication of entries and the commit index.
+#include "control/invariant.h"
+#include "control/replica_core.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace bulrush::control {
+
+void replica_core::onMessage(const message &From, const append_request &Body) {
+  if (From.Term < Term) {
+    replyTo(From, append_reply{false, Body.PrevIndex, Log.last(), Body.SentAt});
+    return;
+  }
+  if (!validEntries(Body))
+    return;
+  followLeader(From);
+  learnHeld(Body.Held);
+  if (Retired)
+    return;
+  const bool Compacted = Body.PrevIndex < Log.base();
+  const bool Matches =
+      Compacted || (Log.knows(Body.PrevIndex) &&
+                    Log.termAt(Body.PrevIndex) == Body.PrevTerm);
+  if (!Matches) {
+    replyTo(From, append_reply{false, Body.PrevIndex,
+                               hintBefore(Body.PrevIndex), Body.SentAt});
+    return;
+  }
+  storeEntries(Body);
+  const log_index Match{Body.PrevIndex.Value + Body.Entries.size()};
+  Commit = std::max(Commit, std::min(Body.Commit, Match));
+  replyTo(From, append_reply{true, Match, Match, Body.SentAt});
+}
+
+void replica_core::followLeader(const message &From) {
+  invariant(Role != replica_role::leader, "two leaders in one term");
+  becomeFollower(From.Term, From.From);
+  LeaderSeen = Now;
+  resetElectionTimer();
+}
+
+bool replica_core::validEntries(const append_request &Body) const {
+  log_index Expected{Body.PrevIndex.Value + 1};
+  for (const log_entry &Entry : Body.Entries) {
+    const bool IsGroup = Entry.Kind == entry_kind::group;
+    if (Entry.Index != Expected || (IsGroup && !decodeGroup(*Entry.Payload)))
+      return false;
+    ++Expected.Value;
+  }
+  return true;
+}
+
+void replica_core::storeEntries(const append_request &Body) {
+  for (const log_entry &Entry : Body.Entries) {
+    if (Entry.Index <= Log.base())
+      continue;
+    if (Log.knows(Entry.Index)) {
+      if (Log.termAt(Entry.Index) == Entry.Term)
+        continue;
+      dropEntriesFrom(Entry.Index);
+    }
+    if (Entry.Kind == entry_kind::group)
+      adoptGroup(Entry.Index, *decodeGroup(*Entry.Payload));
+    Log.append(Entry);
+    noteChange(Entry.Index);
+  }
+}
+
+void replica_core::dropEntriesFrom(log_index Index) {
+  invariant(Index > Commit, "a committed entry would be dropped");
+  Log.truncateFrom(Index);
+  dropGroupsFrom(Index);
+  const log_index Last = Log.last();
+  DurableIndex = std::min(DurableIndex, Last);
+  for (write_in_flight &Write : Writes)
+    Write.Last = std::min(Write.Last, Last);
+}
+
+log_index replica_core::hintBefore(log_index Index) const {
+  if (Index > Log.last())
+    return Log.last();
+  const term_id Conflicting = Log.termAt(Index);
+  log_index Hint = Index;
+  while (Hint > Commit && Log.knows(Hint) && Log.termAt(Hint) == Conflicting)
+    --Hint.Value;
+  return Hint;
+}
+
+void replica_core::onMessage(const message &From, const append_reply &Body) {
+  const auto Known = Progress.find(From.From);
+  if (Role != replica_role::leader || Known == Progress.end())
+    return;
+  member_progress &Member = Known->second;
+  Member.FollowedAt = std::max(Member.FollowedAt, Body.SentAt);
+  if (Member.InFlight > 0)
+    --Member.InFlight;
+  if (Body.Accepted)
+    noteMatch(From, Member, Body.Match);
+  else
+    stepBack(Member, Body);
+}
+
+void replica_core::noteMatch(const message &From, member_progress &Member,
+                             log_index Match) {
+  if (Match > Log.last())
+    return;
+  Member.Match = std::max(Member.Match, Match);
+  Member.Next = std::max(Member.Next, log_index{Member.Match.Value + 1});
+  Member.Mode = member_progress::mode::replicate;
+  Member.Waiting = false;
+  advanceCommit();
+  if (Role != replica_role::leader)
+    return;
+  recordHeld({From.From, From.Boot, std::min(Match, Commit)});
+  finishTransfer();
+}
+
+void replica_core::stepBack(member_progress &Member, const append_reply &Body) {
+  const bool Probing = Member.Mode == member_progress::mode::probe;
+  const bool Stale = Probing ? Body.Match.Value + 1 != Member.Next.Value
+                             : Body.Match <= Member.Match;
+  if (Stale || Member.Mode == member_progress::mode::snapshot)
+    return;
+  const log_index Guess = std::min(Body.Match, log_index{Body.Hint.Value + 1});
+  Member.Next = std::max(log_index{Member.Match.Value + 1}, Guess);
+  Member.Mode = member_progress::mode::probe;
+  Member.Waiting = false;
+}
+
+void replica_core::sendToAll(bool Heartbeat) {
+  if (Heartbeat)
+    HeartbeatAt = Now + Options.Heartbeat;
+  for (const group_member &Member : group().Members)
+    if (Member.Id != Self)
+      sendTo(Member, Heartbeat);
+}
+
+void replica_core::sendTo(const group_member &Member, bool Heartbeat) {
+  using mode = member_progress::mode;
+  member_progress &To = Progress[Member.Id];
+  if (Heartbeat) {
+    To.Waiting = false;
+    To.InFlight = 0;
+  }
+  const log_index Prev{To.Next.Value - 1};
+  if (To.Mode != mode::snapshot && !Log.knows(Prev)) {
+    To.Mode = mode::snapshot;
+    To.ChunkOffset = 0;
+    To.Waiting = false;
+  }
+  if (To.Mode == mode::snapshot) {
+    if (!To.Waiting)
+      sendChunk(Member, To);
+    return;
+  }
+  const bool Probing = To.Mode == mode::probe;
+  const bool MaySend =
+      Probing ? !To.Waiting : To.InFlight < Options.MaxInFlight;
+  append_request Request{Prev, Log.termAt(Prev), {}, Commit, Now, {}};
+  if (MaySend && To.Next <= Log.last())
+    Request.Entries = Log.slice(To.Next, Options.BatchBytes);
+  if (Request.Entries.empty() && !Heartbeat)
+    return;
+  if (Heartbeat)
+    for (const auto &[Voter, Position] : Held)
+      Request.Held.push_back(Position);
+  To.Waiting = Probing;
+  ++To.InFlight;
+  if (!Probing)
+    To.Next.Value += Request.Entries.size();
+  post(Member.Vm, Member.Id, std::move(Request));
+}
+
+void replica_core::advanceCommit() {
+  std::vector<log_index> Matches;
+  for (const group_member &Member : group().Members)
+    if (Member.Role == member_role::voter)
+      Matches.push_back(Member.Id == Self ? DurableIndex
+                                          : Progress[Member.Id].Match);
+  const std::size_t Majority = group().majority();
+  if (Matches.size() < Majority)
+    return;
+  std::sort(Matches.begin(), Matches.end(), std::greater<>());
+  const log_index Agreed = Matches[Majority - 1];
+  if (Agreed <= Commit || Log.termAt(Agreed) != Term)
+    return;
+  Commit = Agreed;
+  recordHeld({Self, Boot, std::min(DurableIndex, Commit)});
+  const bool Removed = !group().hasVoter(Self) && !groupChangePending();
+  if (!Removed)
+    return;
+  sendToAll(true);
+  becomeFollower(Term, NoVoter);
+}
+
+} // namespace bulrush::control
--- /dev/null
+++ b/src/control/replica_members.cpp
@@ -0,0 +1,213 @@
+// Identity of members, changes of the group and the first group.
+#include "control/invariant.h"
+#include "control/replica_core.h"
+
+#include <algorithm>
+
+namespace bulrush::control {
+
+bool replica_core::admit(const message &Message) {
+  const bool Joins = std::holds_alternative<join_request>(Message.Body);
+  if (Message.From == Self || (Message.To != Self && !Joins))
+    return false;
+  if (std::holds_alternative<identity_refused>(Message.Body))
+    return true;
+  const group_member *Member = group().find(Message.From);
+  if (isOldCopy(Message)) {
+    replyTo(Message, identity_refused{Message.Boot});
+    return false;
+  }
+  if (Member)
+    Boots[Message.From] = Message.Boot;
+  return true;
+}
+
+bool replica_core::isOldCopy(const message &Message) const {
+  const auto Life = Boots.find(Message.From);
+  if (Life != Boots.end() && Message.Boot < Life->second)
+    return true;
+  const auto Seen = Held.find(Message.From);
+  if (Seen == Held.end() || Message.Boot == Seen->second.Boot)
+    return false;
+  return Message.Boot < Seen->second.Boot ||
+         Message.LastIndex < Seen->second.Index;
+}
+
+void replica_core::learnHeld(const std::vector<held_position> &Positions) {
+  for (const held_position &Position : Positions) {
+    const bool Lost = Position.Voter == Self &&
+                      (Position.Boot > Boot || Position.Index > Log.last());
+    if (Lost) {
+      retire();
+      return;
+    }
+    recordHeld(Position);
+  }
+}
+
+void replica_core::recordHeld(held_position Position) {
+  if (!group().find(Position.Voter))
+    return;
+  held_position &Known = Held[Position.Voter];
+  if (Position.Boot < Known.Boot || Position.Index < Known.Index)
+    return;
+  Known = Position;
+}
+
+void replica_core::onMessage(const message &, const identity_refused &Body) {
+  if (Body.Boot == Boot)
+    retire();
+}
+
+void replica_core::retire() {
+  if (Role == replica_role::leader)
+    loseLeadership();
+  Role = replica_role::follower;
+  Retired = true;
+  Posted.clear();
+  HeldBack.clear();
+  emit(identity_lost{});
+}
+
+void replica_core::adoptGroup(log_index Index, voter_group Group) {
+  if (!Groups.empty() && Groups.back().second.Members.empty())
+    Groups.clear();
+  Groups.emplace_back(Index, std::move(Group));
+  if (Role == replica_role::leader) {
+    for (const group_member &Member : group().Members)
+      if (Member.Id != Self && !Progress.count(Member.Id))
+        Progress[Member.Id].Next = {Log.last().Value + 1};
+  }
+  forgetOthers();
+  emit(group_changed{group()});
+}
+
+void replica_core::forgetOthers() {
+  const auto Unknown = [&](const auto &Item) {
+    return !group().find(Item.first);
+  };
+  std::erase_if(Progress, Unknown);
+  std::erase_if(Held, Unknown);
+  std::erase_if(Boots, Unknown);
+}
+
+void replica_core::dropGroupsFrom(log_index Index) {
+  bool Changed = false;
+  while (Groups.size() > 1 && Groups.back().first >= Index) {
+    Groups.pop_back();
+    Changed = true;
+  }
+  if (Changed)
+    emit(group_changed{group()});
+}
+
+const voter_group &replica_core::groupAt(log_index Index) const {
+  const voter_group *Latest = &Groups.front().second;
+  for (const auto &[Since, Group] : Groups)
+    if (Since <= Index)
+      Latest = &Group;
+  return *Latest;
+}
+
+bool replica_core::groupChangePending() const {
+  return Groups.back().first > Commit || FirstOwn > Commit;
+}
+
+void replica_core::changeGroup(const voter_group &Group) {
+  appendOwn(entry_kind::group, shareBytes(encodeGroup(Group)));
+}
+
+void replica_core::on(const add_member &Event) {
+  if (!acceptsProposals() || groupChangePending() || group().find(Event.Id)) {
+    refuse(Event.Proposal);
+    return;
+  }
+  Proposals[{Log.last().Value + 1}] = Event.Proposal;
+  changeGroup(group().with({Event.Id, Event.Vm, member_role::learner}));
+}
+
+void replica_core::on(const remove_member &Event) {
+  const bool LastVoter =
+      group().hasVoter(Event.Id) && group().voterCount() == 1;
+  if (!acceptsProposals() || groupChangePending() || LastVoter ||
+      !group().find(Event.Id)) {
+    refuse(Event.Proposal);
+    return;
+  }
+  Proposals[{Log.last().Value + 1}] = Event.Proposal;
+  changeGroup(group().without(Event.Id));
+}
+
+// A learner that has all committed entries becomes a voter. The former member
+// on its machine leaves first, so that each change is by one voter.
+void replica_core::promoteLearners() {
+  if (!acceptsProposals() || groupChangePending())
+    return;
+  for (const group_member &Learner : group().Members) {
+    const auto Known = Progress.find(Learner.Id);
+    if (Learner.Role == member_role::voter || Known == Progress.end())
+      continue;
+    const member_progress &Member = Known->second;
+    const bool CaughtUp = Member.Mode == member_progress::mode::replicate &&
+                          Member.Match >= Commit &&
+                          Now - Member.FollowedAt < Options.ElectionMin;
+    if (!CaughtUp || Learner.Vm == Vm)
+      continue;
+    for (const group_member &Former : group().Members) {
+      if (Former.Vm != Learner.Vm || Former.Id == Learner.Id)
+        continue;
+      changeGroup(group().without(Former.Id));
+      return;
+    }
+    changeGroup(group().with({Learner.Id, Learner.Vm, member_role::voter}));
+    return;
+  }
+}
+
+void replica_core::onMessage(const message &From, const join_request &Body) {
+  if (group().Members.empty()) {
+    voter_id &Known = EmptyFolders[From.Vm];
+    if (Known != From.From)
+      SeenBy.erase(From.Vm);
+    Known = From.From;
+    if (Body.Seen == Self)
+      SeenBy.insert(From.Vm);
+    return;
+  }
+  const bool Listed =
+      std::count(Options.Vms.begin(), Options.Vms.end(), From.Vm) > 0;
+  if (!Listed || !acceptsProposals() || groupChangePending() ||
+      group().find(From.From))
+    return;
+  voter_group Group = group().with({From.From, From.Vm, member_role::learner});
+  for (const group_member &Member : group().Members)
+    if (Member.Vm == From.Vm && Member.Role == member_role::learner)
+      Group = Group.without(Member.Id);
+  changeGroup(Group);
+}
+
+// The first group: each folder says that it is empty and which empty folder it
+// heard of on the receiver. The lowest machine starts the group once all others
+// have answered to its own folder, so that no older group can exist.
+void replica_core::seekGroup() {
+  if (!group().Members.empty() || Now < SeekAt)
+    return;
+  SeekAt = Now + Options.Heartbeat * 2;
+  for (vm_id Other : Options.Vms)
+    if (Other != Vm)
+      post(Other, NoVoter, join_request{EmptyFolders[Other]});
+  const auto Lowest = std::min_element(Options.Vms.begin(), Options.Vms.end());
+  if (Lowest == Options.Vms.end() || *Lowest != Vm)
+    return;
+  voter_group First = voter_group{}.with({Self, Vm, member_role::voter});
+  for (vm_id Other : Options.Vms) {
+    if (Other == Vm)
+      continue;
+    if (!SeenBy.count(Other))
+      return;
+    First = First.with({EmptyFolders[Other], Other, member_role::voter});
+  }
+  on(form_group{First, shareBytes({})});
+}
+
+} // namespace bulrush::control
--- /dev/null
+++ b/src/store/log_records.cpp
@@ -0,0 +1,159 @@
+#include "store/log_records.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bulrush::store {
+
+using control::entry_kind;
+using control::held_position;
+using control::log_entry;
+using control::voter_id;
+using nlohmann::json;
+
+namespace {
+
+json binary(const std::string &Bytes) {
+  return json::binary(std::vector<std::uint8_t>(Bytes.begin(), Bytes.end()));
+}
+
+std::string pack(const json &Value) {
+  std::string Out;
+  json::to_msgpack(Value, Out);
+  return Out;
+}
+
+json unpack(std::string_view Bytes) {
+  return json::from_msgpack(Bytes.begin(), Bytes.end(), true, false);
+}
+
+bool areNumbers(const json &List, std::size_t First, std::size_t Count) {
+  if (!List.is_array() || List.size() < First + Count)
+    return false;
+  for (std::size_t I = First; I < First + Count; ++I)
+    if (!List[I].is_number_unsigned())
+      return false;
+  return true;
+}
+
+std::uint64_t numberAt(const json &List, std::size_t Place) {
+  return List[Place].get<std::uint64_t>();
+}
+
+control::shared_bytes bytesOf(const json &Value) {
+  const auto &Bytes = Value.get_binary();
+  return control::shareBytes(std::string(Bytes.begin(), Bytes.end()));
+}
+
+json toJson(const log_header &Header) {
+  return {Header.Voter.Value, Header.Boot.Value, Header.Fingerprint,
+          Header.SnapshotIndex.Value};
+}
+
+json toJson(const log_entry &Entry) {
+  return {Entry.Index.Value, Entry.Term.Value,
+          static_cast<std::uint64_t>(Entry.Kind), binary(*Entry.Payload)};
+}
+
+json toJson(const log_batch &Batch) {
+  json Held = json::array();
+  for (const held_position &Position : Batch.Hard.Held)
+    Held.push_back(
+        {Position.Voter.Value, Position.Boot.Value, Position.Index.Value});
+  json Entries = json::array();
+  for (const log_entry &Entry : Batch.Entries)
+    Entries.push_back(toJson(Entry));
+  json Result = json::array();
+  Result.push_back(Batch.Hard.Term.Value);
+  Result.push_back(Batch.Hard.Vote.Value);
+  Result.push_back(std::move(Held));
+  Result.push_back(std::move(Entries));
+  return Result;
+}
+
+bool readHeld(const json &List, std::vector<held_position> &Out) {
+  if (!List.is_array())
+    return false;
+  for (const json &Item : List) {
+    if (!areNumbers(Item, 0, 3))
+      return false;
+    Out.push_back({voter_id{numberAt(Item, 0)},
+                   incarnation_id{numberAt(Item, 1)},
+                   log_index{numberAt(Item, 2)}});
+  }
+  return true;
+}
+
+bool readEntries(const json &List, std::vector<log_entry> &Out) {
+  if (!List.is_array())
+    return false;
+  for (const json &Item : List) {
+    const bool Valid =
+        areNumbers(Item, 0, 3) && Item.size() == 4 && Item[3].is_binary() &&
+        numberAt(Item, 2) <= static_cast<std::uint64_t>(entry_kind::group);
+    if (!Valid)
+      return false;
+    Out.push_back({log_index{numberAt(Item, 0)}, term_id{numberAt(Item, 1)},
+                   static_cast<entry_kind>(numberAt(Item, 2)),
+                   bytesOf(Item[3])});
+    const bool IsGroup = Out.back().Kind == entry_kind::group;
+    if (IsGroup && !control::decodeGroup(*Out.back().Payload))
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+std::string encodeFirst(const log_header &Header, const log_batch &Batch) {
+  return pack({toJson(Batch), toJson(Header)});
+}
+
+std::string encodeBatch(const log_batch &Batch) {
+  return pack(json::array({toJson(Batch)}));
+}
+
+std::string encodeSnapshot(const control::log_snapshot &Snapshot) {
+  return pack({Snapshot.Index.Value, Snapshot.Term.Value,
+               control::encodeGroup(Snapshot.Group), binary(*Snapshot.Bytes)});
+}
+
+expected<log_header> decodeHeader(std::string_view Bytes) {
+  const json Record = unpack(Bytes);
+  if (!Record.is_array() || Record.size() != 2 || !areNumbers(Record[1], 0, 4))
+    return fail("malformed header");
+  const json &Header = Record[1];
+  return log_header{voter_id{numberAt(Header, 0)},
+                    incarnation_id{numberAt(Header, 1)}, numberAt(Header, 2),
+                    log_index{numberAt(Header, 3)}};
+}
+
+expected<log_batch> decodeBatch(std::string_view Bytes) {
+  const json Record = unpack(Bytes);
+  if (!Record.is_array() || Record.empty() || !areNumbers(Record[0], 0, 2) ||
+      Record[0].size() != 4)
+    return fail("malformed record");
+  const json &Fields = Record[0];
+  log_batch Batch;
+  Batch.Hard.Term = {numberAt(Fields, 0)};
+  Batch.Hard.Vote = {numberAt(Fields, 1)};
+  if (!readHeld(Fields[2], Batch.Hard.Held) ||
+      !readEntries(Fields[3], Batch.Entries))
+    return fail("malformed record");
+  return Batch;
+}
+
+expected<control::log_snapshot> decodeSnapshot(std::string_view Bytes) {
+  const json Record = unpack(Bytes);
+  if (!areNumbers(Record, 0, 2) || Record.size() != 4 ||
+      !Record[2].is_string() || !Record[3].is_binary())
+    return fail("malformed snapshot");
+  expected<control::voter_group> Group =
+      control::decodeGroup(Record[2].get<std::string>());
+  if (!Group)
+    return fail(Group.error());
+  return control::log_snapshot{log_index{numberAt(Record, 0)},
+                               term_id{numberAt(Record, 1)}, *Group,
+                               bytesOf(Record[3])};
+}
+
+} // namespace bulrush::store
--- /dev/null
+++ b/test/fake_disk.h
@@ -0,0 +1,153 @@
+/// A folder in memory that forgets what was not synced.
+#pragma once
+
+#include "store/disk.h"
+
+#include <map>
+#include <optional>
+#include <random>
+
+namespace bulrush::test {
+
+using store::disk_error;
+using store::disk_fault;
+using store::disk_result;
+
+class fake_disk final : public store::disk {
+public:
+  struct content {
+    std::string Now;
+    std::string Synced;
+    std::uint64_t Print = 0;
+  };
+  using folder = std::map<std::string, std::shared_ptr<content>>;
+
+  std::optional<disk_fault> Fault; ///< every change fails with it
+  std::size_t Syncs = 0;
+
+  /// Power off: unsynced bytes go, but for a part of them that may be torn.
+  void crash(std::mt19937_64 &Random) {
+    if (Random() % 2)
+      Names = SyncedNames;
+    for (auto &[Name, File] : Names) {
+      std::string Kept = File->Synced;
+      const std::size_t Unsynced = File->Now.size() - Kept.size();
+      const std::size_t Tail = Unsynced ? Random() % (Unsynced + 1) : 0;
+      Kept += File->Now.substr(Kept.size(), Tail);
+      if (Tail > 0 && Random() % 2)
+        Kept[Kept.size() - 1 - Random() % Tail] ^= 0x55;
+      File->Now = File->Synced = Kept;
+    }
+    SyncedNames = Names;
+  }
+
+  /// What a backup of the folder would hold; `restore` gives new fingerprints,
+  /// as copied files have, unless the whole disk image is set back.
+  std::map<std::string, content> backup() const {
+    std::map<std::string, content> Copy;
+    for (const auto &[Name, File] : Names)
+      Copy[Name] = *File;
+    return Copy;
+  }
+  void restore(const std::map<std::string, content> &Copy, bool Image) {
+    Names.clear();
+    for (const auto &[Name, File] : Copy) {
+      Names[Name] = std::make_shared<content>(File);
+      Names[Name]->Synced = File.Now;
+      if (!Image)
+        Names[Name]->Print = ++LastPrint;
+    }
+    SyncedNames = Names;
+  }
+  void wipe() { restore({}, false); }
+  std::string &bytes(const std::string &Name) { return Names.at(Name)->Now; }
+  bool has(const std::string &Name) const { return Names.count(Name) > 0; }
+
+  disk_result<std::unique_ptr<store::disk_file>>
+  open(const std::string &Name) override {
+    if (Fault)
+      return failed();
+    std::shared_ptr<content> &File = Names[Name];
+    if (!File) {
+      File = std::make_shared<content>();
+      File->Print = ++LastPrint;
+    }
+    return std::make_unique<fake_file>(*this, File);
+  }
+  disk_result<std::string> read(const std::string &Name) override {
+    if (!has(Name))
+      return missing(Name);
+    return Names[Name]->Now;
+  }
+  disk_result<void> rename(const std::string &From,
+                           const std::string &To) override {
+    if (Fault)
+      return failed();
+    if (!has(From))
+      return missing(From);
+    Names[To] = Names[From];
+    Names.erase(From);
+    return {};
+  }
+  disk_result<void> remove(const std::string &Name) override {
+    if (Fault)
+      return failed();
+    Names.erase(Name);
+    return {};
+  }
+  disk_result<std::vector<std::string>> list() override {
+    std::vector<std::string> Result;
+    for (const auto &[Name, File] : Names)
+      Result.push_back(Name);
+    return Result;
+  }
+  disk_result<void> syncDirectory() override {
+    if (Fault)
+      return failed();
+    SyncedNames = Names;
+    return {};
+  }
+  disk_result<std::uint64_t> fingerprint(const std::string &Name) override {
+    if (!has(Name))
+      return missing(Name);
+    return Names[Name]->Print;
+  }
+
+private:
+  class fake_file final : public store::disk_file {
+  public:
+    fake_file(fake_disk &Disk, std::shared_ptr<content> File)
+        : Disk(Disk), File(std::move(File)) {}
+    disk_result<void> append(std::string_view Bytes) override {
+      if (Disk.Fault)
+        return Disk.failed();
+      File->Now += Bytes;
+      return {};
+    }
+    disk_result<void> sync() override {
+      if (Disk.Fault)
+        return Disk.failed();
+      File->Synced = File->Now;
+      ++Disk.Syncs;
+      return {};
+    }
+
+  private:
+    fake_disk &Disk;
+    std::shared_ptr<content> File;
+  };
+
+  tl::unexpected<disk_error> failed() const {
+    return tl::unexpected<disk_error>(disk_error{*Fault, "fake fault"});
+  }
+  static tl::unexpected<disk_error> missing(const std::string &Name) {
+    return tl::unexpected<disk_error>(
+        disk_error{disk_fault::not_found, Name + ": missing"});
+  }
+
+  folder Names;
+  folder SyncedNames;
+  std::uint64_t LastPrint = 0;
+};
+
+} // namespace bulrush::test
--- /dev/null
+++ b/test/unit/durable_log_test.cpp
@@ -0,0 +1,155 @@
+#include "fake_disk.h"
+#include "store/durable_log.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::store;
+using namespace bulrush::control;
+using bulrush::test::fake_disk;
+
+namespace {
+
+const folder_options Fresh{vm_id{2}, 77, 0};
+
+persist entries(std::uint64_t Write, std::uint64_t From, std::uint64_t To,
+                std::uint64_t Term = 1) {
+  persist Result;
+  Result.Write = {Write};
+  Result.Hard = {term_id{Term}, voter_id{77}, {}};
+  for (std::uint64_t I = From; I <= To; ++I)
+    Result.Entries.push_back({log_index{I}, term_id{Term}, entry_kind::command,
+                              shareBytes("entry " + std::to_string(I))});
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("a new folder gets the fresh id and keeps it", "[store]") {
+  fake_disk Disk;
+  auto First = durable_log::open(Disk, Fresh);
+  REQUIRE(First);
+  CHECK(First->notices() == std::vector{folder_notice::created});
+  auto Second = durable_log::open(Disk, {vm_id{2}, 88, 0});
+  REQUIRE(Second);
+  CHECK(Second->state().Self == voter_id{77});
+  CHECK(Second->state().Boot > First->state().Boot);
+  CHECK(Second->notices().empty());
+}
+
+TEST_CASE("what was synced is recovered, many writes with one sync",
+          "[store]") {
+  fake_disk Disk;
+  std::mt19937_64 Random(1);
+  auto Log = durable_log::open(Disk, Fresh);
+  const std::size_t Before = Disk.Syncs;
+  Log->write(entries(1, 1, 3));
+  Log->write(entries(2, 3, 4, 2));
+  CHECK(*Log->sync() == write_id{2});
+  CHECK(Disk.Syncs == Before + 1);
+  Disk.crash(Random);
+  const recovered_state State = durable_log::open(Disk, Fresh)->state();
+  CHECK(State.Hard.Term == term_id{2});
+  REQUIRE(State.Entries.size() == 4);
+  CHECK(State.Entries[1].Term == term_id{1});
+  CHECK(State.Entries[2].Term == term_id{2});
+  CHECK(*State.Entries[3].Payload == "entry 4");
+}
+
+TEST_CASE("a write that was not synced is forgotten or whole", "[store]") {
+  for (std::uint64_t Seed = 0; Seed < 100; ++Seed) {
+    fake_disk Disk;
+    std::mt19937_64 Random(Seed);
+    auto Log = durable_log::open(Disk, Fresh);
+    Log->write(entries(1, 1, 2));
+    REQUIRE(Log->sync());
+    const std::size_t Synced = Disk.bytes("log").size();
+    Log->write(entries(2, 3, 9));
+    REQUIRE(Log->sync());
+    std::string Torn = Disk.bytes("log");
+    Torn.resize(Synced + Random() % (Torn.size() - Synced));
+    const bool Cut = Torn.size() > Synced;
+    Disk.bytes("log") = Torn;
+    auto Again = durable_log::open(Disk, Fresh);
+    REQUIRE(Again);
+    CHECK(Again->state().Entries.size() == 2);
+    CHECK(Again->notices().empty() == !Cut);
+  }
+}
+
+TEST_CASE("a snapshot bounds the log and survives", "[store]") {
+  fake_disk Disk;
+  auto Log = durable_log::open(Disk, Fresh);
+  Log->write(entries(1, 1, 500));
+  REQUIRE(Log->sync());
+  const std::size_t Before = Disk.bytes("log").size();
+  persist Write = entries(2, 501, 502);
+  Write.Snapshot =
+      log_snapshot{log_index{490}, term_id{1}, {}, shareBytes("s")};
+  Log->write(Write);
+  REQUIRE(Log->sync());
+  CHECK(Disk.bytes("log").size() < Before / 10);
+  const recovered_state State = durable_log::open(Disk, Fresh)->state();
+  CHECK(State.Snapshot->Index == log_index{490});
+  CHECK(State.Entries.front().Index == log_index{491});
+  CHECK(State.Entries.back().Index == log_index{502});
+}
+
+TEST_CASE("an installed snapshot drops a log that differs", "[store]") {
+  fake_disk Disk;
+  auto Log = durable_log::open(Disk, Fresh);
+  Log->write(entries(1, 1, 9));
+  REQUIRE(Log->sync());
+  persist Write = entries(2, 6, 6, 3);
+  Write.Snapshot = log_snapshot{log_index{5}, term_id{2}, {}, shareBytes("s")};
+  Write.DropLog = true;
+  Log->write(Write);
+  REQUIRE(Log->sync());
+  const recovered_state State = durable_log::open(Disk, Fresh)->state();
+  REQUIRE(State.Entries.size() == 1);
+  CHECK(State.Entries[0].Term == term_id{3});
+}
+
+TEST_CASE("copied files become a new member", "[store]") {
+  fake_disk Disk;
+  {
+    auto Log = durable_log::open(Disk, Fresh);
+    Log->write(entries(1, 1, 3));
+    REQUIRE(Log->sync());
+  }
+  Disk.restore(Disk.backup(), false);
+  auto Copy = durable_log::open(Disk, {vm_id{2}, 88, 0});
+  REQUIRE(Copy);
+  CHECK(Copy->notices() == std::vector{folder_notice::copied_files});
+  CHECK(Copy->state().Self == voter_id{88});
+  CHECK(Copy->state().Entries.empty());
+}
+
+TEST_CASE("a snapshot that is missing or damaged is refused", "[store]") {
+  fake_disk Disk;
+  {
+    auto Log = durable_log::open(Disk, Fresh);
+    persist Write = entries(1, 6, 6);
+    Write.Snapshot =
+        log_snapshot{log_index{5}, term_id{1}, {}, shareBytes("state")};
+    Log->write(Write);
+    REQUIRE(Log->sync());
+  }
+  Disk.bytes("snapshot").back() ^= 1;
+  CHECK(durable_log::open(Disk, Fresh).error().Message ==
+        "snapshot: damaged, its checksum does not fit");
+  REQUIRE(Disk.remove("snapshot"));
+  CHECK(durable_log::open(Disk, Fresh).error().Message ==
+        "snapshot: missing or older than the log");
+}
+
+TEST_CASE("a full disk is an outcome and ends the writing", "[store]") {
+  fake_disk Disk;
+  auto Log = durable_log::open(Disk, Fresh);
+  Disk.Fault = disk_fault::full;
+  Log->write(entries(1, 1, 1));
+  CHECK(Log->sync().error().Fault == disk_fault::full);
+  Disk.Fault.reset();
+  CHECK_FALSE(Log->sync());
+  CHECK(durable_log::open(Disk, Fresh)->state().Entries.empty());
+}
--- /dev/null
+++ b/test/unit/log_file_test.cpp
@@ -0,0 +1,88 @@
+#include "fake_disk.h"
+#include "store/log_file.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::store;
+using bulrush::test::fake_disk;
+
+namespace {
+
+std::string logOf(const std::vector<std::string> &Records) {
+  std::string Bytes;
+  for (const std::string &Record : Records)
+    Bytes += frameRecord(Record, Bytes.size());
+  return Bytes;
+}
+
+} // namespace
+
+TEST_CASE("records come back in order", "[store]") {
+  fake_disk Disk;
+  auto Log = log_file::create(Disk, "log", [](auto) { return "first"; });
+  REQUIRE(Log);
+  REQUIRE(Log->append("second"));
+  const auto Contents = parseLog(Disk.bytes("log"), "log");
+  REQUIRE(Contents);
+  CHECK(Contents->Records == std::vector<std::string>{"first", "second"});
+  CHECK(Contents->TornBytes == 0);
+}
+
+TEST_CASE("a torn tail is cut at every byte", "[store]") {
+  const std::string Whole = logOf({"one", "two", "three"});
+  const std::size_t Kept = logOf({"one", "two"}).size();
+  for (std::size_t Size = Kept; Size < Whole.size(); ++Size) {
+    const auto Contents = parseLog(Whole.substr(0, Size), "log");
+    REQUIRE(Contents);
+    CHECK(Contents->Records.size() == 2);
+    CHECK(Contents->TornBytes == Size - Kept);
+  }
+}
+
+TEST_CASE("damage before a valid record is refused with file and offset",
+          "[store]") {
+  std::string Bytes = logOf({"one", "two", "three"});
+  const std::size_t Second = logOf({"one"}).size();
+  for (std::size_t At = Second; At < logOf({"one", "two"}).size(); ++At) {
+    std::string Damaged = Bytes;
+    Damaged[At] ^= 1;
+    const auto Contents = parseLog(Damaged, "log");
+    REQUIRE_FALSE(Contents);
+    CHECK(Contents.error().Message == "log: damaged record at byte " +
+                                          std::to_string(Second) +
+                                          ", valid records follow it");
+  }
+}
+
+TEST_CASE("a record is not valid at another place", "[store]") {
+  const std::string Record = frameRecord("one", 0);
+  const auto Contents = parseLog(Record + Record, "log");
+  REQUIRE(Contents);
+  CHECK(Contents->Records.size() == 1);
+}
+
+TEST_CASE("after a failed write nothing more is written", "[store]") {
+  fake_disk Disk;
+  auto Log = log_file::create(Disk, "log", [](auto) { return "first"; });
+  Disk.Fault = disk_fault::full;
+  const auto Failed = Log->append("second");
+  REQUIRE_FALSE(Failed);
+  CHECK(Failed.error().Fault == disk_fault::full);
+  Disk.Fault.reset();
+  CHECK_FALSE(Log->append("third"));
+}
+
+TEST_CASE("a replaced file is old or new after a crash, never mixed",
+          "[store]") {
+  for (std::uint64_t Seed = 0; Seed < 50; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    fake_disk Disk;
+    REQUIRE(replaceFile(Disk, "snapshot", "old"));
+    Disk.crash(Random);
+    CHECK(*parseWhole(*Disk.read("snapshot"), "snapshot") == "old");
+    REQUIRE(replaceFile(Disk, "snapshot", "new"));
+    Disk.crash(Random);
+    CHECK(*parseWhole(*Disk.read("snapshot"), "snapshot") == "new");
+  }
+}
--- /dev/null
+++ b/test/unit/replica_test.cpp
@@ -0,0 +1,182 @@
+#include "replica_group.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::control;
+using bulrush::test::group_settings;
+using bulrush::test::replica_group;
+
+namespace {
+
+void confirm(replica_group &Group, std::size_t Changes) {
+  for (std::size_t I = 0; I < Changes; ++I) {
+    Group.proposeAtLeader();
+    Group.run(10);
+  }
+}
+
+} // namespace
+
+TEST_CASE("empty folders form one group and elect one leader", "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  CHECK(Group.leader()->Replica->status().Group.voterCount() == 3);
+  confirm(Group, 20);
+  CHECK(Group.Confirmed.size() == 20);
+  Group.run(200);
+  CHECK(Group.converged());
+  CHECK(Group.Broken.empty());
+}
+
+TEST_CASE("no group forms while one machine is missing", "[replica]") {
+  replica_group Group({});
+  Group.crash(*Group.Nodes[2]);
+  Group.run(1);
+  CHECK_FALSE(Group.elect());
+}
+
+TEST_CASE("a confirmed change survives the crash of all members", "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  for (int Round = 0; Round < 10; ++Round) {
+    confirm(Group, 5);
+    for (auto &Node : Group.Nodes)
+      Group.crash(*Node);
+    for (auto &Node : Group.Nodes)
+      Group.start(*Node);
+    const instant Before = Group.Now;
+    REQUIRE(Group.elect());
+    CHECK(Group.Now - Before < millis{2000});
+  }
+  CHECK(Group.Confirmed.size() == 50);
+  Group.run(500);
+  CHECK(Group.converged());
+  CHECK(Group.Broken.empty());
+}
+
+TEST_CASE("an isolated leader steps down and its proposals end", "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  auto *Old = Group.leader();
+  const term_id Term = Old->Replica->status().Term;
+  for (std::uint32_t I = 0; I < 3; ++I) {
+    Group.Cut.insert({Old->Vm.Value, I});
+    Group.Cut.insert({I, Old->Vm.Value});
+  }
+  Group.propose_(*Old, "lost");
+  Group.run(2000);
+  CHECK(Old->Replica->status().Role != replica_role::leader);
+  CHECK(Group.Results[1] == outcome::unknown);
+  REQUIRE(Group.leader());
+  CHECK(Group.leader() != Old);
+  const term_id After = Group.leader()->Replica->status().Term;
+  Group.run(60000);
+  CHECK(Old->Replica->status().Term == Term);
+  Group.heal();
+  Group.run(1000);
+  CHECK(Group.leader()->Replica->status().Term == After);
+  CHECK(Group.converged());
+}
+
+TEST_CASE("a proposal at a follower did not run", "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  for (auto &Node : Group.Nodes)
+    if (Node.get() != Group.leader()) {
+      Group.propose_(*Node, "x");
+      CHECK(Group.Results[Group.Proposed] == outcome::not_run);
+    }
+}
+
+TEST_CASE("an empty disk joins as a learner and replaces its former self",
+          "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  confirm(Group, 60);
+  auto &Lost = *Group.Nodes[(Group.leader()->Vm.Value + 1) % 3];
+  const voter_id Former = Lost.Replica->status().Self;
+  Group.crash(Lost);
+  Lost.Disk.wipe();
+  confirm(Group, 40);
+  Group.start(Lost);
+  Group.run(3000);
+  const replica_status Status = Group.leader()->Replica->status();
+  CHECK(Status.Group.find(Former) == nullptr);
+  CHECK(Status.Group.hasVoter(Lost.Replica->status().Self));
+  CHECK(Status.Group.voterCount() == 3);
+  CHECK(Group.converged());
+  CHECK(Group.Broken.empty());
+}
+
+TEST_CASE("a disk image set back is refused and becomes a new member",
+          "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  confirm(Group, 10);
+  auto &Old = *Group.Nodes[(Group.leader()->Vm.Value + 1) % 3];
+  Group.run(200);
+  Old.Backup = Old.Disk.backup();
+  confirm(Group, 10);
+  Group.run(200);
+  Group.crash(Old);
+  Old.Disk.restore(Old.Backup, true);
+  Group.start(Old);
+  Group.run(3000);
+  CHECK(Group.IdentitiesLost == 1);
+  CHECK(Group.leader()->Replica->status().Group.voterCount() == 3);
+  CHECK(Group.converged());
+  CHECK(Group.Broken.empty());
+}
+
+TEST_CASE("a planned stop hands the leadership over at once", "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  auto *Old = Group.leader();
+  Old->TookOver = true;
+  const instant Before = Group.Now;
+  Group.step(*Old, transfer_leadership{});
+  REQUIRE(Group.runUntil(
+      200, [&] { return Group.leader() && Group.leader() != Old; }));
+  CHECK(Group.Now - Before < replica_options{}.ElectionMin);
+  CHECK(Group.Broken.empty());
+}
+
+TEST_CASE("events of one batch share one write", "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  std::vector<event> Batch;
+  for (std::uint64_t I = 1; I <= 50; ++I)
+    Batch.emplace_back(propose{proposal_id{1000 + I}, shareBytes("x")});
+  std::vector<action> Out;
+  Group.leader()->Replica->step(Batch, Group.Now, Out);
+  std::size_t Writes = 0;
+  for (const action &Action : Out)
+    if (const auto *Write = std::get_if<persist>(&Action)) {
+      ++Writes;
+      CHECK(Write->Entries.size() == 50);
+    }
+  CHECK(Writes == 1);
+}
+
+TEST_CASE("a vote leaves only after it is on disk", "[replica]") {
+  recovered_state State;
+  State.Self = voter_id{1};
+  State.Boot = {1};
+  replica Replica({}, State, 1);
+  std::vector<action> Out;
+  const message Ask{voter_id{2}, vm_id{2},     voter_id{1},   incarnation_id{1},
+                    term_id{5},  log_index{0}, vote_request{}};
+  Replica.step(message_received{Ask}, instant{10}, Out);
+  REQUIRE(Out.size() == 1);
+  const persist *Write = std::get_if<persist>(&Out[0]);
+  REQUIRE(Write);
+  CHECK(Write->Hard.Vote == voter_id{2});
+  const write_id Number = Write->Write;
+  Out.clear();
+  Replica.step(persisted{Number}, instant{11}, Out);
+  REQUIRE(Out.size() == 1);
+  const send *Reply = std::get_if<send>(&Out[0]);
+  REQUIRE(Reply);
+  CHECK(std::get<vote_reply>(Reply->Message.Body).Granted);
+}
