--- a/src/query/router_attempts.cpp
+++ b/src/query/router_attempts.cpp
@@ -100,7 +100,7 @@
   if (!Progress.isOpen() || Progress.Pending > 0)
     return;
   Progress.HedgeAt = Never;
-  if (Progress.Count >= MaxAttempts)
+  if (Progress.Count >= MaxAttempts || !hasHolder(Query, Shard))
     return Query.Gather.markLost(Shard);
   Progress.RetryCause = Cause;
   const bool IsFirst = Progress.Count == 1;
@@ -126,6 +126,11 @@
   send(Query, Shard, *Target, false, Progress.RetryCause);
 }
 
+bool router::impl::hasHolder(const query_state &Query, shard_id Shard) const {
+  const shard_map *Map = Directory.find(Query.Pool, Query.Gather.snapshot());
+  return Map && isUsable(Map->Holders[Shard.Value]);
+}
+
 /// A holder that was not tried yet, else any.
 std::optional<endpoint_id> router::impl::retryTarget(query_state &Query,
                                                      shard_id Shard) {
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -95,6 +95,7 @@
   void takeReply(query_state &Query, const sub_reply &Reply);
   void attemptFailed(query_state &Query, shard_id Shard, retry_reason Cause);
   void retry(query_state &Query, shard_id Shard);
+  bool hasHolder(const query_state &Query, shard_id Shard) const;
   std::optional<endpoint_id> retryTarget(query_state &Query, shard_id Shard);
   void abandon(query_state &Query, shard_id Shard, attempt_state State,
                refusal Reason);
--- a/src/query/snapshot_directory.cpp
+++ b/src/query/snapshot_directory.cpp
@@ -186,13 +186,9 @@
       std::count_if(Map.Holders.begin(), Map.Holders.end(), IsPromised));
 }
 
-/// Queries that may run at the same time on the weakest shard that has any
+/// Sub-requests that may run at the same time on the weakest shard that has any
 /// usable holder.
 double snapshot_directory::capacity(const shard_map &Map) const {
-  std::vector<std::uint32_t> ShardsHeld(Endpoints.size());
-  for (const std::vector<endpoint_id> &Holders : Map.Holders)
-    for (const endpoint_id Id : Holders)
-      ++ShardsHeld[Id.Value];
   double Weakest = std::numeric_limits<double>::infinity();
   for (const std::vector<endpoint_id> &Holders : Map.Holders) {
     double Sum = 0;
@@ -201,7 +197,7 @@
       if (!Endpoints[Id].usable())
         continue;
       Usable = true;
-      Sum += static_cast<double>(Endpoints[Id].Limit) / ShardsHeld[Id.Value];
+      Sum += Endpoints[Id].Limit;
     }
     if (Usable)
       Weakest = std::min(Weakest, Sum);
