--- a/src/query/router_attempts.cpp
+++ b/src/query/router_attempts.cpp
@@ -165,6 +165,7 @@
       Query.LastFailure = refusal::link_down;
       if (Query.IsCommand)
         return commandLost(Query, Sub, refusal::link_down);
+      Outbox.cancel(Owner, Sub);
       attemptFailed(Query, {Shard}, retry_reason::lost);
     }
   }
--- a/src/query/router_search.cpp
+++ b/src/query/router_search.cpp
@@ -49,9 +49,11 @@
     Query.Gather.begin(Map.Snapshot, Map.total(), FirstSub);
   for (std::uint32_t Shard = 0; Shard < Map.total(); ++Shard)
     sendFirst(Query, Map, {Shard}, Again);
-  if (!Again)
-    budgetOf(Query).earn(Query.Gather.pending(),
-                         Query.Intent->Intent.ExtraLoad);
+  const std::uint32_t Sent = Query.Gather.pending();
+  if (Again)
+    Out->emplace_back(count_retry{retry_reason::wrong_snapshot, Sent});
+  else
+    budgetOf(Query).earn(Sent, Query.Intent->Intent.ExtraLoad);
   flush(Query);
   settle(Query);
 }
@@ -147,12 +149,10 @@
   if (!Other || Other->Map->Snapshot == Query.Gather.snapshot() ||
       !promisesEnough(Query, *Other))
     return false;
-  const std::uint32_t Total = Other->Map->total();
-  if (!budgetOf(Query).spendRetries(Total))
+  if (!budgetOf(Query).spendRetries(Other->Promised))
     return false;
   ++Query.Repins;
   cancelPending(Query);
-  Out->emplace_back(count_retry{retry_reason::wrong_snapshot, Total});
   scatter(Query, *Other, true);
   return true;
 }
