--- a/src/query/owner_events.h
+++ b/src/query/owner_events.h
@@ -1,7 +1,7 @@
 /// Events and actions of the `owner` core.
 #pragma once
 
-#include "bulrushtray/fleet_config.h"
+#include "query/events.h"
 #include "query/messages.h"
 
 #include <variant>
@@ -70,11 +70,6 @@
   std::vector<held_snapshot> Held;
 };
 
-/// The accepted configuration changed.
-struct config_changed {
-  fleet_config Config;
-};
-
 /// The right to send to one endpoint.
 struct owner_grant {
   endpoint_id Endpoint;
@@ -87,12 +82,6 @@
   std::vector<owner_grant> Grants;
 };
 
-/// The daemon is to stop: finish what is queued, take nothing new.
-struct stop_requested {};
-
-/// The instant of the last `set_timer` has come.
-struct timer_fired {};
-
 using owner_event =
     std::variant<batch_arrived, cancel_arrived, endpoint_replied,
                  health_arrived, config_changed, ownership_changed,
@@ -134,16 +123,6 @@
   endpoint_report Report;
 };
 
-/// Send `timer_fired` at this instant. Replaces the earlier one.
-struct set_timer {
-  instant At;
-};
-
-/// A sub-request was refused.
-struct count_refusal {
-  refusal Reason = refusal::none;
-};
-
 /// Why an owner changed what it lets an endpoint do.
 enum class endpoint_cause : std::uint8_t {
   new_owner,
--- a/src/query/owner_replies.cpp
+++ b/src/query/owner_replies.cpp
@@ -75,7 +75,7 @@
   Reply.ServiceTime = In.Now - Left;
   Reply.RetryAfter = RetryAfter;
   if (Outcome != outcome::answered)
-    In.Out.emplace_back(count_refusal{Reason});
+    In.Out.emplace_back(count_refusal{Reason, 1});
   In.Out.emplace_back(
       reply_to_entry{Item.From, Item.Incarnation, std::move(Reply)});
   Work.forgetName(Item);
--- a/src/query/owner_service.cpp
+++ b/src/query/owner_service.cpp
@@ -93,7 +93,7 @@
   Reply.Outcome = outcome::not_run;
   Reply.Reason = Reason;
   Reply.RetryAfter = RetryAfter;
-  In.Out.emplace_back(count_refusal{Reason});
+  In.Out.emplace_back(count_refusal{Reason, 1});
   In.Out.emplace_back(
       reply_to_entry{Batch.From, Batch.Incarnation, std::move(Reply)});
 }
