--- a/bench/endpoint/model.cpp
+++ b/bench/endpoint/model.cpp
@@ -72,6 +72,7 @@
 
   warmth Warmth = warmth::cold;
   bool Draining = false;
+  bool AfterFall = false; ///< why it is down
   std::uint64_t Generation = 1;
   std::uint32_t Bears = 1;
   std::uint32_t Served = 0; ///< since the last step of the ramp
@@ -86,14 +87,14 @@
     beginCold(Now, false);
   }
 
-  void beginCold(instant Now, bool AfterFall) {
+  void beginCold(instant Now, bool Fell) {
     Warmth = warmth::cold;
     Bears = std::min(Behaviour.ColdInFlight, Behaviour.Slots);
     Served = 0;
     StepBegan = Now;
     StepRequests = Behaviour.RampRequests *
-                   (AfterFall ? std::max(1U, Behaviour.DownFactor) : 1);
-    Record.Colds.push_back({Now, Never, Never, StepRequests, AfterFall});
+                   (Fell ? std::max(1U, Behaviour.DownFactor) : 1);
+    Record.Colds.push_back({Now, Never, Never, StepRequests, Fell});
     warmIfRamped(Now);
   }
 
@@ -236,9 +237,19 @@
   void fallOver(instant Now, std::vector<action> &Out) {
     ++Record.Falls;
     Record.Requests.CutByFall += Running.size() + 1;
+    AfterFall = true;
+    goDown(Now + Behaviour.DownTime, Out);
+  }
+
+  void goDown(instant Until, std::vector<action> &Out) {
     cutAll(Out);
     Warmth = warmth::down;
-    Waiting.push({Now + Behaviour.DownTime, pending::kind::up, {}});
+    Waiting.push({Until, pending::kind::up, {}});
+  }
+
+  void on(const take_down &E, instant Now, std::vector<action> &Out) {
+    AfterFall = false;
+    goDown(Now + E.For, Out);
   }
 
   void cutAll(std::vector<action> &Out) {
@@ -295,7 +306,7 @@
   void comeUp(instant Now) {
     ++Generation;
     SignAt = Now;
-    beginCold(Now, true);
+    beginCold(Now, AfterFall);
   }
 
   void finish(exchange_id Exchange, instant Now, std::vector<action> &Out) {
@@ -314,6 +325,7 @@
     ramp(Now);
     if (uniform() < Behaviour.LostReplyShare) {
       ++Record.Requests.LostReplies;
+      Out.push_back(lose_reply{Exchange});
       return;
     }
     if (uniform() < Behaviour.LateReplyShare) {
--- a/bench/endpoint/model.h
+++ b/bench/endpoint/model.h
@@ -48,6 +48,10 @@
 struct turn_cold {
   bool ResetsConnections = false; ///< as a restart does
 };
+/// Lost: every connection is reset and new ones are refused; then cold.
+struct take_down {
+  millis For;
+};
 struct set_draining {
   bool On = true;
 };
@@ -63,8 +67,8 @@
 
 using event =
     std::variant<connection_opened, connection_closed, request_arrived,
-                 cancel_arrived, woken, turn_cold, set_draining, set_snapshots,
-                 set_behaviour, reset_record>;
+                 cancel_arrived, woken, turn_cold, take_down, set_draining,
+                 set_snapshots, set_behaviour, reset_record>;
 
 // Actions.
 
@@ -90,6 +94,10 @@
   std::uint32_t InFlight = 0;
   millis RetryAfter;
 };
+/// The reply will never be sent.
+struct lose_reply {
+  exchange_id Exchange;
+};
 /// Start to read from the connection after a delay.
 struct serve_connection {
   connection_id Connection;
@@ -102,8 +110,8 @@
 /// Reset every connection; replies not yet sent are lost.
 struct reset_connections {};
 
-using action = std::variant<send_reply, serve_connection, refuse_connection,
-                            reset_connections>;
+using action = std::variant<send_reply, lose_reply, serve_connection,
+                            refuse_connection, reset_connections>;
 
 enum class warmth : std::uint8_t { cold, warm, down };
 
--- a/bench/test/model_test.cpp
+++ b/bench/test/model_test.cpp
@@ -250,6 +250,20 @@
   CHECK(Mean == Approx(10 * (1 + 0.01 * 19)).epsilon(0.05));
 }
 
+TEST_CASE("an endpoint that was lost comes back cold") {
+  fixture F;
+  F.warmUp();
+  const exchange_id Lost = F.send();
+  F.step(take_down{millis{200}});
+  F.step(connection_opened{connection_id{9}});
+  CHECK(F.count<reset_connections>() == 1);
+  CHECK(F.count<refuse_connection>() == 1);
+  F.runFor(millis{200});
+  CHECK_FALSE(F.replyTo(Lost));
+  CHECK(F.Model.state() == warmth::cold);
+  CHECK(F.Model.record().Colds.back().RampRequests == 3);
+}
+
 TEST_CASE("a reset record starts anew but keeps the running cold start") {
   fixture F;
   F.send();
