--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -14,8 +14,6 @@
     startLeading();
     dispatch(Now);
     Desk.expire(Now, Answers);
-    if (Leading)
-      proposeMoves(Now);
     flush(Actions);
   }
 
@@ -39,8 +37,8 @@
     Desk.answer(E.Ticket, E.Result, Answers);
   }
   void on(const beat_received &E, instant Now) {
-    if (Leading)
-      Leading->heard(E.From, E.Beat, Now, Replies);
+    if (Leading && Leading->heard(E.From, E.Beat, Now, Replies))
+      proposeMoves(Now);
   }
   void on(const ledger_asked &E, instant) {
     if (!Leading)
@@ -107,7 +105,11 @@
     if (Leading && Moves)
       Leading->refused(*Moves);
   }
-  void on(const control_tick &E, instant) { Wall = E.Wall; }
+  void on(const control_tick &E, instant Now) {
+    Wall = E.Wall;
+    if (Leading)
+      proposeMoves(Now);
+  }
 
   void onDecided(const operator_command &Command, const command_answer &Answer,
                  revision Before) {
--- a/src/control/leader_term.cpp
+++ b/src/control/leader_term.cpp
@@ -30,16 +30,17 @@
              Machine.assignments()),
       Distributor(Deployment, ElectedAt) {}
 
-void leader_term::heard(const daemon_id &From, const heartbeat &Beat,
+bool leader_term::heard(const daemon_id &From, const heartbeat &Beat,
                         instant Now, std::vector<addressed_reply> &Out) {
   last_beat &Last = Beats[From];
   if (Beat.Sequence <= Last.Beat.Sequence)
-    return;
+    return false;
   Last = {Beat, Now, false};
   Members.heard(From, Beat, Now);
-  Leases.heard(From, Beat);
   Distributor.heard(From, Beat);
+  const bool IsNew = Leases.heard(From, Beat);
   answer(From, Now, Out);
+  return IsNew || Beat.Leaving;
 }
 
 void leader_term::confirmed(instant AsOf, instant Now,
--- a/src/control/leader_term.h
+++ b/src/control/leader_term.h
@@ -25,7 +25,8 @@
   leader_term(const deployment &Deployment, term_id Term, instant ElectedAt,
               const state_machine &Machine);
 
-  void heard(const daemon_id &From, const heartbeat &Beat, instant Now,
+  /// Returns whether moves of endpoints may be ready: then call `maintain`.
+  bool heard(const daemon_id &From, const heartbeat &Beat, instant Now,
              std::vector<addressed_reply> &Out);
 
   /// A majority has confirmed this leader in answer to messages that were sent
--- a/src/control/lease_holder.cpp
+++ b/src/control/lease_holder.cpp
@@ -40,6 +40,9 @@
 }
 
 void lease_holder::replaceGrants(const heartbeat_reply &Reply, instant Now) {
+  // Once the lease has run out, others may have owned what was granted here.
+  if (Now >= OwnedUntil)
+    Granted.clear();
   std::map<endpoint_id, instant> Next;
   for (const grant &Grant : *Reply.Owned) {
     const auto Kept = Granted.find(Grant.Endpoint);
--- a/src/control/lease_table.cpp
+++ b/src/control/lease_table.cpp
@@ -29,10 +29,12 @@
   }
 }
 
-void lease_table::heard(const daemon_id &Daemon, const heartbeat &Beat) {
+bool lease_table::heard(const daemon_id &Daemon, const heartbeat &Beat) {
   daemon_lease &Lease = leaseOf(Daemon);
-  if (Beat.Grants.Term == Term)
-    Lease.Acknowledged = std::max(Lease.Acknowledged, Beat.Grants.Number);
+  if (Beat.Grants.Term != Term || Beat.Grants.Number <= Lease.Acknowledged)
+    return false;
+  Lease.Acknowledged = Beat.Grants.Number;
+  return true;
 }
 
 void lease_table::grantTo(const daemon_id &Daemon, instant HeardAt, instant Now,
--- a/src/control/lease_table.h
+++ b/src/control/lease_table.h
@@ -24,8 +24,9 @@
   /// Says which daemon each endpoint should move to.
   void aim(const std::vector<assignment> &Targets);
 
-  /// Takes what a heartbeat acknowledges.
-  void heard(const daemon_id &Daemon, const heartbeat &Beat);
+  /// Takes what a heartbeat acknowledges; returns whether that is new, so that
+  /// moves may be ready.
+  bool heard(const daemon_id &Daemon, const heartbeat &Beat);
 
   /// The part of a reply to a heartbeat that arrived at `HeardAt` that carries
   /// the ownership lease; the lease counts from now on.
--- a/test/unit/control_core_test.cpp
+++ b/test/unit/control_core_test.cpp
@@ -184,6 +184,7 @@
     for (const agent_action &Action : Out)
       if (const auto *Send = std::get_if<send_heartbeat>(&Action))
         Voter.step(beat_received{Daemon, Send->Beat}, {At});
+    Voter.step(control_tick{}, {At});
     Voter.step(quorum_confirmed{{At}}, {At});
     for (const addressed_reply &Reply : Voter.all<addressed_reply>())
       Agent.step(agent_reply{Reply.Reply}, {At}, Out);
@@ -192,3 +193,17 @@
         test::smallDeployment().Endpoints.size());
   CHECK(Agent.leases().owns(endpoint_id{0}, {3001}));
 }
+
+TEST_CASE("a move that the log refused waits for the next tick") {
+  single_voter Voter;
+  Voter.lead({0});
+  Voter.IsStuck = true;
+  Voter.step(beat_received{Daemon, {1, {}, 0, {}, false}}, {10});
+  Voter.step(control_tick{}, {1000});
+  const auto Proposals = Voter.all<propose_command>();
+  REQUIRE(Proposals.size() == 1);
+  Voter.step(proposal_refused{Proposals[0]}, {1001});
+  CHECK(Voter.all<propose_command>().empty());
+  Voter.step(control_tick{}, {1050});
+  CHECK(Voter.all<propose_command>().size() == 1);
+}
--- a/test/unit/lease_test.cpp
+++ b/test/unit/lease_test.cpp
@@ -153,3 +153,19 @@
   CHECK(List.members().Live.empty());
   CHECK(member_list({4}, {0}).update({1000}));
 }
+
+TEST_CASE("an endpoint that comes back after the lease ran out is inherited") {
+  lease_table Table({1}, {0}, InFlight, {{Bay, Anna}});
+  lease_holder Holder;
+  exchange(Table, Anna, Holder, {0});
+  const instant Back = Holder.ownedUntil() + millis{500};
+  Table.aim({{Bay, Ben}});
+  REQUIRE(Table.readyMoves(Back).size() == 1);
+  Table.moved({Bay, Ben}, Back, InFlight);
+  Table.aim({{Bay, Anna}});
+  REQUIRE(Table.readyMoves(Back).size() == 1);
+  Table.moved({Bay, Anna}, Back, InFlight);
+  exchange(Table, Anna, Holder, Back);
+  CHECK(Holder.owns(Bay, Back));
+  CHECK(Holder.granted().at(Bay) >= Back + InFlight);
+}
