Commands: without the ledger's word a caller gets unknown, and keys belong to callers

Cause: at the deadline a command that waited for the ledger was answered not_run, though an earlier send of the same key through another daemon may have run; and two callers that drew the same key shared one record. Change: the answer is unknown; the ledger is asked with caller and key. The test that expected not_run was wrong for this reason and now demands unknown.

--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -170,21 +170,22 @@
                data_path_options{Settings.Deployment, Settings.Self.Id,
                                  Incarnation, Settings.Router, Settings.Owner},
                Clock, [this](data_actions Actions) {
-                 boost::asio::post(Io, [this, Moved = std::move(Actions)]() mutable {
-                   onActions(std::move(Moved));
-                 });
+                 boost::asio::post(
+                     Io, [this, Moved = std::move(Actions)]() mutable {
+                       onActions(std::move(Moved));
+                     });
                });
   Gate.emplace(Io, *Path);
-  Gateway.emplace(Io, Settings.Deployment, Clock, Metrics,
-                  [this](query::owner_event Event) {
-                    Gate->push(std::move(Event));
-                  });
+  Gateway.emplace(
+      Io, Settings.Deployment, Clock, Metrics,
+      [this](query::owner_event Event) { Gate->push(std::move(Event)); });
   for (const vm &Vm : Settings.Deployment.Vms)
     if (Vm.HasDisk)
       Voters.push_back({Vm.Id, wire::role::control});
   Ledger.emplace(control::daemon_id{Settings.Self.Id, Incarnation}, *Links,
-                 Voters, Metrics,
-                 [this](query::router_event Event) { Gate->push(std::move(Event)); });
+                 Voters, Metrics, [this](query::router_event Event) {
+                   Gate->push(std::move(Event));
+                 });
   http::server_settings Http;
   Http.Listen = Settings.Self.Callers;
   Http.MaxConnections = Settings.Callers.MaxConnections;
@@ -229,8 +230,8 @@
     return;
   case wire::Envelope::kSubReplies:
     if (Message.sub_replies().for_incarnation() == Incarnation.Value)
-      Gate->push(query::router_event(query::replies_arrived{
-          From.Vm, wire::take(Message.sub_replies())}));
+      Gate->push(query::router_event(
+          query::replies_arrived{From.Vm, wire::take(Message.sub_replies())}));
     return;
   case wire::Envelope::kEndpointReports:
     Gate->push(query::router_event(query::reports_arrived{
@@ -396,8 +397,7 @@
   logEvent(severity::info, "membership_changed",
            {{"epoch", Agent.members().Epoch},
             {"live", Agent.members().Live.size()}});
-  Gate->push(
-      query::router_event(query::membership_changed{Agent.members()}));
+  Gate->push(query::router_event(query::membership_changed{Agent.members()}));
 }
 
 void entry_daemon::state::publishGrants() {
--- a/src/daemon/entry_daemon.h
+++ b/src/daemon/entry_daemon.h
@@ -1,4 +1,5 @@
-/// One entry daemon: callers' API, data path, links and leases on one I/O thread.
+/// One entry daemon: callers' API, data path, links and leases on one I/O
+/// thread.
 #pragma once
 
 #include "settings/entry_settings.h"
--- a/src/daemon/explain_text.cpp
+++ b/src/daemon/explain_text.cpp
@@ -89,8 +89,8 @@
     Out.push_back(recordJson(*Record, Deployment));
   if (Out.empty())
     return {};
-  return json{{"queries", std::move(Out)}}.dump(
-      -1, ' ', false, json::error_handler_t::replace);
+  return json{{"queries", std::move(Out)}}.dump(-1, ' ', false,
+                                                json::error_handler_t::replace);
 }
 
 } // namespace bulrush::daemon
--- a/src/daemon/explain_text.h
+++ b/src/daemon/explain_text.h
@@ -8,8 +8,10 @@
 
 namespace bulrush::daemon {
 
-/// `Target` is `query/ID`, `endpoint/NUMBER` or `zone/NAME`. Empty when nothing is remembered.
+/// `Target` is `query/ID`, `endpoint/NUMBER` or `zone/NAME`. Empty when nothing
+/// is remembered.
 std::string explainText(const query::explain_memory &Memory,
-                        const deployment &Deployment, const std::string &Target);
+                        const deployment &Deployment,
+                        const std::string &Target);
 
 } // namespace bulrush::daemon
--- a/src/daemon/ledger_link.cpp
+++ b/src/daemon/ledger_link.cpp
@@ -30,14 +30,14 @@
 void ledger_link::start(const query::ledger_start &Start) {
   control::start_wanted Event;
   Event.Run = Start.Query.Value;
-  Event.Key = {Start.Caller, Start.Key};
+  Event.Key = {Start.Key.Caller, Start.Key.Key};
   Event.Fingerprint = Start.Digest.Value;
   step(Event, Clock.now());
 }
 
 void ledger_link::record(const query::ledger_record &Record) {
   control::record_wanted Event;
-  Event.Key = {Record.Caller, Record.Key};
+  Event.Key = {Record.Key.Caller, Record.Key.Key};
   Event.Outcome = Record.Outcome;
   Event.Reason = Record.Reason;
   if (Record.Body)
@@ -73,7 +73,7 @@
 void ledger_link::run(const control::start_decided &Decided) {
   query::ledger_granted Event;
   Event.Query.Value = Decided.Run;
-  Event.Key = Decided.Key.Key;
+  Event.Key = {Decided.Key.Caller, Decided.Key.Key};
   Event.Verdict = verdictOf(Decided.Verdict);
   Event.Outcome = Decided.Outcome;
   Event.Reason = Decided.Reason;
@@ -83,7 +83,7 @@
 }
 
 void ledger_link::run(const control::outcome_recorded &Recorded) {
-  OnEvent(query::ledger_recorded{Recorded.Key.Key});
+  OnEvent(query::ledger_recorded{{Recorded.Key.Caller, Recorded.Key.Key}});
 }
 
 } // namespace bulrush::daemon
--- a/src/daemon/ledger_link.h
+++ b/src/daemon/ledger_link.h
@@ -19,8 +19,8 @@
   using event_handler = std::function<void(query::router_event)>;
 
   ledger_link(control::daemon_id Self, wire::link_set &Links,
-              std::vector<wire::process_id> Voters,
-              telemetry::metrics &Metrics, event_handler OnEvent);
+              std::vector<wire::process_id> Voters, telemetry::metrics &Metrics,
+              event_handler OnEvent);
 
   void start(const query::ledger_start &Start);
   void record(const query::ledger_record &Record);
--- a/src/daemon/peer_mail.h
+++ b/src/daemon/peer_mail.h
@@ -1,4 +1,5 @@
-/// Messages of the data path to other entry daemons, one envelope a peer and poll.
+/// Messages of the data path to other entry daemons, one envelope a peer and
+/// poll.
 #pragma once
 
 #include "query/messages.h"
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/peer_watch.h
@@ -9,7 +9,8 @@
 
 namespace bulrush::daemon {
 
-/// Owners report at least twice a second, so silence means a lost link or process.
+/// Owners report at least twice a second, so silence means a lost link or
+/// process.
 class peer_watch {
 public:
   /// Notes a message; true when the vm had been reported as silent.
@@ -20,7 +21,8 @@
     return WasSilent;
   }
 
-  /// Those that were heard before and have been silent for too long since; each once.
+  /// Those that were heard before and have been silent for too long since; each
+  /// once.
   std::vector<vm_id> newlySilent(instant Now) {
     std::vector<vm_id> Out;
     for (auto &[Vm, Peer] : Peers) {
--- a/src/query/router_command.cpp
+++ b/src/query/router_command.cpp
@@ -17,12 +17,12 @@
   if (!Query)
     return;
   Query->IsCommand = true;
-  Query->Key = Event.Key;
+  Query->Key = {Event.Caller, Event.Key};
   Query->Phase = query_phase::ledger;
   const std::uint64_t KindHash = hashOf(Event.Kind);
   const std::uint64_t Digest =
       Event.Body ? hashOf(*Event.Body, KindHash) : KindHash;
-  Out->emplace_back(ledger_start{Event.Query, Event.Key, {Digest}});
+  Out->emplace_back(ledger_start{Event.Query, Query->Key, {Digest}});
 }
 
 void router::impl::on(const ledger_granted &Event) {
@@ -31,7 +31,7 @@
                         Query->Phase == query_phase::ledger &&
                         Query->Key == Event.Key;
   if (!IsWanted) {
-    // A grant that came too late: the command was answered as not run.
+    // A grant that came too late: it will not be used.
     if (!Query && Event.Verdict == ledger_verdict::granted)
       Out->emplace_back(ledger_record{Event.Key, outcome::not_run,
                                       refusal::timed_out, nullptr});
@@ -64,7 +64,7 @@
   }
   const shard_map &Map = *Pinned->Map;
   const auto Shard =
-      static_cast<std::uint32_t>(hashOf(Query.Key.Value) % Map.total());
+      static_cast<std::uint32_t>(hashOf(Query.Key.Key.Value) % Map.total());
   const std::vector<endpoint_id> &Holders = Map.Holders[Shard];
   Tried.clear();
   const std::optional<endpoint_id> Target = Choice.choose(Holders, Tried);
@@ -122,8 +122,10 @@
 }
 
 void router::impl::commandAtDeadline(query_state &Query) {
+  // An earlier send of the key may have run: without the ledger nothing is
+  // proved.
   if (Query.Phase == query_phase::ledger)
-    return answerCommand(Query, outcome::not_run, refusal::timed_out, nullptr);
+    return answerCommand(Query, outcome::unknown, refusal::timed_out, nullptr);
   for (std::uint32_t Shard = 0; Shard < Query.Gather.total(); ++Shard)
     if (Query.Gather[shard_id{Shard}].Pending > 0)
       return commandLost(Query, Query.Gather.subOf({Shard}, 0),
--- a/src/query/router_events.h
+++ b/src/query/router_events.h
@@ -27,6 +27,14 @@
   idempotency_key Key;
 };
 
+/// What makes a command recognisable: callers draw their keys on their own.
+struct command_key {
+  caller_id Caller;
+  idempotency_key Key;
+
+  auto operator<=>(const command_key &) const = default;
+};
+
 /// What the ledger says of an idempotency key.
 enum class ledger_verdict : std::uint8_t {
   granted,  ///< the start is durable: the command may be sent once
@@ -38,7 +46,7 @@
 /// The ledger's reply to `ledger_start`.
 struct ledger_granted {
   query_id Query;
-  idempotency_key Key;
+  command_key Key;
   ledger_verdict Verdict = ledger_verdict::refused;
   outcome Outcome = outcome::unknown; ///< when finished
   refusal Reason = refusal::none;     ///< when finished or refused
@@ -48,7 +56,7 @@
 
 /// The ledger has made the outcome of `Key` durable.
 struct ledger_recorded {
-  idempotency_key Key;
+  command_key Key;
 };
 
 /// Sub-requests that ended at one owner.
@@ -137,13 +145,13 @@
 /// Make the start of `Key` durable; the reply is `ledger_granted`.
 struct ledger_start {
   query_id Query;
-  idempotency_key Key;
+  command_key Key;
   request_digest Digest;
 };
 
 /// Make the outcome of `Key` durable; the reply is `ledger_recorded`.
 struct ledger_record {
-  idempotency_key Key;
+  command_key Key;
   outcome Outcome = outcome::unknown;
   refusal Reason = refusal::none;
   shared_body Body;
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -27,7 +27,7 @@
   shared_body Body;
   shared_intent Intent;
   revision Revision;
-  idempotency_key Key;
+  command_key Key;
   bool IsCommand = false;
   query_phase Phase = query_phase::snapshot;
   instant Arrived;
@@ -155,7 +155,7 @@
   wake_queue Wakes;
   std::unordered_map<query_id, std::unique_ptr<query_state>> Queries;
   std::vector<std::unique_ptr<query_state>> Spare;
-  std::unordered_map<sub_id, idempotency_key> LateCommands;
+  std::unordered_map<sub_id, command_key> LateCommands;
   std::vector<query_id> Waiting;  ///< for a snapshot
   std::vector<endpoint_id> Tried; ///< of the choice under way
   revision Revision;
--- a/src/query/router_search.cpp
+++ b/src/query/router_search.cpp
@@ -106,7 +106,7 @@
   Item.IsCommand = Query.IsCommand;
   Item.Weight = Intent.Intent.Weight;
   Item.Caller = Query.Caller;
-  Item.Key = Query.Key;
+  Item.Key = Query.Key.Key;
   Outbox.add(Attempt.Owner, std::move(Item));
   ++View.Outstanding;
   if (Query.IsCommand || !Settings.Hedge.Enabled)
--- a/test/unit/control_core_test.cpp
+++ b/test/unit/control_core_test.cpp
@@ -24,13 +24,13 @@
     Core.step(Event, Now, Out);
     for (const control_action &Action : Out) {
       Seen.push_back(Action);
-      const auto *Proposal = std::get_if<propose>(&Action);
+      const auto *Proposal = std::get_if<propose_command>(&Action);
       if (Proposal && !IsStuck)
         step(entry_committed{{++LastIndex}, Proposal->Command}, Now);
     }
   }
   void lead(instant Now) {
-    step(became_leader{{1}, {1}}, Now);
+    step(leadership_gained{{1}, {1}}, Now);
     step(entry_committed{{++LastIndex}, std::nullopt}, Now);
   }
   template <class T> std::vector<T> all() {
@@ -103,7 +103,7 @@
   const plan Plan = planned(Voter, planZoneOut("anna"), {1});
   Voter.IsStuck = true;
   Voter.step(operator_asked{{Self, 2}, confirm_request{Plan, true}}, {2});
-  Voter.step(lost_leadership{}, {3});
+  Voter.step(leadership_lost{}, {3});
   Voter.step(control_tick{}, {5000});
   CHECK(confirmed(Voter).Status == confirm_status::unknown);
 }
--- a/test/unit/router_command_test.cpp
+++ b/test/unit/router_command_test.cpp
@@ -19,7 +19,7 @@
   void grant(ledger_verdict Verdict) {
     ledger_granted Granted;
     Granted.Query = {1};
-    Granted.Key = Key;
+    Granted.Key = {{0}, Key};
     Granted.Verdict = Verdict;
     Granted.Reason = refusal::no_quorum;
     step(Granted);
@@ -78,7 +78,7 @@
           "[router]") {
   driven_command Driven;
   Driven.pass(millis{50});
-  CHECK(Driven.takeAnswers()[0].Outcome == outcome::not_run);
+  CHECK(Driven.takeAnswers()[0].Outcome == outcome::unknown);
   Driven.grant(ledger_verdict::granted);
   CHECK(Driven.takeRequests().empty());
   CHECK(Driven.take<ledger_record>()[0].Outcome == outcome::not_run);
