Cold start: count successes for each slot, and tell cuts from losses

A reply with outcome unknown (cancelled or cut while it ran) was taken for a lost connection, so each cancel of a hedge would have closed an endpoint's slots. A slot opened after one success, more than a cold endpoint may bear; a flag that says warm proves nothing.

--- a/src/daemon/endpoint_gateway.cpp
+++ b/src/daemon/endpoint_gateway.cpp
@@ -69,6 +69,13 @@
   return reply_kind::shed;
 }
 
+/// A reply that the request began to run and was cut.
+query::reply_kind cutKind(const std::string *Reason) {
+  if (Reason && *Reason == "cancelled")
+    return query::reply_kind::cancelled_running;
+  return query::reply_kind::expired_running;
+}
+
 query::reply_kind kindOf(const http::exchange_result &Result) {
   using query::reply_kind;
   if (Result.Status == http::exchange_status::connect_failed ||
@@ -82,6 +89,8 @@
     return reply_kind::answered;
   if (Outcome && *Outcome == "not_run")
     return refusedKind(http::findHeader(Headers, "Bulrush-Reason"));
+  if (Outcome && *Outcome == "unknown")
+    return cutKind(http::findHeader(Headers, "Bulrush-Reason"));
   return reply_kind::connection_lost;
 }
 
--- a/src/query/cold_start.h
+++ b/src/query/cold_start.h
@@ -11,6 +11,7 @@
 /// How one request at an endpoint ended, as evidence.
 struct attempt_evidence {
   reply_kind What = reply_kind::answered;
+  instant Sent;
   millis Latency;
   bool Cold = false;            ///< the flag in the reply
   std::uint64_t Generation = 0; ///< 0 when unknown
@@ -36,7 +37,7 @@
   /// Before this instant nothing may be sent.
   virtual instant opensAt() const = 0;
   virtual bool isWarm() const = 0;
-  /// Changes with each change of `open`.
+  /// Changes when slots close.
   virtual std::uint32_t epoch() const = 0;
 };
 
--- a/src/query/owner_events.h
+++ b/src/query/owner_events.h
@@ -26,15 +26,17 @@
 /// How a sending to an endpoint ended.
 enum class reply_kind : std::uint8_t {
   answered,
-  shed,             ///< refused, not run
-  snapshot_missing, ///< refused, not run
-  expired,          ///< refused: its deadline had passed, not run
-  draining,         ///< refused, not run
-  cancelled,        ///< cancelled before it ran
-  duplicate_key,    ///< refused, not run
-  connection_lost,  ///< closed after the request was sent; it may have run
-  connect_refused,  ///< no connection; nothing was sent
-  timed_out         ///< the shell waits no longer; it may still run
+  shed,              ///< refused, not run
+  snapshot_missing,  ///< refused, not run
+  expired,           ///< refused: its deadline had passed, not run
+  draining,          ///< refused, not run
+  cancelled,         ///< cancelled before it ran
+  cancelled_running, ///< cancelled while it ran
+  expired_running,   ///< cut at its deadline while it ran
+  duplicate_key,     ///< refused, not run
+  connection_lost,   ///< closed after the request was sent; it may have run
+  connect_refused,   ///< no connection; nothing was sent
+  timed_out          ///< the shell waits no longer; it may still run
 };
 
 /// What the headers of a reply say.
--- a/src/query/owner_replies.cpp
+++ b/src/query/owner_replies.cpp
@@ -28,6 +28,10 @@
     return {outcome::not_run, refusal::endpoint_leaving};
   case reply_kind::cancelled:
     return {outcome::not_run, refusal::cancelled};
+  case reply_kind::cancelled_running:
+    return {outcome::unknown, refusal::cancelled};
+  case reply_kind::expired_running:
+    return {outcome::unknown, refusal::timed_out};
   case reply_kind::duplicate_key:
     return {outcome::not_run, refusal::duplicate_key};
   case reply_kind::connection_lost:
@@ -110,6 +114,7 @@
   Evidence.Generation = Event.Headers.Generation;
   Evidence.RetryAfter = Event.Headers.RetryAfter;
   Evidence.Saturated = Item.Saturated;
+  Evidence.Sent = Item.Sent;
   Evidence.Epoch = Item.Epoch;
   const endpoint_cause Cause = Endpoint.Warmth->onReply(Evidence, In.Now);
   if (Cause == endpoint_cause::generation_changed)
--- a/src/query/owner_settings.h
+++ b/src/query/owner_settings.h
@@ -37,8 +37,7 @@
   millis LongestProbeDelay{1000}; ///< bound of the doubling
   double JumpFactor = 4;          ///< a latency jump is this times the usual
   std::uint32_t JumpReplies = 3;  ///< consecutive slow replies of a jump
-  std::uint32_t FlaggedReplies =
-      4; ///< successes for a slot while a reply says cold
+  std::uint32_t RampReplies = 10; ///< successes that open one more cold slot
   std::uint32_t RaiseReplies =
       50; ///< successes that raise a lowered limit by one
 
--- a/test/unit/owner_test.cpp
+++ b/test/unit/owner_test.cpp
@@ -17,9 +17,11 @@
   CHECK(Given.Owner->pending() == 0);
 }
 
-TEST_CASE("an unknown endpoint gets one request at a time, then more",
+TEST_CASE("an unknown endpoint gets one request at a time, then two",
           "[owner]") {
-  owner_fixture Given(3);
+  owner_settings Settings;
+  Settings.RampReplies = 1;
+  owner_fixture Given(3, Settings);
   Given.grantAll();
   const sub_id First = Given.request();
   Given.request();
