--- /dev/null
+++ b/bench/load/balancer.cpp
@@ -0,0 +1,113 @@
+#include "balancer.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <chrono>
+
+namespace bulrush::bench {
+namespace {
+
+constexpr std::size_t ConnectionsOfEntry = 300;
+constexpr std::size_t WaitingOfEntry = 100'000;
+constexpr millis PollTimeout{1000};
+constexpr unsigned StatusOk = 200;
+
+http::client_settings clientOf(const address &Server, std::size_t Connections,
+                               millis Timeout) {
+  http::client_settings Settings;
+  Settings.Server = Server;
+  Settings.MaxConnections = Connections;
+  Settings.MaxWaiting = WaitingOfEntry;
+  Settings.ExchangeTimeout = Timeout;
+  return Settings;
+}
+
+} // namespace
+
+balancer::balancer(boost::asio::io_context &Io, const load_settings &Settings)
+    : Io(Io), Timer(Io), PollEvery(Settings.PollEvery),
+      SentTo(Settings.Entries.size()) {
+  for (const address &Server : Settings.Entries) {
+    entry Entry;
+    Entry.Requests = std::make_unique<http::client>(
+        Io, clientOf(Server, ConnectionsOfEntry, Settings.Timeout));
+    Entry.Polls =
+        std::make_unique<http::client>(Io, clientOf(Server, 1, PollTimeout));
+    Entries.push_back(std::move(Entry));
+  }
+}
+
+void balancer::start(std::function<void()> FirstLook) {
+  this->FirstLook = std::move(FirstLook);
+  LooksDue = Entries.size();
+  poll();
+}
+
+void balancer::stop() {
+  IsStopped = true;
+  Timer.cancel();
+}
+
+void balancer::poll() {
+  for (entry &Entry : Entries)
+    Entry.Polls->send({"GET", "/readyz", {}, {}},
+                      [this, &Entry](const http::exchange_result &Result) {
+                        Entry.IsReady =
+                            Result.Status == http::exchange_status::done &&
+                            Result.Response.Status == StatusOk;
+                        if (LooksDue > 0 && --LooksDue == 0)
+                          FirstLook();
+                      });
+  Timer.expires_after(
+      std::chrono::milliseconds(static_cast<std::int64_t>(PollEvery.Count)));
+  Timer.async_wait([this](boost::system::error_code Error) {
+    if (!Error && !IsStopped)
+      poll();
+  });
+}
+
+std::size_t balancer::readyCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(),
+                    [](const entry &Entry) { return Entry.IsReady; }));
+}
+
+std::size_t balancer::pick() {
+  for (std::size_t I = 0; I < Entries.size(); ++I) {
+    const std::size_t Candidate = Next++ % Entries.size();
+    if (Entries[Candidate].IsReady)
+      return Candidate;
+  }
+  return Entries.size();
+}
+
+void balancer::send(http::request Request, http::exchange_handler Done) {
+  const std::size_t Entry = pick();
+  if (Entry < Entries.size()) {
+    sendTo(Entry, Request, Done, true);
+    return;
+  }
+  boost::asio::post(Io, [Done = std::move(Done)] {
+    Done({http::exchange_status::not_sent, {}});
+  });
+}
+
+void balancer::sendTo(std::size_t Entry, const http::request &Request,
+                      const http::exchange_handler &Done, bool MayRetry) {
+  ++SentTo[Entry];
+  Entries[Entry].Requests->send(Request, [this, Entry, Request, Done, MayRetry](
+                                             http::exchange_result Result) {
+    if (Result.Status != http::exchange_status::connect_failed) {
+      Done(std::move(Result));
+      return;
+    }
+    Entries[Entry].IsReady = false;
+    const std::size_t Other = pick();
+    if (!MayRetry || Other >= Entries.size())
+      Done(std::move(Result));
+    else
+      sendTo(Other, Request, Done, false);
+  });
+}
+
+} // namespace bulrush::bench
--- /dev/null
+++ b/bench/load/generator.cpp
@@ -0,0 +1,249 @@
+#include "generator.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <random>
+
+namespace bulrush::bench {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::size_t MaxExamples = 20;
+constexpr std::size_t ExampleBytes = 600;
+constexpr double MillisPerSecond = 1000;
+constexpr millis ResendDelay{50};
+constexpr auto FinishCheckEvery = std::chrono::milliseconds(20);
+
+std::chrono::steady_clock::time_point timeOf(instant Point) {
+  return std::chrono::steady_clock::time_point(
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+          std::chrono::duration<double, std::milli>(Point.Ms)));
+}
+
+double wallNow() {
+  using namespace std::chrono;
+  const duration<double, std::milli> Wall =
+      system_clock::now().time_since_epoch();
+  return Wall.count();
+}
+
+/// One request of one class, resends included.
+struct call {
+  std::size_t Class = 0;
+  std::uint64_t Number = 0;
+  instant Due;
+  std::string Key; ///< of a command
+  std::uint32_t Resent = 0;
+  bool IsExtra = false; ///< a resend after an answer: not in the figures
+};
+
+checked_answer unanswered(http::exchange_status Status) {
+  checked_answer Answer;
+  const bool Sent = Status == http::exchange_status::lost;
+  Answer.Outcome = Sent ? outcome::unknown : outcome::not_run;
+  Answer.Reason = Sent ? "connection_lost" : "no_entry";
+  return Answer;
+}
+
+} // namespace
+
+struct generator::impl : std::enable_shared_from_this<impl> {
+  asio::io_context &Io;
+  load_settings Settings;
+  listener Listener;
+  balancer Balancer;
+  steady_clock_source Clock;
+  std::mt19937_64 Random;
+  asio::steady_timer Timer;
+  asio::steady_timer PhaseTimer;
+  std::vector<instant> NextDue;
+  instant MeasureFrom = Never;
+  instant End = Never;
+  std::uint64_t LastNumber = 0;
+  std::uint64_t Outstanding = 0;
+  load_results Results;
+
+  impl(asio::io_context &Io, load_settings S, listener L)
+      : Io(Io), Settings(std::move(S)), Listener(std::move(L)),
+        Balancer(Io, Settings), Random(Settings.Seed), Timer(Io),
+        PhaseTimer(Io) {
+    Results.Classes.resize(Settings.Classes.size());
+  }
+
+  void begin() {
+    const instant Now = Clock.now();
+    MeasureFrom = Now + Settings.Warmup;
+    End = MeasureFrom + Settings.Duration;
+    for (const load_class &Class : Settings.Classes)
+      NextDue.push_back(Now + gap(Class));
+    PhaseTimer.expires_at(timeOf(MeasureFrom));
+    PhaseTimer.async_wait([Self = shared_from_this()](error_code) {
+      Self->Results.FirstWallMs = wallNow();
+      Self->Listener.Measuring();
+    });
+    arm();
+  }
+
+  millis gap(const load_class &Class) {
+    if (Class.Rate <= 0)
+      return millis{1e15};
+    std::exponential_distribution<double> Gap(Class.Rate / MillisPerSecond);
+    return {Gap(Random)};
+  }
+
+  void arm() {
+    const instant Next = *std::min_element(NextDue.begin(), NextDue.end());
+    Timer.expires_at(timeOf(std::min(Next, End)));
+    Timer.async_wait([Self = shared_from_this()](error_code Error) {
+      if (!Error)
+        Self->sendDue();
+    });
+  }
+
+  void sendDue() {
+    const instant Now = Clock.now();
+    for (std::size_t I = 0; I < NextDue.size(); ++I)
+      while (NextDue[I] <= Now && NextDue[I] < End) {
+        sendNew(I, NextDue[I], Now);
+        NextDue[I] = NextDue[I] + gap(Settings.Classes[I]);
+      }
+    if (Now >= End)
+      awaitAnswers();
+    else
+      arm();
+  }
+
+  void awaitAnswers() {
+    if (Outstanding == 0) {
+      Balancer.stop();
+      Results.SentTo = Balancer.sentTo();
+      Listener.Finished();
+      return;
+    }
+    Timer.expires_after(FinishCheckEvery);
+    Timer.async_wait(
+        [Self = shared_from_this()](error_code) { Self->awaitAnswers(); });
+  }
+
+  void sendNew(std::size_t Class, instant Due, instant Now) {
+    call Call;
+    Call.Class = Class;
+    Call.Number = ++LastNumber;
+    Call.Due = Due;
+    if (Settings.Classes[Class].IsCommand)
+      Call.Key = Settings.Run + "-k" + std::to_string(Call.Number);
+    if (Due >= MeasureFrom)
+      Results.SendLags.push_back(static_cast<float>((Now - Due).Count));
+    send(Call);
+  }
+
+  void send(const call &Call) {
+    const load_class &Class = Settings.Classes[Call.Class];
+    asked Asked;
+    Asked.Token = Settings.Run + "-t" + std::to_string(Call.Number);
+    Asked.Request = Settings.Run + "-r" + std::to_string(Call.Number) + "-" +
+                    std::to_string(Call.Resent);
+    Asked.MinCoverage = Class.MinCoverage;
+    Asked.IsCommand = Class.IsCommand;
+    http::request Request;
+    Request.Method = "POST";
+    Request.Target =
+        (Class.IsCommand ? "/v1/command/" : "/v1/search/") + Class.Kind;
+    Request.Headers = {{"Authorization", "Bearer " + Class.ApiKey},
+                       {"Bulrush-Request-Id", Asked.Request},
+                       {"Content-Type", "application/json"}};
+    if (Class.IsCommand)
+      Request.Headers.push_back({"Idempotency-Key", Call.Key});
+    Request.Body =
+        R"({"query":")" + Class.Kind + R"(","token":")" + Asked.Token + "\"}";
+    ++Outstanding;
+    Balancer.send(std::move(Request), [Self = shared_from_this(), Call,
+                                       Asked](const http::exchange_result &R) {
+      Self->onResult(Call, Asked, R);
+    });
+  }
+
+  void onResult(const call &Call, const asked &Asked,
+                const http::exchange_result &Result) {
+    --Outstanding;
+    const instant Now = Clock.now();
+    const bool IsDone = Result.Status == http::exchange_status::done;
+    checked_answer Answer = IsDone ? checkAnswer(Asked, Result.Response.Status,
+                                                 Result.Response.Body)
+                                   : unanswered(Result.Status);
+    if (IsDone)
+      noteChecked(Call, Asked, Answer, Result.Response);
+    if (!Call.Key.empty())
+      Results.OutcomesByKey[Call.Key].emplace_back(
+          bulrush::toString(Answer.Outcome));
+    if (resends(Call, Answer) || Call.IsExtra || Call.Due < MeasureFrom)
+      return;
+    const millis Latency =
+        (Now - Call.Due) + Settings.ClientLink + Settings.ClientLink;
+    Results.Classes[Call.Class].add(
+        {Call.Due - MeasureFrom, Latency, std::move(Answer)});
+  }
+
+  void noteChecked(const call &Call, const asked &Asked,
+                   const checked_answer &Answer,
+                   const http::response &Response) {
+    const load_class &Class = Settings.Classes[Call.Class];
+    ++Results.Verified;
+    if (Answer.Outcome == outcome::answered && !Class.IsCommand)
+      Results.Totals.add(Class.Pool, Answer);
+    if (Answer.Fault == answer_fault::none)
+      return;
+    ++Results.Faults[Answer.Fault];
+    if (Results.Examples.size() < MaxExamples)
+      Results.Examples.push_back({Class.Name, Asked.Request, Answer.Fault,
+                                  std::to_string(Response.Status) + ' ' +
+                                      Response.Body.substr(0, ExampleBytes)});
+  }
+
+  /// True when the call goes on with a resend instead of ending here.
+  bool resends(const call &Call, const checked_answer &Answer) {
+    const load_class &Class = Settings.Classes[Call.Class];
+    if (!Class.IsCommand)
+      return false;
+    call Again = Call;
+    ++Again.Resent;
+    if (Answer.Outcome == outcome::unknown && Call.Resent < Class.Resends) {
+      resendLater(Again);
+      return true;
+    }
+    const double Draw = std::uniform_real_distribution<double>(0, 1)(Random);
+    if (!Call.IsExtra && Draw < Class.ResendAnswered) {
+      Again.IsExtra = true;
+      resendLater(Again);
+    }
+    return false;
+  }
+
+  void resendLater(const call &Call) {
+    ++Outstanding;
+    const auto Delay = std::make_shared<asio::steady_timer>(Io);
+    Delay->expires_after(std::chrono::milliseconds(
+        static_cast<std::int64_t>(ResendDelay.Count)));
+    Delay->async_wait([Self = shared_from_this(), Call, Delay](error_code) {
+      --Self->Outstanding;
+      Self->send(Call);
+    });
+  }
+};
+
+generator::generator(asio::io_context &Io, load_settings Settings,
+                     listener Listener)
+    : Impl(std::make_shared<impl>(Io, std::move(Settings),
+                                  std::move(Listener))) {}
+generator::~generator() = default;
+
+void generator::start() {
+  Impl->Balancer.start([Self = Impl] { Self->begin(); });
+}
+
+load_results &generator::results() { return Impl->Results; }
+
+} // namespace bulrush::bench
--- /dev/null
+++ b/bench/load/report.cpp
@@ -0,0 +1,96 @@
+#include "report.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bulrush::bench {
+namespace {
+
+using nlohmann::json;
+
+json latenciesOf(std::vector<float> &Latencies) {
+  double Sum = 0;
+  for (const float Latency : Latencies)
+    Sum += Latency;
+  const double Count =
+      static_cast<double>(std::max<std::size_t>(1, Latencies.size()));
+  return {{"mean", Sum / Count},
+          {"p50", quantile(Latencies, 0.5)},
+          {"p90", quantile(Latencies, 0.9)},
+          {"p99", quantile(Latencies, 0.99)},
+          {"p999", quantile(Latencies, 0.999)},
+          {"max", quantile(Latencies, 1)}};
+}
+
+json seriesOf(std::vector<second_of_class> &Seconds) {
+  json Series = json::array();
+  for (second_of_class &Second : Seconds)
+    Series.push_back({{"sent", Second.Sent},
+                      {"answered", Second.Answered},
+                      {"notRun", Second.NotRun},
+                      {"unknown", Second.Unknown},
+                      {"coverage", Second.Coverage},
+                      {"p99", quantile(Second.Latencies, 0.99)}});
+  return Series;
+}
+
+json classOf(const load_class &Class, class_statistics &Statistics) {
+  const double Answered =
+      static_cast<double>(std::max<std::uint64_t>(1, Statistics.Answered));
+  return {{"rate", Class.Rate},
+          {"weight", Class.Weight},
+          {"sent", Statistics.Sent},
+          {"answered", Statistics.Answered},
+          {"notRun", Statistics.NotRun},
+          {"unknown", Statistics.Unknown},
+          {"complete", Statistics.Complete},
+          {"meanCoverage", Statistics.Coverage / Answered},
+          {"reasons", Statistics.Reasons},
+          {"latencyMs", latenciesOf(Statistics.Latencies)},
+          {"refusalLatencyMs", latenciesOf(Statistics.RefusalLatencies)},
+          {"series", seriesOf(Statistics.Seconds)}};
+}
+
+json examplesOf(const std::vector<wrong_answer> &Examples) {
+  json Out = json::array();
+  for (const wrong_answer &Wrong : Examples)
+    Out.push_back({{"class", Wrong.Class},
+                   {"request", Wrong.Request},
+                   {"fault", toString(Wrong.Fault)},
+                   {"received", Wrong.Body}});
+  return Out;
+}
+
+} // namespace
+
+std::string reportJson(const load_settings &Settings, load_results &Results,
+                       std::uint64_t UntrueTotals) {
+  json Classes = json::object();
+  for (std::size_t I = 0; I < Settings.Classes.size(); ++I)
+    Classes[Settings.Classes[I].Name] =
+        classOf(Settings.Classes[I], Results.Classes[I]);
+  json Faults = json::object();
+  std::uint64_t Wrong = UntrueTotals;
+  for (const auto &[Fault, Count] : Results.Faults) {
+    Faults[std::string(toString(Fault))] = Count;
+    Wrong += Count;
+  }
+  if (UntrueTotals > 0)
+    Faults[std::string(toString(answer_fault::untrue_total))] = UntrueTotals;
+  const json Report = {{"run", Settings.Run},
+                       {"seed", Settings.Seed},
+                       {"seconds", Settings.Duration.Count / 1000},
+                       {"clientLinkMs", Settings.ClientLink.Count},
+                       {"firstWallMs", Results.FirstWallMs},
+                       {"verified", Results.Verified},
+                       {"wrong", Wrong},
+                       {"faults", Faults},
+                       {"wrongExamples", examplesOf(Results.Examples)},
+                       {"sendLagMs", latenciesOf(Results.SendLags)},
+                       {"sentTo", Results.SentTo},
+                       {"classes", Classes},
+                       {"outcomesByKey", Results.OutcomesByKey}};
+  return Report.dump(1);
+}
+
+} // namespace bulrush::bench
