--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each experiment: SECONDS and run(folder, deployment, seed, seconds)."""
--- /dev/null
+++ b/bench/experiments/load.py
@@ -0,0 +1,72 @@
+"""A load that the endpoints can bear: every answer is true, and latency is that of the endpoints."""
+
+import json
+import subprocess
+
+from harness import figures as fig
+from harness.fleet import CLIENT_LINK_MS, Fleet, binary
+
+SECONDS = 15
+WARMUP_SECONDS = 5
+SHARE_OF_CAPACITY = 0.3
+MEAN_SERVICE_MS = 5
+
+
+def exchange_cost():
+    """Processor time of a bare Beast exchange in microseconds: (client side, server side)."""
+    out = subprocess.run([binary('bulrush-exchange')], check=True, capture_output=True, text=True).stdout
+    cost = json.loads(out)
+    return cost['clientMicros'], cost['serverMicros']
+
+
+def run(folder, deployment, seed, seconds):
+    rates = {c['name']: SHARE_OF_CAPACITY * deployment.queries_per_second(c['name'], MEAN_SERVICE_MS)
+             for c in deployment.raw['callers']}
+    behaviour = {name: {'meanServiceMs': MEAN_SERVICE_MS} for name in deployment.pools}
+    cpu = {}
+    with Fleet(folder, deployment, seed, behaviour) as fleet:
+        def begin():
+            fleet.reset_record()
+            cpu['before'] = fleet.entry_cpu()
+
+        result = fleet.load('load', deployment.classes(rates), seconds, WARMUP_SECONDS, on_start=begin)
+        cpu['after'] = fleet.entry_cpu()
+        record = fleet.record(service_times=True)
+        client_micros, server_micros = exchange_cost()
+    return figures_of(deployment, result, record, cpu, client_micros, server_micros)
+
+
+def figures_of(deployment, result, record, cpu, client_micros, server_micros):
+    first = deployment.first_caller()
+    pool = deployment.pools[deployment.caller(first)['pool']]
+    times = fig.service_times(record, pool.name)
+    allowed = fig.quantile_of_slowest(times, pool.shards, 0.99) + 2 * CLIENT_LINK_MS
+    spent = sum(cpu['after'].values()) - sum(cpu['before'].values())
+    sub_requests = fig.arrivals(record)
+    micros = spent * 1e6 / max(1, sub_requests)
+    p99 = result['classes'][first]['latencyMs']['p99']
+    figures = {
+        'verified answers': result['verified'],
+        'wrong answers': result['wrong'],
+        'answered share': fig.answered_share(result),
+        'sub-requests': sub_requests,
+        'extra sub-requests share': fig.total(record, 'hedges') / max(1, sub_requests),
+        f'p99 of {first}, ms': p99,
+        'p99 of the first class, ms': p99,
+        'p99 that endpoints and link allow, ms': allowed,
+        'p99 to the one allowed': p99 / allowed,
+        'entry CPU for a sub-request, us': micros,
+        'bare exchange, client side, us': client_micros,
+        'bare exchange, server side, us': server_micros,
+        'CPU to one side of a bare exchange': micros / ((client_micros + server_micros) / 2),
+        'CPU to both sides of a bare exchange': micros / (client_micros + server_micros),
+        'load tool late, p99 ms': result['sendLagMs']['p99'],
+        'stand-ins late, most ms': max(e['maxWakeLagMs'] for e in record),
+        'connections refused by endpoints': sum(e['connectionsRefused'] for e in record),
+        'cold breaches': sum(e['coldBreaches'] for e in record),
+    }
+    for name, each in result['classes'].items():
+        figures[f'{name}: sent, answered, p50, p99'] = (
+            f'{each["sent"]} {each["answered"]} {each["latencyMs"]["p50"]:.1f} {each["latencyMs"]["p99"]:.1f} '
+            f'{json.dumps(each["reasons"])}')
+    return figures
--- /dev/null
+++ b/bench/harness/__init__.py
@@ -0,0 +1,1 @@
+"""What the experiments of bench/run share."""
--- /dev/null
+++ b/bench/harness/deployment.py
@@ -0,0 +1,96 @@
+"""Reads the example deployments and moves them to loopback addresses of one run."""
+
+import json
+import os
+import re
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+ADMIN_PORT = 25000
+
+
+def read_json_with_comments(path):
+    """Parses JSON with // comments on lines of their own or after a value."""
+    text = Path(path).read_text()
+    return json.loads(re.sub(r'^\s*//.*$|(?<=[,{}\[\]])\s*//.*$', '', text, flags=re.M))
+
+
+def own_host():
+    """A loopback address that no other run of bench/run on this machine uses now."""
+    pid = os.getpid()
+    return f'127.{64 + pid // 62500 % 100}.{pid // 250 % 250}.{pid % 250 + 1}'
+
+
+@dataclass
+class Pool:
+    name: str
+    shards: int
+    replicas: int
+    endpoints: int
+    slots: int
+
+
+@dataclass
+class Deployment:
+    """One example with every address moved to `host`."""
+
+    name: str
+    host: str
+    raw: dict
+    intents: list
+    pools: dict = field(default_factory=dict)
+
+    @staticmethod
+    def load(name, host=None):
+        host = host or own_host()
+        folder = ROOT / 'examples' / name
+        text = json.dumps(read_json_with_comments(folder / 'deployment.json'))
+        raw = json.loads(text.replace('127.0.0.1:', host + ':'))
+        intents = read_json_with_comments(folder / 'intents.json')['intents']
+        deployment = Deployment(name, host, raw, intents)
+        for pool in raw['pools']:
+            groups = pool['endpoints']
+            deployment.pools[pool['name']] = Pool(
+                pool['name'], pool['shards'], pool['replicas'],
+                sum(group.get('count', 1) for group in groups), groups[0]['slots'])
+        return deployment
+
+    @property
+    def admin(self):
+        return f'{self.host}:{ADMIN_PORT}'
+
+    def vms(self):
+        return self.raw['vms']
+
+    def control_vms(self):
+        return [vm for vm in self.raw['vms'] if vm.get('disk')]
+
+    def zones(self):
+        return [zone['name'] for zone in self.raw['zones']]
+
+    def caller(self, name):
+        return next(c for c in self.raw['callers'] if c['name'] == name)
+
+    def first_caller(self):
+        """The class whose tail latency the bounds name: drivers or studio desks."""
+        return self.raw['callers'][0]['name']
+
+    def classes(self, rates, min_coverage=True):
+        """Load classes, one for each intent whose caller has a rate."""
+        result = []
+        for intent in self.intents:
+            caller = self.caller(intent['caller'])
+            if rates.get(caller['name'], 0) <= 0:
+                continue
+            result.append({
+                'name': caller['name'], 'apiKey': caller['apiKey'], 'pool': caller['pool'],
+                'kind': intent.get('kind') or 'search', 'rate': rates[caller['name']],
+                'weight': intent.get('weight', 1),
+                'minCoveragePercent': intent.get('minCoveragePercent', 0) if min_coverage else 0})
+        return result
+
+    def queries_per_second(self, caller, mean_service_ms):
+        """Queries that the pool of a caller class can serve at most in a second."""
+        pool = self.pools[self.caller(caller)['pool']]
+        return pool.endpoints * pool.slots * 1000 / mean_service_ms / pool.shards
--- /dev/null
+++ b/bench/harness/figures.py
@@ -0,0 +1,54 @@
+"""Figures from what callers and endpoints recorded."""
+
+import math
+
+
+def quantile(values, share):
+    """Nearest rank; 0 without values."""
+    if not values:
+        return 0
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def service_times(record, pool):
+    return [t for e in record if e['pool'] == pool for t in e['serviceTimesMs']]
+
+
+def quantile_of_slowest(times, count, share):
+    """The quantile of the largest of `count` independent draws from `times`."""
+    return quantile(times, share ** (1 / count))
+
+
+def arrivals(record):
+    return sum(e['requests']['arrived'] for e in record)
+
+
+def total(record, name):
+    """Sum of one count of requests over endpoints."""
+    return sum(e['requests'][name] for e in record)
+
+
+def arrivals_between(endpoint, first_ms, last_ms):
+    """Requests that arrived at an endpoint in buckets that begin in the interval (wall clock)."""
+    width = endpoint['arrivalBucketMs']
+    return sum(count for i, count in enumerate(endpoint['arrivals'])
+               if first_ms <= endpoint['began'] + i * width < last_ms)
+
+
+def weighted_answers(result, second):
+    """Answers of the requests that were due in one second, weighted by class."""
+    return sum(c['series'][second]['answered'] * c['weight']
+               for c in result['classes'].values() if second < len(c['series']))
+
+
+def weighted_sent(result, second):
+    return sum(c['series'][second]['sent'] * c['weight']
+               for c in result['classes'].values() if second < len(c['series']))
+
+
+def answered_share(result):
+    """Weighted share of requests that were answered."""
+    sent = sum(c['sent'] * c['weight'] for c in result['classes'].values())
+    answered = sum(c['answered'] * c['weight'] for c in result['classes'].values())
+    return answered / sent if sent else 0
