Control voter: replicated log, disk and core in actors, operators' API

Cause: operators need a durable, replicated control state. Change: the log and the core are joined without I/O in control_node; one actor runs it, another writes and syncs, batching what arrives during a sync; messages of the voters have their protobuf form; operators speak HTTP, with tokens.

--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -218,6 +218,8 @@
                                             Limits)) {}
 
 control_core::~control_core() = default;
+control_core::control_core(control_core &&) noexcept = default;
+control_core &control_core::operator=(control_core &&) noexcept = default;
 
 void control_core::step(const control_event &Event, instant Now,
                         std::vector<control_action> &Out) {
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -117,6 +117,8 @@
 public:
   control_core(vm_id Self, deployment Deployment, memory_limits Limits = {});
   ~control_core();
+  control_core(control_core &&) noexcept;
+  control_core &operator=(control_core &&) noexcept;
 
   void step(const control_event &Event, instant Now,
             std::vector<control_action> &Out);
--- /dev/null
+++ b/src/daemon/control_daemon.cpp
@@ -0,0 +1,386 @@
+#include "daemon/control_daemon.h"
+
+#include "daemon/control_actors.h"
+#include "daemon/operator_http.h"
+#include "daemon/process.h"
+#include "telemetry/log.h"
+#include "telemetry/metrics.h"
+#include "wire/daemon_codec.h"
+#include "wire/generated/bulrush.pb.h"
+#include "wire/query_codec.h"
+#include "wire/voter_codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <caf/all.hpp>
+#include <chrono>
+#include <csignal>
+#include <optional>
+
+namespace bulrush::daemon {
+
+namespace {
+
+using telemetry::logEvent;
+using telemetry::severity;
+using error_code = boost::system::error_code;
+
+constexpr auto Tick = std::chrono::milliseconds(20);
+
+wire::link_settings linkSettings(const settings::control_settings &Settings,
+                                 incarnation_id Incarnation,
+                                 std::optional<wire::link_keys> Keys) {
+  wire::link_settings Out;
+  Out.Self = {Settings.Self.Id, wire::role::control};
+  Out.Incarnation = Incarnation;
+  Out.Bind = Settings.Self.Control;
+  Out.Keys = std::move(Keys);
+  for (const vm &Vm : Settings.Deployment.Vms) {
+    Out.Peers.push_back({{Vm.Id, wire::role::entry}, Vm.Peers});
+    if (Vm.HasDisk && Vm.Id != Settings.Self.Id)
+      Out.Peers.push_back({{Vm.Id, wire::role::control}, Vm.Control});
+  }
+  return Out;
+}
+
+control::replica_options
+replicaOptions(const settings::control_settings &Settings) {
+  control::replica_options Out;
+  for (const vm &Vm : Settings.Deployment.Vms)
+    if (Vm.HasDisk)
+      Out.Vms.push_back(Vm.Id);
+  Out.SnapshotEvery = Settings.SnapshotEvery;
+  return Out;
+}
+
+control::wall_time wallNow() {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  return {std::chrono::duration_cast<std::chrono::milliseconds>(Now).count()};
+}
+
+std::string_view nameOf(store::folder_notice Notice) {
+  switch (Notice) {
+  case store::folder_notice::created:
+    return "data_folder_created";
+  case store::folder_notice::torn_tail:
+    return "torn_tail_cut";
+  case store::folder_notice::copied_files:
+    return "data_folder_is_copy";
+  }
+  return "data_folder";
+}
+
+} // namespace
+
+struct control_daemon::state final : operator_http_host {
+  settings::control_settings Settings;
+  steady_clock_source Clock;
+  telemetry::metrics Metrics;
+  incarnation_id Incarnation = drawIncarnation();
+  boost::asio::io_context Io{1};
+  caf::actor_system_config CafConfig;
+  std::unique_ptr<store::disk> Disk;
+  caf::actor_system System{quietConfig(CafConfig)};
+  std::optional<operator_http> Api;
+  std::optional<http::server> Server;
+  std::optional<wire::link_set> Links;
+  std::optional<control_actors> Actors;
+  boost::asio::steady_timer TickTimer{Io};
+  boost::asio::signal_set Signals{Io, SIGTERM, SIGINT};
+  bool IsStopping = false;
+  instant StopAskedAt{};
+  exit_status Exit = exit_status::stopped;
+
+  explicit state(settings::control_settings Given)
+      : Settings(std::move(Given)) {}
+
+  // operator_http_host
+  void ask(std::uint64_t Ticket, control::operator_request Request) override {
+    toCore(control::operator_asked{{Settings.Self.Id, Ticket},
+                                   std::move(Request)});
+  }
+  void look(std::function<void(const control_node &)> Look) override {
+    Actors->look(std::move(Look));
+  }
+  void post(std::function<void()> Work) override {
+    boost::asio::post(Io, std::move(Work));
+  }
+  http::response cutLinks(const std::string &Body) override;
+
+  expected<void> start();
+  expected<void> openLog();
+  void toCore(control::control_event Event) {
+    Actors->send({std::move(Event)});
+  }
+  void onMessage(wire::process_id From, const wire::Envelope &Message);
+  void refuseMessage() { Metrics.add("link_refused", "malformed"); }
+  void onActions(std::vector<node_action> Actions);
+
+  void run(control::persist &) {}
+  void run(control::send &Action);
+  void run(control::operator_answer &Action);
+  void run(control::forward_request &Action);
+  void run(control::addressed_reply &Action);
+  void run(control::answer_ledger &Action);
+  void run(control::change_voter &Action);
+  void run(control::became_leader &Action);
+  void run(control::lost_leadership &Action);
+  void run(control::group_changed &Action);
+  void run(control::identity_lost &);
+  void run(control::state_refused &Action);
+
+  void sendTo(wire::process_id To, wire::Envelope &Message) {
+    Links->send(To, Message);
+  }
+  void tick();
+  void waitForSignal();
+  void stop(exit_status Status, std::string_view Why);
+};
+
+expected<void> control_daemon::state::openLog() {
+  auto Opened = store::openPosixDisk(Settings.DataFolder);
+  if (!Opened)
+    return fail(Opened.error().Message);
+  Disk = std::move(*Opened);
+  store::folder_options Options;
+  Options.Vm = Settings.Self.Id;
+  Options.FreshId = drawSeed();
+  Options.BootHint = static_cast<std::uint64_t>(wallNow().Ms);
+  auto Log = store::durable_log::open(*Disk, Options);
+  if (!Log)
+    return fail(Log.error());
+  for (const store::folder_notice Notice : Log->notices())
+    logEvent(severity::warning, nameOf(Notice),
+             {{"folder", Settings.DataFolder}, {"bytes", Log->tornBytes()}});
+  control_node Node(Settings.Self.Id, Settings.Deployment,
+                    replicaOptions(Settings), Log->state(), drawSeed());
+  Actors.emplace(
+      System, std::move(Node), std::move(*Log), Clock,
+      [this](std::vector<node_action> Actions) {
+        boost::asio::post(Io, [this, Moved = std::move(Actions)]() mutable {
+          onActions(std::move(Moved));
+        });
+      },
+      [this](const store::disk_error &Error) {
+        boost::asio::post(Io, [this, Message = Error.Message] {
+          stop(exit_status::failed, Message);
+        });
+      });
+  return {};
+}
+
+expected<void> control_daemon::state::start() {
+  auto Keys = loadKeys(Settings.KeysFile);
+  if (!Keys)
+    return fail(Keys.error());
+  auto Tokens = operator_tokens::load(Settings.OperatorsFile);
+  if (!Tokens)
+    return fail(Tokens.error());
+  Links.emplace(Io, linkSettings(Settings, Incarnation, *Keys), Metrics,
+                [this](wire::process_id From, const wire::Envelope &Message) {
+                  onMessage(From, Message);
+                });
+  Api.emplace(Settings.Deployment, std::move(*Tokens), *this, Metrics);
+  http::server_settings Http;
+  Http.Listen = Settings.Self.Operators;
+  Server.emplace(Io, Http, *Api, Metrics);
+  if (auto Opened = openLog(); !Opened)
+    return Opened;
+  if (auto Started = Links->start(); !Started)
+    return Started;
+  if (auto Started = Server->start(); !Started)
+    return Started;
+  waitForSignal();
+  tick();
+  logEvent(severity::info, "started",
+           {{"vm", Settings.Self.Id.Value},
+            {"operators_port", Settings.Self.Operators.Port},
+            {"encrypted", Keys->has_value()}});
+  return {};
+}
+
+void control_daemon::state::onMessage(wire::process_id From,
+                                      const wire::Envelope &Message) {
+  const control::daemon_id Daemon{From.Vm, {Message.incarnation()}};
+  switch (Message.body_case()) {
+  case wire::Envelope::kVoter: {
+    auto Taken = wire::take(Message.voter());
+    if (!Taken)
+      return refuseMessage();
+    Actors->send(
+        {control::event(control::message_received{std::move(*Taken)})});
+    return;
+  }
+  case wire::Envelope::kHeartbeat:
+    return toCore(
+        control::beat_received{Daemon, wire::take(Message.heartbeat())});
+  case wire::Envelope::kLedgerAsk: {
+    auto Taken = wire::take(Message.ledger_ask());
+    return Taken ? toCore(std::move(*Taken)) : refuseMessage();
+  }
+  case wire::Envelope::kOperatorForward: {
+    auto Taken = wire::take(From.Vm, Message.operator_forward());
+    return Taken ? toCore(std::move(*Taken)) : refuseMessage();
+  }
+  case wire::Envelope::kOperatorResult: {
+    auto Taken = wire::take(Message.operator_result());
+    return Taken ? toCore(std::move(*Taken)) : refuseMessage();
+  }
+  case wire::Envelope::kEndpointReports:
+    return toCore(
+        control::reports_received{wire::take(Message.endpoint_reports())});
+  default:
+    Metrics.add("link_refused", "unexpected");
+  }
+}
+
+void control_daemon::state::onActions(std::vector<node_action> Actions) {
+  for (node_action &Action : Actions)
+    std::visit([this](auto &Each) { run(Each); }, Action);
+}
+
+void control_daemon::state::run(control::send &Action) {
+  wire::Envelope Message;
+  wire::put(Action.Message, *Message.mutable_voter());
+  sendTo({Action.Vm, wire::role::control}, Message);
+}
+
+void control_daemon::state::run(control::operator_answer &Action) {
+  if (Action.To.Vm == Settings.Self.Id) {
+    Api->answer(Action.To.Ticket, Action.Result);
+    return;
+  }
+  wire::Envelope Message;
+  wire::put(Action, *Message.mutable_operator_result());
+  sendTo({Action.To.Vm, wire::role::control}, Message);
+}
+
+void control_daemon::state::run(control::forward_request &Action) {
+  wire::Envelope Message;
+  wire::put(Action, *Message.mutable_operator_forward());
+  sendTo({Action.Leader, wire::role::control}, Message);
+}
+
+void control_daemon::state::run(control::addressed_reply &Action) {
+  wire::Envelope Message;
+  wire::put(Action.Reply, *Message.mutable_heartbeat_reply());
+  sendTo({Action.To.Vm, wire::role::entry}, Message);
+}
+
+void control_daemon::state::run(control::answer_ledger &Action) {
+  wire::Envelope Message;
+  wire::put(Action.Answer, *Message.mutable_ledger_answer());
+  sendTo({Action.Answer.Run.Daemon.Vm, wire::role::entry}, Message);
+}
+
+void control_daemon::state::run(control::change_voter &Action) {
+  logEvent(severity::warning, "voter_change_not_supported",
+           {{"vm", Action.Vm.Value}, {"add", Action.Add}});
+}
+
+void control_daemon::state::run(control::became_leader &Action) {
+  Metrics.add("leadership", "gained");
+  logEvent(severity::info, "leadership_gained", {{"term", Action.Term.Value}});
+}
+
+void control_daemon::state::run(control::lost_leadership &Action) {
+  Metrics.add("leadership", "lost");
+  logEvent(severity::info, "leadership_lost", {{"term", Action.Term.Value}});
+}
+
+void control_daemon::state::run(control::group_changed &Action) {
+  for (const control::group_member &Member : Action.Group.Members)
+    logEvent(
+        severity::info, "voter_group",
+        {{"voter", Member.Id.Value},
+         {"vm", Member.Vm.Value},
+         {"role",
+          Member.Role == control::member_role::voter ? "voter" : "learner"}});
+}
+
+/// The folder is an old copy: the next start joins as a new member.
+void control_daemon::state::run(control::identity_lost &) {
+  const auto Retired = store::durable_log::retire(*Disk);
+  if (!Retired)
+    logEvent(severity::error, "retire_failed",
+             {{"why", Retired.error().Message}});
+  stop(exit_status::failed, "the data folder is an old copy");
+}
+
+void control_daemon::state::run(control::state_refused &Action) {
+  stop(exit_status::failed, Action.Reason.Message);
+}
+
+void control_daemon::state::tick() {
+  Actors->send({control::event(control::tick{}),
+                control::control_event(control::control_tick{wallNow()})});
+  const bool IsOver =
+      IsStopping &&
+      (Clock.now() >= StopAskedAt + Settings.StopBound ||
+       (Clock.now() >= StopAskedAt + millis{500} && Server->inWork() == 0));
+  if (IsOver) {
+    stop(exit_status::stopped, "asked");
+    return;
+  }
+  TickTimer.expires_after(Tick);
+  TickTimer.async_wait([this](error_code Error) {
+    if (!Error)
+      tick();
+  });
+}
+
+void control_daemon::state::waitForSignal() {
+  Signals.async_wait([this](error_code Error, int Number) {
+    if (Error)
+      return;
+    if (IsStopping) {
+      stop(exit_status::bound_reached, "second signal");
+      return;
+    }
+    logEvent(severity::info, "stop_asked", {{"signal", Number}});
+    IsStopping = true;
+    StopAskedAt = Clock.now();
+    Server->stopAccepting();
+    Actors->send({control::event(control::transfer_leadership{})});
+    waitForSignal();
+  });
+}
+
+void control_daemon::state::stop(exit_status Status, std::string_view Why) {
+  logEvent(Status == exit_status::failed ? severity::error : severity::info,
+           "stopped", {{"why", Why}});
+  Exit = Status;
+  Io.stop();
+}
+
+http::response control_daemon::state::cutLinks(const std::string &Body) {
+  http::response Response;
+  if (!Settings.Testing) {
+    Response.Status = 404;
+    return Response;
+  }
+  Links->cut(Body.find("true") == std::string::npos
+                 ? std::vector<wire::process_id>{}
+                 : allProcesses(Settings.Deployment));
+  return Response;
+}
+
+control_daemon::control_daemon(settings::control_settings Settings)
+    : State(std::make_unique<state>(std::move(Settings))) {}
+
+control_daemon::~control_daemon() = default;
+
+exit_status control_daemon::run() {
+  if (auto Started = State->start(); !Started) {
+    logEvent(severity::error, "start_failed",
+             {{"why", Started.error().Message}});
+    return exit_status::failed;
+  }
+  State->Io.run();
+  State->Actors.reset();
+  return State->Exit;
+}
+
+} // namespace bulrush::daemon
--- /dev/null
+++ b/src/daemon/control_daemon.h
@@ -0,0 +1,26 @@
+/// One control voter: replicated log, durable state and the operators' API.
+#pragma once
+
+#include "daemon/exit_status.h"
+#include "settings/control_settings.h"
+
+#include <memory>
+
+namespace bulrush::daemon {
+
+class control_daemon {
+public:
+  explicit control_daemon(settings::control_settings Settings);
+  ~control_daemon();
+  control_daemon(const control_daemon &) = delete;
+  control_daemon &operator=(const control_daemon &) = delete;
+
+  /// Serves until SIGTERM or SIGINT, then hands its leadership over.
+  exit_status run();
+
+private:
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+} // namespace bulrush::daemon
--- /dev/null
+++ b/src/daemon/control_node.cpp
@@ -0,0 +1,123 @@
+#include "daemon/control_node.h"
+
+#include "wire/control_codec.h"
+
+namespace bulrush::daemon {
+
+control_node::control_node(vm_id Self, deployment Deployment,
+                           control::replica_options Options,
+                           control::recovered_state State, std::uint64_t Seed)
+    : Replica(std::move(Options), std::move(State), Seed),
+      Core(Self, std::move(Deployment)) {}
+
+void control_node::step(std::vector<node_event> Events, instant At,
+                        std::vector<node_action> &Given) {
+  Now = At;
+  Out = &Given;
+  for (const node_event &Event : Events) {
+    if (const auto *ForLog = std::get_if<control::event>(&Event))
+      stepLog(*ForLog);
+    else
+      stepCore(std::get<control::control_event>(Event));
+  }
+  report();
+  Out = nullptr;
+}
+
+void control_node::stepLog(const control::event &Event) {
+  std::vector<control::action> Actions;
+  Replica.step(Event, Now, Actions);
+  for (control::action &Action : Actions)
+    std::visit([this](auto &Each) { on(Each); }, Action);
+}
+
+void control_node::stepCore(const control::control_event &Event) {
+  std::vector<control::control_action> Actions;
+  Core.step(Event, Now, Actions);
+  for (control::control_action &Action : Actions) {
+    if (auto *Proposal = std::get_if<control::propose_command>(&Action)) {
+      propose(std::move(*Proposal));
+      continue;
+    }
+    std::visit(
+        [this](auto &Each) {
+          using type = std::decay_t<decltype(Each)>;
+          if constexpr (!std::is_same_v<type, control::propose_command>)
+            Out->push_back(std::move(Each));
+        },
+        Action);
+  }
+}
+
+void control_node::propose(control::propose_command Proposal) {
+  LastProposal.Value += 1;
+  const control::proposal_id Id = LastProposal;
+  std::string Payload = wire::encode(Proposal.Command);
+  Proposals.emplace(Id, std::move(Proposal));
+  stepLog(control::propose{Id, control::shareBytes(std::move(Payload))});
+}
+
+void control_node::on(control::apply &Action) {
+  auto Command = wire::decodeCommand(*Action.Payload);
+  control::entry_committed Event{Action.Index, {}};
+  if (Command)
+    Event.Command = std::move(*Command);
+  else if (!Action.Payload->empty())
+    Out->push_back(control::state_refused{Command.error()});
+  stepCore(Event);
+}
+
+void control_node::on(control::install_snapshot &Action) {
+  if (Action.Bytes->empty())
+    return;
+  auto State = wire::decodeState(*Action.Bytes);
+  if (State)
+    stepCore(control::snapshot_loaded{std::move(*State)});
+  else
+    Out->push_back(control::state_refused{State.error()});
+}
+
+void control_node::on(control::snapshot_wanted &) {
+  const control::control_state State = Core.machine().snapshot();
+  stepLog(control::snapshot_taken{State.Applied,
+                                  control::shareBytes(wire::encode(State))});
+}
+
+void control_node::on(control::became_leader &Action) {
+  Out->push_back(Action);
+  stepCore(control::leadership_gained{Action.Term, Replica.status().LastIndex});
+}
+
+void control_node::on(control::lost_leadership &Action) {
+  Out->push_back(Action);
+  stepCore(control::leadership_lost{});
+}
+
+void control_node::on(control::proposal_result &Action) {
+  const auto Found = Proposals.find(Action.Proposal);
+  if (Found == Proposals.end())
+    return;
+  control::propose_command Proposal = std::move(Found->second);
+  Proposals.erase(Found);
+  if (Action.Outcome == outcome::not_run)
+    stepCore(control::proposal_refused{std::move(Proposal)});
+}
+
+/// Tells the core what the log knows of the leader and of its majority.
+void control_node::report() {
+  const control::replica_status Status = Replica.status();
+  std::optional<vm_id> Leader;
+  if (Status.Leader != control::NoVoter)
+    Leader = Status.LeaderVm;
+  if (Leader != KnownLeader) {
+    KnownLeader = Leader;
+    stepCore(control::leader_known{Leader});
+  }
+  if (Status.Role != control::replica_role::leader ||
+      Status.ConfirmedAt == ConfirmedAt)
+    return;
+  ConfirmedAt = Status.ConfirmedAt;
+  stepCore(control::quorum_confirmed{ConfirmedAt});
+}
+
+} // namespace bulrush::daemon
--- /dev/null
+++ b/src/daemon/control_node.h
@@ -0,0 +1,64 @@
+/// Joins the replicated log and the control core of one voter.
+#pragma once
+
+#include "control/control_core.h"
+#include "control/replica.h"
+
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace bulrush::daemon {
+
+using node_event = std::variant<control::event, control::control_event>;
+
+/// What the node asks of its shell, in order.
+using node_action = std::variant<
+    control::persist, control::send, control::operator_answer,
+    control::forward_request, control::addressed_reply, control::answer_ledger,
+    control::change_voter, control::became_leader, control::lost_leadership,
+    control::group_changed, control::identity_lost, control::state_refused>;
+
+/// Feeds committed entries to the core and its proposals to the log. Has no
+/// I/O and no clock.
+class control_node {
+public:
+  control_node(vm_id Self, deployment Deployment,
+               control::replica_options Options, control::recovered_state State,
+               std::uint64_t Seed);
+
+  void step(std::vector<node_event> Events, instant Now,
+            std::vector<node_action> &Out);
+
+  const control::control_core &core() const { return Core; }
+  control::replica_status status() const { return Replica.status(); }
+
+private:
+  void stepLog(const control::event &Event);
+  void stepCore(const control::control_event &Event);
+  void propose(control::propose_command Proposal);
+  void report();
+
+  void on(control::persist &Action) { Out->push_back(std::move(Action)); }
+  void on(control::send &Action) { Out->push_back(std::move(Action)); }
+  void on(control::apply &Action);
+  void on(control::install_snapshot &Action);
+  void on(control::snapshot_wanted &);
+  void on(control::became_leader &Action);
+  void on(control::leader_ready &) {}
+  void on(control::lost_leadership &Action);
+  void on(control::proposal_result &Action);
+  void on(control::group_changed &Action) { Out->push_back(Action); }
+  void on(control::identity_lost &Action) { Out->push_back(Action); }
+
+  control::replica Replica;
+  control::control_core Core;
+  std::map<control::proposal_id, control::propose_command> Proposals;
+  control::proposal_id LastProposal;
+  std::optional<vm_id> KnownLeader;
+  instant ConfirmedAt{};
+  instant Now{};
+  std::vector<node_action> *Out = nullptr;
+};
+
+} // namespace bulrush::daemon
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -53,12 +53,6 @@
   return Out;
 }
 
-caf::actor_system_config &quietConfig(caf::actor_system_config &Config) {
-  Config.set("scheduler.policy", caf::atom("sharing"));
-  Config.set("scheduler.max-threads", 1);
-  return Config;
-}
-
 /// How far a planned stop has got.
 enum class stop_stage { running, announced, finishing };
 
@@ -514,14 +508,9 @@
     Response.Status = 404;
     return Response;
   }
-  const bool IsCut = Body.find("true") != std::string::npos;
-  std::vector<wire::process_id> Peers;
-  if (IsCut)
-    for (const vm &Vm : Settings.Deployment.Vms) {
-      Peers.push_back({Vm.Id, wire::role::entry});
-      Peers.push_back({Vm.Id, wire::role::control});
-    }
-  Links->cut(std::move(Peers));
+  Links->cut(Body.find("true") == std::string::npos
+                 ? std::vector<wire::process_id>{}
+                 : allProcesses(Settings.Deployment));
   return Response;
 }
 
--- a/src/daemon/entry_daemon.h
+++ b/src/daemon/entry_daemon.h
@@ -2,19 +2,13 @@
 /// thread.
 #pragma once
 
+#include "daemon/exit_status.h"
 #include "settings/entry_settings.h"
 
 #include <memory>
 
 namespace bulrush::daemon {
 
-/// How a daemon ended; the process's exit code.
-enum class exit_status : int {
-  stopped = 0,       ///< asked to stop, and no request was cut off
-  failed = 1,        ///< could not start
-  bound_reached = 3, ///< asked to stop; the bound or a second signal ended it
-};
-
 class entry_daemon {
 public:
   explicit entry_daemon(settings::entry_settings Settings);
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -3,6 +3,7 @@
 #include "settings/json_reader.h"
 #include "telemetry/log.h"
 
+#include <caf/all.hpp>
 #include <chrono>
 #include <random>
 
@@ -54,4 +55,20 @@
   telemetry::startLog(Settings);
 }
 
+std::vector<wire::process_id> allProcesses(const deployment &Deployment) {
+  std::vector<wire::process_id> Out;
+  for (const vm &Vm : Deployment.Vms) {
+    Out.push_back({Vm.Id, wire::role::entry});
+    if (Vm.HasDisk)
+      Out.push_back({Vm.Id, wire::role::control});
+  }
+  return Out;
+}
+
+caf::actor_system_config &quietConfig(caf::actor_system_config &Config) {
+  Config.set("scheduler.policy", caf::atom("sharing"));
+  Config.set("scheduler.max-threads", 1);
+  return Config;
+}
+
 } // namespace bulrush::daemon
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -3,11 +3,16 @@
 
 #include "bulrushtray/error.h"
 #include "bulrushtray/ids.h"
+#include "bulrushtray/world.h"
 #include "wire/link.h"
 
 #include <optional>
 #include <string>
 
+namespace caf {
+class actor_system_config;
+} // namespace caf
+
 namespace bulrush::daemon {
 
 /// A number that is larger at each start of a process on this machine.
@@ -23,4 +28,11 @@
 /// Starts the log of this process. `Level` is debug, info, warning or error.
 void startProcessLog(const std::string &Process, const std::string &Level);
 
+/// Every process of a deployment, for cutting all links in failure tests.
+std::vector<wire::process_id> allProcesses(const deployment &Deployment);
+
+/// One scheduler thread that sleeps when idle; the busy actors have threads of
+/// their own.
+caf::actor_system_config &quietConfig(caf::actor_system_config &Config);
+
 } // namespace bulrush::daemon
--- /dev/null
+++ b/src/settings/control_settings.cpp
@@ -0,0 +1,51 @@
+#include "settings/control_settings.h"
+
+#include "settings/deployment.h"
+#include "settings/json_reader.h"
+#include "settings/paths.h"
+
+namespace bulrush::settings {
+
+expected<control_settings> loadControlSettings(const std::string &Path,
+                                               vm_id Vm) {
+  constexpr double MostEntries = 1'000'000;
+  constexpr double MostMillis = 3'600'000;
+  const auto Text = readFile(Path);
+  if (!Text)
+    return fail(Text.error());
+  control_settings Out;
+  std::string DeploymentFile;
+  const auto Read = readObject(*Text, Path, [&](object_reader &Reader) {
+    DeploymentFile = besideFile(Path, Reader.text("deployment"));
+    Out.LogLevel = Reader.text("logLevel", Out.LogLevel);
+    if (!isLogLevel(Out.LogLevel))
+      Reader.reject("logLevel", LogLevels);
+    Out.DataFolder = besideFile(Path, Reader.text("dataFolder"));
+    Out.KeysFile = besideFile(Path, Reader.text("keysFile", ""));
+    Out.OperatorsFile = besideFile(Path, Reader.text("operatorsFile", ""));
+    Out.SnapshotEvery = Reader.whole<std::size_t>(
+        "snapshotEvery", {.Least = 8,
+                          .Most = MostEntries,
+                          .Fallback = static_cast<double>(Out.SnapshotEvery)});
+    Out.StopBound = Reader.duration(
+        "stopBoundMs",
+        {.Least = 0, .Most = MostMillis, .Fallback = Out.StopBound.Count});
+    Out.Testing = Reader.flag("testing", false);
+  });
+  if (!Read)
+    return fail(Read.error());
+  auto Deployment = loadDeployment(DeploymentFile);
+  if (!Deployment)
+    return fail(Deployment.error());
+  Out.Deployment = std::move(*Deployment);
+  const auto Self = findVm(Out.Deployment, Vm, DeploymentFile);
+  if (!Self)
+    return fail(Self.error());
+  if (!Self->HasDisk)
+    return fail(DeploymentFile + ": /vms: vm " + std::to_string(Vm.Value) +
+                ": found \"disk\": false, allowed for a control voter is true");
+  Out.Self = *Self;
+  return Out;
+}
+
+} // namespace bulrush::settings
--- /dev/null
+++ b/src/wire/voter_codec.cpp
@@ -0,0 +1,210 @@
+#include "wire/voter_codec.h"
+
+#include "wire/generated/voter.pb.h"
+
+namespace bulrush::wire {
+
+namespace {
+
+void putGroup(const control::voter_group &From, VoterGroup &To) {
+  for (const control::group_member &Member : From.Members) {
+    GroupMember &Out = *To.add_members();
+    Out.set_voter(Member.Id.Value);
+    Out.set_vm(Member.Vm.Value);
+    Out.set_learner(Member.Role == control::member_role::learner);
+  }
+}
+
+control::voter_group takeGroup(const VoterGroup &From) {
+  control::voter_group To;
+  for (const GroupMember &Member : From.members())
+    To.Members.push_back({{Member.voter()},
+                          {Member.vm()},
+                          Member.learner() ? control::member_role::learner
+                                           : control::member_role::voter});
+  return To;
+}
+
+void putBody(const control::vote_request &From, VoterMessage &To) {
+  VoteRequest &Out = *To.mutable_vote_request();
+  Out.set_pre_vote(From.PreVote);
+  Out.set_transfer(From.Transfer);
+  Out.set_last_index(From.LastIndex.Value);
+  Out.set_last_term(From.LastTerm.Value);
+}
+
+void putBody(const control::vote_reply &From, VoterMessage &To) {
+  To.mutable_vote_reply()->set_pre_vote(From.PreVote);
+  To.mutable_vote_reply()->set_granted(From.Granted);
+}
+
+void putBody(const control::append_request &From, VoterMessage &To) {
+  AppendRequest &Out = *To.mutable_append_request();
+  Out.set_prev_index(From.PrevIndex.Value);
+  Out.set_prev_term(From.PrevTerm.Value);
+  Out.set_commit(From.Commit.Value);
+  Out.set_sent_at_ms(From.SentAt.Ms);
+  for (const control::log_entry &Entry : From.Entries) {
+    LogEntry &Item = *Out.add_entries();
+    Item.set_index(Entry.Index.Value);
+    Item.set_term(Entry.Term.Value);
+    Item.set_kind(static_cast<std::uint32_t>(Entry.Kind));
+    Item.set_payload(*Entry.Payload);
+  }
+  for (const control::held_position &Held : From.Held) {
+    HeldPosition &Item = *Out.add_held();
+    Item.set_voter(Held.Voter.Value);
+    Item.set_boot(Held.Boot.Value);
+    Item.set_index(Held.Index.Value);
+  }
+}
+
+void putBody(const control::append_reply &From, VoterMessage &To) {
+  AppendReply &Out = *To.mutable_append_reply();
+  Out.set_accepted(From.Accepted);
+  Out.set_match(From.Match.Value);
+  Out.set_hint(From.Hint.Value);
+  Out.set_sent_at_ms(From.SentAt.Ms);
+}
+
+void putBody(const control::snapshot_chunk &From, VoterMessage &To) {
+  SnapshotChunk &Out = *To.mutable_snapshot_chunk();
+  Out.set_index(From.Index.Value);
+  Out.set_last_term(From.LastTerm.Value);
+  putGroup(From.Group, *Out.mutable_group());
+  Out.set_offset(From.Offset);
+  Out.set_total(From.Total);
+  Out.set_digest(From.Digest);
+  Out.set_bytes(From.Bytes);
+  Out.set_sent_at_ms(From.SentAt.Ms);
+}
+
+void putBody(const control::snapshot_reply &From, VoterMessage &To) {
+  SnapshotReply &Out = *To.mutable_snapshot_reply();
+  Out.set_index(From.Index.Value);
+  Out.set_next_offset(From.NextOffset);
+  Out.set_installed(From.Installed);
+  Out.set_sent_at_ms(From.SentAt.Ms);
+}
+
+void putBody(const control::timeout_now &, VoterMessage &To) {
+  To.mutable_timeout_now();
+}
+
+void putBody(const control::join_request &From, VoterMessage &To) {
+  To.mutable_join_request()->set_seen(From.Seen.Value);
+}
+
+void putBody(const control::identity_refused &From, VoterMessage &To) {
+  To.mutable_identity_refused()->set_boot(From.Boot.Value);
+}
+
+control::vote_request takeBody(const VoteRequest &From) {
+  return {From.pre_vote(),
+          From.transfer(),
+          {From.last_index()},
+          {From.last_term()}};
+}
+
+expected<control::append_request> takeBody(const AppendRequest &From) {
+  control::append_request To;
+  To.PrevIndex.Value = From.prev_index();
+  To.PrevTerm.Value = From.prev_term();
+  To.Commit.Value = From.commit();
+  To.SentAt.Ms = From.sent_at_ms();
+  for (const LogEntry &Item : From.entries()) {
+    if (Item.kind() > static_cast<std::uint32_t>(control::entry_kind::group))
+      return fail("log entry of unknown kind " + std::to_string(Item.kind()));
+    control::log_entry &Entry = To.Entries.emplace_back();
+    Entry.Index.Value = Item.index();
+    Entry.Term.Value = Item.term();
+    Entry.Kind = static_cast<control::entry_kind>(Item.kind());
+    Entry.Payload = control::shareBytes(Item.payload());
+  }
+  for (const HeldPosition &Item : From.held())
+    To.Held.push_back({{Item.voter()}, {Item.boot()}, {Item.index()}});
+  return To;
+}
+
+control::append_reply takeBody(const AppendReply &From) {
+  return {From.accepted(), {From.match()}, {From.hint()}, {From.sent_at_ms()}};
+}
+
+control::snapshot_chunk takeBody(const SnapshotChunk &From) {
+  control::snapshot_chunk To;
+  To.Index.Value = From.index();
+  To.LastTerm.Value = From.last_term();
+  To.Group = takeGroup(From.group());
+  To.Offset = From.offset();
+  To.Total = From.total();
+  To.Digest = From.digest();
+  To.Bytes = From.bytes();
+  To.SentAt.Ms = From.sent_at_ms();
+  return To;
+}
+
+control::snapshot_reply takeBody(const SnapshotReply &From) {
+  return {{From.index()},
+          From.next_offset(),
+          From.installed(),
+          {From.sent_at_ms()}};
+}
+
+expected<control::message_body> takeBody(const VoterMessage &From) {
+  switch (From.body_case()) {
+  case VoterMessage::kVoteRequest:
+    return takeBody(From.vote_request());
+  case VoterMessage::kVoteReply:
+    return control::vote_reply{From.vote_reply().pre_vote(),
+                               From.vote_reply().granted()};
+  case VoterMessage::kAppendRequest: {
+    auto Taken = takeBody(From.append_request());
+    if (!Taken)
+      return fail(Taken.error());
+    return std::move(*Taken);
+  }
+  case VoterMessage::kAppendReply:
+    return takeBody(From.append_reply());
+  case VoterMessage::kSnapshotChunk:
+    return takeBody(From.snapshot_chunk());
+  case VoterMessage::kSnapshotReply:
+    return takeBody(From.snapshot_reply());
+  case VoterMessage::kTimeoutNow:
+    return control::timeout_now{};
+  case VoterMessage::kJoinRequest:
+    return control::join_request{{From.join_request().seen()}};
+  case VoterMessage::kIdentityRefused:
+    return control::identity_refused{{From.identity_refused().boot()}};
+  default:
+    return fail("voter message without a body");
+  }
+}
+
+} // namespace
+
+void put(const control::message &From, VoterMessage &To) {
+  To.set_from(From.From.Value);
+  To.set_vm(From.Vm.Value);
+  To.set_to(From.To.Value);
+  To.set_boot(From.Boot.Value);
+  To.set_term(From.Term.Value);
+  To.set_last_index(From.LastIndex.Value);
+  std::visit([&](const auto &Body) { putBody(Body, To); }, From.Body);
+}
+
+expected<control::message> take(const VoterMessage &From) {
+  auto Body = takeBody(From);
+  if (!Body)
+    return fail(Body.error());
+  control::message To;
+  To.From.Value = From.from();
+  To.Vm.Value = From.vm();
+  To.To.Value = From.to();
+  To.Boot.Value = From.boot();
+  To.Term.Value = From.term();
+  To.LastIndex.Value = From.last_index();
+  To.Body = std::move(*Body);
+  return To;
+}
+
+} // namespace bulrush::wire
