Leader serves once the log says that all earlier entries are applied

Cause: the core waited for the entry that opens the term, which carries no command and never reached it; no operator got a plan. Change: the log's own leader_ready starts the core.

--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -85,7 +85,11 @@
 
 void control_node::on(control::became_leader &Action) {
   Out->push_back(Action);
-  stepCore(control::leadership_gained{Action.Term, Replica.status().LastIndex});
+}
+
+/// All entries of earlier terms are applied by now.
+void control_node::on(control::leader_ready &Action) {
+  stepCore(control::leadership_gained{Action.Term, Core.machine().applied()});
 }
 
 void control_node::on(control::lost_leadership &Action) {
--- a/src/daemon/control_node.h
+++ b/src/daemon/control_node.h
@@ -45,7 +45,7 @@
   void on(control::install_snapshot &Action);
   void on(control::snapshot_wanted &);
   void on(control::became_leader &Action);
-  void on(control::leader_ready &) {}
+  void on(control::leader_ready &Action);
   void on(control::lost_leadership &Action);
   void on(control::proposal_result &Action);
   void on(control::group_changed &Action) { Out->push_back(Action); }
