Fuzz of operators' commands; tickets of an earlier life are not answered

Cause: the oracle found that after a restart a voter took the leader's answer to a request of its earlier life for the answer to a new one, as both had ticket 1. Change: the first ticket is drawn at each start (control_node passes its seed). Conclusion: a unit test shows the fault; not_run speaks of the first send.

--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -4,9 +4,10 @@
 
 class control_core::implementation {
 public:
-  implementation(vm_id Self, deployment TheDeployment, memory_limits Limits)
+  implementation(vm_id Self, deployment TheDeployment,
+                 std::uint64_t FirstTicket, memory_limits Limits)
       : Self(Self), Deployment(std::move(TheDeployment)),
-        Machine(Deployment, Limits) {}
+        Machine(Deployment, Limits), Desk(FirstTicket) {}
 
   void step(const control_event &Event, instant Now,
             std::vector<control_action> &Actions) {
@@ -215,9 +216,9 @@
 };
 
 control_core::control_core(vm_id Self, deployment Deployment,
-                           memory_limits Limits)
+                           std::uint64_t FirstTicket, memory_limits Limits)
     : Impl(std::make_unique<implementation>(Self, std::move(Deployment),
-                                            Limits)) {}
+                                            FirstTicket, Limits)) {}
 
 control_core::~control_core() = default;
 control_core::control_core(control_core &&) noexcept = default;
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -115,7 +115,10 @@
 /// answered once its entry is applied here, also when another VM proposed it.
 class control_core {
 public:
-  control_core(vm_id Self, deployment Deployment, memory_limits Limits = {});
+  /// Draw `FirstTicket` anew at each start: an answer meant for an earlier life
+  /// of this process must not be taken for one of this life.
+  control_core(vm_id Self, deployment Deployment, std::uint64_t FirstTicket,
+               memory_limits Limits = {});
   ~control_core();
   control_core(control_core &&) noexcept;
   control_core &operator=(control_core &&) noexcept;
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -93,7 +93,7 @@
   conflict,
   invalid,
   reused_id,
-  not_run, ///< proved: this command has not reached the log
+  not_run, ///< proved: this send, the first, has not reached the log
   unknown  ///< it may take effect; send it again to learn
 };
 
--- a/src/control/operator_desk.h
+++ b/src/control/operator_desk.h
@@ -44,6 +44,8 @@
     }
   };
 
+  explicit operator_desk(std::uint64_t FirstTicket) : LastTicket(FirstTicket) {}
+
   /// Takes a request, or answers it at once when too many wait.
   void take(const request_origin &From, const operator_request &Request,
             instant Now, std::vector<operator_answer> &Out);
@@ -67,7 +69,7 @@
 
 private:
   std::map<std::uint64_t, waiting> Waiting;
-  std::uint64_t LastTicket = 0;
+  std::uint64_t LastTicket;
 };
 
 /// The answer to a confirm that the state machine has decided.
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -8,7 +8,7 @@
                            control::replica_options Options,
                            control::recovered_state State, std::uint64_t Seed)
     : Replica(std::move(Options), std::move(State), Seed),
-      Core(Self, std::move(Deployment)) {}
+      Core(Self, std::move(Deployment), Seed) {}
 
 void control_node::step(std::vector<node_event> Events, instant At,
                         std::vector<node_action> &Given) {
--- a/test/fuzz/control_world.h
+++ b/test/fuzz/control_world.h
@@ -69,7 +69,7 @@
 
   explicit control_world(std::uint32_t Seed) : Random(Seed) {
     for (voter &V : AllVoters) {
-      V.Core = std::make_unique<control_core>(indexOf(V), World);
+      V.Core = std::make_unique<control_core>(indexOf(V), World, Random());
       V.Clock = drawClock();
     }
     for (daemon &D : AllDaemons)
@@ -150,7 +150,7 @@
       loseQuorum();
     voter &V = AllVoters[Voter];
     const control_state State = V.Core->machine().snapshot();
-    V.Core = std::make_unique<control_core>(indexOf(V), World);
+    V.Core = std::make_unique<control_core>(indexOf(V), World, Random());
     V.Held.clear();
     V.BelievedTerm = 0;
     V.IsPaused = false;
--- a/test/unit/control_core_test.cpp
+++ b/test/unit/control_core_test.cpp
@@ -14,7 +14,8 @@
 
 /// One voter whose log commits at once unless `IsStuck`.
 struct single_voter {
-  control_core Core{Self, test::smallDeployment()};
+  control_core Core{Self, test::smallDeployment(), FirstTicket};
+  static constexpr std::uint64_t FirstTicket = 100;
   std::uint64_t LastIndex = 0;
   bool IsStuck = false;
   std::vector<control_action> Seen;
@@ -207,3 +208,15 @@
   Voter.step(control_tick{}, {1050});
   CHECK(Voter.all<propose_command>().size() == 1);
 }
+
+TEST_CASE("an answer for an earlier life of the process is not taken") {
+  single_voter Voter;
+  Voter.step(leader_known{vm_id{2}}, {0});
+  Voter.step(operator_asked{{Self, 1}, planZoneOut("anna")}, {0});
+  const auto Forwards = Voter.all<forward_request>();
+  REQUIRE(Forwards.size() == 1);
+  Voter.step(forward_answered{1, status_result{}}, {1});
+  CHECK(Voter.all<operator_answer>().empty());
+  Voter.step(forward_answered{Forwards[0].Ticket, status_result{}}, {2});
+  CHECK(Voter.all<operator_answer>().size() == 1);
+}
