Fuzz of the ledger: at most one run for a key, and true answers

Cause: crashes, resends through any daemon, lost answers and failovers must never run a key twice nor call one not run that ran.

--- a/test/fuzz/control_world.h
+++ b/test/fuzz/control_world.h
@@ -67,9 +67,11 @@
     std::deque<agent_event> Held;
   };
 
-  explicit control_world(std::uint32_t Seed) : Random(Seed) {
+  explicit control_world(std::uint32_t Seed, memory_limits Limits = {})
+      : Limits(Limits), Random(Seed) {
     for (voter &V : AllVoters) {
-      V.Core = std::make_unique<control_core>(indexOf(V), World, Random());
+      V.Core =
+          std::make_unique<control_core>(indexOf(V), World, Random(), Limits);
       V.Clock = drawClock();
     }
     for (daemon &D : AllDaemons)
@@ -150,7 +152,8 @@
       loseQuorum();
     voter &V = AllVoters[Voter];
     const control_state State = V.Core->machine().snapshot();
-    V.Core = std::make_unique<control_core>(indexOf(V), World, Random());
+    V.Core =
+        std::make_unique<control_core>(indexOf(V), World, Random(), Limits);
     V.Held.clear();
     V.BelievedTerm = 0;
     V.IsPaused = false;
@@ -227,10 +230,14 @@
     return std::uniform_int_distribution<std::size_t>(0, Below - 1)(Random);
   }
 
+  /// What every voter's wall clock shows.
+  wall_time wallNow() const { return {std::int64_t(1'000'000 + Now)}; }
+
   double Now = 0;
   double Loss = 0;
   double MaxDelay = 20;
   bool CommitsAtOnce = true;
+  memory_limits Limits;
   deployment World = tinyDeployment();
   std::array<voter, Voters> AllVoters;
   std::array<daemon, Daemons> AllDaemons;
@@ -241,16 +248,19 @@
       OnResult;
   std::function<void(const ledger_answer &)> OnLedger;
 
-  /// Puts an event on its way.
-  void post(std::function<void()> Deliver) {
+  /// Puts an event on its way: it may be late, lost or repeated.
+  void post(const std::function<void()> &Deliver) {
+    if (draw(20) == 0)
+      postOnce(Deliver);
+    postOnce(Deliver);
+  }
+
+  /// The same for what is never repeated.
+  void postOnce(const std::function<void()> &Deliver) {
     if (std::uniform_real_distribution<>(0, 1)(Random) < Loss)
       return;
-    const int Copies = draw(20) == 0 ? 2 : 1;
-    for (int I = 0; I < Copies; ++I) {
-      const double Delay =
-          std::uniform_real_distribution<>(0, MaxDelay)(Random);
-      Mail.emplace(Now + Delay, Deliver);
-    }
+    const double Delay = std::uniform_real_distribution<>(0, MaxDelay)(Random);
+    Mail.emplace(Now + Delay, Deliver);
   }
 
   void give(std::size_t Index, const agent_event &Event) {
@@ -300,7 +310,7 @@
 
   void tickVoter(std::size_t Index) {
     voter &V = AllVoters[Index];
-    feed(Index, control_tick{{std::int64_t(1'000'000 + Now)}});
+    feed(Index, control_tick{wallNow()});
     if (Log.Leader != Index || V.IsPaused)
       return;
     // The confirmation is true now; it may arrive late.
