--- /dev/null
+++ b/src/ctl/ask.cpp
@@ -0,0 +1,60 @@
+#include "ctl/ask.h"
+
+#include "http/client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+
+namespace bulrush::ctl {
+
+namespace {
+
+constexpr auto Patience = std::chrono::seconds(5);
+
+http::exchange_result exchangeOnce(const address &Server,
+                                   const http::request &Request) {
+  boost::asio::io_context Io;
+  http::client_settings Settings;
+  Settings.Server = Server;
+  http::client Client(Io, Settings);
+  http::exchange_result Out;
+  Client.send(Request, [&](http::exchange_result Result) {
+    Out = std::move(Result);
+    Io.stop();
+  });
+  Io.run_for(Patience);
+  return Out;
+}
+
+} // namespace
+
+asker::asker(std::vector<address> Servers, std::string Token)
+    : Servers(std::move(Servers)), Token(std::move(Token)) {}
+
+expected<http::response> asker::get(const std::string &Target) {
+  return ask({"GET", Target, {}, {}}, resend::allowed);
+}
+
+expected<http::response> asker::post(const std::string &Target,
+                                     std::string Body, resend Resend) {
+  return ask({"POST", Target, {}, std::move(Body)}, Resend);
+}
+
+expected<http::response> asker::ask(http::request Request, resend Resend) {
+  if (!Token.empty())
+    Request.Headers.push_back({"Authorization", "Bearer " + Token});
+  std::string Tried;
+  for (const address &Server : Servers) {
+    http::exchange_result Result = exchangeOnce(Server, Request);
+    if (Result.Status == http::exchange_status::done)
+      return std::move(Result.Response);
+    Tried += ' ' + Server.Host + ':' + std::to_string(Server.Port);
+    const bool WasSent = Result.Status == http::exchange_status::lost;
+    if (WasSent && Resend == resend::forbidden)
+      return fail("the answer was lost; ask again to learn the outcome:" +
+                  Tried);
+  }
+  return fail("no answer from" + Tried);
+}
+
+} // namespace bulrush::ctl
