--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -57,6 +57,8 @@
     resetElectionTimer();
     if (!group().Members.empty()) {
       LeaderSeen = Now; // a vote may have been promised in an earlier life
+      CheckedIn = peersToCheck() == 0;
+      CheckInEnds = Now + Options.CheckInLimit;
       emit(group_changed{group()});
     }
   }
@@ -104,6 +106,7 @@
 
 void replica_core::on(const tick &) {
   seekGroup();
+  checkIn();
   if (Role == replica_role::leader) {
     if (TransferTo && Now >= TransferEnds)
       TransferTo.reset();
@@ -114,7 +117,7 @@
   if (Now < ElectionAt)
     return;
   resetElectionTimer();
-  if (group().hasVoter(Self))
+  if (CheckedIn && group().hasVoter(Self))
     campaign(true, false);
 }
 
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -23,12 +23,15 @@
 using write_id = numbered<struct write_tag, std::uint64_t>;
 
 struct replica_options {
-  /// All machines that may run a member. A group forms by itself once every one
-  /// of them has an empty folder; a new folder on one of them joins as learner.
+  /// The machines of the first group. It forms by itself once every one of them
+  /// has an empty folder. A new folder on a member's machine replaces it.
   std::vector<vm_id> Vms;
   millis Heartbeat{50};
   millis ElectionMin{300}; ///< silence before an election, lower bound
   millis ElectionMax{600};
+  /// A restarted voter gives no vote before its peers have confirmed that it is
+  /// no old copy, or for this long where they cannot be reached.
+  millis CheckInLimit{5000};
   std::size_t SnapshotEvery = 4096; ///< applied entries between snapshots
   std::size_t KeepEntries = 1024;   ///< entries kept before the snapshot
   std::size_t BatchBytes = 256 * 1024;
@@ -55,15 +58,16 @@
   log_index Index;
   shared_bytes Bytes;
 };
-/// Adds a member as a learner; it becomes a voter once it has caught up.
+/// Adds the new folder on a machine as a learner; it becomes a voter once it
+/// has caught up. Refused until that folder has asked to join.
 struct add_member {
   proposal_id Proposal;
-  voter_id Id;
   vm_id Vm;
 };
+/// Removes the member on a machine; refused for the last voter.
 struct remove_member {
   proposal_id Proposal;
-  voter_id Id;
+  vm_id Vm;
 };
 /// Starts a group on an empty folder; ignored on any other.
 struct form_group {
--- a/src/control/replica_append.cpp
+++ b/src/control/replica_append.cpp
@@ -30,6 +30,7 @@
   storeEntries(Body);
   const log_index Match{Body.PrevIndex.Value + Body.Entries.size()};
   Commit = std::max(Commit, std::min(Body.Commit, Match));
+  CheckedIn = CheckedIn || Match >= Body.Commit;
   replyTo(From, append_reply{true, Match, Match, Body.SentAt});
 }
 
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -105,8 +105,13 @@
   // replica_members.cpp
   void onMessage(const message &From, const join_request &Body);
   void onMessage(const message &From, const identity_refused &Body);
+  void onMessage(const message &From, const check_in &Body);
+  void onMessage(const message &From, const check_in_reply &Body);
+  void checkIn();
+  std::size_t peersToCheck() const;
   bool admit(const message &Message);
   bool isOldCopy(const message &Message) const;
+  bool isRemoved(const message &Message) const;
   void retire();
   void learnHeld(const std::vector<held_position> &Positions);
   void recordHeld(held_position Position);
@@ -179,11 +184,18 @@
   std::map<log_index, proposal_id> Proposals;
   log_index FirstOwn; ///< the first entry of the own term
   bool Ready = false;
+  std::map<vm_id, voter_id> Joiners; ///< new folders that asked to join
   instant LeadsSince;
   instant HeartbeatAt;
   std::optional<voter_id> TransferTo;
   instant TransferEnds;
 
+  // After a start, until the folder is known to be no old copy.
+  bool CheckedIn = true;
+  std::set<voter_id> CheckedBy;
+  instant CheckInAt;
+  instant CheckInEnds;
+
   // Before a group is known.
   std::map<vm_id, voter_id> EmptyFolders;
   std::set<vm_id> SeenBy;
--- a/src/control/replica_election.cpp
+++ b/src/control/replica_election.cpp
@@ -114,6 +114,7 @@
     emit(proposal_result{Proposal, outcome::unknown, refusal::no_quorum, {}});
   Proposals.clear();
   Progress.clear();
+  Joiners.clear();
   TransferTo.reset();
   Ready = false;
 }
@@ -123,8 +124,9 @@
                         std::pair(Log.lastTerm(), Log.last());
   vote_reply Reply{Body.PreVote, false};
   if (Body.PreVote) {
-    Reply.Granted = From.Term >= Term && UpToDate && !hearsLeader();
-  } else if (From.Term == Term && UpToDate &&
+    Reply.Granted =
+        From.Term >= Term && UpToDate && CheckedIn && !hearsLeader();
+  } else if (From.Term == Term && UpToDate && CheckedIn &&
              (Vote == NoVoter || Vote == From.From)) {
     Reply.Granted = true;
     HardChanged = HardChanged || Vote == NoVoter;
@@ -144,7 +146,8 @@
 }
 
 void replica_core::onMessage(const message &From, const timeout_now &) {
-  if (From.Term == Term && From.From == Leader && group().hasVoter(Self))
+  if (From.Term == Term && From.From == Leader && CheckedIn &&
+      group().hasVoter(Self))
     campaign(false, true);
 }
 
--- a/src/control/replica_members.cpp
+++ b/src/control/replica_members.cpp
@@ -7,13 +7,14 @@
 namespace bulrush::control {
 
 bool replica_core::admit(const message &Message) {
-  const bool Joins = std::holds_alternative<join_request>(Message.Body);
-  if (Message.From == Self || (Message.To != Self && !Joins))
+  const bool ForAny = std::holds_alternative<join_request>(Message.Body) ||
+                      std::holds_alternative<check_in>(Message.Body);
+  if (Message.From == Self || (Message.To != Self && !ForAny))
     return false;
   if (std::holds_alternative<identity_refused>(Message.Body))
     return true;
   const group_member *Member = group().find(Message.From);
-  if (isOldCopy(Message)) {
+  if (isOldCopy(Message) || isRemoved(Message)) {
     replyTo(Message, identity_refused{Message.Boot});
     return false;
   }
@@ -33,6 +34,43 @@
          Message.LastIndex < Seen->second.Index;
 }
 
+// Whoever is in a newer group has heard of its leader and has a larger term.
+bool replica_core::isRemoved(const message &Message) const {
+  const bool Asks = std::holds_alternative<check_in>(Message.Body) ||
+                    std::holds_alternative<vote_request>(Message.Body);
+  return Asks && Ready && Message.Term <= Term && !groupChangePending() &&
+         !group().find(Message.From);
+}
+
+// Any entry that this voter helped to commit is also held by some member of
+// every set of this size.
+std::size_t replica_core::peersToCheck() const {
+  const std::size_t Peers =
+      group().voterCount() - (group().hasVoter(Self) ? 1 : 0);
+  return std::min(Peers, group().voterCount() - (group().majority() - 1));
+}
+
+void replica_core::checkIn() {
+  CheckedIn = CheckedIn || Now >= CheckInEnds;
+  if (Now < CheckInAt || (CheckedIn && hearsLeader()))
+    return;
+  CheckInAt = Now + (CheckedIn ? Options.CheckInLimit : Options.Heartbeat);
+  for (const group_member &Member : group().Members)
+    if (Member.Id != Self)
+      post(Member.Vm, NoVoter, check_in{});
+}
+
+void replica_core::onMessage(const message &From, const check_in &) {
+  replyTo(From, check_in_reply{From.Boot});
+}
+
+void replica_core::onMessage(const message &From, const check_in_reply &Body) {
+  if (CheckedIn || Body.Boot != Boot || !group().hasVoter(From.From))
+    return;
+  CheckedBy.insert(From.From);
+  CheckedIn = CheckedBy.size() >= peersToCheck();
+}
+
 void replica_core::learnHeld(const std::vector<held_position> &Positions) {
   for (const held_position &Position : Positions) {
     const bool Lost = Position.Voter == Self &&
@@ -118,24 +156,26 @@
 }
 
 void replica_core::on(const add_member &Event) {
-  if (!acceptsProposals() || groupChangePending() || group().find(Event.Id)) {
+  const auto Joiner = Joiners.find(Event.Vm);
+  if (!acceptsProposals() || groupChangePending() || Joiner == Joiners.end() ||
+      group().findOn(Event.Vm)) {
     refuse(Event.Proposal);
     return;
   }
   Proposals[{Log.last().Value + 1}] = Event.Proposal;
-  changeGroup(group().with({Event.Id, Event.Vm, member_role::learner}));
+  changeGroup(group().with({Joiner->second, Event.Vm, member_role::learner}));
 }
 
 void replica_core::on(const remove_member &Event) {
+  const group_member *Member = group().findOn(Event.Vm);
   const bool LastVoter =
-      group().hasVoter(Event.Id) && group().voterCount() == 1;
-  if (!acceptsProposals() || groupChangePending() || LastVoter ||
-      !group().find(Event.Id)) {
+      Member && group().hasVoter(Member->Id) && group().voterCount() == 1;
+  if (!acceptsProposals() || groupChangePending() || LastVoter || !Member) {
     refuse(Event.Proposal);
     return;
   }
   Proposals[{Log.last().Value + 1}] = Event.Proposal;
-  changeGroup(group().without(Event.Id));
+  changeGroup(group().without(Member->Id));
 }
 
 // A learner that has all committed entries becomes a voter. The former member
@@ -174,10 +214,10 @@
       SeenBy.insert(From.Vm);
     return;
   }
-  const bool Listed =
-      std::count(Options.Vms.begin(), Options.Vms.end(), From.Vm) > 0;
-  if (!Listed || !acceptsProposals() || groupChangePending() ||
-      group().find(From.From))
+  if (Role != replica_role::leader || group().find(From.From))
+    return;
+  Joiners[From.Vm] = From.From;
+  if (!acceptsProposals() || groupChangePending() || !group().findOn(From.Vm))
     return;
   voter_group Group = group().with({From.From, From.Vm, member_role::learner});
   for (const group_member &Member : group().Members)
--- a/src/control/replica_messages.h
+++ b/src/control/replica_messages.h
@@ -67,14 +67,23 @@
   voter_id Seen = NoVoter; ///< the empty folder last heard of on the receiver
 };
 
+/// Sent after a start, before any vote is given: a receiver that saw the sender
+/// hold more than it shows now answers with `identity_refused`.
+struct check_in {};
+
+struct check_in_reply {
+  incarnation_id Boot; ///< the life of the process that checked in
+};
+
 /// Tells a sender that its folder is older than what it was seen to hold.
 struct identity_refused {
   incarnation_id Boot; ///< the life of the process that is refused
 };
 
-using message_body = std::variant<vote_request, vote_reply, append_request,
-                                  append_reply, snapshot_chunk, snapshot_reply,
-                                  timeout_now, join_request, identity_refused>;
+using message_body =
+    std::variant<vote_request, vote_reply, append_request, append_reply,
+                 snapshot_chunk, snapshot_reply, timeout_now, join_request,
+                 check_in, check_in_reply, identity_refused>;
 
 /// One message between two members.
 struct message {
--- a/src/control/replica_output.cpp
+++ b/src/control/replica_output.cpp
@@ -15,6 +15,8 @@
          std::holds_alternative<snapshot_chunk>(Body) ||
          std::holds_alternative<timeout_now>(Body) ||
          std::holds_alternative<join_request>(Body) ||
+         std::holds_alternative<check_in>(Body) ||
+         std::holds_alternative<check_in_reply>(Body) ||
          std::holds_alternative<identity_refused>(Body);
 }
 
--- a/src/daemon/data_path.cpp
+++ b/src/daemon/data_path.cpp
@@ -12,7 +12,6 @@
 using explain_request =
     std::shared_ptr<std::function<void(const query::explain_memory &)>>;
 
-
 /// Rendezvous hashing over the live daemons, kept until the membership changes.
 class placement_directory final : public query::owner_directory {
 public:
@@ -125,8 +124,9 @@
     if (!Reply || Reply->To != Options.Self)
       return false;
     if (Reply->Incarnation == Options.Incarnation)
-      stepRouter(query::replies_arrived{Options.Self, {std::move(Reply->Reply)}},
-                 Now, Out);
+      stepRouter(
+          query::replies_arrived{Options.Self, {std::move(Reply->Reply)}}, Now,
+          Out);
     return true;
   }
 
--- a/src/daemon/data_path.h
+++ b/src/daemon/data_path.h
@@ -39,7 +39,8 @@
   query::owner_settings Owner;
 };
 
-/// Both cores on a thread of their own. Events are handled in the order they were sent.
+/// Both cores on a thread of their own. Events are handled in the order they
+/// were sent.
 class data_path {
 public:
   data_path(caf::actor_system &System, data_path_options Options,
--- a/src/daemon/endpoint_gateway.cpp
+++ b/src/daemon/endpoint_gateway.cpp
@@ -116,8 +116,7 @@
   if (Result.Status != http::exchange_status::done ||
       Result.Response.Status != 200)
     return Out;
-  const auto Json =
-      nlohmann::json::parse(Result.Response.Body, nullptr, false);
+  const auto Json = nlohmann::json::parse(Result.Response.Body, nullptr, false);
   if (!Json.is_object())
     return Out;
   try {
@@ -140,10 +139,10 @@
   Out.Method = "POST";
   Out.Target = Request.IsCommand ? "/v1/command" : "/v1/search";
   Out.Headers.reserve(8);
-  Out.Headers.push_back({"Bulrush-Request",
-                         idText(Send.From, Send.Incarnation, Request.Sub.Value)});
-  Out.Headers.push_back({"Bulrush-Query",
-                         idText(Send.From, Send.Incarnation, Request.Query.Value)});
+  Out.Headers.push_back({"Bulrush-Request", idText(Send.From, Send.Incarnation,
+                                                   Request.Sub.Value)});
+  Out.Headers.push_back({"Bulrush-Query", idText(Send.From, Send.Incarnation,
+                                                 Request.Query.Value)});
   Out.Headers.push_back({"Bulrush-Attempt", std::to_string(Request.Attempt)});
   Out.Headers.push_back(
       {"Bulrush-Snapshot", std::to_string(Request.Snapshot.Value)});
@@ -204,22 +203,22 @@
   const instant SentAt = State->Clock.now();
   State->Metrics.add("endpoint_requests");
   http::client &Client = *State->clientsOf(Endpoint).Requests;
-  Client.send(makeRequest(Send), [Weak = std::weak_ptr(State), Endpoint, SentAt,
-                                  Attempt = Send.Attempt](
-                                     http::exchange_result Result) {
-    const auto State = Weak.lock();
-    if (!State)
-      return;
-    query::endpoint_replied Event;
-    Event.Endpoint = Endpoint;
-    Event.Attempt = Attempt;
-    Event.What = kindOf(Result);
-    Event.Headers = readHeaders(Result.Response.Headers);
-    Event.Body =
-        std::make_shared<const std::string>(std::move(Result.Response.Body));
-    Event.Latency = State->Clock.now() - SentAt;
-    State->OnEvent(std::move(Event));
-  });
+  Client.send(makeRequest(Send),
+              [Weak = std::weak_ptr(State), Endpoint, SentAt,
+               Attempt = Send.Attempt](http::exchange_result Result) {
+                const auto State = Weak.lock();
+                if (!State)
+                  return;
+                query::endpoint_replied Event;
+                Event.Endpoint = Endpoint;
+                Event.Attempt = Attempt;
+                Event.What = kindOf(Result);
+                Event.Headers = readHeaders(Result.Response.Headers);
+                Event.Body = std::make_shared<const std::string>(
+                    std::move(Result.Response.Body));
+                Event.Latency = State->Clock.now() - SentAt;
+                State->OnEvent(std::move(Event));
+              });
 }
 
 void endpoint_gateway::run(const query::cancel_at_endpoint &Cancel) {
@@ -248,7 +247,8 @@
 }
 
 void endpoint_gateway::warm(endpoint_id Endpoint) {
-  const std::size_t Wanted = State->Deployment.Endpoints[Endpoint.Value].Limits.Slots;
+  const std::size_t Wanted =
+      State->Deployment.Endpoints[Endpoint.Value].Limits.Slots;
   State->clientsOf(Endpoint).Requests->warm(Wanted);
 }
 
--- a/test/replica_group.h
+++ b/test/replica_group.h
@@ -156,6 +156,8 @@
   void heal() {
     Cut.clear();
     Settings.Drop = Settings.Duplicate = 0;
+    Settings.MaxDelay = group_settings{}.MaxDelay;
+    Settings.MaxSync = group_settings{}.MaxSync;
     for (auto &Node : Nodes) {
       resume(*Node);
       start(*Node);
--- a/test/unit/replica_test.cpp
+++ b/test/unit/replica_test.cpp
@@ -129,6 +129,46 @@
   CHECK(Group.Broken.empty());
 }
 
+TEST_CASE("an operator removes a member and adds the machine again",
+          "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  const vm_id Vm{(Group.leader()->Vm.Value + 1) % 3};
+  auto &Node = *Group.Nodes[Vm.Value];
+  const voter_id Former = Node.Replica->status().Self;
+  Group.step(*Group.leader(), remove_member{proposal_id{900}, Vm});
+  Group.run(500);
+  CHECK(Group.Results[900] == outcome::answered);
+  Group.crash(Node);
+  Group.start(Node);
+  Group.run(3000);
+  CHECK(Node.Replica->status().Self != Former);
+  CHECK(Group.leader()->Replica->status().Group.voterCount() == 2);
+  Group.step(*Group.leader(), add_member{proposal_id{901}, Vm});
+  Group.run(1000);
+  CHECK(Group.Results[901] == outcome::answered);
+  CHECK(Group.leader()->Replica->status().Group.voterCount() == 3);
+  CHECK(Group.Broken.empty());
+}
+
+TEST_CASE("the image of a member that was replaced joins anew", "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  auto &Node = *Group.Nodes[1];
+  Node.Backup = Node.Disk.backup();
+  for (bool Image : {false, true}) {
+    Group.crash(Node);
+    Node.Disk.restore(Node.Backup, Image);
+    Group.start(Node);
+    Group.run(5000);
+    Group.proposeAtLeader();
+    Group.run(1000);
+    CHECK(Group.leader()->Replica->status().Group.voterCount() == 3);
+    CHECK(Group.converged());
+  }
+  CHECK(Group.Broken.empty());
+}
+
 TEST_CASE("a planned stop hands the leadership over at once", "[replica]") {
   replica_group Group({});
   REQUIRE(Group.elect());
