--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -4,9 +4,10 @@
 
 class control_core::implementation {
 public:
-  implementation(vm_id Self, deployment TheDeployment, memory_limits Limits)
+  implementation(vm_id Self, deployment TheDeployment,
+                 std::uint64_t FirstTicket, memory_limits Limits)
       : Self(Self), Deployment(std::move(TheDeployment)),
-        Machine(Deployment, Limits) {}
+        Machine(Deployment, Limits), Desk(FirstTicket) {}
 
   void step(const control_event &Event, instant Now,
             std::vector<control_action> &Actions) {
@@ -14,8 +15,6 @@
     startLeading();
     dispatch(Now);
     Desk.expire(Now, Answers);
-    if (Leading)
-      proposeMoves(Now);
     flush(Actions);
   }
 
@@ -39,8 +38,8 @@
     Desk.answer(E.Ticket, E.Result, Answers);
   }
   void on(const beat_received &E, instant Now) {
-    if (Leading)
-      Leading->heard(E.From, E.Beat, Now, Replies);
+    if (Leading && Leading->heard(E.From, E.Beat, Now, Replies))
+      proposeMoves(Now);
   }
   void on(const ledger_asked &E, instant) {
     if (!Leading)
@@ -107,7 +106,11 @@
     if (Leading && Moves)
       Leading->refused(*Moves);
   }
-  void on(const control_tick &E, instant) { Wall = E.Wall; }
+  void on(const control_tick &E, instant Now) {
+    Wall = E.Wall;
+    if (Leading)
+      proposeMoves(Now);
+  }
 
   void onDecided(const operator_command &Command, const command_answer &Answer,
                  revision Before) {
@@ -213,9 +216,9 @@
 };
 
 control_core::control_core(vm_id Self, deployment Deployment,
-                           memory_limits Limits)
+                           std::uint64_t FirstTicket, memory_limits Limits)
     : Impl(std::make_unique<implementation>(Self, std::move(Deployment),
-                                            Limits)) {}
+                                            FirstTicket, Limits)) {}
 
 control_core::~control_core() = default;
 control_core::control_core(control_core &&) noexcept = default;
