Refuse overload by whole queries, the same ones at each owner

Cause: each endpoint refused for itself, so at 1.5 times the capacity hardly any query got all of its 20 shards. Change: an admission gate at each endpoint splits its capacity among classes by weight and admits the queries with the lowest ranks, a hash of the query that all owners share. A request cut shortly after it was sent no longer counts as a slow one.

--- a/src/query/cold_start.cpp
+++ b/src/query/cold_start.cpp
@@ -156,8 +156,11 @@
     return Cause;
   }
 
-  /// One timeout of a warm endpoint may be a straggler.
+  /// A request that was sent shortly before its deadline says nothing. One
+  /// timeout of a warm endpoint may be a straggler.
   endpoint_cause onTimeout(const attempt_evidence &Evidence, instant Now) {
+    if (Evidence.Latency <= Usual.mean() * Settings.JumpFactor)
+      return endpoint_cause::success;
     if (Warm && !isJump(Evidence, Now))
       return endpoint_cause::success;
     return onFailure(Evidence, endpoint_cause::timed_out, Now);
--- a/src/query/owned_endpoint.cpp
+++ b/src/query/owned_endpoint.cpp
@@ -11,7 +11,8 @@
       Queue(makeQueue(Settings.Admission, Memory)),
       Warmth(makeWarmth(Settings, World.Limits.Slots)),
       Limit(World.Limits.Slots, Settings.RaiseReplies),
-      Service(Settings.FirstServiceTime) {
+      Service(Settings.FirstServiceTime), Gate(Settings),
+      LongService(Settings.FirstServiceTime) {
   InFlight.reserve(World.Limits.Slots);
 }
 
@@ -37,6 +38,13 @@
   return std::max(InheritedUntil, Warmth->opensAt());
 }
 
+void owned_endpoint::learnService(millis Took) {
+  constexpr millis Least{0.01};
+  Service.add(Took);
+  LongService += (Took - LongService) * Settings.CapacityGain;
+  LongService = std::max(LongService, Least);
+}
+
 admission_estimate owned_endpoint::estimate(const queued_work &Work,
                                             instant Now) const {
   const instant Start = std::max(Now, blockedUntil());
--- a/src/query/owned_endpoint.h
+++ b/src/query/owned_endpoint.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "query/adaptive_limit.h"
+#include "query/admission_gate.h"
 #include "query/cold_start.h"
 #include "query/endpoint_queue.h"
 #include "query/service_time.h"
@@ -30,6 +31,10 @@
   /// Nothing may be sent before this instant.
   instant blockedUntil() const;
   bool hasFreeSlot(instant Now) const { return InFlight.size() < limit(Now); }
+  /// Requests that can be served in 1 ms.
+  double capacityPerMs() const { return openLimit() / LongService.Count; }
+  /// A request has held a slot for `Took`.
+  void learnService(millis Took);
   admission_estimate estimate(const queued_work &Work, instant Now) const;
   /// The latest instant at which work with `Deadline` is worth sending.
   instant latestStart(instant Deadline) const;
@@ -43,6 +48,8 @@
   std::unique_ptr<warmth> Warmth;
   adaptive_limit Limit;
   service_time Service;
+  admission_gate Gate;
+  millis LongService; ///< slow mean of the time that a request holds a slot
   std::vector<attempt_id> InFlight; ///< sent or abandoned
 
   bool Granted = false;
--- a/src/query/owner_impl.h
+++ b/src/query/owner_impl.h
@@ -44,6 +44,8 @@
   refusal admissionRefusal(const owned_endpoint &Endpoint,
                            const queued_work &Queued, millis &RetryAfter,
                            instant Now) const;
+  bool passesGate(owned_endpoint &Endpoint, const sub_request &Request,
+                  const sub_batch &Batch, instant Now) const;
   void refuseNew(const sub_request &Request, const sub_batch &Batch,
                  refusal Reason, millis RetryAfter, context &In);
 
--- a/src/query/owner_replies.cpp
+++ b/src/query/owner_replies.cpp
@@ -120,7 +120,7 @@
   if (Cause == endpoint_cause::generation_changed)
     Endpoint.Limit.reset();
   if (Event.What == reply_kind::answered) {
-    Endpoint.Service.add(Event.Latency);
+    Endpoint.learnService(Event.Latency);
     Endpoint.Limit.onSuccess(Item.Level);
   }
   if (Event.What == reply_kind::shed)
--- a/src/query/owner_service.cpp
+++ b/src/query/owner_service.cpp
@@ -35,8 +35,12 @@
   Item.Deadline = In.Now + Batch.Remaining;
   const queued_work Queued{{}, Item.Deadline, Request.Caller, Request.Weight};
   millis RetryAfter;
-  const refusal Reason =
-      admissionRefusal(*Endpoint, Queued, RetryAfter, In.Now);
+  refusal Reason = admissionRefusal(*Endpoint, Queued, RetryAfter, In.Now);
+  if (!passesGate(*Endpoint, Request, Batch, In.Now) &&
+      Reason == refusal::none) {
+    Reason = refusal::deadline_unmeetable;
+    RetryAfter = Settings.GateWindow;
+  }
   if (Reason != refusal::none) {
     refuseNew(Request, Batch, Reason, RetryAfter, In);
     return;
@@ -82,6 +86,17 @@
   return refusal::deadline_unmeetable;
 }
 
+/// Overload is refused by whole queries, so that those admitted get all shards.
+bool owner::impl::passesGate(owned_endpoint &Endpoint,
+                             const sub_request &Request, const sub_batch &Batch,
+                             instant Now) const {
+  if (Settings.Admission != admission_policy::weighted_deadline)
+    return true;
+  return Endpoint.Gate.admit(Request.Caller, Request.Weight,
+                             admissionRank(Batch.From, Request.Query),
+                             Endpoint.capacityPerMs(), Now);
+}
+
 void owner::impl::refuseNew(const sub_request &Request, const sub_batch &Batch,
                             refusal Reason, millis RetryAfter, context &In) {
   sub_reply Reply;
@@ -243,9 +258,10 @@
   Endpoint.LastReport = In.Now;
   Endpoint.ReportedCondition = Condition;
   Endpoint.ReportedLimit = Limit;
-  In.Out.emplace_back(publish_report{
-      {Endpoint.World.Id, Condition, Limit,
-       static_cast<std::uint32_t>(Endpoint.Queue->size()), Endpoint.Held, 1}});
+  In.Out.emplace_back(
+      publish_report{{Endpoint.World.Id, Condition, Limit,
+                      static_cast<std::uint32_t>(Endpoint.Queue->size()),
+                      Endpoint.Held, Endpoint.Gate.share()}});
 }
 
 } // namespace bulrush::query
--- a/src/query/owner_settings.h
+++ b/src/query/owner_settings.h
@@ -10,8 +10,9 @@
 
 /// How queued work is ordered and refused.
 enum class admission_policy : std::uint8_t {
-  weighted_deadline, ///< fair by intent weight, early refusal
-  fifo               ///< baseline: arrival order, refusal only at the deadline
+  weighted_deadline, ///< fair by intent weight, early refusal of whole queries
+  ungated, ///< baseline: the same, but each endpoint refuses for itself
+  fifo     ///< baseline: arrival order, refusal only at the deadline
 };
 
 /// Where an endpoint's cold start is learnt from.
@@ -31,6 +32,11 @@
       1;                      ///< added to the mean service time, for admission
   millis FirstServiceTime{5}; ///< assumed before the first reply
 
+  double GateUse = 0.95;   ///< share of an endpoint's capacity that is admitted
+  millis GateWindow{100};  ///< between two adjustments of what is admitted
+  millis GateMemory{1000}; ///< over which offered rates are averaged
+  double CapacityGain = 1.0 / 128; ///< weight of one reply in the capacity
+
   millis OccupancyMargin{50};     ///< a lost request counts until its deadline
                                   ///< and this have passed
   millis FirstProbeDelay{10};     ///< after a failed probe; doubles
--- /dev/null
+++ b/test/unit/admission_gate_test.cpp
@@ -0,0 +1,77 @@
+#include "query/admission_gate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::query;
+
+namespace {
+
+constexpr caller_id Drivers{1};
+constexpr caller_id Quotes{2};
+constexpr double PerMs = 1; ///< capacity
+
+/// Offers work of both classes for a second; ranks step evenly through 0..1.
+/// Returns the shares admitted in the last half of it.
+struct admitted {
+  double Drivers = 0;
+  double Quotes = 0;
+};
+
+admitted offer(admission_gate &Gate, int DriversPerMs, int QuotesPerMs) {
+  int Count = 0;
+  int DriversIn = 0;
+  int QuotesIn = 0;
+  for (int Ms = 0; Ms < 10'000; ++Ms) {
+    const instant Now{static_cast<double>(Ms)};
+    const bool Counts = Ms >= 5'000;
+    for (int I = 0; I < DriversPerMs; ++I, ++Count) {
+      const bool In =
+          Gate.admit(Drivers, 1, (Count * 37 % 1000) / 1000.0, PerMs, Now);
+      DriversIn += In && Counts ? 1 : 0;
+    }
+    for (int I = 0; I < QuotesPerMs; ++I, ++Count) {
+      const bool In =
+          Gate.admit(Quotes, 3, (Count * 37 % 1000) / 1000.0, PerMs, Now);
+      QuotesIn += In && Counts ? 1 : 0;
+    }
+  }
+  return {DriversIn / (5000.0 * std::max(DriversPerMs, 1)),
+          QuotesIn / (5000.0 * std::max(QuotesPerMs, 1))};
+}
+
+} // namespace
+
+TEST_CASE("a class that overloads an endpoint gets what its capacity allows",
+          "[owner][gate]") {
+  const owner_settings Settings;
+  admission_gate Gate(Settings);
+  const admitted Shares = offer(Gate, 4, 0);
+  CHECK(Shares.Drivers == Approx(Settings.GateUse / 4).margin(0.01));
+  CHECK(Gate.share() == Approx(Settings.GateUse / 4).margin(0.01));
+}
+
+TEST_CASE("two overloading classes divide the capacity by weight",
+          "[owner][gate]") {
+  const owner_settings Settings;
+  admission_gate Gate(Settings);
+  const admitted Shares = offer(Gate, 4, 4);
+  CHECK(Shares.Drivers == Approx(Settings.GateUse / 16).margin(0.01));
+  CHECK(Shares.Quotes == Approx(Settings.GateUse * 3 / 16).margin(0.01));
+}
+
+TEST_CASE("without overload all is admitted", "[owner][gate]") {
+  const owner_settings Settings;
+  admission_gate Gate(Settings);
+  for (int Ms = 0; Ms < 5000; Ms += 2)
+    CHECK(Gate.admit(Drivers, 1, 0.999, PerMs, {static_cast<double>(Ms)}));
+}
+
+TEST_CASE("owners agree on the rank of a query", "[owner][gate]") {
+  CHECK(admissionRank({1}, {77}) == admissionRank({1}, {77}));
+  CHECK(admissionRank({1}, {77}) != admissionRank({2}, {77}));
+  double Sum = 0;
+  for (std::uint64_t Query = 0; Query < 1000; ++Query)
+    Sum += admissionRank({1}, {Query});
+  CHECK(Sum / 1000 == Approx(0.5).margin(0.05));
+}
--- a/test/unit/owner_test.cpp
+++ b/test/unit/owner_test.cpp
@@ -183,3 +183,17 @@
   CHECK(Given.replyTo(Waiting)->Outcome == outcome::answered);
   CHECK(Given.all<owner_drained>().size() == 1);
 }
+
+TEST_CASE("a request that was sent just before its deadline is no slow one",
+          "[owner]") {
+  owner_fixture Given(1);
+  Given.grantAll();
+  Given.warm();
+  for (int I = 0; I < 5; ++I) {
+    const sub_id Short = Given.request({6});
+    Given.advance({6});
+    Given.answer(Short, reply_kind::expired_running);
+  }
+  for (const endpoint_event &Event : Given.all<endpoint_event>())
+    CHECK(Event.Change != endpoint_change::turned_cold);
+}
