--- a/src/query/owner.cpp
+++ b/src/query/owner.cpp
@@ -85,8 +85,13 @@
 void owner::impl::on(endpoint_replied &&Event, context &In) {
   work_item *Item = Work.find(Event.Attempt);
   owned_endpoint *Endpoint = find(Event.Endpoint);
-  if (!Item || !Endpoint || Item->State == work_state::queued)
+  if (!Endpoint || (Item && Item->State == work_state::queued))
     return;
+  if (!Item) {
+    learnLate(*Endpoint, Event, In);
+    settle(*Endpoint, In);
+    return;
+  }
   learn(*Endpoint, *Item, Event, In);
   const bool MayStillRun = Event.What == reply_kind::timed_out;
   if (Item->State == work_state::sent)
--- a/src/query/owner_impl.h
+++ b/src/query/owner_impl.h
@@ -71,6 +71,7 @@
   void release(owned_endpoint &Endpoint, attempt_id Attempt);
   void learn(owned_endpoint &Endpoint, const work_item &Item,
              const endpoint_replied &Event, context &In);
+  void learnLate(owned_endpoint &Endpoint, endpoint_replied Event, context &In);
   void learnDraining(owned_endpoint &Endpoint, bool Draining, instant Now);
   void tellChange(owned_endpoint &Endpoint, std::uint32_t Before, bool WasWarm,
                   endpoint_cause Cause, context &In);
--- a/src/query/owner_replies.cpp
+++ b/src/query/owner_replies.cpp
@@ -131,6 +131,15 @@
   tellChange(Endpoint, Before, WasWarm, Cause, In);
 }
 
+/// A reply to a request that was given up long ago tells only of the state of
+/// the endpoint.
+void owner::impl::learnLate(owned_endpoint &Endpoint, endpoint_replied Event,
+                            context &In) {
+  if (Event.What != reply_kind::draining)
+    Event.What = reply_kind::cancelled;
+  learn(Endpoint, work_item{}, Event, In);
+}
+
 /// A sign of draining holds until health, asked well after it, says otherwise.
 void owner::impl::learnDraining(owned_endpoint &Endpoint, bool Draining,
                                 instant Now) {
