--- a/test/unit/owner_cold_test.cpp
+++ b/test/unit/owner_cold_test.cpp
@@ -162,3 +162,13 @@
   Given.grantAll();
   CHECK(sentOf(Given) == 3);
 }
+
+TEST_CASE("a lease renewed after it ran out leaves the endpoint unknown",
+          "[owner][cold]") {
+  owner_fixture Given(3);
+  Given.grantAll({5000});
+  Given.warm();
+  Given.Now = Given.Now + millis{6000}; // the process was paused
+  Given.grantAll({5000});
+  CHECK(sentOf(Given) == 1);
+}
