--- a/src/query/endpoint_queue.cpp
+++ b/src/query/endpoint_queue.cpp
@@ -112,13 +112,21 @@
     });
   }
 
-  /// New work mostly has the latest deadline, so the count starts at the end.
+  /// Counts from both ends: new work mostly has the latest deadline, or the
+  /// earliest.
   static double earlierIn(const work_class &Class, const queued_work &Work) {
-    std::size_t Later = 0;
-    for (auto It = Class.Waiting.rbegin();
-         It != Class.Waiting.rend() && It->Key > Work.Deadline.Ms; ++It)
-      ++Later;
-    return static_cast<double>(Class.Waiting.size() - Later);
+    const auto &Waiting = Class.Waiting;
+    std::size_t Earlier = 0;
+    auto First = Waiting.begin();
+    auto Last = Waiting.end();
+    for (std::size_t Later = 0; First != Last; ++Later, ++Earlier, ++First) {
+      if (First->Key > Work.Deadline.Ms)
+        break;
+      --Last;
+      if (Last->Key <= Work.Deadline.Ms)
+        return static_cast<double>(Waiting.size() - Later);
+    }
+    return static_cast<double>(Earlier);
   }
 
   std::pmr::memory_resource &Memory;
