Placement: bound the load of an owner, and look at each zone's daemons alone

Cause: rendezvous hashing alone gave one of 2,800 daemons 17 of 17,000 endpoints, 2.8 times the mean.

--- a/src/query/placement.cpp
+++ b/src/query/placement.cpp
@@ -2,23 +2,51 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <xxhash.h>
 
 namespace bulrush::query {
 
 namespace {
 
+/// A zone's daemons may own this much more than their even part of its
+/// endpoints; the surplus goes to the next daemon by score.
+constexpr double LoadBound = 1.25;
+
 struct candidate {
   vm_id Vm;
+  std::uint32_t Owned = 0;
+};
+
+/// The live daemons of one zone.
+struct zone_candidates {
   zone_id Zone;
+  std::vector<candidate> Daemons;
+  std::uint32_t MostOwned = 0; ///< by one daemon
 };
 
-std::vector<candidate> candidatesOf(const deployment &Deployment,
-                                    const std::vector<vm_id> &Live) {
-  std::vector<candidate> Out;
-  for (const vm &Vm : Deployment.Vms) {
-    if (std::find(Live.begin(), Live.end(), Vm.Id) != Live.end())
-      Out.push_back({Vm.Id, Vm.Zone});
+zone_candidates &zoneOf(std::vector<zone_candidates> &Zones, zone_id Zone) {
+  for (zone_candidates &Z : Zones)
+    if (Z.Zone == Zone)
+      return Z;
+  Zones.push_back({Zone, {}, 0});
+  return Zones.back();
+}
+
+std::vector<zone_candidates> candidatesOf(const deployment &Deployment,
+                                          std::vector<vm_id> Live) {
+  std::sort(Live.begin(), Live.end());
+  std::vector<zone_candidates> Out;
+  for (const vm &Vm : Deployment.Vms)
+    if (std::binary_search(Live.begin(), Live.end(), Vm.Id))
+      zoneOf(Out, Vm.Zone).Daemons.push_back({Vm.Id, 0});
+  for (zone_candidates &Z : Out) {
+    const auto Here =
+        std::count_if(Deployment.Endpoints.begin(), Deployment.Endpoints.end(),
+                      [&](const endpoint &E) { return E.Zone == Z.Zone; });
+    const double Even =
+        static_cast<double>(Here) / static_cast<double>(Z.Daemons.size());
+    Z.MostOwned = static_cast<std::uint32_t>(std::ceil(Even * LoadBound));
   }
   return Out;
 }
@@ -44,46 +72,70 @@
   return Out;
 }
 
-/// Among the candidates that `Accept` takes, the one with the highest score.
-template <class Predicate>
-vm_id best(const std::vector<candidate> &Candidates, endpoint_id Endpoint,
-           Predicate Accept) {
-  vm_id Best = NoOwner;
-  std::uint64_t BestScore = 0;
-  for (const candidate &C : Candidates) {
-    if (!Accept(C))
-      continue;
-    const std::uint64_t Score = score(C.Vm, Endpoint);
-    if (Best != NoOwner && Score <= BestScore)
-      continue;
-    Best = C.Vm;
-    BestScore = Score;
+/// Keeps the accepted candidate with the highest score.
+class best_candidate {
+public:
+  explicit best_candidate(endpoint_id Endpoint) : Endpoint(Endpoint) {}
+
+  template <class Predicate>
+  void consider(zone_candidates &Zone, Predicate Accept) {
+    for (candidate &C : Zone.Daemons) {
+      if (!Accept(C))
+        continue;
+      const std::uint64_t Score = score(C.Vm, Endpoint);
+      if (Best && Score <= BestScore)
+        continue;
+      Best = &C;
+      BestScore = Score;
+    }
   }
-  return Best;
+
+  candidate *found() const { return Best; }
+
+private:
+  endpoint_id Endpoint;
+  candidate *Best = nullptr;
+  std::uint64_t BestScore = 0;
+};
+
+/// In the endpoint's zone, within the bound of load; without the bound; in any
+/// zone; and at last on a daemon that owns another replica of its shards.
+candidate *choose(std::vector<zone_candidates> &Zones, const endpoint &Endpoint,
+                  const std::vector<vm_id> &Taken) {
+  const auto IsFree = [&](const candidate &C) {
+    return std::find(Taken.begin(), Taken.end(), C.Vm) == Taken.end();
+  };
+  zone_candidates &Near = zoneOf(Zones, Endpoint.Zone);
+  best_candidate Best(Endpoint.Id);
+  Best.consider(Near, [&](const candidate &C) {
+    return C.Owned < Near.MostOwned && IsFree(C);
+  });
+  if (!Best.found())
+    Best.consider(Near, IsFree);
+  if (!Best.found())
+    for (zone_candidates &Zone : Zones)
+      Best.consider(Zone, IsFree);
+  if (!Best.found())
+    for (zone_candidates &Zone : Zones)
+      Best.consider(Zone, [](const candidate &) { return true; });
+  return Best.found();
 }
 
 void placePool(const deployment &Deployment, const pool &Pool,
-               const std::vector<candidate> &Candidates,
+               std::vector<zone_candidates> &Zones,
                std::vector<vm_id> &Owners) {
+  std::vector<vm_id> Taken;
   for (std::size_t Place = 0; Place < Pool.Endpoints.size(); ++Place) {
     const endpoint_id Endpoint = Pool.Endpoints[Place];
-    const zone_id Zone = Deployment.Endpoints[Endpoint.Value].Zone;
-    std::vector<vm_id> Taken;
+    Taken.clear();
     for (const std::size_t Other : earlierReplicas(Pool, Place))
       Taken.push_back(Owners[Pool.Endpoints[Other].Value]);
-    const auto IsFree = [&](const candidate &C) {
-      return std::find(Taken.begin(), Taken.end(), C.Vm) == Taken.end();
-    };
-    const auto IsNear = [&](const candidate &C) { return C.Zone == Zone; };
-    vm_id Owner = best(Candidates, Endpoint, [&](const candidate &C) {
-      return IsNear(C) && IsFree(C);
-    });
-    if (Owner == NoOwner)
-      Owner = best(Candidates, Endpoint, IsFree);
-    if (Owner == NoOwner)
-      Owner =
-          best(Candidates, Endpoint, [](const candidate &) { return true; });
-    Owners[Endpoint.Value] = Owner;
+    candidate *Owner =
+        choose(Zones, Deployment.Endpoints[Endpoint.Value], Taken);
+    if (!Owner)
+      continue;
+    ++Owner->Owned;
+    Owners[Endpoint.Value] = Owner->Vm;
   }
 }
 
@@ -92,9 +144,9 @@
 std::vector<vm_id> ownersOf(const deployment &Deployment,
                             const std::vector<vm_id> &Live) {
   std::vector<vm_id> Owners(Deployment.Endpoints.size(), NoOwner);
-  const std::vector<candidate> Candidates = candidatesOf(Deployment, Live);
+  std::vector<zone_candidates> Zones = candidatesOf(Deployment, Live);
   for (const pool &Pool : Deployment.Pools)
-    placePool(Deployment, Pool, Candidates, Owners);
+    placePool(Deployment, Pool, Zones, Owners);
   return Owners;
 }
 
@@ -102,14 +154,7 @@
               endpoint_id Endpoint) {
   if (Endpoint.Value >= Deployment.Endpoints.size())
     return NoOwner;
-  const pool_id Wanted = Deployment.Endpoints[Endpoint.Value].Pool;
-  const std::vector<candidate> Candidates = candidatesOf(Deployment, Live);
-  std::vector<vm_id> Owners(Deployment.Endpoints.size(), NoOwner);
-  for (const pool &Pool : Deployment.Pools) {
-    if (Pool.Id == Wanted)
-      placePool(Deployment, Pool, Candidates, Owners);
-  }
-  return Owners[Endpoint.Value];
+  return ownersOf(Deployment, Live)[Endpoint.Value];
 }
 
 } // namespace bulrush::query
--- a/test/unit/placement_test.cpp
+++ b/test/unit/placement_test.cpp
@@ -58,3 +58,26 @@
     CHECK(query::ownerOf(D, {vm_id{4}, vm_id{1}}, E.Id) == Owners[E.Id.Value]);
   CHECK(query::ownerOf(D, {}, endpoint_id{0}) == query::NoOwner);
 }
+
+TEST_CASE("no daemon owns much more than its even part of a zone") {
+  const std::uint32_t Daemons = 6;
+  const std::uint32_t Endpoints = 240;
+  deployment D;
+  D.Zones = {{{0}, "a"}};
+  D.Pools = {{{0}, "p", Endpoints, 1, {}}};
+  for (std::uint32_t I = 0; I < Daemons; ++I) {
+    vm Vm;
+    Vm.Id = {I};
+    D.Vms.push_back(Vm);
+  }
+  for (std::uint32_t I = 0; I < Endpoints; ++I) {
+    D.Endpoints.push_back({{I}, {0}, {0}, {}, {}});
+    D.Pools[0].Endpoints.push_back({I});
+  }
+  std::vector<std::uint32_t> Owned(Daemons);
+  for (const vm_id Owner : ownersOf(D, test::allVms(D)))
+    ++Owned[Owner.Value];
+  const std::uint32_t Even = Endpoints / Daemons;
+  for (const std::uint32_t Count : Owned)
+    CHECK(Count <= Even * 5 / 4);
+}
