Cold start: know a life that was warm, check the signs, ramp with care

Cause: how many requests a cold endpoint must serve before it bears one more is its own matter; 10 for each slot broke endpoints that need 60. Change: 64 for each slot where nothing better is known; all slots open at once when the endpoint is in a generation in which it was warm before (owners tell each other in their reports, so that a new owner knows), or when a flag or report that said cold in this generation turns to warm. A sign that misled is not believed again.

--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -228,6 +228,8 @@
           query::replies_arrived{From.Vm, wire::take(Message.sub_replies())}));
     return;
   case wire::Envelope::kEndpointReports:
+    Gate->push(query::owner_event(
+        query::reports_heard{wire::take(Message.endpoint_reports())}));
     Gate->push(query::router_event(query::reports_arrived{
         From.Vm, wire::take(Message.endpoint_reports())}));
     return;
--- a/src/query/admission_gate.cpp
+++ b/src/query/admission_gate.cpp
@@ -65,11 +65,8 @@
               return A.PerMs / A.Weight < B.PerMs / B.Weight;
             });
   double Weights = 0;
-  double Offered = 0;
-  for (const offered_class &Class : Classes) {
+  for (const offered_class &Class : Classes)
     Weights += Class.Weight;
-    Offered += Class.PerMs;
-  }
   double Left = PerMs;
   for (offered_class &Class : Classes) {
     Class.Granted = std::min(Class.PerMs, Left * Class.Weight / Weights);
@@ -77,7 +74,6 @@
     Left -= Class.Granted;
     Weights -= Class.Weight;
   }
-  Share = Offered > 0 ? std::min(1.0, (PerMs - Left) / Offered) : 1;
 }
 
 } // namespace bulrush::query
--- a/src/query/admission_gate.h
+++ b/src/query/admission_gate.h
@@ -27,9 +27,6 @@
   bool admit(caller_id Caller, double Weight, double Rank, double PerMs,
              instant Now);
 
-  /// The admitted share of all that was offered lately.
-  double share() const { return Share; }
-
 private:
   struct offered_class {
     caller_id Caller;
@@ -48,7 +45,6 @@
   std::vector<offered_class> Classes;
   instant WindowBegan;
   bool Began = false;
-  double Share = 1;
 };
 
 } // namespace bulrush::query
--- a/src/query/cold_start.cpp
+++ b/src/query/cold_start.cpp
@@ -8,9 +8,31 @@
 
 namespace {
 
+/// Tells a sign of warmth that has proved to follow the endpoint's state from
+/// one that may never change: it must have said cold in the same life first.
+class checked_sign {
+public:
+  /// Takes what the sign says; true when it has turned from cold to warm.
+  bool turnsWarm(bool SaysCold, std::uint64_t Generation) {
+    if (SaysCold) {
+      ColdIn = Generation;
+      return false;
+    }
+    const bool Turns = Generation != 0 && ColdIn == Generation;
+    ColdIn = 0;
+    return Turns && !Distrusted;
+  }
+  void distrust() { Distrusted = true; }
+
+private:
+  std::uint64_t ColdIn = 0;
+  bool Distrusted = false;
+};
+
 /// Cold is inferred from what the endpoint does. Cold: one request in flight;
-/// every so many successes open one more slot. The flag in a reply can only
-/// close slots: an endpoint that says it is warm is not believed.
+/// every so many successes open one more slot. All slots open at once when the
+/// endpoint is in a life in which it was warm before, or when a checked sign
+/// turns from cold to warm.
 class inferred_warmth final : public warmth {
 public:
   inferred_warmth(const owner_settings &Settings, std::uint32_t Slots)
@@ -52,16 +74,26 @@
     }
   }
 
-  /// Reports mislead, so one can only close slots, by a new generation.
-  void onHealth(health_state, std::uint64_t Reported) override {
+  /// Reports mislead, so one is not believed before it has been checked.
+  void onHealth(health_state State, std::uint64_t Reported) override {
     if (isNewGeneration(Reported))
       close();
+    if (Reported != Generation)
+      return;
+    const bool SaysCold = State == health_state::cold;
+    if (Health.turnsWarm(SaysCold, Reported) && !Warm)
+      openBySign();
+  }
+
+  void onWarmSeen(std::uint64_t Reported) override {
+    WarmGeneration = Reported;
   }
 
   std::uint32_t open() const override { return Open; }
   instant opensAt() const override { return OpensAt; }
   bool isWarm() const override { return Warm; }
   std::uint32_t epoch() const override { return Epoch; }
+  std::uint64_t warmGeneration() const override { return WarmGeneration; }
 
 private:
   /// Bound of the doubling of the successes that open a slot.
@@ -86,6 +118,7 @@
     Open = 1;
     Successes = 0;
     WasFull = false;
+    OnTrial = false;
     SlowReplies = 0;
     ++Epoch;
   }
@@ -93,12 +126,15 @@
   endpoint_cause onAnswer(const attempt_evidence &Evidence, instant Now) {
     const bool FlagRose = Evidence.Cold && !FlagWasSet;
     FlagWasSet = Evidence.Cold;
+    const bool FlagTurned = Flag.turnsWarm(Evidence.Cold, Evidence.Generation);
     if (Warm && FlagRose) {
       close();
+      WarmGeneration = 0;
       return endpoint_cause::cold_flag;
     }
     if (Warm && isSlow(Evidence) && isJump(Evidence, Now)) {
       close();
+      WarmGeneration = 0;
       Usual = service_time(Settings.FirstServiceTime);
       return endpoint_cause::latency_jump;
     }
@@ -107,8 +143,8 @@
       SlowReplies = 0;
       Usual.add(Evidence.Latency);
     }
-    if (!Warm && Evidence.Epoch == Epoch)
-      climb(Evidence);
+    if (Evidence.Epoch == Epoch)
+      succeed(Evidence, FlagTurned);
     return endpoint_cause::success;
   }
 
@@ -126,6 +162,33 @@
     return ++SlowReplies >= Settings.JumpReplies;
   }
 
+  void succeed(const attempt_evidence &Evidence, bool FlagTurned) {
+    if (Warm) {
+      OnTrial = OnTrial && ++Successes < Needed;
+      return;
+    }
+    const bool WasWarm = WarmGeneration != 0 && !Evidence.Cold &&
+                         Evidence.Generation == WarmGeneration;
+    if (WasWarm)
+      openAll();
+    else if (FlagTurned)
+      openBySign();
+    else
+      climb(Evidence);
+  }
+
+  void openAll() {
+    Warm = true;
+    Open = Slots;
+    Successes = 0;
+    WarmGeneration = Generation;
+  }
+
+  void openBySign() {
+    openAll();
+    OnTrial = true;
+  }
+
   void climb(const attempt_evidence &Evidence) {
     ++Successes;
     WasFull |= Evidence.Saturated;
@@ -136,7 +199,7 @@
     Open = std::min(Open + 1, Slots);
     if (Open < Slots)
       return;
-    Warm = true;
+    openAll();
     Needed = Settings.RampReplies;
   }
 
@@ -144,6 +207,12 @@
                            endpoint_cause Cause, instant Now) {
     if (Evidence.Epoch != Epoch)
       return Cause; // sent before the slots closed
+    if (OnTrial) {
+      Flag.distrust();
+      Health.distrust();
+    }
+    if (Cause == endpoint_cause::shed || Cause == endpoint_cause::timed_out)
+      WarmGeneration = 0; // its life has not changed, yet it bears less
     const bool WasProbe = !Warm && Open == 1;
     if (!Warm && !WasProbe)
       Needed = std::min(Needed * 2, Settings.RampReplies * MostDoubling);
@@ -178,7 +247,11 @@
   millis ProbeDelay;
   std::uint64_t Generation = 0;
   std::uint64_t EarlierGeneration = 0;
+  std::uint64_t WarmGeneration = 0;
   bool FlagWasSet = false;
+  checked_sign Flag;
+  checked_sign Health;
+  bool OnTrial = false; ///< opened by a sign, and not proved since
   service_time Usual;
   std::uint32_t SlowReplies = 0; ///< one after the other
   instant LastSlow;
@@ -202,6 +275,8 @@
   instant opensAt() const override { return {}; }
   bool isWarm() const override { return Warm; }
   std::uint32_t epoch() const override { return Epoch; }
+  void onWarmSeen(std::uint64_t) override {}
+  std::uint64_t warmGeneration() const override { return 0; }
 
 private:
   std::uint32_t Slots;
--- a/src/query/cold_start.h
+++ b/src/query/cold_start.h
@@ -31,12 +31,16 @@
   virtual endpoint_cause onReply(const attempt_evidence &Evidence,
                                  instant Now) = 0;
   virtual void onHealth(health_state State, std::uint64_t Generation) = 0;
+  /// Another owner has seen the endpoint warm in this life.
+  virtual void onWarmSeen(std::uint64_t Generation) = 0;
 
   /// Slots that may be used from `opensAt` on.
   virtual std::uint32_t open() const = 0;
   /// Before this instant nothing may be sent.
   virtual instant opensAt() const = 0;
   virtual bool isWarm() const = 0;
+  /// The life of the endpoint that was seen warm last; 0 for none.
+  virtual std::uint64_t warmGeneration() const = 0;
   /// Changes when slots close.
   virtual std::uint32_t epoch() const = 0;
 };
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -82,7 +82,8 @@
   std::uint32_t Limit = 0; ///< in-flight requests allowed now
   std::uint32_t Queued = 0;
   std::vector<held_snapshot> Held;
-  double AdmitShare = 1; ///< share of the offered work that it takes now, 0..1
+  std::uint64_t WarmGeneration =
+      0; ///< life in which it was seen warm last; 0 for none
 };
 
 } // namespace bulrush::query
--- a/src/query/owner.cpp
+++ b/src/query/owner.cpp
@@ -19,7 +19,8 @@
 
 owner::impl::impl(const deployment &World, const owner_settings &Settings)
     : World(World), Settings(Settings), Work(Memory),
-      Endpoints(World.Endpoints.size()), Wakes(World.Endpoints.size()) {}
+      Endpoints(World.Endpoints.size()),
+      WarmGenerations(World.Endpoints.size()), Wakes(World.Endpoints.size()) {}
 
 void owner::impl::step(owner_event &&Event, instant Now,
                        std::vector<owner_action> &Out) {
@@ -120,6 +121,13 @@
   settle(*Endpoint, In);
 }
 
+/// A new owner knows from them in which life an endpoint was warm.
+void owner::impl::on(reports_heard &&Event, context &) {
+  for (const endpoint_report &Report : Event.Reports)
+    if (Report.Endpoint.Value < WarmGenerations.size())
+      WarmGenerations[Report.Endpoint.Value] = Report.WarmGeneration;
+}
+
 void owner::impl::on(config_changed &&Event, context &In) {
   if (Event.Config.Revision < Config.Revision)
     return;
@@ -174,6 +182,8 @@
     return;
   Endpoint.InheritedUntil = Grant.InheritedUntil;
   Endpoint.Warmth->forget();
+  if (!WasGranted)
+    Endpoint.Warmth->onWarmSeen(WarmGenerations[Grant.Endpoint.Value]);
   Endpoint.Limit.reset();
   Endpoint.NextHealth = In.Now;
   Endpoint.ReportDue = true;
--- a/src/query/owner_events.h
+++ b/src/query/owner_events.h
@@ -79,6 +79,11 @@
   instant InheritedUntil; ///< an earlier owner's work may run until then
 };
 
+/// What other owners say of their endpoints.
+struct reports_heard {
+  std::vector<endpoint_report> Reports;
+};
+
 /// All endpoints that this daemon owns from now on; the others are lost.
 struct ownership_changed {
   std::vector<owner_grant> Grants;
@@ -86,8 +91,8 @@
 
 using owner_event =
     std::variant<batch_arrived, cancel_arrived, endpoint_replied,
-                 health_arrived, config_changed, ownership_changed,
-                 stop_requested, timer_fired>;
+                 health_arrived, reports_heard, config_changed,
+                 ownership_changed, stop_requested, timer_fired>;
 
 /// Send one request to an endpoint; ends with one `endpoint_replied`.
 struct send_to_endpoint {
--- a/src/query/owner_impl.h
+++ b/src/query/owner_impl.h
@@ -25,6 +25,7 @@
   void on(cancel_arrived &&Event, context &In);
   void on(endpoint_replied &&Event, context &In);
   void on(health_arrived &&Event, context &In);
+  void on(reports_heard &&Event, context &In);
   void on(config_changed &&Event, context &In);
   void on(ownership_changed &&Event, context &In);
   void on(stop_requested &&Event, context &In);
@@ -81,6 +82,7 @@
   std::pmr::unsynchronized_pool_resource Memory;
   work_table Work;
   std::vector<std::unique_ptr<owned_endpoint>> Endpoints; ///< by number
+  std::vector<std::uint64_t> WarmGenerations; ///< heard, by endpoint
   wake_heap Wakes;
   instant TimerAt = Never;
   bool Stopping = false;
--- a/src/query/owner_service.cpp
+++ b/src/query/owner_service.cpp
@@ -258,10 +258,14 @@
   Endpoint.LastReport = In.Now;
   Endpoint.ReportedCondition = Condition;
   Endpoint.ReportedLimit = Limit;
-  In.Out.emplace_back(
-      publish_report{{Endpoint.World.Id, Condition, Limit,
-                      static_cast<std::uint32_t>(Endpoint.Queue->size()),
-                      Endpoint.Held, Endpoint.Gate.share()}});
+  endpoint_report Report;
+  Report.Endpoint = Endpoint.World.Id;
+  Report.Condition = Condition;
+  Report.Limit = Limit;
+  Report.Queued = static_cast<std::uint32_t>(Endpoint.Queue->size());
+  Report.Held = Endpoint.Held;
+  Report.WarmGeneration = Endpoint.Warmth->warmGeneration();
+  In.Out.emplace_back(publish_report{std::move(Report)});
 }
 
 } // namespace bulrush::query
--- a/src/query/owner_settings.h
+++ b/src/query/owner_settings.h
@@ -43,7 +43,8 @@
   millis LongestProbeDelay{1000}; ///< bound of the doubling
   double JumpFactor = 4;          ///< a latency jump is this times the usual
   std::uint32_t JumpReplies = 3;  ///< consecutive slow replies of a jump
-  std::uint32_t RampReplies = 10; ///< successes that open one more cold slot
+  std::uint32_t RampReplies = 64; ///< successes that open one more cold slot,
+                                  ///< where nothing better is known
   std::uint32_t RaiseReplies =
       50; ///< successes that raise a lowered limit by one
 
--- a/src/wire/query_codec.cpp
+++ b/src/wire/query_codec.cpp
@@ -92,6 +92,7 @@
   To.set_condition(static_cast<std::uint32_t>(From.Condition));
   To.set_limit(From.Limit);
   To.set_queued(From.Queued);
+  To.set_warm_generation(From.WarmGeneration);
   for (const query::held_snapshot &Held : From.Held) {
     HeldSnapshot &Out = *To.add_held();
     Out.set_snapshot(Held.Snapshot.Value);
@@ -107,6 +108,7 @@
   To.Condition = conditionOf(From.condition());
   To.Limit = From.limit();
   To.Queued = From.queued();
+  To.WarmGeneration = From.warm_generation();
   for (const HeldSnapshot &Held : From.held()) {
     query::held_snapshot &Out = To.Held.emplace_back();
     Out.Snapshot.Value = Held.snapshot();
--- a/test/unit/owner_cold_test.cpp
+++ b/test/unit/owner_cold_test.cpp
@@ -172,3 +172,74 @@
   Given.grantAll({5000});
   CHECK(sentOf(Given) == 1);
 }
+
+TEST_CASE("an endpoint in a life in which it was warm opens after one success",
+          "[owner][cold]") {
+  owner_fixture Given(3);
+
+  SECTION("seen by this owner before its lease ran out") {
+    Given.grantAll({5000});
+    Given.answer(Given.request(), reply_kind::answered, withGeneration(5));
+    Given.warm();
+    Given.Now = Given.Now + millis{6000};
+  }
+  SECTION("told by the owner before it") {
+    endpoint_report Report;
+    Report.WarmGeneration = 5;
+    Given.step(reports_heard{{Report}});
+  }
+  Given.grantAll({5000});
+  CHECK(sentOf(Given, 1) == 1);
+  Given.answer({Given.NextSub}, reply_kind::answered, withGeneration(5));
+  CHECK(sentOf(Given) == 3);
+}
+
+TEST_CASE("a life that was warm proves nothing of the next one",
+          "[owner][cold]") {
+  owner_fixture Given(3);
+  endpoint_report Report;
+  Report.WarmGeneration = 5;
+  Given.step(reports_heard{{Report}});
+  Given.grantAll();
+  Given.answer(Given.request(), reply_kind::answered, withGeneration(6));
+  CHECK(sentOf(Given) == 1);
+}
+
+TEST_CASE("a sign of warmth counts when it said cold in the same life",
+          "[owner][cold]") {
+  owner_fixture Given(3);
+  Given.grantAll();
+
+  SECTION("the flag") {
+    Given.answer(Given.request(), reply_kind::answered,
+                 withGeneration(5, true));
+    Given.answer(Given.request(), reply_kind::answered, withGeneration(5));
+    CHECK(sentOf(Given) == 3);
+  }
+  SECTION("the health report") {
+    Given.answer(Given.request(), reply_kind::answered, withGeneration(5));
+    Given.step(health_arrived{{0}, health_state::cold, 5, 0, {}});
+    Given.step(health_arrived{{0}, health_state::warm, 5, 0, {}});
+    CHECK(sentOf(Given) == 3);
+  }
+  SECTION("not a report of an earlier life") {
+    Given.answer(Given.request(), reply_kind::answered, withGeneration(5));
+    Given.step(health_arrived{{0}, health_state::cold, 5, 0, {}});
+    Given.answer(Given.request(), reply_kind::answered, withGeneration(6));
+    Given.step(health_arrived{{0}, health_state::warm, 5, 0, {}});
+    CHECK(sentOf(Given) == 1);
+  }
+}
+
+TEST_CASE("a sign that misled once is not believed again", "[owner][cold]") {
+  owner_fixture Given(3);
+  Given.grantAll();
+  for (int I = 0; I < 2; ++I) {
+    Given.answer(Given.request(), reply_kind::answered,
+                 withGeneration(5, true));
+    Given.answer(Given.request(), reply_kind::answered, withGeneration(5));
+    Given.answer(Given.request(), reply_kind::shed);
+    Given.advance({30});
+  }
+  CHECK(sentOf(Given) == 1);
+}
