Router fuzz: tighter budget, early ends and cancels are checked

Cause: trial mutants of the budget, of an early end and of missing cancels passed. Change: the oracle sees actions in order, checks that nothing of an answered query runs on uncancelled and that no shard is given up while an attempt runs; cancels of a restart leave before its new batches. Conclusion: the mutants are caught.

--- a/src/query/router_search.cpp
+++ b/src/query/router_search.cpp
@@ -153,6 +153,7 @@
     return false;
   ++Query.Repins;
   cancelPending(Query);
+  Outbox.flushCancels(*Out);
   scatter(Query, *Other, true);
   return true;
 }
--- a/test/fuzz/router_fuzz.cpp
+++ b/test/fuzz/router_fuzz.cpp
@@ -15,7 +15,8 @@
 
 constexpr std::uint32_t Shards = 4;
 constexpr std::uint32_t EndpointCount = 2 * Shards;
-constexpr double ExtraShare = 0.5; // as in makeIntents()
+constexpr percent ExtraLoad{10};
+constexpr millis Deadline{50}; // as in makeIntents()
 constexpr std::size_t IntentCount = 2;
 
 /// Snapshot 8 splits each shard in two.
@@ -28,6 +29,7 @@
   bool IsWhole = false;
   bool Gone = false;
   bool Ran = false;
+  instant Arrived = Never; ///< when its first attempt was sent
   std::uint32_t Answers = 0;
   std::uint32_t CommandSends = 0;
   outcome Outcome = outcome::unknown;
@@ -41,7 +43,9 @@
 /// The router, the messages under way and the oracle.
 class world {
 public:
-  world() : Driven(Shards, settings()) {}
+  world() : Driven(Shards, settings()) {
+    Driven.step(config_changed{{{1}, makeIntents(ExtraLoad), {}, {}}});
+  }
 
   void search(std::uint32_t Choice) {
     const query_id Id{++LastQuery};
@@ -145,15 +149,18 @@
 
   void suspect(std::uint32_t Choice) {
     const vm_id Vm{Choice / 2 % 3};
-    if (Choice % 2 == 0)
+    if (Choice % 2 == 0) {
+      Suspected.insert(Vm);
       Driven.step(vm_suspected{Vm});
-    else
+    } else {
+      Suspected.erase(Vm);
       Driven.step(vm_recovered{Vm});
+    }
     look();
   }
 
   void configure(std::uint32_t Choice) {
-    fleet_config Config{{++Revision}, makeIntents(), {}, {}};
+    fleet_config Config{{++Revision}, makeIntents(ExtraLoad), {}, {}};
     if (Choice % 3 < 2)
       Config.ZonesOut.push_back({static_cast<std::uint16_t>(Choice % 3)});
     if (Choice % 2 == 1)
@@ -194,6 +201,7 @@
   static router_settings settings() {
     router_settings Settings;
     Settings.Hedge.OpenShare = 1;
+    Settings.Retry.InitialTokens = 5;
     Settings.Hedge.InitialShare = 0.1;
     return Settings;
   }
@@ -215,11 +223,14 @@
 
   /// Checks all that the router has asked for.
   void look() {
-    for (const send_cancel &Cancel : Driven.take<send_cancel>())
-      for (const sub_id Sub : Cancel.Subs)
-        Attempts.erase(Sub);
-    for (const sub_request &Request : Driven.takeRequests())
-      checkRequest(Request);
+    Cancelled.clear();
+    for (const router_action &Action : Driven.Out) {
+      if (const auto *Sent = std::get_if<send_batch>(&Action))
+        for (const sub_request &Request : Sent->Batch.Items)
+          checkRequest(Request);
+      if (const auto *Cancel = std::get_if<send_cancel>(&Action))
+        cancel(*Cancel);
+    }
     for (const ledger_start &Start : Driven.take<ledger_start>())
       Starts.push_back(Start);
     for (const send_answer &Sent : Driven.take<send_answer>())
@@ -227,13 +238,21 @@
     for (const count_retry &Retry : Driven.take<count_retry>())
       CountedExtra += Retry.Count;
     RC_ASSERT(CountedExtra == Extra);
-    const double Tokens = router_settings{}.Retry.InitialTokens * IntentCount;
-    RC_ASSERT(Extra <= ExtraShare * Primaries + Tokens);
+    const double Tokens = settings().Retry.InitialTokens * IntentCount;
+    RC_ASSERT(Extra <= ExtraLoad.share() * Primaries + Tokens);
     Driven.Out.clear();
   }
 
+  void cancel(const send_cancel &Cancel) {
+    for (const sub_id Sub : Cancel.Subs)
+      if (Attempts.count(Sub) > 0)
+        Cancelled.insert(Attempts.extract(Sub));
+  }
+
   void checkRequest(const sub_request &Request) {
     known_query &Query = Queries[Request.Query];
+    if (Request.Attempt == 0)
+      Query.Arrived = std::min(Query.Arrived, Driven.Now);
     RC_ASSERT(IsReady);
     RC_ASSERT(Seen.insert(Request.Sub).second);
     RC_ASSERT(Request.IsCommand == Query.IsCommand);
@@ -286,6 +305,7 @@
       RC_ASSERT(!Query.Ran);
     if (Query.IsCommand)
       return;
+    checkNothingRuns(Id);
     if (Answer.Outcome != outcome::answered) {
       RC_ASSERT(Answer.Reason != refusal::none);
       RC_ASSERT(Answer.Results.empty());
@@ -308,11 +328,29 @@
       RC_ASSERT(Named.insert(Result.Shard).second);
     }
     RC_ASSERT(Named.size() == Total);
+    if (Driven.Now < Query.Arrived + Deadline)
+      checkNotCutShort(Id, Answer);
+  }
+
+  void checkNothingRuns(query_id Id) const {
+    for (const auto &[Sub, Request] : Attempts)
+      RC_ASSERT(Request.Query != Id);
+  }
+
+  /// Before the deadline no shard is given up while an attempt at it runs,
+  /// unless its owner is lost.
+  void checkNotCutShort(query_id Id, const answer &Answer) const {
+    for (const auto &[Sub, Request] : Cancelled)
+      if (Request.Query == Id &&
+          Suspected.count(Driven.ownerOf(Request.Endpoint.Value)) == 0)
+        for (const shard_id Missing : Answer.Missing)
+          RC_ASSERT(Missing != Request.Shard);
   }
 
   driven_router Driven;
   std::map<query_id, known_query> Queries;
-  std::map<sub_id, sub_request> Attempts; ///< neither ended nor cancelled
+  std::map<sub_id, sub_request> Attempts;  ///< neither ended nor cancelled
+  std::map<sub_id, sub_request> Cancelled; ///< in the last step
   std::map<query_id, snapshot_id> Pinned;
   mutable std::set<query_id> Restarted;
   std::set<sub_id> Seen;
@@ -320,6 +358,7 @@
   std::vector<sub_reply> Replies;
   std::vector<ledger_start> Starts;
   std::map<std::uint32_t, endpoint_condition> Conditions;
+  std::set<vm_id> Suspected;
   fleet_config Out;
   bool IsReady = true;
   std::uint64_t LastQuery = 0;
--- a/test/query_fixture.h
+++ b/test/query_fixture.h
@@ -37,10 +37,10 @@
   return Deployment;
 }
 
-inline std::vector<intent> makeIntents() {
+inline std::vector<intent> makeIntents(percent ExtraLoad = {50}) {
   intent Any;
   Any.Name = {"any"};
-  Any.ExtraLoad = {50};
+  Any.ExtraLoad = ExtraLoad;
   intent Whole = Any;
   Whole.Name = {"whole"};
   Whole.Caller = "billing";
--- a/test/unit/router_attempts_test.cpp
+++ b/test/unit/router_attempts_test.cpp
@@ -88,11 +88,7 @@
   Settings.Retry.MaxTokens = 8;
   Settings.Retry.InitialTokens = 8;
   driven_router Driven(20, Settings);
-  Driven.step(config_changed{{{2}, {makeIntents()[0]}, {}, {}}});
-  std::vector<intent> Intents = makeIntents();
-  for (intent &Intent : Intents)
-    Intent.ExtraLoad = {0};
-  Driven.step(config_changed{{{3}, Intents, {}, {}}});
+  Driven.step(config_changed{{{2}, makeIntents({0}), {}, {}}});
   teachLatency(Driven, 20);
   std::size_t Hedges = 0;
   for (std::uint64_t Number = 0; Number < 20; ++Number) {
@@ -140,9 +136,7 @@
   router_settings Settings;
   Settings.Retry.InitialTokens = 0;
   driven_router Driven(2, Settings);
-  std::vector<intent> Intents = makeIntents();
-  Intents[0].ExtraLoad = {0};
-  Driven.step(config_changed{{{2}, Intents, {}, {}}});
+  Driven.step(config_changed{{{2}, makeIntents({0}), {}, {}}});
   Driven.search(1);
   for (const sub_request &Request : Driven.takeRequests()) {
     sub_reply Refused = Driven.refusalOf(Request, refusal::endpoint_shed);
