--- a/src/daemon/endpoint_gateway.cpp
+++ b/src/daemon/endpoint_gateway.cpp
@@ -14,7 +14,8 @@
 
 /// Kept free of request connections, for cancels and health probes.
 constexpr std::size_t SpareConnections = 2;
-constexpr millis ExchangeMargin{5'000};
+/// A slot's second connection serves while the first waits for a late reply.
+constexpr std::size_t ConnectionsPerSlot = 2;
 
 std::string idText(vm_id Vm, incarnation_id Incarnation, std::uint64_t Number) {
   return std::to_string(Vm.Value) + '-' + std::to_string(Incarnation.Value) +
@@ -69,6 +70,13 @@
   return reply_kind::shed;
 }
 
+/// A reply that the request began to run and was cut.
+query::reply_kind cutKind(const std::string *Reason) {
+  if (Reason && *Reason == "cancelled")
+    return query::reply_kind::cancelled_running;
+  return query::reply_kind::expired_running;
+}
+
 query::reply_kind kindOf(const http::exchange_result &Result) {
   using query::reply_kind;
   if (Result.Status == http::exchange_status::connect_failed ||
@@ -82,6 +90,8 @@
     return reply_kind::answered;
   if (Outcome && *Outcome == "not_run")
     return refusedKind(http::findHeader(Headers, "Bulrush-Reason"));
+  if (Outcome && *Outcome == "unknown")
+    return cutKind(http::findHeader(Headers, "Bulrush-Reason"));
   return reply_kind::connection_lost;
 }
 
@@ -180,7 +190,8 @@
     const std::size_t Spare = std::min(SpareConnections, Most - 1);
     http::client_settings Settings;
     Settings.Server = Endpoint.Address;
-    Settings.MaxConnections = Most - Spare;
+    Settings.MaxConnections = std::min<std::size_t>(
+        Most - Spare, Endpoint.Limits.Slots * ConnectionsPerSlot);
     Out.Requests = std::make_unique<http::client>(Io, Settings);
     Settings.MaxConnections = Spare;
     Out.Probes = std::make_unique<http::client>(Io, Settings);
@@ -253,7 +264,11 @@
 }
 
 void endpoint_gateway::retire(endpoint_id Endpoint) {
-  State->Clients.erase(Endpoint);
+  const auto Found = State->Clients.find(Endpoint);
+  if (Found == State->Clients.end())
+    return;
+  Found->second.Requests->closeIdle();
+  Found->second.Probes->closeIdle();
 }
 
 } // namespace bulrush::daemon
