--- /dev/null
+++ b/bench/micro/router_bench.cpp
@@ -0,0 +1,235 @@
+/// Microbenchmarks of the router: a query to 170 shards, one hedge decision,
+/// the memory of a directory of 17,000 endpoints.
+#include "micro/bounds.h"
+#include "query/router.h"
+
+#include <chrono>
+#include <cstdio>
+#include <malloc.h>
+
+namespace {
+
+using namespace bulrush;
+using namespace bulrush::query;
+
+constexpr std::uint32_t QueryShards = 170;
+constexpr std::uint32_t Replicas = 2;
+constexpr std::uint32_t TargetEndpoints = 17'000;
+constexpr std::uint32_t Owners = 24; ///< daemons of one slice
+constexpr millis ServiceTime{2};
+
+class modulo_owners final : public owner_directory {
+public:
+  vm_id ownerOf(const std::vector<vm_id> &Live,
+                endpoint_id Endpoint) const override {
+    return Live[Endpoint.Value % Live.size()];
+  }
+};
+
+/// Pools of 170 shards with two replicas each, until there are `Endpoints`.
+deployment makeDeployment(std::uint32_t Endpoints) {
+  deployment Deployment;
+  for (std::uint32_t Number = 0; Number < Endpoints; ++Number) {
+    const auto Pool =
+        static_cast<std::uint16_t>(Number / (QueryShards * Replicas));
+    endpoint Endpoint;
+    Endpoint.Id = {Number};
+    Endpoint.Pool = {Pool};
+    Endpoint.Limits.Slots = 2;
+    if (Pool == Deployment.Pools.size())
+      Deployment.Pools.push_back({{Pool}, "", QueryShards, Replicas, {}});
+    Deployment.Pools.back().Endpoints.push_back(Endpoint.Id);
+    Deployment.Endpoints.push_back(Endpoint);
+  }
+  Deployment.Callers.push_back({{0}, "driver", {0}, ""});
+  return Deployment;
+}
+
+/// A router with its outside in memory.
+class bench_router {
+public:
+  bench_router(std::uint32_t Endpoints, router_settings Settings)
+      : Router(makeDeployment(Endpoints), {0},
+               std::make_unique<modulo_owners>(), Settings) {
+    membership Members{1, {}};
+    for (std::uint32_t Number = 0; Number < Owners; ++Number)
+      Members.Live.push_back({Number});
+    intent Intent;
+    Intent.Name = {"any"};
+    step(membership_changed{Members});
+    step(config_changed{{{1}, {Intent}, {}, {}}});
+    step(readiness_changed{true});
+    for (std::uint32_t Number = 0; Number < Endpoints; ++Number) {
+      const shard_id Shard{Number % QueryShards};
+      endpoint_report Report;
+      Report.Endpoint = {Number};
+      Report.Condition = endpoint_condition::warm;
+      Report.Limit = 2;
+      Report.Held = {{{7}, QueryShards, {Shard}}, {{8}, QueryShards, {Shard}}};
+      step(reports_arrived{{Number % Owners}, {Report}});
+    }
+  }
+
+  void step(const router_event &Event) {
+    Out.clear();
+    Router.step(Event, Now, Out);
+  }
+
+  /// Sends a search and keeps the replies of the owners, without the last
+  /// `Stragglers` ones.
+  void search(std::uint32_t Stragglers) {
+    ++Query;
+    step(search_arrived{{Query}, {0}, "bays", Body, "request"});
+    Replies.clear();
+    collectReplies();
+    Late.clear();
+    for (std::uint32_t Number = 0; Number < Stragglers; ++Number) {
+      Late.push_back(Replies.back().Replies.back());
+      Replies.back().Replies.pop_back();
+    }
+  }
+
+  void reply() {
+    Now = Now + ServiceTime;
+    for (const replies_arrived &Event : Replies)
+      step(Event);
+  }
+
+  void wait(millis Time) {
+    Now = Now + Time;
+    step(timer_fired{});
+  }
+
+  bool hasSent() const {
+    for (const router_action &Action : Out)
+      if (std::holds_alternative<send_batch>(Action))
+        return true;
+    return false;
+  }
+
+  void replyLate() {
+    for (const sub_reply &Reply : Late)
+      step(replies_arrived{{0}, {Reply}});
+  }
+
+  std::size_t active() const { return Router.active(); }
+
+private:
+  void collectReplies() {
+    for (const router_action &Action : Out) {
+      const auto *Sent = std::get_if<send_batch>(&Action);
+      if (!Sent)
+        continue;
+      replies_arrived Event{Sent->To, {}};
+      for (const sub_request &Item : Sent->Batch.Items) {
+        sub_reply Reply;
+        Reply.Sub = Item.Sub;
+        Reply.Query = Item.Query;
+        Reply.Endpoint = Item.Endpoint;
+        Reply.Shard = Item.Shard;
+        Reply.Snapshot = Item.Snapshot;
+        Reply.Outcome = outcome::answered;
+        Reply.Body = Body;
+        Event.Replies.push_back(Reply);
+      }
+      Replies.push_back(std::move(Event));
+    }
+  }
+
+  router Router;
+  instant Now{1000};
+  std::uint64_t Query = 0;
+  shared_body Body = std::make_shared<std::string>("{}");
+  std::vector<router_action> Out;
+  std::vector<replies_arrived> Replies;
+  std::vector<sub_reply> Late;
+};
+
+void routeAndGather(benchmark::State &State, std::uint32_t ExplainQueries) {
+  router_settings Settings;
+  Settings.ExplainQueries = ExplainQueries;
+  bench_router Bench(QueryShards * Replicas, Settings);
+  for (auto Unused : State) {
+    (void)Unused;
+    Bench.search(0);
+    Bench.reply();
+  }
+  if (Bench.active() != 0)
+    State.SkipWithError("a query has no answer");
+}
+
+void routeExplained(benchmark::State &State) {
+  routeAndGather(State, router_settings{}.ExplainQueries);
+}
+
+void routeUnexplained(benchmark::State &State) { routeAndGather(State, 0); }
+
+/// One timer event in which one straggler of 170 is due and hedged.
+void hedgeDecision(benchmark::State &State) {
+  router_settings Settings;
+  Settings.Retry.InitialTokens = 1e9;
+  Settings.Retry.MaxTokens = 1e9;
+  bench_router Bench(QueryShards * Replicas, Settings);
+  for (int Query = 0; Query < 100; ++Query) {
+    Bench.search(0);
+    Bench.reply();
+  }
+  bool Hedged = true;
+  for (auto Unused : State) {
+    (void)Unused;
+    Bench.search(1);
+    Bench.reply();
+    const auto Start = std::chrono::steady_clock::now();
+    Bench.wait(ServiceTime);
+    const auto End = std::chrono::steady_clock::now();
+    Hedged = Hedged && Bench.hasSent();
+    State.SetIterationTime(std::chrono::duration<double>(End - Start).count());
+    Bench.replyLate();
+  }
+  if (!Hedged)
+    State.SkipWithError("a straggler was not hedged");
+}
+
+constexpr int Repetitions = 10;
+constexpr std::size_t MaxDirectoryBytes = 16U << 20;
+
+BENCHMARK(micro::referenceLoop)->Name("reference")->Repetitions(Repetitions);
+BENCHMARK(routeExplained)->Repetitions(Repetitions);
+BENCHMARK(routeUnexplained)->Repetitions(Repetitions);
+BENCHMARK(hedgeDecision)
+    ->Repetitions(Repetitions)
+    ->Iterations(2000)
+    ->UseManualTime();
+
+/// The directory, with everything else that a router keeps for its endpoints.
+bool checkMemory() {
+  const std::size_t Before = mallinfo2().uordblks;
+  router_settings Settings;
+  Settings.ExplainQueries = 0;
+  const bench_router Bench(TargetEndpoints, Settings);
+  const std::size_t Used = mallinfo2().uordblks - Before;
+  const bool Ok = Used <= MaxDirectoryBytes;
+  std::printf("%s directory of %u endpoints: %.2f MB, at most %.2f MB (letter "
+              "1: control fits 32 MB a daemon; half of it)\n",
+              Ok ? "holds" : "BROKEN", TargetEndpoints, Used / 1048576.0,
+              MaxDirectoryBytes / 1048576.0);
+  return Ok;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  benchmark::Initialize(&Count, Arguments);
+  micro::shortest_reporter Reporter;
+  benchmark::RunSpecifiedBenchmarks(&Reporter);
+  const bool Fast = Reporter.check({
+      {"routeExplained", "reference", 0.3,
+       "letter 1: 164 queries a second a daemon, in 5% of a core"},
+      {"hedgeDecision", "reference", 0.004,
+       "letter 1: 8 hedges a query, in 0.5% of a core"},
+      {"routeExplained", "routeUnexplained", 1.03,
+       "issue 5: explain costs at most 3% CPU"},
+  });
+  const bool Fits = checkMemory();
+  return Fast && Fits ? 0 : 1;
+}
