Router: the log of attempts moves into the memory of decisions

Change: gather keeps all attempts in one log, numbered by their place; at the end of a query the log is exchanged with the oldest record's. Repetitions of the microbenchmark run in random order.

--- a/bench/micro/bounds.h
+++ b/bench/micro/bounds.h
@@ -33,6 +33,18 @@
   }
 }
 
+/// Puts flags before the caller's own: short repetitions in random order, so
+/// that a change of the machine's load meets all benchmarks alike.
+inline std::vector<char *> withDefaults(int Count, char **Arguments) {
+  static std::string MinTime = "--benchmark_min_time=0.02";
+  static std::string Order = "--benchmark_enable_random_interleaving=true";
+  static std::string Display = "--benchmark_display_aggregates_only=true";
+  std::vector<char *> All{Arguments[0], MinTime.data(), Order.data(),
+                          Display.data()};
+  All.insert(All.end(), Arguments + 1, Arguments + Count);
+  return All;
+}
+
 /// Keeps the shortest time of each benchmark's repetitions, in nanoseconds.
 class shortest_reporter final : public benchmark::ConsoleReporter {
 public:
--- a/src/query/gather.cpp
+++ b/src/query/gather.cpp
@@ -3,8 +3,9 @@
 namespace bulrush::query {
 
 void gather::begin(snapshot_id NewSnapshot, std::uint32_t NewTotal,
-                   sub_id NewFirstSub) {
-  Pending = 0;
+                   sub_id NewFirstSub, instant NewArrived) {
+  Arrived = NewArrived;
+  Log.clear();
   beginAgain(NewSnapshot, NewTotal, NewFirstSub);
   MayHaveRun = false;
 }
@@ -15,6 +16,7 @@
   Snapshot = NewSnapshot;
   Total = NewTotal;
   FirstSub = NewFirstSub;
+  FirstPlace = static_cast<std::uint32_t>(Log.size());
   Covered = 0;
   Lost = 0;
   Pending = 0;
@@ -24,50 +26,35 @@
     Shards[Shard] = shard_progress{};
 }
 
-bool gather::contains(sub_id Sub) const {
-  return Sub >= FirstSub && Sub.Value - FirstSub.Value < subsNeeded(Total);
-}
-
-shard_id gather::shardOf(sub_id Sub) const {
-  return {
-      static_cast<std::uint32_t>((Sub.Value - FirstSub.Value) / MaxAttempts)};
-}
-
 sub_id gather::subOf(shard_id Shard, std::uint32_t Attempt) const {
-  return {FirstSub.Value + std::uint64_t{Shard.Value} * MaxAttempts + Attempt};
-}
-
-attempt &gather::attemptOf(sub_id Sub) {
-  const std::uint64_t Place = (Sub.Value - FirstSub.Value) % MaxAttempts;
-  return (*this)[shardOf(Sub)].Attempts[Place];
+  return {FirstSub.Value + (*this)[Shard].Attempts[Attempt] - FirstPlace};
 }
 
-const attempt *gather::find(sub_id Sub) const {
-  if (!contains(Sub))
+const attempt_record *gather::find(sub_id Sub) const {
+  const std::uint64_t Count = Log.size() - FirstPlace;
+  if (Sub < FirstSub || Sub.Value - FirstSub.Value >= Count)
     return nullptr;
-  const shard_progress &Shard = (*this)[shardOf(Sub)];
-  const std::uint64_t Place = (Sub.Value - FirstSub.Value) % MaxAttempts;
-  return Place < Shard.Count ? &Shard.Attempts[Place] : nullptr;
+  return &Log[FirstPlace + (Sub.Value - FirstSub.Value)];
 }
 
-sub_id gather::add(shard_id Id, const attempt &Attempt) {
-  shard_progress &Shard = (*this)[Id];
-  const sub_id Sub = subOf(Id, Shard.Count);
-  Shard.Attempts[Shard.Count] = Attempt;
+sub_id gather::add(const attempt_record &Attempt) {
+  shard_progress &Shard = (*this)[Attempt.Shard];
+  Shard.Attempts[Shard.Count] = static_cast<std::uint32_t>(Log.size());
+  Log.push_back(Attempt);
   ++Shard.Count;
   ++Shard.Pending;
   ++Pending;
   Shard.RetryAt = Never;
-  return Sub;
+  return subOf(Attempt.Shard, Shard.Count - 1U);
 }
 
 void gather::endAttempt(sub_id Sub, attempt_state State, refusal Reason,
                         instant Now) {
-  attempt &Attempt = attemptOf(Sub);
+  attempt_record &Attempt = Log[FirstPlace + (Sub.Value - FirstSub.Value)];
   Attempt.State = State;
   Attempt.Reason = Reason;
-  Attempt.EndedAt = Now;
-  --(*this)[shardOf(Sub)].Pending;
+  Attempt.EndedAfterMs = static_cast<float>((Now - Arrived).Count);
+  --(*this)[Attempt.Shard].Pending;
   --Pending;
 }
 
@@ -78,14 +65,14 @@
 }
 
 reply_meaning gather::accept(const sub_reply &Reply, instant Now) {
-  const attempt *Known = find(Reply.Sub);
+  const attempt_record *Known = find(Reply.Sub);
   if (!Known)
     return reply_meaning::ignored;
   if (Reply.Outcome != outcome::not_run)
     MayHaveRun = true;
   if (Known->State != attempt_state::pending)
     return reply_meaning::ignored;
-  const shard_id Id = shardOf(Reply.Sub);
+  const shard_id Id = Known->Shard;
   const bool IsResult = Reply.Outcome == outcome::answered && Reply.Body;
   const bool IsPinned = Reply.Snapshot == Snapshot && Reply.Shard == Id &&
                         Reply.Endpoint == Known->Endpoint;
--- a/src/query/gather.h
+++ b/src/query/gather.h
@@ -13,29 +13,17 @@
 /// Attempts for one shard of one query, the primary included.
 inline constexpr std::uint32_t MaxAttempts = 4;
 
-/// One attempt for one shard.
-struct attempt {
-  endpoint_id Endpoint;
-  vm_id Owner;
-  instant SentAt;
-  instant EndedAt;
-  attempt_state State = attempt_state::pending;
-  refusal Reason = refusal::none;
-  bool IsPrimary = true;
-  retry_reason Cause = retry_reason::hedge;
-};
-
 /// The progress of one shard.
 struct shard_progress {
-  std::array<attempt, MaxAttempts> Attempts;
-  std::uint32_t Count = 0;   ///< attempts made
-  std::uint32_t Pending = 0; ///< attempts that run
+  std::array<std::uint32_t, MaxAttempts> Attempts{}; ///< places in the log
+  std::uint8_t Count = 0;                            ///< attempts made
+  std::uint8_t Pending = 0;                          ///< attempts that run
   bool Covered = false;
   bool Lost = false;        ///< it can no longer be covered
   bool HedgeClosed = false; ///< no further hedge is to be considered
+  retry_reason RetryCause = retry_reason::lost;
   instant HedgeAt = Never;
   instant RetryAt = Never;
-  retry_reason RetryCause = retry_reason::lost;
   shared_body Body;
 
   bool isOpen() const { return !Covered && !Lost; }
@@ -53,9 +41,10 @@
 /// pinned snapshot and of the attempt's own shard counts.
 class gather {
 public:
-  /// Starts a query. Attempts are numbered from `FirstSub`; a reply to an
-  /// attempt outside of the `subsNeeded(Total)` numbers is ignored.
-  void begin(snapshot_id Snapshot, std::uint32_t Total, sub_id FirstSub);
+  /// Starts a query that arrived at `Arrived`. Its attempts get `subsNeeded`
+  /// numbers from `FirstSub` on; a reply to any other is ignored.
+  void begin(snapshot_id Snapshot, std::uint32_t Total, sub_id FirstSub,
+             instant Arrived);
   /// Starts the same query again on another snapshot.
   void beginAgain(snapshot_id Snapshot, std::uint32_t Total, sub_id FirstSub);
   static std::uint64_t subsNeeded(std::uint32_t Total) {
@@ -63,7 +52,7 @@
   }
 
   /// Records a new attempt. The shard must be open, with attempts left.
-  sub_id add(shard_id Shard, const attempt &Attempt);
+  sub_id add(const attempt_record &Attempt);
 
   /// Takes a reply.
   reply_meaning accept(const sub_reply &Reply, instant Now);
@@ -74,10 +63,19 @@
   /// Gives a shard up.
   void markLost(shard_id Shard);
 
-  /// The attempt of a number, or null.
-  const attempt *find(sub_id Sub) const;
-  shard_id shardOf(sub_id Sub) const;
+  /// The attempt of a number on the present snapshot, or null.
+  const attempt_record *find(sub_id Sub) const;
+
+  /// The number of a shard's attempt, and the attempt.
   sub_id subOf(shard_id Shard, std::uint32_t Attempt) const;
+  const attempt_record &attempt(shard_id Shard, std::uint32_t Attempt) const {
+    return Log[(*this)[Shard].Attempts[Attempt]];
+  }
+
+  /// How long an attempt has run.
+  millis elapsed(const attempt_record &Attempt, instant Now) const {
+    return Now - (Arrived + millis{Attempt.SentAfterMs});
+  }
 
   shard_progress &operator[](shard_id Shard) { return Shards[Shard.Value]; }
   const shard_progress &operator[](shard_id Shard) const {
@@ -96,10 +94,12 @@
   std::vector<shard_id> missing() const;
   std::vector<shared_body> takeBodies();
 
+  /// Exchanges the log of all attempts, those of earlier snapshots included,
+  /// for an emptied one. Nothing else may be asked afterwards.
+  void swapLog(std::vector<attempt_record> &Other) { Log.swap(Other); }
+
 private:
-  bool contains(sub_id Sub) const;
   void endAttempt(sub_id Sub, attempt_state State, refusal Reason, instant Now);
-  attempt &attemptOf(sub_id Sub);
 
   snapshot_id Snapshot;
   std::uint32_t Total = 0;
@@ -108,6 +108,9 @@
   std::uint32_t Pending = 0;
   bool MayHaveRun = false;
   sub_id FirstSub;
+  std::uint32_t FirstPlace = 0; ///< in the log, of the present snapshot
+  instant Arrived;
+  std::vector<attempt_record> Log;
   std::vector<shard_progress> Shards; ///< the first `Total` are in use
 };
 
--- a/src/query/router.cpp
+++ b/src/query/router.cpp
@@ -71,7 +71,7 @@
   Query.Body = Event.Body;
   Query.Revision = Revision;
   Query.Arrived = Now;
-  Query.Gather.begin({}, 0, {});
+  Query.Gather.begin({}, 0, {}, Now);
   Query.Intent = Intents.find(Event.Caller, Event.Kind);
   refusal Reason = refusal::none;
   if (Stopping)
--- a/src/query/router_answer.cpp
+++ b/src/query/router_answer.cpp
@@ -1,7 +1,5 @@
 #include "query/router_impl.h"
 
-#include <algorithm>
-
 namespace bulrush::query {
 
 namespace {
@@ -109,15 +107,14 @@
   for (std::uint32_t Shard = 0; Shard < Query.Gather.total(); ++Shard) {
     const shard_progress &Progress = Query.Gather[shard_id{Shard}];
     if (Progress.Pending > 0)
-      --Endpoints[Progress.Attempts[0].Endpoint].Outstanding;
+      --Endpoints[Query.Gather.attempt({Shard}, 0).Endpoint].Outstanding;
   }
 }
 
-void router::impl::remember(const query_state &Query, const answer &Answer) {
+void router::impl::remember(query_state &Query, const answer &Answer) {
   query_record *Record = Explain.next();
   if (!Record)
     return;
-  const gather &Gather = Query.Gather;
   Record->Query = Query.Id;
   Record->RequestId = Query.RequestId;
   Record->Caller = Query.Caller;
@@ -136,24 +133,7 @@
   Record->Took = Now - Query.Arrived;
   Record->Repins = Query.Repins;
   Record->HedgeDenial = Query.HedgeDenial;
-  for (std::uint32_t Shard = 0; Shard < Gather.total(); ++Shard)
-    appendAttempts(Gather[shard_id{Shard}], {Shard}, Query.Arrived,
-                   Record->Attempts);
-}
-
-void router::impl::appendAttempts(const shard_progress &Progress,
-                                  shard_id Shard, instant Arrived,
-                                  std::vector<attempt_record> &Records) {
-  const auto After = [&](instant At) {
-    return static_cast<float>((At - Arrived).Count);
-  };
-  for (std::uint32_t At = 0; At < Progress.Count; ++At) {
-    const attempt &Attempt = Progress.Attempts[At];
-    Records.push_back(
-        {Shard, Attempt.Endpoint, Attempt.Owner, After(Attempt.SentAt),
-         After(std::max(Attempt.EndedAt, Attempt.SentAt)), Attempt.IsPrimary,
-         Attempt.Cause, Attempt.State, Attempt.Reason});
-  }
+  Query.Gather.swapLog(Record->Attempts);
 }
 
 void router::impl::forget(query_state &Query) {
--- a/src/query/router_attempts.cpp
+++ b/src/query/router_attempts.cpp
@@ -38,24 +38,24 @@
 } // namespace
 
 void router::impl::takeReply(query_state &Query, const sub_reply &Reply) {
-  const attempt *Known = Query.Gather.find(Reply.Sub);
+  const attempt_record *Known = Query.Gather.find(Reply.Sub);
   const bool WasPending = Known && Known->State == attempt_state::pending;
-  const attempt Attempt = Known ? *Known : attempt{};
   const reply_meaning Meaning = Query.Gather.accept(Reply, Now);
   if (!WasPending)
     return;
-  --Endpoints[Attempt.Endpoint].Outstanding;
+  const endpoint_id Endpoint = Known->Endpoint;
+  --Endpoints[Endpoint].Outstanding;
   if (Reply.Outcome == outcome::answered)
-    observe(Query, Attempt.Endpoint, Now - Attempt.SentAt, true);
+    observe(Query, Endpoint, Query.Gather.elapsed(*Known, Now), true);
   if (Query.IsCommand)
     return commandEnded(Query, Reply);
-  const shard_id Shard = Query.Gather.shardOf(Reply.Sub);
+  const shard_id Shard = Known->Shard;
   if (Meaning == reply_meaning::covered)
     return abandon(Query, Shard, attempt_state::cancelled, refusal::cancelled);
-  const refusal Reason = Query.Gather.find(Reply.Sub)->Reason;
+  const refusal Reason = Known->Reason;
   const retry_reason Cause = causeOf(Reason);
   if (Cause == retry_reason::wrong_snapshot)
-    Directory.forget(Attempt.Endpoint, Query.Gather.snapshot());
+    Directory.forget(Endpoint, Query.Gather.snapshot());
   Query.LastFailure = Reason;
   Query.RetryAfter = std::max(Query.RetryAfter, Reply.RetryAfter);
   attemptFailed(Query, Shard, Cause);
@@ -67,13 +67,13 @@
   const shard_progress &Progress = Query.Gather[Shard];
   for (std::uint32_t At = 0; Progress.Pending > 0 && At < Progress.Count;
        ++At) {
-    const attempt &Attempt = Progress.Attempts[At];
+    const attempt_record &Attempt = Query.Gather.attempt(Shard, At);
     if (Attempt.State != attempt_state::pending)
       continue;
     const sub_id Sub = Query.Gather.subOf(Shard, At);
     Outbox.cancel(Attempt.Owner, Sub);
     --Endpoints[Attempt.Endpoint].Outstanding;
-    observe(Query, Attempt.Endpoint, Now - Attempt.SentAt, false);
+    observe(Query, Attempt.Endpoint, Query.Gather.elapsed(Attempt, Now), false);
     Query.Gather.abandon(Sub, State, Reason, Now);
   }
 }
@@ -138,17 +138,17 @@
   if (!Ready || !Map)
     return std::nullopt;
   const std::vector<endpoint_id> &Holders = Map->Holders[Shard.Value];
-  collectTried(Query.Gather[Shard]);
+  collectTried(Query.Gather, Shard);
   if (const auto Target = Choice.choose(Holders, Tried))
     return Target;
   Tried.clear();
   return Choice.choose(Holders, Tried);
 }
 
-void router::impl::collectTried(const shard_progress &Progress) {
+void router::impl::collectTried(const gather &Gather, shard_id Shard) {
   Tried.clear();
-  for (std::uint32_t At = 0; At < Progress.Count; ++At)
-    Tried.push_back(Progress.Attempts[At].Endpoint);
+  for (std::uint32_t At = 0; At < Gather[Shard].Count; ++At)
+    Tried.push_back(Gather.attempt(Shard, At).Endpoint);
 }
 
 /// The owner is not heard any more: what it was sent may have run.
@@ -156,7 +156,7 @@
   for (std::uint32_t Shard = 0; Shard < Query.Gather.total(); ++Shard) {
     const shard_progress &Progress = Query.Gather[shard_id{Shard}];
     for (std::uint32_t At = 0; At < Progress.Count; ++At) {
-      const attempt &Attempt = Progress.Attempts[At];
+      const attempt_record &Attempt = Query.Gather.attempt({Shard}, At);
       if (Attempt.State != attempt_state::pending || Attempt.Owner != Owner)
         continue;
       --Endpoints[Attempt.Endpoint].Outstanding;
@@ -225,7 +225,7 @@
   const shard_map *Map = Directory.find(Query.Pool, Gather.snapshot());
   if (!Ready || !Map)
     return hedge_denial::no_replica;
-  collectTried(Gather[Shard]);
+  collectTried(Gather, Shard);
   const auto Target = Choice.chooseWarm(Map->Holders[Shard.Value], Tried);
   if (!Target)
     return hedge_denial::no_replica;
--- a/src/query/router_command.cpp
+++ b/src/query/router_command.cpp
@@ -72,7 +72,7 @@
     return finishCommand(Query, outcome::not_run, whyNone(Holders), nullptr);
   const sub_id FirstSub{NextSub};
   NextSub += gather::subsNeeded(Map.total());
-  Query.Gather.begin(Map.Snapshot, Map.total(), FirstSub);
+  Query.Gather.begin(Map.Snapshot, Map.total(), FirstSub, Query.Arrived);
   send(Query, {Shard}, *Target, true, retry_reason::lost);
   flush(Query);
 }
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -105,7 +105,7 @@
   hedge_denial tryHedge(query_state &Query, shard_id Shard);
   void observe(const query_state &Query, endpoint_id Endpoint, millis Took,
                bool Ended);
-  void collectTried(const shard_progress &Shard);
+  void collectTried(const gather &Gather, shard_id Shard);
   retry_budget &budgetOf(const query_state &Query);
 
   // router_command.cpp: the way of one command
@@ -128,10 +128,7 @@
   void reply(query_state &Query, answer Answer);
   void cancelPending(query_state &Query);
   void releaseCommand(const query_state &Query);
-  void remember(const query_state &Query, const answer &Answer);
-  static void appendAttempts(const shard_progress &Progress, shard_id Shard,
-                             instant Arrived,
-                             std::vector<attempt_record> &Records);
+  void remember(query_state &Query, const answer &Answer);
   void forget(query_state &Query);
 
   /// No restart on another snapshot after this share of the deadline.
--- a/src/query/router_search.cpp
+++ b/src/query/router_search.cpp
@@ -46,7 +46,7 @@
   if (Again)
     Query.Gather.beginAgain(Map.Snapshot, Map.total(), FirstSub);
   else
-    Query.Gather.begin(Map.Snapshot, Map.total(), FirstSub);
+    Query.Gather.begin(Map.Snapshot, Map.total(), FirstSub, Query.Arrived);
   for (std::uint32_t Shard = 0; Shard < Map.total(); ++Shard)
     sendFirst(Query, Map, {Shard}, Again);
   const std::uint32_t Sent = Query.Gather.pending();
@@ -88,15 +88,16 @@
                         retry_reason Cause) {
   endpoint_view &View = Endpoints[Endpoint];
   const matched_intent &Intent = *Query.Intent;
-  attempt Attempt;
+  attempt_record Attempt;
+  Attempt.Shard = Shard;
   Attempt.Endpoint = Endpoint;
   Attempt.Owner = *View.Owner;
-  Attempt.SentAt = Now;
+  Attempt.SentAfterMs = static_cast<float>((Now - Query.Arrived).Count);
   Attempt.IsPrimary = IsPrimary;
   Attempt.Cause = Cause;
   const std::uint32_t Number = Query.Gather[Shard].Count;
   sub_request Item;
-  Item.Sub = Query.Gather.add(Shard, Attempt);
+  Item.Sub = Query.Gather.add(Attempt);
   Item.Query = Query.Id;
   Item.Endpoint = Endpoint;
   Item.Shard = Shard;
