--- a/src/query/gather.h
+++ b/src/query/gather.h
@@ -87,6 +87,8 @@
   std::uint32_t covered() const { return Covered; }
   std::uint32_t open() const { return Total - Covered - Lost; }
   std::uint32_t pending() const { return Pending; }
+  /// Attempts so far, those of earlier snapshots included.
+  std::size_t attempts() const { return Log.size(); }
 
   /// Whether every attempt so far is proved not to have run.
   bool nothingRan() const { return !MayHaveRun && Pending == 0; }
--- a/src/query/router_answer.cpp
+++ b/src/query/router_answer.cpp
@@ -111,7 +111,20 @@
   }
 }
 
+/// Whether nothing was decided about a query but its primary attempts.
+bool router::impl::isPlain(const query_state &Query, const answer &Answer) {
+  return !Query.IsCommand && Answer.Outcome == outcome::answered &&
+         Answer.Covered == Answer.Total &&
+         Query.Gather.attempts() == Answer.Total &&
+         Query.HedgeDenial == hedge_denial::none;
+}
+
 void router::impl::remember(query_state &Query, const answer &Answer) {
+  const bool IsPlainOne = isPlain(Query, Answer);
+  if (IsPlainOne && Now < NextPlain)
+    return;
+  if (IsPlainOne)
+    NextPlain = Now + Settings.ExplainPlainGap;
   query_record *Record = Explain.next();
   if (!Record)
     return;
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -128,6 +128,7 @@
   void reply(query_state &Query, answer Answer);
   void cancelPending(query_state &Query);
   void releaseCommand(const query_state &Query);
+  static bool isPlain(const query_state &Query, const answer &Answer);
   void remember(query_state &Query, const answer &Answer);
   void forget(query_state &Query);
 
@@ -158,6 +159,7 @@
   revision Revision;
   std::uint64_t Epoch = 0;
   std::uint64_t NextSub = 1;
+  instant NextPlain; ///< a query without incident is remembered from then on
   bool Ready = false;
   bool Stopping = false;
   instant Now;                               ///< of the step under way
--- a/src/query/router_settings.h
+++ b/src/query/router_settings.h
@@ -57,6 +57,8 @@
   replica_settings Replica;
   millis RetryAfter{250};             ///< told when no endpoint gave a hint
   std::uint32_t ExplainQueries = 512; ///< queries remembered
+  millis ExplainPlainGap{20};         ///< between remembered queries without
+                                      ///< hedge, retry, refusal or gap
   std::uint64_t Seed = 1;
 };
 
