--- a/cmake/shells.cmake
+++ b/cmake/shells.cmake
@@ -8,7 +8,7 @@
 
 foreach(Library wire http daemon)
   get_target_property(Type bulrush_${Library} TYPE)
-  if(Type STREQUAL STATIC_LIBRARY)
+  if(Type STREQUAL STATIC_LIBRARY AND BULRUSH_PCH)
     target_precompile_headers(bulrush_${Library} PRIVATE ${CMAKE_SOURCE_DIR}/cmake/pch_${Library}.h)
   endif()
 endforeach()
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -105,7 +105,7 @@
   hedge_denial tryHedge(query_state &Query, shard_id Shard);
   void observe(const query_state &Query, endpoint_id Endpoint, millis Took,
                bool Ended);
-  void collectTried(const shard_progress &Shard);
+  void collectTried(const gather &Gather, shard_id Shard);
   retry_budget &budgetOf(const query_state &Query);
 
   // router_command.cpp: the way of one command
@@ -128,10 +128,8 @@
   void reply(query_state &Query, answer Answer);
   void cancelPending(query_state &Query);
   void releaseCommand(const query_state &Query);
-  void remember(const query_state &Query, const answer &Answer);
-  static void appendAttempts(const shard_progress &Progress, shard_id Shard,
-                             instant Arrived,
-                             std::vector<attempt_record> &Records);
+  static bool isPlain(const query_state &Query, const answer &Answer);
+  void remember(query_state &Query, const answer &Answer);
   void forget(query_state &Query);
 
   /// No restart on another snapshot after this share of the deadline.
@@ -161,6 +159,7 @@
   revision Revision;
   std::uint64_t Epoch = 0;
   std::uint64_t NextSub = 1;
+  instant NextPlain; ///< a query without incident is remembered from then on
   bool Ready = false;
   bool Stopping = false;
   instant Now;                               ///< of the step under way
