--- /dev/null
+++ b/bench/experiments/cold_start.py
@@ -0,0 +1,97 @@
+"""Endpoints turn cold without warning, several at once, also while an entry daemon dies."""
+
+import random
+import time
+
+from harness import figures as fig
+from harness.fleet import Fleet
+
+SECONDS = 20
+WARMUP_SECONDS = 5
+SHARE_OF_CAPACITY = 0.6
+MEAN_SERVICE_MS = 5
+RAMP_REQUESTS = 60
+COLD_EVERY_SECONDS = 1.5
+AT_ONCE = 3
+HEALTH_LAG_MS = 2000
+TRUST_HEALTH = {'owner': {'coldStart': 'trustHealth'}}
+
+
+class ColdStarts:
+    """A seeded schedule: some endpoints turn cold silently, some restart, one daemon dies."""
+
+    def __init__(self, fleet, seed, seconds, kill):
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.kill = kill
+
+    def turn_cold(self):
+        count = sum(pool.endpoints for pool in self.fleet.deployment.pools.values())
+        for endpoint in self.random.sample(range(count), AT_ONCE):
+            self.fleet.change_endpoints(endpoint, 'cold', {'reset': self.random.random() < 0.5})
+
+    def run(self):
+        begin = time.monotonic()
+        next_cold = begin + 0.5
+        victim = self.random.choice(list(self.fleet.entries))
+        state = 'alive'
+        while time.monotonic() < begin + self.seconds - 3:
+            now = time.monotonic()
+            if now >= next_cold:
+                self.turn_cold()
+                next_cold = now + COLD_EVERY_SECONDS
+            if self.kill and state == 'alive' and now > begin + self.seconds / 3:
+                self.fleet.entries[victim].kill()
+                state = 'dead'
+            if state == 'dead' and now > begin + self.seconds / 2:
+                self.fleet.start_entry(victim)
+                state = 'back'
+            time.sleep(0.05)
+
+
+def fastest_ramp_ms(endpoint, ramp_requests):
+    """Time from cold to full use when every slot is always busy."""
+    return sum(ramp_requests * MEAN_SERVICE_MS / bears for bears in range(1, endpoint['slots']))
+
+
+def ramps(record):
+    """Time to full use, as a multiple of the fastest, of each cold start that ended."""
+    return [(cold['warm'] - cold['began']) / fastest_ramp_ms(e, cold['rampRequests'])
+            for e in record for cold in e['colds'] if cold['warm'] and not cold['afterFall']]
+
+
+def measure(folder, deployment, seed, seconds, settings, kill):
+    rates = {c['name']: SHARE_OF_CAPACITY * deployment.queries_per_second(c['name'], MEAN_SERVICE_MS)
+             for c in deployment.raw['callers']}
+    behaviour = {name: {'meanServiceMs': MEAN_SERVICE_MS, 'rampRequests': RAMP_REQUESTS, 'rampMs': 60000,
+                        'healthLagMs': HEALTH_LAG_MS, 'flagLies': True} for name in deployment.pools}
+    with Fleet(folder, deployment, seed, behaviour, settings) as fleet:
+        schedule = ColdStarts(fleet, seed, seconds, kill)
+        fleet.load('warm', deployment.classes(rates), WARMUP_SECONDS)
+        at_start = fleet.record()
+        fleet.reset_record()
+        result = fleet.load('cold', deployment.classes(rates), seconds, 0.5, while_measuring=schedule.run)
+        return result, fleet.record(), at_start
+
+
+def run(folder, deployment, seed, seconds):
+    ours, record, at_start = measure(folder / 'ours', deployment, seed, seconds, {}, True)
+    base, base_record, _ = measure(folder / 'baseline', deployment, seed, seconds, TRUST_HEALTH, False)
+    times = ramps(record)
+    return {
+        'wrong answers': ours['wrong'] + base['wrong'],
+        'cold starts': sum(len(e['colds']) for e in record),
+        'cold starts that ended': len(times),
+        'cold breaches': sum(e['coldBreaches'] for e in [*record, *at_start]),
+        'falls': sum(e['falls'] for e in [*record, *at_start]),
+        'excess before any sign': sum(e['excessBeforeSign'] for e in record),
+        'ramp to the fastest, median': fig.quantile(times, 0.5),
+        'ramp to the fastest, p90': fig.quantile(times, 0.9),
+        'answered share': fig.answered_share(ours),
+        'first class: p99, ms': ours['classes'][deployment.first_caller()]['latencyMs']['p99'],
+        'health trusted: cold breaches': sum(e['coldBreaches'] for e in base_record),
+        'health trusted: falls': sum(e['falls'] for e in base_record),
+        'health trusted: ramp median': fig.quantile(ramps(base_record), 0.5),
+        'health trusted: answered share': fig.answered_share(base),
+    }
--- a/bench/load/answer_check.cpp
+++ b/bench/load/answer_check.cpp
@@ -86,6 +86,9 @@
   if (Answer.Outcome == outcome::not_run &&
       !Body.value("results", json::array()).empty())
     return answer_fault::results_of_no_run;
+  if (Answer.Reason == bulrush::toString(refusal::incomplete) &&
+      Body.value("missing", json::array()).empty())
+    return answer_fault::missing_not_named;
   if (Answer.Outcome != outcome::answered)
     return answer_fault::none;
   return Asked.IsCommand ? checkCommand(Body, Asked)
@@ -136,6 +139,8 @@
     return "status_mismatch";
   case answer_fault::results_of_no_run:
     return "results_of_no_run";
+  case answer_fault::missing_not_named:
+    return "missing_not_named";
   }
   return "none";
 }
--- a/bench/load/answer_check.h
+++ b/bench/load/answer_check.h
@@ -25,6 +25,7 @@
   too_little,        ///< less than the intent demands
   status_mismatch,   ///< the HTTP status does not fit the outcome
   results_of_no_run, ///< `not_run`, yet there are results
+  missing_not_named, ///< refused as incomplete without the missing shards
 };
 std::string_view toString(answer_fault Fault);
 
--- a/bench/load/balancer.cpp
+++ b/bench/load/balancer.cpp
@@ -81,13 +81,14 @@
   return Entries.size();
 }
 
-void balancer::send(http::request Request, http::exchange_handler Done) {
+void balancer::send(const http::request &Request,
+                    const http::exchange_handler &Done) {
   const std::size_t Entry = pick();
   if (Entry < Entries.size()) {
     sendTo(Entry, Request, Done, true);
     return;
   }
-  boost::asio::post(Io, [Done = std::move(Done)] {
+  boost::asio::post(Io, [Done] {
     Done({http::exchange_status::not_sent, {}});
   });
 }
--- a/bench/load/balancer.h
+++ b/bench/load/balancer.h
@@ -25,7 +25,7 @@
 
   /// Sends to the next ready entry. What could not be sent is offered to one
   /// more. Without a ready entry the result is `not_sent`.
-  void send(http::request Request, http::exchange_handler Done);
+  void send(const http::request &Request, const http::exchange_handler &Done);
 
   std::size_t readyCount() const;
   /// Requests handed to each entry.
--- a/bench/load/generator.cpp
+++ b/bench/load/generator.cpp
@@ -160,8 +160,8 @@
     Request.Body =
         R"({"query":")" + Class.Kind + R"(","token":")" + Asked.Token + "\"}";
     ++Outstanding;
-    Balancer.send(std::move(Request), [Self = shared_from_this(), Call,
-                                       Asked](const http::exchange_result &R) {
+    Balancer.send(Request, [Self = shared_from_this(), Call,
+                            Asked](const http::exchange_result &R) {
       Self->onResult(Call, Asked, R);
     });
   }
--- a/bench/test/answer_check_test.cpp
+++ b/bench/test/answer_check_test.cpp
@@ -99,6 +99,14 @@
   CHECK(faultOf(Ran, 503) == answer_fault::results_of_no_run);
 }
 
+TEST_CASE("a refusal as incomplete names the missing shards") {
+  json Refusal = {
+      {"request", "r1"}, {"outcome", "unknown"}, {"reason", "incomplete"}};
+  CHECK(faultOf(Refusal, 504) == answer_fault::missing_not_named);
+  Refusal["missing"] = {1};
+  CHECK(faultOf(Refusal, 504) == answer_fault::none);
+}
+
 TEST_CASE("totals are compared with the published shard maps") {
   total_claims Claims;
   checked_answer Answer;
