--- a/bench/load/balancer.cpp
+++ b/bench/load/balancer.cpp
@@ -81,31 +81,30 @@
   return Entries.size();
 }
 
-void balancer::send(const http::request &Request,
-                    const http::exchange_handler &Done) {
+void balancer::send(const http::request &Request, const handler &Done) {
   const std::size_t Entry = pick();
   if (Entry < Entries.size()) {
     sendTo(Entry, Request, Done, true);
     return;
   }
-  boost::asio::post(Io, [Done] {
-    Done({http::exchange_status::not_sent, {}});
+  boost::asio::post(Io, [Done, Entry] {
+    Done(Entry, {http::exchange_status::not_sent, {}});
   });
 }
 
 void balancer::sendTo(std::size_t Entry, const http::request &Request,
-                      const http::exchange_handler &Done, bool MayRetry) {
+                      const handler &Done, bool MayRetry) {
   ++SentTo[Entry];
   Entries[Entry].Requests->send(Request, [this, Entry, Request, Done, MayRetry](
                                              http::exchange_result Result) {
     if (Result.Status != http::exchange_status::connect_failed) {
-      Done(std::move(Result));
+      Done(Entry, std::move(Result));
       return;
     }
     Entries[Entry].IsReady = false;
     const std::size_t Other = pick();
     if (!MayRetry || Other >= Entries.size())
-      Done(std::move(Result));
+      Done(Entry, std::move(Result));
     else
       sendTo(Other, Request, Done, false);
   });
--- a/bench/load/balancer.h
+++ b/bench/load/balancer.h
@@ -23,9 +23,13 @@
   void start(std::function<void()> FirstLook);
   void stop();
 
+  /// Called with the place of the entry that was tried last.
+  using handler = std::function<void(std::size_t, http::exchange_result)>;
+
   /// Sends to the next ready entry. What could not be sent is offered to one
-  /// more. Without a ready entry the result is `not_sent`.
-  void send(const http::request &Request, const http::exchange_handler &Done);
+  /// more. Without a ready entry the result is `not_sent`, and the place is the
+  /// number of entries.
+  void send(const http::request &Request, const handler &Done);
 
   std::size_t readyCount() const;
   /// Requests handed to each entry.
@@ -41,7 +45,7 @@
   void poll();
   std::size_t pick();
   void sendTo(std::size_t Entry, const http::request &Request,
-              const http::exchange_handler &Done, bool MayRetry);
+              const handler &Done, bool MayRetry);
 
   boost::asio::io_context &Io;
   boost::asio::steady_timer Timer;
--- a/bench/load/generator.cpp
+++ b/bench/load/generator.cpp
@@ -71,6 +71,7 @@
         Balancer(Io, Settings), Random(Settings.Seed), Timer(Io),
         PhaseTimer(Io) {
     Results.Classes.resize(Settings.Classes.size());
+    Results.Entries.resize(Settings.Entries.size() + 1);
   }
 
   void begin() {
@@ -160,13 +161,14 @@
     Request.Body =
         R"({"query":")" + Class.Kind + R"(","token":")" + Asked.Token + "\"}";
     ++Outstanding;
-    Balancer.send(Request, [Self = shared_from_this(), Call,
-                            Asked](const http::exchange_result &R) {
-      Self->onResult(Call, Asked, R);
-    });
+    Balancer.send(Request,
+                  [Self = shared_from_this(), Call,
+                   Asked](std::size_t Entry, const http::exchange_result &R) {
+                    Self->onResult(Call, Asked, Entry, R);
+                  });
   }
 
-  void onResult(const call &Call, const asked &Asked,
+  void onResult(const call &Call, const asked &Asked, std::size_t Entry,
                 const http::exchange_result &Result) {
     --Outstanding;
     const instant Now = Clock.now();
@@ -183,8 +185,9 @@
       return;
     const millis Latency =
         (Now - Call.Due) + Settings.ClientLink + Settings.ClientLink;
-    Results.Classes[Call.Class].add(
-        {Call.Due - MeasureFrom, Latency, std::move(Answer)});
+    const caller_result Final{Call.Due - MeasureFrom, Latency, Answer};
+    Results.Classes[Call.Class].add(Final);
+    addTo(Results.Entries[Entry], Final, Settings.Classes[Call.Class].Weight);
   }
 
   void noteChecked(const call &Call, const asked &Asked,
@@ -215,7 +218,8 @@
       return true;
     }
     const double Draw = std::uniform_real_distribution<double>(0, 1)(Random);
-    if (!Call.IsExtra && Draw < Class.ResendAnswered) {
+    if (!Call.IsExtra && Answer.Outcome == outcome::answered &&
+        Draw < Class.ResendAnswered) {
       Again.IsExtra = true;
       resendLater(Again);
     }
--- a/bench/load/generator.h
+++ b/bench/load/generator.h
@@ -34,7 +34,8 @@
   std::map<std::string, std::vector<std::string>>
       OutcomesByKey; ///< of commands, in the order of the answers
   std::vector<std::uint64_t> SentTo;
-  double FirstWallMs = 0; ///< wall clock at the start of the figures
+  std::vector<entry_series> Entries; ///< the last one: no entry was ready
+  double FirstWallMs = 0;            ///< wall clock at the start of the figures
 };
 
 class generator {
--- a/bench/load/report.cpp
+++ b/bench/load/report.cpp
@@ -34,6 +34,17 @@
   return Series;
 }
 
+json entriesOf(const std::vector<entry_series> &Entries) {
+  json Out = json::array();
+  for (const entry_series &Series : Entries) {
+    json Seconds = json::array();
+    for (const second_of_entry &Second : Series)
+      Seconds.push_back({{"sent", Second.Sent}, {"answered", Second.Answered}});
+    Out.push_back(std::move(Seconds));
+  }
+  return Out;
+}
+
 json classOf(const load_class &Class, class_statistics &Statistics) {
   const double Answered =
       static_cast<double>(std::max<std::uint64_t>(1, Statistics.Answered));
@@ -88,6 +99,7 @@
                        {"wrongExamples", examplesOf(Results.Examples)},
                        {"sendLagMs", latenciesOf(Results.SendLags)},
                        {"sentTo", Results.SentTo},
+                       {"entrySeries", entriesOf(Results.Entries)},
                        {"classes", Classes},
                        {"outcomesByKey", Results.OutcomesByKey}};
   return Report.dump(1);
--- a/bench/load/statistics.cpp
+++ b/bench/load/statistics.cpp
@@ -45,6 +45,15 @@
   ++(WasRefused ? Slice.NotRun : Slice.Unknown);
 }
 
+void addTo(entry_series &Series, const caller_result &Result, double Weight) {
+  const auto Index = static_cast<std::size_t>(Result.Offset / Second);
+  if (Index >= Series.size())
+    Series.resize(Index + 1);
+  Series[Index].Sent += Weight;
+  if (Result.Answer.Outcome == outcome::answered)
+    Series[Index].Answered += Weight;
+}
+
 double quantile(std::vector<float> &Values, double Share) {
   if (Values.empty())
     return 0;
--- a/bench/load/statistics.h
+++ b/bench/load/statistics.h
@@ -28,6 +28,15 @@
   std::vector<float> Latencies; ///< of answers, in milliseconds
 };
 
+/// Requests of one entry daemon that were scheduled in the same second, each
+/// counted with the weight of its class.
+struct second_of_entry {
+  double Sent = 0;
+  double Answered = 0;
+};
+using entry_series = std::vector<second_of_entry>;
+void addTo(entry_series &Series, const caller_result &Result, double Weight);
+
 struct class_statistics {
   std::uint64_t Sent = 0;
   std::uint64_t Answered = 0;
--- a/bench/test/statistics_test.cpp
+++ b/bench/test/statistics_test.cpp
@@ -37,3 +37,16 @@
   CHECK(Statistics.Seconds[1].Sent == 2);
   CHECK(Statistics.Seconds[1].NotRun == 1);
 }
+
+TEST_CASE("the series of an entry daemon counts with the weight of the class") {
+  entry_series Series;
+  caller_result Result;
+  Result.Offset = millis{2100};
+  Result.Answer.Outcome = outcome::answered;
+  addTo(Series, Result, 4);
+  Result.Answer.Outcome = outcome::unknown;
+  addTo(Series, Result, 1);
+  REQUIRE(Series.size() == 3);
+  CHECK(Series[2].Sent == 5);
+  CHECK(Series[2].Answered == 4);
+}
