--- a/bench/harness/processes.py
+++ b/bench/harness/processes.py
@@ -56,6 +56,9 @@
     def stop(self):
         """Asks for a graceful stop; kills after a bound. Returns the exit code."""
         self.send(signal.SIGTERM)
+        return self.await_end()
+
+    def await_end(self):
         try:
             return self.child.wait(STOP_SECONDS)
         except subprocess.TimeoutExpired:
@@ -68,7 +71,7 @@
     for process in processes:
         process.send(signal.SIGCONT)
         process.send(signal.SIGTERM)
-    return {process.name: process.stop() for process in processes}
+    return {process.name: process.await_end() for process in processes}
 
 
 def wait_until(condition, seconds, what):
