--- a/bench/harness/deployment.py
+++ b/bench/harness/deployment.py
@@ -8,6 +8,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 ADMIN_PORT = 25000
+SHORT_SERVICE_MS = 5
+LONG_SERVICE_MS = 20
+MANY_SLOTS = 6
 
 
 def read_json_with_comments(path):
@@ -30,6 +33,11 @@
     endpoints: int
     slots: int
 
+    @property
+    def service_ms(self):
+        """Mean service time of the stand-ins: back-office lists take longer than short checks."""
+        return LONG_SERVICE_MS if self.slots >= MANY_SLOTS else SHORT_SERVICE_MS
+
 
 @dataclass
 class Deployment:
@@ -90,7 +98,15 @@
                 'minCoveragePercent': intent.get('minCoveragePercent', 0) if min_coverage else 0})
         return result
 
-    def queries_per_second(self, caller, mean_service_ms):
+    def queries_per_second(self, caller, service_ms=None):
         """Queries that the pool of a caller class can serve at most in a second."""
         pool = self.pools[self.caller(caller)['pool']]
-        return pool.endpoints * pool.slots * 1000 / mean_service_ms / pool.shards
+        return pool.endpoints * pool.slots * 1000 / (service_ms or pool.service_ms) / pool.shards
+
+    def rates(self, share):
+        """Arrivals a second of each caller class at a share of what its pool can serve."""
+        return {c['name']: share * self.queries_per_second(c['name']) for c in self.raw['callers']}
+
+    def behaviour(self, **extra):
+        """Stand-in behaviour of every pool."""
+        return {name: {'meanServiceMs': pool.service_ms, **extra} for name, pool in self.pools.items()}
