--- a/src/wire/voter_codec.cpp
+++ b/src/wire/voter_codec.cpp
@@ -95,6 +95,14 @@
   To.mutable_join_request()->set_seen(From.Seen.Value);
 }
 
+void putBody(const control::check_in &, VoterMessage &To) {
+  To.mutable_check_in();
+}
+
+void putBody(const control::check_in_reply &From, VoterMessage &To) {
+  To.mutable_check_in_reply()->set_boot(From.Boot.Value);
+}
+
 void putBody(const control::identity_refused &From, VoterMessage &To) {
   To.mutable_identity_refused()->set_boot(From.Boot.Value);
 }
@@ -173,6 +181,10 @@
     return control::timeout_now{};
   case VoterMessage::kJoinRequest:
     return control::join_request{{From.join_request().seen()}};
+  case VoterMessage::kCheckIn:
+    return control::check_in{};
+  case VoterMessage::kCheckInReply:
+    return control::check_in_reply{{From.check_in_reply().boot()}};
   case VoterMessage::kIdentityRefused:
     return control::identity_refused{{From.identity_refused().boot()}};
   default:
