--- a/src/query/owner_impl.h
+++ b/src/query/owner_impl.h
@@ -25,6 +25,7 @@
   void on(cancel_arrived &&Event, context &In);
   void on(endpoint_replied &&Event, context &In);
   void on(health_arrived &&Event, context &In);
+  void on(reports_heard &&Event, context &In);
   void on(config_changed &&Event, context &In);
   void on(ownership_changed &&Event, context &In);
   void on(stop_requested &&Event, context &In);
@@ -44,6 +45,8 @@
   refusal admissionRefusal(const owned_endpoint &Endpoint,
                            const queued_work &Queued, millis &RetryAfter,
                            instant Now) const;
+  bool passesGate(owned_endpoint &Endpoint, const sub_request &Request,
+                  const sub_batch &Batch, instant Now) const;
   void refuseNew(const sub_request &Request, const sub_batch &Batch,
                  refusal Reason, millis RetryAfter, context &In);
 
@@ -69,6 +72,7 @@
   void release(owned_endpoint &Endpoint, attempt_id Attempt);
   void learn(owned_endpoint &Endpoint, const work_item &Item,
              const endpoint_replied &Event, context &In);
+  void learnLate(owned_endpoint &Endpoint, endpoint_replied Event, context &In);
   void learnDraining(owned_endpoint &Endpoint, bool Draining, instant Now);
   void tellChange(owned_endpoint &Endpoint, std::uint32_t Before, bool WasWarm,
                   endpoint_cause Cause, context &In);
@@ -78,6 +82,7 @@
   std::pmr::unsynchronized_pool_resource Memory;
   work_table Work;
   std::vector<std::unique_ptr<owned_endpoint>> Endpoints; ///< by number
+  std::vector<std::uint64_t> WarmGenerations; ///< heard, by endpoint
   wake_heap Wakes;
   instant TimerAt = Never;
   bool Stopping = false;
