Data path on the I/O thread of its actor

Cause: perf on an entry daemon showed no hot spot but thread switches: each event crossed from the I/O thread to the cores' actor and back. Change: the cores run on the thread of the I/O, and that thread is the actor's; look-ups in the metrics no longer copy their keys.

--- a/src/daemon/data_path.h
+++ b/src/daemon/data_path.h
@@ -1,4 +1,4 @@
-/// The actor that runs the cores of the data path: router and owner.
+/// The cores of the data path, router and owner, joined for one daemon.
 #pragma once
 
 #include "bulrushtray/clock.h"
@@ -6,31 +6,20 @@
 #include "query/owner.h"
 #include "query/router.h"
 
-#include <functional>
-#include <memory>
 #include <variant>
 #include <vector>
 
-namespace caf {
-class actor_system;
-} // namespace caf
-
 namespace bulrush::daemon {
 
 using data_event = std::variant<query::router_event, query::owner_event>;
 
-/// What the cores ask of the I/O thread, in order; messages between the two
-/// cores of one process do not appear here.
+/// What the cores ask of the I/O, in order; messages between the two cores of
+/// one process do not appear here.
 struct data_actions {
   std::vector<query::router_action> Router;
   std::vector<query::owner_action> Owner;
-  std::size_t ActiveQueries = 0; ///< without an answer yet
-  std::size_t PendingWork = 0;   ///< sub-requests that wait or are in flight
 };
 
-/// Called on the actor's thread.
-using data_actions_handler = std::function<void(data_actions)>;
-
 struct data_path_options {
   deployment Deployment;
   vm_id Self;
@@ -39,24 +28,32 @@
   query::owner_settings Owner;
 };
 
-/// Both cores on a thread of their own. Events are handled in the order they
-/// were sent.
+/// Both cores. Has no I/O, thread or clock of its own.
 class data_path {
 public:
-  data_path(caf::actor_system &System, data_path_options Options,
-            const clock_source &Clock, data_actions_handler OnActions);
-  ~data_path();
-  data_path(const data_path &) = delete;
-  data_path &operator=(const data_path &) = delete;
+  explicit data_path(data_path_options Options);
 
-  void send(std::vector<data_event> Events);
+  /// Handles the events in their order.
+  void step(std::vector<data_event> Events, instant Now, data_actions &Out);
 
-  /// Calls `Look` with the memory of recent decisions, on the actor's thread.
-  void explain(std::function<void(const query::explain_memory &)> Look);
+  /// Queries without an answer yet.
+  std::size_t activeQueries() const { return Router.active(); }
+  /// Sub-requests that wait or are in flight.
+  std::size_t pendingWork() const { return Owner.pending(); }
+  /// The memory of recent decisions.
+  const query::explain_memory &explain() const { return Router.explain(); }
 
 private:
-  struct state;
-  std::unique_ptr<state> State;
+  void stepRouter(const query::router_event &Event);
+  void stepOwner(query::owner_event Event);
+  bool takeLocally(query::router_action &Action);
+  bool takeLocally(query::owner_action &Action);
+
+  data_path_options Options;
+  query::router Router;
+  query::owner Owner;
+  instant Now{};
+  data_actions *Out = nullptr;
 };
 
 } // namespace bulrush::daemon
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -18,7 +18,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <caf/all.hpp>
 #include <csignal>
 #include <optional>
 #include <set>
@@ -64,8 +63,6 @@
   telemetry::metrics Metrics;
   incarnation_id Incarnation = drawIncarnation();
   boost::asio::io_context Io{1};
-  caf::actor_system_config CafConfig;
-  caf::actor_system System{quietConfig(CafConfig)};
   caller_api Api{Settings.Deployment, *this, Metrics, Clock};
   std::optional<http::server> Server;
   std::optional<wire::link_set> Links;
@@ -84,8 +81,6 @@
   std::set<endpoint_id> Owned;
   bool WasFresh = false;
   instant SentOwnedUntil{};
-  std::size_t ActiveQueries = 0;
-  std::size_t PendingWork = 0;
   stop_stage Stage = stop_stage::running;
   instant StopAskedAt{};
   exit_status Exit = exit_status::stopped;
@@ -104,7 +99,7 @@
 
   bool start();
   void onMessage(wire::process_id From, const wire::Envelope &Message);
-  void onActions(data_actions Actions);
+  void onEvents(std::vector<data_event> Events);
 
   void run(query::send_batch &Action);
   void run(query::send_cancel &Action) { Mail->send(Action); }
@@ -160,16 +155,11 @@
                 });
   Mail.emplace(*Links, Settings.Deployment, Settings.Self.Id);
   Settings.Router.Seed ^= drawSeed();
-  Path.emplace(System,
-               data_path_options{Settings.Deployment, Settings.Self.Id,
-                                 Incarnation, Settings.Router, Settings.Owner},
-               Clock, [this](data_actions Actions) {
-                 boost::asio::post(
-                     Io, [this, Moved = std::move(Actions)]() mutable {
-                       onActions(std::move(Moved));
-                     });
-               });
-  Gate.emplace(Io, *Path);
+  Path.emplace(data_path_options{Settings.Deployment, Settings.Self.Id,
+                                 Incarnation, Settings.Router, Settings.Owner});
+  Gate.emplace(Io, [this](std::vector<data_event> Events) {
+    onEvents(std::move(Events));
+  });
   Gateway.emplace(
       Io, Settings.Deployment, Clock, Metrics,
       [this](query::owner_event Event) { Gate->push(std::move(Event)); });
@@ -256,9 +246,9 @@
   }
 }
 
-void entry_daemon::state::onActions(data_actions Actions) {
-  ActiveQueries = Actions.ActiveQueries;
-  PendingWork = Actions.PendingWork;
+void entry_daemon::state::onEvents(std::vector<data_event> Events) {
+  data_actions Actions;
+  Path->step(std::move(Events), Clock.now(), Actions);
   for (query::router_action &Action : Actions.Router) {
     if (const auto *Timer = std::get_if<query::set_timer>(&Action)) {
       setTimer<query::router_event>(RouterTimer, Timer->At);
@@ -473,7 +463,7 @@
     stepAgent(control::agent_leave{});
     return;
   }
-  const bool IsIdle = ActiveQueries == 0 && PendingWork == 0 &&
+  const bool IsIdle = Path->activeQueries() == 0 && Path->pendingWork() == 0 &&
                       Server->inWork() == 0 && Ledger->waiting() == 0;
   const bool HasLeft =
       Agent.leases().hasLeft() || Now >= Agent.leases().ownedUntil();
@@ -485,23 +475,20 @@
 
 void entry_daemon::state::finish(exit_status Status) {
   logEvent(severity::info, "stopped",
-           {{"queries_cut", ActiveQueries}, {"work_cut", PendingWork}});
+           {{"queries_cut", Path->activeQueries()},
+            {"work_cut", Path->pendingWork()}});
   Exit = Status;
   Io.stop();
 }
 
 void entry_daemon::state::explain(const std::string &Target,
                                   http::responder Respond) {
-  Path->explain([this, Target, Respond](const query::explain_memory &Memory) {
-    std::string Text = explainText(Memory, Settings.Deployment, Target);
-    boost::asio::post(Io, [Text = std::move(Text), Respond]() mutable {
-      http::response Response;
-      Response.Status = Text.empty() ? 404 : 200;
-      Response.Body = Text.empty() ? R"({"message":"nothing is remembered"})"
-                                   : std::move(Text);
-      Respond(std::move(Response));
-    });
-  });
+  std::string Text = explainText(Path->explain(), Settings.Deployment, Target);
+  http::response Response;
+  Response.Status = Text.empty() ? 404 : 200;
+  Response.Body =
+      Text.empty() ? R"({"message":"nothing is remembered"})" : std::move(Text);
+  Respond(std::move(Response));
 }
 
 http::response entry_daemon::state::cutLinks(const std::string &Body) {
@@ -524,8 +511,7 @@
 exit_status entry_daemon::run() {
   if (!State->start())
     return exit_status::failed;
-  State->Io.run();
-  State->Path.reset();
+  runAsActor(State->Io);
   return State->Exit;
 }
 
--- a/src/daemon/event_gate.h
+++ b/src/daemon/event_gate.h
@@ -1,19 +1,23 @@
-/// Gathers the events of one poll of the I/O thread into one message.
+/// Gathers the events of one poll of the I/O thread into one step of the cores.
 #pragma once
 
 #include "daemon/data_path.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <functional>
 
 namespace bulrush::daemon {
 
-/// Runs on the I/O thread. Under load one message carries many events; when
-/// idle an event leaves at once.
+/// Runs on the I/O thread. Under load one step handles many events, so that the
+/// messages that they cause leave together; when idle an event waits for
+/// nothing.
 class event_gate {
 public:
-  event_gate(boost::asio::io_context &Io, data_path &Target)
-      : Io(Io), Target(Target) {}
+  using flush_handler = std::function<void(std::vector<data_event>)>;
+
+  event_gate(boost::asio::io_context &Io, flush_handler OnFlush)
+      : Io(Io), OnFlush(std::move(OnFlush)) {}
 
   void push(data_event Event) {
     Pending.push_back(std::move(Event));
@@ -26,12 +30,13 @@
 private:
   void flush() {
     IsScheduled = false;
-    Target.send(std::move(Pending));
-    Pending.clear();
+    std::vector<data_event> Events;
+    Events.swap(Pending);
+    OnFlush(std::move(Events));
   }
 
   boost::asio::io_context &Io;
-  data_path &Target;
+  flush_handler OnFlush;
   std::vector<data_event> Pending;
   bool IsScheduled = false;
 };
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -3,6 +3,7 @@
 #include "settings/json_reader.h"
 #include "telemetry/log.h"
 
+#include <boost/asio/io_context.hpp>
 #include <caf/all.hpp>
 #include <chrono>
 #include <random>
@@ -71,4 +72,13 @@
   return Config;
 }
 
+void runAsActor(boost::asio::io_context &Io) {
+  caf::actor_system_config Config;
+  caf::actor_system System(quietConfig(Config));
+  caf::scoped_actor Self(System);
+  const auto Runner =
+      System.spawn<caf::detached>([&Io](caf::blocking_actor *) { Io.run(); });
+  Self->wait_for(Runner);
+}
+
 } // namespace bulrush::daemon
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -9,6 +9,10 @@
 #include <optional>
 #include <string>
 
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
 namespace caf {
 class actor_system_config;
 } // namespace caf
@@ -35,4 +39,8 @@
 /// their own.
 caf::actor_system_config &quietConfig(caf::actor_system_config &Config);
 
+/// Runs `Io` in an actor with a thread of its own until it is stopped. What the
+/// actor owns is touched by that thread only.
+void runAsActor(boost::asio::io_context &Io);
+
 } // namespace bulrush::daemon
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -37,10 +37,40 @@
 struct series_key {
   std::string Name;
   std::string Label;
+};
+
+/// The same without copies, for look-ups.
+struct series_view {
+  std::string_view Name;
+  std::string_view Label;
+};
 
-  auto operator<=>(const series_key &) const = default;
+struct series_less {
+  using is_transparent = void;
+
+  template <class Left, class Right>
+  bool operator()(const Left &L, const Right &R) const {
+    const int Order =
+        std::string_view(L.Name).compare(std::string_view(R.Name));
+    if (Order != 0)
+      return Order < 0;
+    return std::string_view(L.Label) < std::string_view(R.Label);
+  }
 };
 
+template <class Value>
+using series_map = std::map<series_key, Value, series_less>;
+
+/// The entry of a series; made when it is new.
+template <class Value>
+Value &entryOf(series_map<Value> &Map, std::string_view Name,
+               std::string_view Label) {
+  const auto Found = Map.find(series_view{Name, Label});
+  if (Found != Map.end())
+    return Found->second;
+  return Map[{std::string(Name), std::string(Label)}];
+}
+
 std::string nameOf(const series_key &Key, std::string_view Suffix = {}) {
   std::string Out = "bulrush_" + Key.Name + std::string(Suffix);
   if (!Key.Label.empty())
@@ -48,17 +78,13 @@
   return Out;
 }
 
-series_key keyOf(std::string_view Name, std::string_view Label) {
-  return {std::string(Name), std::string(Label)};
-}
-
 } // namespace
 
 struct metrics::state {
   mutable std::mutex Mutex;
-  std::map<series_key, std::uint64_t> Counters;
-  std::map<series_key, double> Gauges;
-  std::map<series_key, latency_series> Latencies;
+  series_map<std::uint64_t> Counters;
+  series_map<double> Gauges;
+  series_map<latency_series> Latencies;
 };
 
 metrics::metrics() : State(std::make_unique<state>()) {}
@@ -67,18 +93,18 @@
 void metrics::add(std::string_view Name, std::string_view Label,
                   std::uint64_t Amount) {
   const std::lock_guard Lock(State->Mutex);
-  State->Counters[keyOf(Name, Label)] += Amount;
+  entryOf(State->Counters, Name, Label) += Amount;
 }
 
 void metrics::set(std::string_view Name, std::string_view Label, double Value) {
   const std::lock_guard Lock(State->Mutex);
-  State->Gauges[keyOf(Name, Label)] = Value;
+  entryOf(State->Gauges, Name, Label) = Value;
 }
 
 void metrics::observe(std::string_view Name, std::string_view Label,
                       millis Latency) {
   const std::lock_guard Lock(State->Mutex);
-  latency_series &Series = State->Latencies[keyOf(Name, Label)];
+  latency_series &Series = entryOf(State->Latencies, Name, Label);
   Series.Mean(Latency.Count);
   Series.Median(Latency.Count);
   Series.P99(Latency.Count);
@@ -87,14 +113,14 @@
 std::uint64_t metrics::count(std::string_view Name,
                              std::string_view Label) const {
   const std::lock_guard Lock(State->Mutex);
-  const auto Found = State->Counters.find(keyOf(Name, Label));
+  const auto Found = State->Counters.find(series_view{Name, Label});
   return Found == State->Counters.end() ? 0 : Found->second;
 }
 
 latency_summary metrics::latency(std::string_view Name,
                                  std::string_view Label) const {
   const std::lock_guard Lock(State->Mutex);
-  const auto Found = State->Latencies.find(keyOf(Name, Label));
+  const auto Found = State->Latencies.find(series_view{Name, Label});
   return Found == State->Latencies.end() ? latency_summary{}
                                          : Found->second.summary();
 }
