Replicated log: old copies are told by term and index, answers of an earlier term prove nothing

Cause: the fuzz test found an old image with a long uncommitted tail that was not recognised by its last index alone; reading that path showed that answers to appends of an earlier term were counted.

Change: a held position and each message carry a term too; answers count in their own term only; a restarted follower keeps to its earlier answer to a leader also where its folder has no group yet.

Tests: both cases as unit tests.

--- a/src/control/log_entry.h
+++ b/src/control/log_entry.h
@@ -37,11 +37,13 @@
   }
 };
 
-/// A member was seen to hold all committed entries up to `Index` on its disk.
-/// One that later shows less runs on an old copy.
+/// A member was seen to hold a committed entry on its disk that the leader of
+/// `Term` made. Whatever it holds later ends in no smaller term and index; a
+/// member that shows less runs on an old copy.
 struct held_position {
   voter_id Voter;
   incarnation_id Boot; ///< the life of the process in which it was seen
+  term_id Term;
   log_index Index;
 
   bool operator==(const held_position &) const = default;
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -55,8 +55,9 @@
   if (!Started) {
     Started = true;
     resetElectionTimer();
+    if (Term.Value > 0)
+      LeaderSeen = Now; // a leader may count on what an earlier life answered
     if (!group().Members.empty()) {
-      LeaderSeen = Now; // a vote may have been promised in an earlier life
       CheckedIn = peersToCheck() == 0;
       CheckInEnds = Now + Options.CheckInLimit;
       emit(group_changed{group()});
--- a/src/control/replica_append.cpp
+++ b/src/control/replica_append.cpp
@@ -90,7 +90,7 @@
 
 void replica_core::onMessage(const message &From, const append_reply &Body) {
   const auto Known = Progress.find(From.From);
-  if (Role != replica_role::leader || Known == Progress.end())
+  if (From.Term != Term || Known == Progress.end())
     return;
   member_progress &Member = Known->second;
   Member.FollowedAt = std::max(Member.FollowedAt, Body.SentAt);
@@ -113,7 +113,7 @@
   advanceCommit();
   if (Role != replica_role::leader)
     return;
-  recordHeld({From.From, From.Boot, std::min(Match, Commit)});
+  noteHeld(From.From, From.Boot, Match);
   finishTransfer();
 }
 
@@ -187,7 +187,7 @@
   if (Agreed <= Commit || Log.termAt(Agreed) != Term)
     return;
   Commit = Agreed;
-  recordHeld({Self, Boot, std::min(DurableIndex, Commit)});
+  noteHeld(Self, Boot, DurableIndex);
   const bool Removed = !group().hasVoter(Self) && !groupChangePending();
   if (!Removed)
     return;
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -114,6 +114,7 @@
   bool isRemoved(const message &Message) const;
   void retire();
   void learnHeld(const std::vector<held_position> &Positions);
+  void noteHeld(voter_id Voter, incarnation_id Life, log_index Match);
   void recordHeld(held_position Position);
   void adoptGroup(log_index Index, voter_group Group);
   void dropGroupsFrom(log_index Index);
--- a/src/control/replica_election.cpp
+++ b/src/control/replica_election.cpp
@@ -27,12 +27,12 @@
     if (Member.Id == Self)
       Times.push_back(Now);
     else
-      Times.push_back(Known == Progress.end() ? LeadsSince
+      Times.push_back(Known == Progress.end() ? instant{}
                                               : Known->second.FollowedAt);
   }
   const std::size_t Majority = group().majority();
   if (Times.size() < Majority)
-    return LeadsSince;
+    return {};
   std::sort(Times.begin(), Times.end(), std::greater<>());
   return Times[Majority - 1];
 }
--- a/src/control/replica_members.cpp
+++ b/src/control/replica_members.cpp
@@ -31,6 +31,7 @@
   if (Seen == Held.end() || Message.Boot == Seen->second.Boot)
     return false;
   return Message.Boot < Seen->second.Boot ||
+         Message.LastTerm < Seen->second.Term ||
          Message.LastIndex < Seen->second.Index;
 }
 
@@ -73,9 +74,9 @@
 
 void replica_core::learnHeld(const std::vector<held_position> &Positions) {
   for (const held_position &Position : Positions) {
-    const bool Lost = Position.Voter == Self &&
-                      (Position.Boot > Boot || Position.Index > Log.last());
-    if (Lost) {
+    const bool Lost = Position.Boot > Boot || Position.Term > Log.lastTerm() ||
+                      Position.Index > Log.last();
+    if (Position.Voter == Self && Lost) {
       retire();
       return;
     }
@@ -83,11 +84,19 @@
   }
 }
 
+void replica_core::noteHeld(voter_id Voter, incarnation_id Life,
+                            log_index Match) {
+  const log_index Index = std::min(Match, Commit);
+  if (Index >= FirstOwn)
+    recordHeld({Voter, Life, Term, Index});
+}
+
 void replica_core::recordHeld(held_position Position) {
   if (!group().find(Position.Voter))
     return;
   held_position &Known = Held[Position.Voter];
-  if (Position.Boot < Known.Boot || Position.Index < Known.Index)
+  if (Position.Boot < Known.Boot || Position.Term < Known.Term ||
+      Position.Index < Known.Index)
     return;
   Known = Position;
 }
--- a/src/control/replica_messages.h
+++ b/src/control/replica_messages.h
@@ -93,6 +93,7 @@
   incarnation_id Boot;
   term_id Term;
   log_index LastIndex; ///< the sender's last entry
+  term_id LastTerm;    ///< and its term
   message_body Body;
 };
 
--- a/src/control/replica_output.cpp
+++ b/src/control/replica_output.cpp
@@ -25,8 +25,8 @@
 void replica_core::emit(action Action) { Sink->push_back(std::move(Action)); }
 
 void replica_core::post(vm_id ToVm, voter_id To, message_body Body) {
-  Posted.push_back(
-      {ToVm, message{Self, Vm, To, Boot, Term, Log.last(), std::move(Body)}});
+  Posted.push_back({ToVm, message{Self, Vm, To, Boot, Term, Log.last(),
+                                  Log.lastTerm(), std::move(Body)}});
 }
 
 void replica_core::noteChange(log_index From) {
--- a/src/control/replica_snapshot.cpp
+++ b/src/control/replica_snapshot.cpp
@@ -84,7 +84,7 @@
 
 void replica_core::onMessage(const message &From, const snapshot_reply &Body) {
   const auto Known = Progress.find(From.From);
-  if (Role != replica_role::leader || Known == Progress.end())
+  if (From.Term != Term || Known == Progress.end())
     return;
   member_progress &Member = Known->second;
   Member.FollowedAt = std::max(Member.FollowedAt, Body.SentAt);
--- a/src/store/log_records.cpp
+++ b/src/store/log_records.cpp
@@ -57,8 +57,8 @@
 json toJson(const log_batch &Batch) {
   json Held = json::array();
   for (const held_position &Position : Batch.Hard.Held)
-    Held.push_back(
-        {Position.Voter.Value, Position.Boot.Value, Position.Index.Value});
+    Held.push_back({Position.Voter.Value, Position.Boot.Value,
+                    Position.Term.Value, Position.Index.Value});
   json Entries = json::array();
   for (const log_entry &Entry : Batch.Entries)
     Entries.push_back(toJson(Entry));
@@ -74,11 +74,11 @@
   if (!List.is_array())
     return false;
   for (const json &Item : List) {
-    if (!areNumbers(Item, 0, 3))
+    if (!areNumbers(Item, 0, 4))
       return false;
     Out.push_back({voter_id{numberAt(Item, 0)},
                    incarnation_id{numberAt(Item, 1)},
-                   log_index{numberAt(Item, 2)}});
+                   term_id{numberAt(Item, 2)}, log_index{numberAt(Item, 3)}});
   }
   return true;
 }
--- a/test/unit/replica_test.cpp
+++ b/test/unit/replica_test.cpp
@@ -169,6 +169,54 @@
   CHECK(Group.Broken.empty());
 }
 
+TEST_CASE("an old image is refused though its last index is as large",
+          "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  auto &Node = *Group.leader();
+  for (std::uint32_t I = 0; I < 3; ++I)
+    Group.Cut.insert({Node.Vm.Value, I});
+  for (int I = 0; I < 9; ++I)
+    Group.propose_(Node, "never committed");
+  Group.run(20);
+  Group.crash(Node);
+  Node.Backup = Node.Disk.backup();
+  Group.heal();
+  REQUIRE(Group.elect());
+  confirm(Group, 2);
+  Group.run(200);
+  Group.crash(Node);
+  Node.Disk.restore(Node.Backup, true);
+  Group.start(Node);
+  Group.run(3000);
+  CHECK(Group.IdentitiesLost == 1);
+  CHECK(Group.converged());
+}
+
+TEST_CASE("an answer from an earlier term proves nothing", "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  auto &Leader = *Group.leader();
+  const replica_status Before = Leader.Replica->status();
+  for (std::uint32_t I = 0; I < 3; ++I)
+    Group.Cut.insert({Leader.Vm.Value, I});
+  Group.propose_(Leader, "at one member only");
+  Group.run(20);
+  const log_index Last = Leader.Replica->status().LastIndex;
+  for (const auto &Member : Before.Group.Members) {
+    const message Old{Member.Id,
+                      Member.Vm,
+                      Before.Self,
+                      incarnation_id{1u << 30},
+                      term_id{Before.Term.Value - 1},
+                      Last,
+                      Before.Term,
+                      append_reply{true, Last, Last, Group.Now}};
+    Group.step(Leader, message_received{Old});
+  }
+  CHECK(Leader.Replica->status().Commit < Last);
+}
+
 TEST_CASE("a planned stop hands the leadership over at once", "[replica]") {
   replica_group Group({});
   REQUIRE(Group.elect());
@@ -205,8 +253,8 @@
   State.Boot = {1};
   replica Replica({}, State, 1);
   std::vector<action> Out;
-  const message Ask{voter_id{2}, vm_id{2},     voter_id{1},   incarnation_id{1},
-                    term_id{5},  log_index{0}, vote_request{}};
+  const message Ask{voter_id{2}, vm_id{2},     voter_id{1}, incarnation_id{1},
+                    term_id{5},  log_index{0}, term_id{0},  vote_request{}};
   Replica.step(message_received{Ask}, instant{10}, Out);
   REQUIRE(Out.size() == 1);
   const persist *Write = std::get_if<persist>(&Out[0]);
