--- a/src/query/cold_start.h
+++ b/src/query/cold_start.h
@@ -11,6 +11,7 @@
 /// How one request at an endpoint ended, as evidence.
 struct attempt_evidence {
   reply_kind What = reply_kind::answered;
+  instant Sent;
   millis Latency;
   bool Cold = false;            ///< the flag in the reply
   std::uint64_t Generation = 0; ///< 0 when unknown
@@ -30,13 +31,17 @@
   virtual endpoint_cause onReply(const attempt_evidence &Evidence,
                                  instant Now) = 0;
   virtual void onHealth(health_state State, std::uint64_t Generation) = 0;
+  /// Another owner has seen the endpoint warm in this life.
+  virtual void onWarmSeen(std::uint64_t Generation) = 0;
 
   /// Slots that may be used from `opensAt` on.
   virtual std::uint32_t open() const = 0;
   /// Before this instant nothing may be sent.
   virtual instant opensAt() const = 0;
   virtual bool isWarm() const = 0;
-  /// Changes with each change of `open`.
+  /// The life of the endpoint that was seen warm last; 0 for none.
+  virtual std::uint64_t warmGeneration() const = 0;
+  /// Changes when slots close.
   virtual std::uint32_t epoch() const = 0;
 };
 
--- a/src/query/owner_events.h
+++ b/src/query/owner_events.h
@@ -1,7 +1,7 @@
 /// Events and actions of the `owner` core.
 #pragma once
 
-#include "bulrushtray/fleet_config.h"
+#include "query/events.h"
 #include "query/messages.h"
 
 #include <variant>
@@ -26,15 +26,17 @@
 /// How a sending to an endpoint ended.
 enum class reply_kind : std::uint8_t {
   answered,
-  shed,             ///< refused, not run
-  snapshot_missing, ///< refused, not run
-  expired,          ///< refused: its deadline had passed, not run
-  draining,         ///< refused, not run
-  cancelled,        ///< cancelled before it ran
-  duplicate_key,    ///< refused, not run
-  connection_lost,  ///< closed after the request was sent; it may have run
-  connect_refused,  ///< no connection; nothing was sent
-  timed_out         ///< the shell waits no longer; it may still run
+  shed,              ///< refused, not run
+  snapshot_missing,  ///< refused, not run
+  expired,           ///< refused: its deadline had passed, not run
+  draining,          ///< refused, not run
+  cancelled,         ///< cancelled before it ran
+  cancelled_running, ///< cancelled while it ran
+  expired_running,   ///< cut at its deadline while it ran
+  duplicate_key,     ///< refused, not run
+  connection_lost,   ///< closed after the request was sent; it may have run
+  connect_refused,   ///< no connection; nothing was sent
+  timed_out          ///< the shell waits no longer; it may still run
 };
 
 /// What the headers of a reply say.
@@ -70,11 +72,6 @@
   std::vector<held_snapshot> Held;
 };
 
-/// The accepted configuration changed.
-struct config_changed {
-  fleet_config Config;
-};
-
 /// The right to send to one endpoint.
 struct owner_grant {
   endpoint_id Endpoint;
@@ -82,21 +79,20 @@
   instant InheritedUntil; ///< an earlier owner's work may run until then
 };
 
+/// What other owners say of their endpoints.
+struct reports_heard {
+  std::vector<endpoint_report> Reports;
+};
+
 /// All endpoints that this daemon owns from now on; the others are lost.
 struct ownership_changed {
   std::vector<owner_grant> Grants;
 };
 
-/// The daemon is to stop: finish what is queued, take nothing new.
-struct stop_requested {};
-
-/// The instant of the last `set_timer` has come.
-struct timer_fired {};
-
 using owner_event =
     std::variant<batch_arrived, cancel_arrived, endpoint_replied,
-                 health_arrived, config_changed, ownership_changed,
-                 stop_requested, timer_fired>;
+                 health_arrived, reports_heard, config_changed,
+                 ownership_changed, stop_requested, timer_fired>;
 
 /// Send one request to an endpoint; ends with one `endpoint_replied`.
 struct send_to_endpoint {
@@ -134,16 +130,6 @@
   endpoint_report Report;
 };
 
-/// Send `timer_fired` at this instant. Replaces the earlier one.
-struct set_timer {
-  instant At;
-};
-
-/// A sub-request was refused.
-struct count_refusal {
-  refusal Reason = refusal::none;
-};
-
 /// Why an owner changed what it lets an endpoint do.
 enum class endpoint_cause : std::uint8_t {
   new_owner,
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -27,7 +27,7 @@
   shared_body Body;
   shared_intent Intent;
   revision Revision;
-  idempotency_key Key;
+  command_key Key;
   bool IsCommand = false;
   query_phase Phase = query_phase::snapshot;
   instant Arrived;
@@ -95,6 +95,7 @@
   void takeReply(query_state &Query, const sub_reply &Reply);
   void attemptFailed(query_state &Query, shard_id Shard, retry_reason Cause);
   void retry(query_state &Query, shard_id Shard);
+  bool hasHolder(const query_state &Query, shard_id Shard) const;
   std::optional<endpoint_id> retryTarget(query_state &Query, shard_id Shard);
   void abandon(query_state &Query, shard_id Shard, attempt_state State,
                refusal Reason);
@@ -104,7 +105,7 @@
   hedge_denial tryHedge(query_state &Query, shard_id Shard);
   void observe(const query_state &Query, endpoint_id Endpoint, millis Took,
                bool Ended);
-  void collectTried(const shard_progress &Shard);
+  void collectTried(const gather &Gather, shard_id Shard);
   retry_budget &budgetOf(const query_state &Query);
 
   // router_command.cpp: the way of one command
@@ -127,10 +128,8 @@
   void reply(query_state &Query, answer Answer);
   void cancelPending(query_state &Query);
   void releaseCommand(const query_state &Query);
-  void remember(const query_state &Query, const answer &Answer);
-  static void appendAttempts(const shard_progress &Progress, shard_id Shard,
-                             instant Arrived,
-                             std::vector<attempt_record> &Records);
+  static bool isPlain(const query_state &Query, const answer &Answer);
+  void remember(query_state &Query, const answer &Answer);
   void forget(query_state &Query);
 
   /// No restart on another snapshot after this share of the deadline.
@@ -154,12 +153,13 @@
   wake_queue Wakes;
   std::unordered_map<query_id, std::unique_ptr<query_state>> Queries;
   std::vector<std::unique_ptr<query_state>> Spare;
-  std::unordered_map<sub_id, idempotency_key> LateCommands;
+  std::unordered_map<sub_id, command_key> LateCommands;
   std::vector<query_id> Waiting;  ///< for a snapshot
   std::vector<endpoint_id> Tried; ///< of the choice under way
   revision Revision;
   std::uint64_t Epoch = 0;
   std::uint64_t NextSub = 1;
+  instant NextPlain; ///< a query without incident is remembered from then on
   bool Ready = false;
   bool Stopping = false;
   instant Now;                               ///< of the step under way
--- a/src/query/router_search.cpp
+++ b/src/query/router_search.cpp
@@ -46,12 +46,14 @@
   if (Again)
     Query.Gather.beginAgain(Map.Snapshot, Map.total(), FirstSub);
   else
-    Query.Gather.begin(Map.Snapshot, Map.total(), FirstSub);
+    Query.Gather.begin(Map.Snapshot, Map.total(), FirstSub, Query.Arrived);
   for (std::uint32_t Shard = 0; Shard < Map.total(); ++Shard)
     sendFirst(Query, Map, {Shard}, Again);
-  if (!Again)
-    budgetOf(Query).earn(Query.Gather.pending(),
-                         Query.Intent->Intent.ExtraLoad);
+  const std::uint32_t Sent = Query.Gather.pending();
+  if (Again)
+    Out->emplace_back(count_retry{retry_reason::wrong_snapshot, Sent});
+  else
+    budgetOf(Query).earn(Sent, Query.Intent->Intent.ExtraLoad);
   flush(Query);
   settle(Query);
 }
@@ -86,15 +88,16 @@
                         retry_reason Cause) {
   endpoint_view &View = Endpoints[Endpoint];
   const matched_intent &Intent = *Query.Intent;
-  attempt Attempt;
+  attempt_record Attempt;
+  Attempt.Shard = Shard;
   Attempt.Endpoint = Endpoint;
   Attempt.Owner = *View.Owner;
-  Attempt.SentAt = Now;
+  Attempt.SentAfterMs = static_cast<float>((Now - Query.Arrived).Count);
   Attempt.IsPrimary = IsPrimary;
   Attempt.Cause = Cause;
   const std::uint32_t Number = Query.Gather[Shard].Count;
   sub_request Item;
-  Item.Sub = Query.Gather.add(Shard, Attempt);
+  Item.Sub = Query.Gather.add(Attempt);
   Item.Query = Query.Id;
   Item.Endpoint = Endpoint;
   Item.Shard = Shard;
@@ -104,7 +107,7 @@
   Item.IsCommand = Query.IsCommand;
   Item.Weight = Intent.Intent.Weight;
   Item.Caller = Query.Caller;
-  Item.Key = Query.Key;
+  Item.Key = Query.Key.Key;
   Outbox.add(Attempt.Owner, std::move(Item));
   ++View.Outstanding;
   if (Query.IsCommand || !Settings.Hedge.Enabled)
@@ -147,12 +150,11 @@
   if (!Other || Other->Map->Snapshot == Query.Gather.snapshot() ||
       !promisesEnough(Query, *Other))
     return false;
-  const std::uint32_t Total = Other->Map->total();
-  if (!budgetOf(Query).spendRetries(Total))
+  if (!budgetOf(Query).spendRetries(Other->Promised))
     return false;
   ++Query.Repins;
   cancelPending(Query);
-  Out->emplace_back(count_retry{retry_reason::wrong_snapshot, Total});
+  Outbox.flushCancels(*Out);
   scatter(Query, *Other, true);
   return true;
 }
