--- a/bench/micro/overload_bench.cpp
+++ b/bench/micro/overload_bench.cpp
@@ -14,6 +14,7 @@
 struct policy {
   const char *Name;
   query::admission_policy Admission;
+  query::cold_policy Cold = query::cold_policy::inferred;
 };
 
 void runOne(const policy &Policy, double Load, std::uint64_t Seed) {
@@ -21,6 +22,7 @@
   Settings.Seed = Seed;
   Settings.Load = Load;
   Settings.Owner.Admission = Policy.Admission;
+  Settings.Owner.Cold = Policy.Cold;
   Settings.Classes = {{0.8, 1, {50}, 0.95}, {0.2, 4, {50}, 0.95}};
   owner_world_result Result = runOwnerWorld(Settings);
   double Weighted = 0;
@@ -50,7 +52,9 @@
               "good, weight 4 | p99 ms, weight 1 | p99 ms, weight 4 | busy |\n"
               "|---|---|---|---|---|---|---|---|---|\n");
   for (const policy &Policy :
-       {policy{"fifo", query::admission_policy::fifo},
+       {policy{"fifo, health trusted", query::admission_policy::fifo,
+               query::cold_policy::trust_health},
+        policy{"fifo", query::admission_policy::fifo},
         policy{"ungated", query::admission_policy::ungated},
         policy{"weighted_deadline",
                query::admission_policy::weighted_deadline}})
