--- a/src/query/cold_start.cpp
+++ b/src/query/cold_start.cpp
@@ -78,9 +78,9 @@
   void onHealth(health_state State, std::uint64_t Reported) override {
     if (isNewGeneration(Reported))
       close();
-    if (Reported != Generation)
-      return;
-    const bool SaysCold = State == health_state::cold;
+    if (Reported != Generation || ConfirmedIn != Epoch)
+      return; // of an earlier life, perhaps
+    const bool SaysCold = State != health_state::warm;
     if (Health.turnsWarm(SaysCold, Reported) && !Warm)
       openBySign();
   }
@@ -143,8 +143,10 @@
       SlowReplies = 0;
       Usual.add(Evidence.Latency);
     }
-    if (Evidence.Epoch == Epoch)
-      succeed(Evidence, FlagTurned);
+    if (Evidence.Epoch != Epoch)
+      return endpoint_cause::success;
+    ConfirmedIn = Epoch;
+    succeed(Evidence, FlagTurned);
     return endpoint_cause::success;
   }
 
@@ -247,6 +249,7 @@
   millis ProbeDelay;
   std::uint64_t Generation = 0;
   std::uint64_t EarlierGeneration = 0;
+  std::uint32_t ConfirmedIn = 0; ///< epoch in which a reply had `Generation`
   std::uint64_t WarmGeneration = 0;
   bool FlagWasSet = false;
   checked_sign Flag;
--- a/test/unit/owner_cold_test.cpp
+++ b/test/unit/owner_cold_test.cpp
@@ -222,6 +222,14 @@
     Given.step(health_arrived{{0}, health_state::warm, 5, 0, {}});
     CHECK(sentOf(Given) == 3);
   }
+  SECTION("not a late report, after a restart that no reply has shown yet") {
+    Given.answer(Given.request(), reply_kind::answered, withGeneration(5));
+    Given.step(health_arrived{{0}, health_state::cold, 5, 0, {}});
+    Given.answer(Given.request(), reply_kind::connection_lost);
+    Given.advance({30});
+    Given.step(health_arrived{{0}, health_state::warm, 5, 0, {}});
+    CHECK(sentOf(Given) == 1);
+  }
   SECTION("not a report of an earlier life") {
     Given.answer(Given.request(), reply_kind::answered, withGeneration(5));
     Given.step(health_arrived{{0}, health_state::cold, 5, 0, {}});
