Hedges: settled estimates only, and stragglers weigh less in the choice

Change: an endpoint's quantile counts after 100 samples and at most 1.1 x its class's; a reply counts at most 3 x the mean latency.

--- a/src/query/hedge_delay.cpp
+++ b/src/query/hedge_delay.cpp
@@ -8,8 +8,6 @@
 
 /// Samples before an estimate is used.
 constexpr std::uint32_t EnoughSamples = 20;
-/// Samples over which the step falls to its settled size.
-constexpr std::uint32_t SettledSamples = 100;
 constexpr double EndpointStep = 0.05;
 constexpr double PoolStep = 0.02;
 /// Weight of one reply in the share of late ones.
@@ -78,7 +76,7 @@
     return Deadline * Settings.InitialShare;
   double Delay = Pool->Latency.value();
   const quantile_tracker *Own = find(PerEndpoint, Endpoint.Value, Class);
-  if (Own && Own->count() >= EnoughSamples)
+  if (Own && Own->isSettled())
     Delay = std::min(Own->value(), Delay * Settings.SlowEndpointRatio);
   return std::max(millis{Delay}, Settings.MinDelay);
 }
--- a/src/query/hedge_delay.h
+++ b/src/query/hedge_delay.h
@@ -17,7 +17,12 @@
   double value() const { return Value; }
   std::uint32_t count() const { return Count; }
 
+  /// Whether the step has fallen to its settled size.
+  bool isSettled() const { return Count >= SettledSamples; }
+
 private:
+  static constexpr std::uint32_t SettledSamples = 100;
+
   float Value = 0;
   std::uint32_t Count = 0; ///< stops at the settled number
 };
--- a/src/query/router_attempts.cpp
+++ b/src/query/router_attempts.cpp
@@ -9,6 +9,9 @@
 
 /// Weight of one reply in an endpoint's mean latency.
 constexpr float LatencyWeight = 0.1F;
+/// A reply counts at most as this many times the mean, so that one straggler
+/// does not turn work away from its endpoint for long.
+constexpr float MaxLatencyRatio = 3;
 /// A hedge that was denied is considered again after this.
 constexpr millis HedgeRecheck{2};
 
@@ -82,7 +85,8 @@
 void router::impl::observe(const query_state &Query, endpoint_id Endpoint,
                            millis Took, bool Ended) {
   endpoint_view &View = Endpoints[Endpoint];
-  const auto TookMs = static_cast<float>(Took.Count);
+  const float TookMs = std::min(static_cast<float>(Took.Count),
+                                MaxLatencyRatio * View.LatencyMs);
   const matched_intent &Intent = *Query.Intent;
   if (Ended || TookMs > View.LatencyMs)
     View.LatencyMs += LatencyWeight * (TookMs - View.LatencyMs);
--- a/src/query/router_settings.h
+++ b/src/query/router_settings.h
@@ -21,7 +21,7 @@
   double Quantile = 0.96;         ///< of the latency, at which a hedge is due
   millis MinDelay{1};             ///< no hedge before this
   double InitialShare = 0.4;      ///< of the deadline, until latency is known
-  double SlowEndpointRatio = 1.5; ///< cap of an endpoint's delay over its class
+  double SlowEndpointRatio = 1.1; ///< cap of an endpoint's delay over its class
   double ShiftedShare = 0.25; ///< of late replies, above which hedging stops
   double OpenShare = 0.25;    ///< of shards open, above which a query waits
 };
