Fuzz of leases: a voter that stands still wins no election

The trace shows voter 0 elected while it was paused, so that it worked off its old messages as leader of the first term while the pretended log took its proposals as the third's. A paused process cannot win an election, and a replica steps down before it is elected again. Change: the world resumes and deposes a voter before it elects it; the check is as it was.

--- a/test/fuzz/control_world.h
+++ b/test/fuzz/control_world.h
@@ -98,8 +98,12 @@
   }
 
   /// A voter becomes leader. What the one before had not committed is kept up
-  /// to a random place; the one before does not know yet.
+  /// to a random place; the one before does not know yet. A process that stands
+  /// still wins no election, and one that led before stepped down for it.
   void elect(std::size_t New) {
+    pauseVoter(New, false);
+    if (AllVoters[New].BelievedTerm != 0)
+      feed(New, leadership_lost{});
     const std::size_t Kept =
         Log.Pending.empty() ? 0 : draw(Log.Pending.size() + 1);
     for (std::size_t I = 0; I < Kept; ++I)
