--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -156,8 +156,9 @@
   log_index Applied;
   bool Ready = false; ///< leader, and all earlier entries are applied
   /// As leader: the latest time at which a majority is known to have followed
-  /// it. Nobody else led before that time plus `ElectionMin`, on clocks of
-  /// equal speed.
+  /// it. Nobody is elected in a larger term before that time plus
+  /// `ElectionMin`, on clocks of equal speed and without a planned transfer; a
+  /// leader of a smaller term is confirmed no more.
   instant ConfirmedAt;
   voter_group Group;
 };
