--- a/src/control/ledger.cpp
+++ b/src/control/ledger.cpp
@@ -82,7 +82,7 @@
 }
 
 ledger_answer ledger::finish(const ledger_finish &Finish) {
-  const ledger_answer Recorded = verdict(Finish.Run, ledger_verdict::recorded);
+  ledger_answer Recorded = verdict(Finish.Run, ledger_verdict::recorded);
   const auto Found = Records.find(Finish.Key);
   if (Found == Records.end())
     return Recorded;
--- a/test/fuzz/commands_fuzz.cpp
+++ b/test/fuzz/commands_fuzz.cpp
@@ -2,6 +2,8 @@
 
 #include "control_world.h"
 
+#include <set>
+
 using namespace bulrush;
 using namespace bulrush::test;
 
@@ -47,8 +49,10 @@
     operator_story &Story = Stories[Id];
     if (!Story.Plan)
       return;
-    if (Story.Sends++ == 0)
+    if (Story.Sends++ == 0) {
       Story.FirstSend = World.Now;
+      FirstSends.insert(LastTicket + 1);
+    }
     ask(Voter, Id, confirm_request{*Story.Plan, Story.Sends == 1});
   }
 
@@ -77,6 +81,7 @@
       return;
     Story.Last = Confirmed->Status;
     if (Confirmed->Status == confirm_status::not_run) {
+      RC_ASSERT(FirstSends.contains(Ticket));
       // It speaks of the first send; a resend may have been accepted.
       RC_ASSERT(Story.Sends > 1 || !Story.Decided.has_value());
       return;
@@ -150,6 +155,7 @@
   control_world &World;
   std::deque<operator_story> Stories;
   std::map<std::uint64_t, std::uint64_t> StoryOf; ///< by ticket
+  std::set<std::uint64_t> FirstSends;
   std::uint64_t LastTicket = 0;
   std::array<revision, control_world::Voters> LastRevision;
   std::map<log_index, std::uint64_t> DigestAt;
