--- a/src/query/owner_events.cpp
+++ b/src/query/owner_events.cpp
@@ -24,10 +24,9 @@
                                                          "returned",
                                                          "stopping"};
 
-constexpr std::array<std::string_view, 10> ChangeNames = {
-    "turned_cold",   "slot_opened",  "slots_closed", "turned_warm",
-    "limit_lowered", "limit_raised", "closed",       "opened",
-    "drained",       "lost"};
+constexpr std::array<std::string_view, 8> ChangeNames = {
+    "turned_cold", "slot_opened", "slots_closed", "turned_warm",
+    "closed",      "opened",      "drained",      "lost"};
 
 } // namespace
 
--- a/src/query/owner_events.h
+++ b/src/query/owner_events.h
@@ -157,8 +157,6 @@
   slot_opened,
   slots_closed,
   turned_warm,
-  limit_lowered,
-  limit_raised,
   closed,  ///< takes no new work
   opened,  ///< takes work again
   drained, ///< closed, and nothing is in flight any more
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -72,6 +72,10 @@
       "maxQueued", {.Least = 1,
                     .Most = MostCount,
                     .Fallback = static_cast<double>(Out.MaxQueued)});
+  Out.RampReplies = Reader.whole<std::uint32_t>(
+      "rampReplies", {.Least = 1,
+                      .Most = MostCount,
+                      .Fallback = static_cast<double>(Out.RampReplies)});
   Out.HealthPeriod = Reader.duration(
       "healthPeriodMs",
       {.Least = 10, .Most = MostMillis, .Fallback = Out.HealthPeriod.Count});
