--- a/bench/experiments/cold_start.py
+++ b/bench/experiments/cold_start.py
@@ -76,12 +76,7 @@
         at_start = fleet.record()
         fleet.reset_record()
         result = fleet.load('cold', deployment.classes(rates), seconds, 0.5, while_measuring=schedule.run)
-        rec = fleet.record()
-        for tag, r in (('start', at_start), ('run', rec)):
-            for e in r:
-                if e['coldBreaches'] or e['falls']:
-                    print(folder.name, tag, {k: v for k, v in e.items() if k not in ('serviceTimes', 'services')}, time.time(), time.monotonic(), flush=True)
-        return result, rec, at_start
+        return result, fleet.record(), at_start
 
 
 def breaches(records):
--- a/src/daemon/endpoint_gateway.cpp
+++ b/src/daemon/endpoint_gateway.cpp
@@ -192,8 +192,10 @@
     Settings.Server = Endpoint.Address;
     Settings.MaxConnections = std::min<std::size_t>(
         Most - Spare, Endpoint.Limits.Slots * ConnectionsPerSlot);
+    Settings.FailWhenClosed = true;
     Out.Requests = std::make_unique<http::client>(Io, Settings);
     Settings.MaxConnections = Spare;
+    Settings.FailWhenClosed = false;
     Out.Probes = std::make_unique<http::client>(Io, Settings);
     return Out;
   }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -205,7 +205,10 @@
     Idle.pop_back();
     if (Chosen->isStale()) {
       remove(Chosen);
-      continue;
+      if (!Settings.FailWhenClosed)
+        continue;
+      finishLater(std::move(Exchange.Done), exchange_status::connect_failed);
+      return;
     }
     Chosen->run(std::move(Exchange));
     return;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -24,6 +24,9 @@
   std::size_t MaxConnections = 8;
   std::size_t MaxWaiting = 1000; ///< requests that wait for a connection
   std::size_t MaxBodyBytes = 4 << 20;
+  /// Whether a request that finds its connection closed by the server fails
+  /// with `connect_failed`, as a sign of a restart, or opens another one.
+  bool FailWhenClosed = false;
   millis IdleTimeout{30'000}; ///< after this an unused connection is closed
   millis ExchangeTimeout{
       60'000}; ///< after this the connection is closed and the exchange is lost
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -125,6 +125,35 @@
   CHECK(Done == 20);
 }
 
+TEST_CASE("a connection that the server closed while idle is told when asked") {
+  using namespace std::chrono_literals;
+  http::server_settings Settings;
+  Settings.IdleTimeout = {50};
+  fixture F(Settings);
+  http::client_settings Asked;
+  Asked.Server = {"127.0.0.1", Port};
+  Asked.FailWhenClosed = true;
+  http::client Client(F.Io, Asked);
+  std::vector<http::exchange_status> Ended;
+  const auto Send = [&](std::chrono::milliseconds Then) {
+    http::request Request;
+    Request.Method = "GET";
+    Request.Target = "/now";
+    Client.send(std::move(Request), [&](const http::exchange_result &Result) {
+      Ended.push_back(Result.Status);
+    });
+    F.Io.restart();
+    F.Io.run_for(Then);
+  };
+  Send(2500ms); // the server closes the idle connection meanwhile
+  Send(100ms);
+  Send(100ms);
+  const std::vector<http::exchange_status> Expected = {
+      http::exchange_status::done, http::exchange_status::connect_failed,
+      http::exchange_status::done};
+  CHECK(Ended == Expected);
+}
+
 TEST_CASE("a refused connection is reported as not sent") {
   boost::asio::io_context Io;
   http::client_settings Settings;
