--- a/bench/experiments/zone_out.py
+++ b/bench/experiments/zone_out.py
@@ -44,6 +44,7 @@
         until(0.5)
         # What was out restarts meanwhile: it is cold when it comes back.
         self.fleet.change_endpoints(self.zone, 'cold', {'reset': True})
+        self.joined_at = now_ms()
         faults.cut_entry(self.fleet, self.entry, False)
         faults.cut_control(self.fleet, self.control, False)
         time.sleep(1)
@@ -91,6 +92,9 @@
     after_out = dips[out_second:in_second]
     busy = [e for e in inside if fig.arrivals_between(e, e['began'], plan.out_at) > 0]
     back = [e for e in busy if fig.arrivals_between(e, plan.in_at, plan.in_at + RETURN_MS) > 0]
+    late_seconds = sorted({int((e['began'] + i * e['arrivalBucketMs'] - plan.out_at) // 1000)
+                           for e in inside for i, count in enumerate(e['arrivals'])
+                           if count and plan.out_at + QUIET_AFTER_MS <= e['began'] + i * e['arrivalBucketMs'] < plan.in_at})
     late_dips = dips[in_second + int(RETURN_MS // 1000):]
     return {
         'zone, cut entry daemon, cut control VM': f'{plan.zone} {plan.entry} {plan.control}',
@@ -98,6 +102,9 @@
         'confirm took, ms': plan.out_at - plan.out_asked_at,
         'requests at the zone before it went out': before,
         'requests at the zone later than 3 s after': late,
+        'seconds after out in which they came': str(late_seconds),
+        'seconds after out: joined again, asked in': (
+            f'{(plan.joined_at - plan.out_at) / 1000:.1f} {(plan.in_at - plan.out_at) / 1000:.1f}'),
         'answered share before': normal,
         'worst dip after the zone went out': max(after_out, default=None),
         'seconds with a dip': sum(1 for dip in after_out if dip > DIP_THAT_COUNTS),
--- a/bench/harness/fleet.py
+++ b/bench/harness/fleet.py
@@ -125,7 +125,9 @@
 
     def record(self, service_times=False, keys=False):
         query = f'?serviceTimes={int(service_times)}&keys={int(keys)}'
-        return web.get(self.deployment.admin, '/admin/record' + query, seconds=60)[1]['endpoints']
+        record = web.get(self.deployment.admin, '/admin/record' + query, seconds=60)[1]['endpoints']
+        self.write('record.json', record)
+        return record
 
     def endpoints(self):
         return web.get(self.deployment.admin, '/admin/endpoints')[1]['endpoints']
--- a/bench/load/generator.cpp
+++ b/bench/load/generator.cpp
@@ -135,12 +135,18 @@
     Call.Number = ++LastNumber;
     Call.Due = Due;
     if (Settings.Classes[Class].IsCommand)
-      Call.Key = Settings.Run + "-k" + std::to_string(Call.Number);
+      Call.Key = newKey(Call.Number);
     if (Due >= MeasureFrom)
       Results.SendLags.push_back(static_cast<float>((Now - Due).Count));
     send(Call);
   }
 
+  /// A key begins with the time of its issue.
+  std::string newKey(std::uint64_t Number) const {
+    return std::to_string(static_cast<std::uint64_t>(wallNow())) + '-' +
+           Settings.Run + '-' + std::to_string(Number);
+  }
+
   void send(const call &Call) {
     const load_class &Class = Settings.Classes[Call.Class];
     asked Asked;
