--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -148,10 +148,14 @@
 
 expected<ctl_status> explain(const ctl_options &Options,
                              const std::string &Kind, const std::string &Name) {
+  std::string Target = "/v1/explain/";
+  Target += Kind;
+  Target += '/';
+  Target += Name;
   json Found = json::array();
   for (const vm &Vm : Options.Deployment.Vms) {
     asker Ask({Vm.Callers}, {});
-    const auto Response = Ask.get("/v1/explain/" + Kind + '/' + Name);
+    const auto Response = Ask.get(Target);
     if (!Response || Response->Status != 200)
       continue;
     const json Answer = parsed(*Response);
--- a/src/daemon/control_actors.cpp
+++ b/src/daemon/control_actors.cpp
@@ -74,14 +74,14 @@
         Disk(std::move(Disk)), Clock(Clock), OnActions(std::move(OnActions)) {}
 
   caf::behavior make_behavior() override {
-    return {[this](const node_events &Events) { run(std::move(*Events)); },
+    return {[this](const node_events &Events) { run(*Events); },
             [this](const node_look &Look) { (*Look)(Node); }};
   }
 
 private:
-  void run(std::vector<node_event> Events) {
+  void run(const std::vector<node_event> &Events) {
     std::vector<node_action> Actions;
-    Node.step(std::move(Events), Clock.now(), Actions);
+    Node.step(Events, Clock.now(), Actions);
     std::vector<node_action> Outside;
     for (node_action &Action : Actions) {
       if (auto *Write = std::get_if<control::persist>(&Action))
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -10,7 +10,7 @@
     : Replica(std::move(Options), std::move(State), Seed),
       Core(Self, std::move(Deployment), Seed) {}
 
-void control_node::step(std::vector<node_event> Events, instant At,
+void control_node::step(const std::vector<node_event> &Events, instant At,
                         std::vector<node_action> &Given) {
   Now = At;
   Out = &Given;
--- a/src/daemon/control_node.h
+++ b/src/daemon/control_node.h
@@ -27,7 +27,7 @@
                control::replica_options Options, control::recovered_state State,
                std::uint64_t Seed);
 
-  void step(std::vector<node_event> Events, instant Now,
+  void step(const std::vector<node_event> &Events, instant Now,
             std::vector<node_action> &Out);
 
   const control::control_core &core() const { return Core; }
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -87,7 +87,7 @@
 }
 
 std::string object_reader::text(const char *Key,
-                                std::optional<std::string> Fallback) {
+                                const std::optional<std::string> &Fallback) {
   const nlohmann::json *Value = find(Key);
   if (!Value) {
     if (!Fallback)
--- a/src/settings/json_reader.h
+++ b/src/settings/json_reader.h
@@ -47,7 +47,8 @@
     return {number(Key, Rule)};
   }
   /// Without a fallback the text is required and must not be empty.
-  std::string text(const char *Key, std::optional<std::string> Fallback = {});
+  std::string text(const char *Key,
+                   const std::optional<std::string> &Fallback = {});
   bool flag(const char *Key, bool Fallback);
   /// An address such as "127.0.0.1:8080"; required unless `IsOptional`.
   address socketAddress(const char *Key, bool IsOptional = false);
