--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -32,6 +32,13 @@
   return Role == role::entry ? "entry" : "control";
 }
 
+/// The name of the message's body, such as `heartbeat`.
+std::string_view kindOf(const Envelope &Message) {
+  const auto *Field =
+      Envelope::descriptor()->FindFieldByNumber(Message.body_case());
+  return Field ? std::string_view(Field->name()) : "empty";
+}
+
 void setCommonOptions(zmq::socket_t &Socket, const link_settings &Settings) {
   Socket.set(zmq::sockopt::linger, 0);
   Socket.set(zmq::sockopt::sndhwm, Settings.QueueBound);
@@ -136,6 +143,7 @@
     }
     if (Cut.contains(From))
       return;
+    Metrics.add("link_received_bytes", kindOf(Parsed), Message.size());
     OnMessage(From, Parsed);
   }
 };
@@ -181,8 +189,8 @@
     State->Metrics.add("link_dropped", nameOf(To.Role));
     return false;
   }
-  State->Metrics.add("link_sent_bytes", nameOf(To.Role), Size);
-  State->Metrics.add("link_sent_messages", nameOf(To.Role));
+  State->Metrics.add("link_sent_bytes", kindOf(Message), Size);
+  State->Metrics.add("link_sent_messages", kindOf(Message));
   return true;
 }
 
