A step of the replicated log writes once, and the write comes first

Cause: a shell that feeds the actions of one step into another step while it carries them out could hand a later write to the disk before an earlier one.

Change: persist is the first action of its step.

Tests: checked in the unit test of batches.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -52,6 +52,7 @@
                         std::vector<action> &Out) {
   Now = Time;
   Sink = &Out;
+  StepBegin = Out.size();
   if (!Started) {
     Started = true;
     resetElectionTimer();
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -3,8 +3,9 @@
 /// The shell hands in events and carries out the actions in their order. Writes
 /// are asynchronous: after `persist` the shell writes, syncs and answers with
 /// `persisted`. A message that depends on a write is held inside and only
-/// appears as `send` after that answer. Entries of a leader leave before its
-/// own write ends; its own copy counts towards the majority afterwards.
+/// appears as `send` after that answer. A step writes once at most, and
+/// `persist` is its first action. Entries of a leader leave before its own
+/// write ends; its own copy counts towards the majority afterwards.
 #pragma once
 
 #include "bulrushtray/outcome.h"
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -167,6 +167,7 @@
   // Volatile state.
   instant Now;
   std::vector<action> *Sink = nullptr;
+  std::size_t StepBegin = 0; ///< the place in `Sink` of this step's write
   replica_role Role = replica_role::follower;
   voter_id Leader = NoVoter;
   instant LeaderSeen{-1e300};
--- a/src/control/replica_output.cpp
+++ b/src/control/replica_output.cpp
@@ -58,7 +58,8 @@
     Write.Snapshot = Snapshot;
   Write.DropLog = LogDropped;
   Writes.push_back({Write.Write, Term, Log.last()});
-  emit(std::move(Write));
+  Sink->insert(Sink->begin() + static_cast<std::ptrdiff_t>(StepBegin),
+               std::move(Write));
   HardChanged = SnapshotChanged = LogDropped = false;
   ChangedFrom.reset();
 }
--- a/test/unit/replica_test.cpp
+++ b/test/unit/replica_test.cpp
@@ -239,6 +239,8 @@
   std::vector<action> Out;
   Group.leader()->Replica->step(Batch, Group.Now, Out);
   std::size_t Writes = 0;
+  REQUIRE_FALSE(Out.empty());
+  CHECK(std::holds_alternative<persist>(Out.front()));
   for (const action &Action : Out)
     if (const auto *Write = std::get_if<persist>(&Action)) {
       ++Writes;
