--- a/src/control/changes.cpp
+++ b/src/control/changes.cpp
@@ -98,13 +98,13 @@
         inRange("putIntent.deadlineMs", I.Deadline.Count, 0, MaxDeadline.Count);
     if (!Deadline)
       return Deadline;
-    const auto Coverage =
+    auto Coverage =
         inRange("putIntent.minCoveragePercent", I.MinCoverage.Value, 0, 100);
     if (!Coverage)
       return Coverage;
     if (I.Weight <= 0)
       return invalid("putIntent.weight", I.Weight, "more than 0, up to 1000");
-    const auto Weight = inRange("putIntent.weight", I.Weight, 0, MaxWeight);
+    auto Weight = inRange("putIntent.weight", I.Weight, 0, MaxWeight);
     if (!Weight)
       return Weight;
     return inRange("putIntent.extraLoadPercent", I.ExtraLoad.Value, 0, 100);
