--- a/bench/load/generator.cpp
+++ b/bench/load/generator.cpp
@@ -40,6 +40,14 @@
   bool IsExtra = false; ///< a resend after an answer: not in the figures
 };
 
+/// The outcome with the reason of a refusal, such as `not_run:no_owner`.
+std::string nameOf(const checked_answer &Answer) {
+  std::string Name(bulrush::toString(Answer.Outcome));
+  if (!Answer.Reason.empty())
+    Name.append(":").append(Answer.Reason);
+  return Name;
+}
+
 checked_answer unanswered(http::exchange_status Status) {
   checked_answer Answer;
   const bool Sent = Status == http::exchange_status::lost;
@@ -185,8 +193,7 @@
     if (IsDone)
       noteChecked(Call, Asked, Answer, Result.Response);
     if (!Call.Key.empty())
-      Results.OutcomesByKey[Call.Key].emplace_back(
-          bulrush::toString(Answer.Outcome));
+      Results.OutcomesByKey[Call.Key].push_back(nameOf(Answer));
     if (resends(Call, Answer) || Call.IsExtra || Call.Due < MeasureFrom)
       return;
     const millis Latency =
