Reports travel on change; a beat is the sign of life

Cause: every owner reported every endpoint twice a second to every daemon, 26 bytes each, though nothing had changed. Change: an unchanged endpoint is reported every 3 s, changes as before; an empty message is the sign of life; a daemon that has started is sent all that was last reported.

--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -99,6 +99,7 @@
 
   bool start();
   void onMessage(wire::process_id From, const wire::Envelope &Message);
+  void noteSign(vm_id Vm, incarnation_id Peer, instant Now);
   void onEvents(std::vector<data_event> Events);
 
   void run(query::send_batch &Action);
@@ -196,11 +197,19 @@
   return true;
 }
 
+void entry_daemon::state::noteSign(vm_id Vm, incarnation_id Peer, instant Now) {
+  const peer_watch::news News = Watch.heard(Vm, Peer, Now);
+  if (News.WasSilent)
+    Gate->push(query::router_event(query::vm_recovered{Vm}));
+  if (News.WasSilent || News.HasStarted)
+    Mail->greet(Vm, Owned);
+}
+
 void entry_daemon::state::onMessage(wire::process_id From,
                                     const wire::Envelope &Message) {
   const instant Now = Clock.now();
-  if (From.Role == wire::role::entry && Watch.heard(From.Vm, Now))
-    Gate->push(query::router_event(query::vm_recovered{From.Vm}));
+  if (From.Role == wire::role::entry)
+    noteSign(From.Vm, {Message.incarnation()}, Now);
   switch (Message.body_case()) {
   case wire::Envelope::kSubBatch: {
     auto Batch = wire::take(From.Vm, Message.sub_batch());
@@ -419,6 +428,7 @@
 void entry_daemon::state::tick() {
   stepAgent(control::agent_tick{});
   Ledger->tick(Clock.now());
+  Mail->beat(Clock.now());
   for (const vm_id Vm : Watch.newlySilent(Clock.now()))
     Gate->push(query::router_event(query::vm_suspected{Vm}));
   if (Stage != stop_stage::running)
--- a/src/daemon/peer_mail.cpp
+++ b/src/daemon/peer_mail.cpp
@@ -36,6 +36,7 @@
 }
 
 void peer_mail::add(query::endpoint_report Report) {
+  LastReports[Report.Endpoint] = Report;
   Reports.push_back(std::move(Report));
 }
 
@@ -47,13 +48,38 @@
     Links.send(entryOn(To.Vm), Message);
   }
   Replies.clear();
-  if (Reports.empty())
-    return;
+  if (!Reports.empty())
+    broadcast();
+}
+
+void peer_mail::broadcast() {
   wire::Envelope Message;
   wire::put(Reports, *Message.mutable_endpoint_reports());
   for (const vm_id Vm : Others)
     Links.send(entryOn(Vm), Message);
   Reports.clear();
+  HasBroadcast = true;
+}
+
+void peer_mail::greet(vm_id Vm, const std::set<endpoint_id> &Owned) {
+  std::vector<query::endpoint_report> Known;
+  for (const auto &[Endpoint, Report] : LastReports)
+    if (Owned.contains(Endpoint))
+      Known.push_back(Report);
+  wire::Envelope Message;
+  wire::put(Known, *Message.mutable_endpoint_reports());
+  Links.send(entryOn(Vm), Message);
+}
+
+void peer_mail::beat(instant Now) {
+  if (HasBroadcast) {
+    HasBroadcast = false;
+    LastBroadcast = Now;
+    return;
+  }
+  if (Now - LastBroadcast < BeatInterval)
+    return;
+  broadcast();
 }
 
 } // namespace bulrush::daemon
--- a/src/daemon/peer_mail.h
+++ b/src/daemon/peer_mail.h
@@ -8,6 +8,7 @@
 #include "wire/link.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace bulrush::daemon {
@@ -24,7 +25,15 @@
   void add(query::endpoint_report Report);
   void flush();
 
+  /// Tells a process that has just started what was last reported of `Owned`.
+  void greet(vm_id Vm, const std::set<endpoint_id> &Owned);
+  /// A sign of life where no report has left for a while.
+  void beat(instant Now);
+
 private:
+  /// Peers take a silence of more than twice this for a lost link.
+  static constexpr millis BeatInterval{400};
+
   struct addressee {
     vm_id Vm;
     incarnation_id Incarnation;
@@ -32,10 +41,15 @@
     auto operator<=>(const addressee &) const = default;
   };
 
+  void broadcast();
+
   wire::link_set &Links;
   std::vector<vm_id> Others;
   std::map<addressee, std::vector<query::sub_reply>> Replies;
   std::vector<query::endpoint_report> Reports;
+  std::map<endpoint_id, query::endpoint_report> LastReports;
+  instant LastBroadcast{};
+  bool HasBroadcast = false;
 };
 
 } // namespace bulrush::daemon
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/peer_watch.h
@@ -13,12 +13,17 @@
 /// process.
 class peer_watch {
 public:
-  /// Notes a message; true when the vm had been reported as silent.
-  bool heard(vm_id Vm, instant Now) {
+  /// What a message tells beside its body.
+  struct news {
+    bool WasSilent = false;  ///< the vm had been reported as silent
+    bool HasStarted = false; ///< the first message of this life of the process
+  };
+
+  news heard(vm_id Vm, incarnation_id Incarnation, instant Now) {
     peer &Peer = Peers[Vm];
-    const bool WasSilent = Peer.IsSilent;
-    Peer = {Now, false};
-    return WasSilent;
+    const news Out{Peer.IsSilent, Peer.Incarnation != Incarnation};
+    Peer = {Incarnation, Now, false};
+    return Out;
   }
 
   /// Those that were heard before and have been silent for too long since; each
@@ -38,6 +43,7 @@
   static constexpr millis SilenceBound{1'200};
 
   struct peer {
+    incarnation_id Incarnation;
     instant HeardAt;
     bool IsSilent = false;
   };
--- a/src/query/owner_settings.h
+++ b/src/query/owner_settings.h
@@ -48,9 +48,9 @@
   std::uint32_t RaiseReplies =
       50; ///< successes that raise a lowered limit by one
 
-  millis HealthPeriod{500}; ///< between two health probes of an endpoint
-  millis ReportPeriod{500}; ///< longest time between two reports
-  millis ReportSpacing{20}; ///< shortest time between two reports
+  millis HealthPeriod{500};  ///< between two health probes of an endpoint
+  millis ReportPeriod{3000}; ///< longest time between two reports
+  millis ReportSpacing{20};  ///< shortest time between two reports
   millis DrainingMemory{
       1000}; ///< a draining sign outweighs health for this long
   millis RetryWhenClosed{500}; ///< retry hint while an endpoint takes no work
