--- a/test/unit/lease_test.cpp
+++ b/test/unit/lease_test.cpp
@@ -33,11 +33,12 @@
 TEST_CASE("a lease is timed from when the heartbeat was sent") {
   lease_table Table({1}, {0}, InFlight, {{Bay, Anna}});
   lease_holder Holder;
-  exchange(Table, Anna, Holder, {1000}, millis{800});
-  CHECK(Holder.owns(Bay, instant{3999}));
-  CHECK_FALSE(Holder.owns(Bay, instant{4000}));
-  CHECK(Holder.isFresh(instant{2999}));
-  CHECK_FALSE(Holder.isFresh(instant{3000}));
+  const instant SentAt{1000};
+  exchange(Table, Anna, Holder, SentAt, millis{800});
+  CHECK(Holder.owns(Bay, SentAt + OwnerLease - millis{1}));
+  CHECK_FALSE(Holder.owns(Bay, SentAt + OwnerLease));
+  CHECK(Holder.isFresh(SentAt + FreshnessLease - millis{1}));
+  CHECK_FALSE(Holder.isFresh(SentAt + FreshnessLease));
   CHECK_FALSE(Holder.owns(endpoint_id{8}, instant{1700}));
 }
 
@@ -87,7 +88,7 @@
 TEST_CASE("a new leader waits out leases that it can't know") {
   lease_table Table({2}, {10'000}, InFlight, {{Bay, Anna}});
   Table.aim({{Bay, Ben}});
-  CHECK(Table.readyMoves({13'000}).empty());
+  CHECK(Table.readyMoves(instant{10'000} + OwnerLease).empty());
   CHECK(Table.readyMoves({10'000 + worstCase(OwnerLease).Count}).size() == 1);
 }
 
@@ -135,7 +136,8 @@
 
 TEST_CASE("members come from heartbeats and the platform's list only hints") {
   member_list List({3}, {0});
-  List.heard(Anna, {}, {100});
+  const instant AnnaAt{1100 - HintedSilenceLimit.Count};
+  List.heard(Anna, {}, AnnaAt);
   List.heard(Ben, {}, {900});
   CHECK_FALSE(List.update({500}));
   CHECK(List.update({1000}));
