--- a/bench/micro/owner_bench.cpp
+++ b/bench/micro/owner_bench.cpp
@@ -84,14 +84,14 @@
   std::vector<std::pair<endpoint_id, attempt_id>> Sends;
 };
 
-void served_query(benchmark::State &State) {
+void servedQuery(benchmark::State &State) {
   served_owner Served(6);
   for (auto _ : State)
     Served.query();
 }
 
 /// Overload: nothing is answered and the queues are full.
-void refused_query(benchmark::State &State) {
+void refusedQuery(benchmark::State &State) {
   served_owner Served(1);
   for (int I = 0; I < 1000; ++I) {
     Served.Actions.clear();
@@ -106,7 +106,7 @@
 }
 
 /// The owner of 17,000 endpoints loses 1,000 and gets 1,000 others.
-void ownership_changes(benchmark::State &State) {
+void ownershipChanges(benchmark::State &State) {
   const deployment World = makeWorld(ManyEndpoints, 2);
   owner Owner(World, {});
   std::vector<owner_action> Actions;
@@ -147,18 +147,18 @@
 }
 
 BENCHMARK(reference)->Repetitions(3);
-BENCHMARK(served_query)->Repetitions(3);
-BENCHMARK(refused_query)->Repetitions(3);
-BENCHMARK(ownership_changes);
+BENCHMARK(servedQuery)->Repetitions(3);
+BENCHMARK(refusedQuery)->Repetitions(3);
+BENCHMARK(ownershipChanges);
 } // namespace
 
 int main(int Count, char **Arguments) {
   const char *const DataPath = "30,000 sub-requests/s in 5% of a core";
   const int Times = bulrush::bench::runWithBounds(
       Count, Arguments,
-      {{"served_query", Shards, 16, DataPath},
-       {"refused_query", Shards, 16, DataPath},
-       {"ownership_changes", 2 * ChangedGrants, 50,
+      {{"servedQuery", Shards, 16, DataPath},
+       {"refusedQuery", Shards, 16, DataPath},
+       {"ownershipChanges", 2 * ChangedGrants, 50,
         "1,000 moves within 10 ms, beside the data path"}});
   return memoryHolds() ? Times : 1;
 }
--- a/bench/micro/ownership_holders.cpp
+++ b/bench/micro/ownership_holders.cpp
@@ -114,11 +114,11 @@
     }
     for (std::uint32_t D = 0; D < Case.Daemons; ++D)
       if (Batches[D])
-        deliver(D, Own, std::move(Batches[D]));
+        deliver(D, Own, Batches[D]);
   }
 
   void deliver(std::uint32_t To, std::uint32_t From,
-               std::shared_ptr<sub_batch> Batch) {
+               const std::shared_ptr<sub_batch> &Batch) {
     if (To == From) {
       step(To, batch_arrived{std::move(*Batch)});
       return;
