--- a/src/query/router.cpp
+++ b/src/query/router.cpp
@@ -55,6 +55,14 @@
   return Place == Queries.end() ? nullptr : Place->second.get();
 }
 
+/// The time until a query must be answered, so that the answer arrives within
+/// the intent's deadline.
+millis router::impl::timeFor(const intent &Intent) const {
+  constexpr double MostMargin = 0.1;
+  return Intent.Deadline -
+         std::min(Settings.AnswerMargin, Intent.Deadline * MostMargin);
+}
+
 /// Makes the state of a new query; null when it was refused or is known.
 template <class Arrival>
 query_state *router::impl::admit(const Arrival &Event) {
@@ -85,7 +93,7 @@
     return nullptr;
   }
   Query.Pool = Pools[Event.Caller.Value];
-  Query.Deadline = Now + Query.Intent->Intent.Deadline;
+  Query.Deadline = Now + timeFor(Query.Intent->Intent);
   wakeAt(Query, Query.Deadline);
   return &Query;
 }
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -74,6 +74,7 @@
   void retryWaiting();
   void wakeAt(query_state &Query, instant At);
   void armTimer();
+  millis timeFor(const intent &Intent) const;
   query_state *find(query_id Id);
   template <class Arrival> query_state *admit(const Arrival &Event);
 
--- a/src/query/router_settings.h
+++ b/src/query/router_settings.h
@@ -65,7 +65,9 @@
   snapshot_settings Snapshot;
   replica_settings Replica;
   throttle_settings Throttle;
-  millis RetryAfter{250};             ///< told when no endpoint gave a hint
+  millis AnswerMargin{3}; ///< an answer leaves so long before its deadline,
+                          ///< but at most a tenth of the deadline before
+  millis RetryAfter{250}; ///< told when no endpoint gave a hint
   std::uint32_t ExplainQueries = 512; ///< queries remembered
   millis ExplainPlainGap{20};         ///< between remembered queries without
                                       ///< hedge, retry, refusal or gap
--- a/test/fuzz/router_fuzz.cpp
+++ b/test/fuzz/router_fuzz.cpp
@@ -16,7 +16,6 @@
 constexpr std::uint32_t Shards = 4;
 constexpr std::uint32_t EndpointCount = 2 * Shards;
 constexpr percent ExtraLoad{10};
-constexpr millis Deadline{50}; // as in makeIntents()
 constexpr std::size_t IntentCount = 2;
 
 /// Snapshot 8 splits each shard in two.
@@ -328,7 +327,7 @@
       RC_ASSERT(Named.insert(Result.Shard).second);
     }
     RC_ASSERT(Named.size() == Total);
-    if (Driven.Now < Query.Arrived + Deadline)
+    if (Driven.Now < Query.Arrived + QueryTime)
       checkNotCutShort(Id, Answer);
   }
 
--- a/test/query_fixture.h
+++ b/test/query_fixture.h
@@ -37,10 +37,14 @@
   return Deployment;
 }
 
+/// The time that a query of `makeIntents` has.
+inline constexpr millis QueryTime{50};
+
 inline std::vector<intent> makeIntents(percent ExtraLoad = {50}) {
   intent Any;
   Any.Name = {"any"};
   Any.ExtraLoad = ExtraLoad;
+  Any.Deadline = QueryTime + router_settings{}.AnswerMargin;
   intent Whole = Any;
   Whole.Name = {"whole"};
   Whole.Caller = "billing";
--- a/test/unit/router_search_test.cpp
+++ b/test/unit/router_search_test.cpp
@@ -17,7 +17,7 @@
   std::set<std::uint32_t> Shards;
   for (const send_batch &Sent : Batches) {
     CHECK(Owners.insert(Sent.To.Value).second);
-    CHECK(Sent.Batch.Remaining == millis{50});
+    CHECK(Sent.Batch.Remaining == QueryTime);
     for (const sub_request &Item : Sent.Batch.Items) {
       CHECK(Shards.insert(Item.Shard.Value).second);
       CHECK(Driven.ownerOf(Item.Endpoint.Value) == Sent.To);
@@ -68,6 +68,19 @@
   CHECK(Cancelled == 2);
 }
 
+TEST_CASE("the answer leaves in time to arrive within the deadline",
+          "[router]") {
+  driven_router Driven(3);
+  Driven.search(1);
+  const std::vector<sub_request> Requests = Driven.takeRequests();
+  Driven.reply(Driven.answerTo(Requests[0]));
+  const millis Deadline = makeIntents()[0].Deadline;
+  Driven.pass(Deadline - router_settings{}.AnswerMargin - millis{1});
+  CHECK(Driven.takeAnswers().empty());
+  Driven.pass(millis{1});
+  CHECK(Driven.takeAnswers().size() == 1);
+}
+
 TEST_CASE("an incomplete answer to a complete intent is refused", "[router]") {
   driven_router Driven(3);
   Driven.search(1, 1);
