Router: a test that a dead zone causes at most 10% extra requests

Change: endpoints of one of two zones stop replying without a word, under a query to 20 shards every 5 ms. Conclusion: the bound holds; after one second at least nine tenths of the shards are covered.

--- /dev/null
+++ b/test/unit/router_dead_zone_test.cpp
@@ -0,0 +1,63 @@
+#include "query_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::query;
+using namespace bulrush::query::test;
+
+namespace {
+
+constexpr std::uint32_t Shards = 20;
+constexpr percent ExtraLoad{5};
+
+struct phase_result {
+  std::size_t Primaries = 0;
+  std::size_t Extra = 0;
+  std::size_t Covered = 0;
+  std::size_t Total = 0;
+};
+
+/// One query every 5 ms; endpoints reply after 2 ms, those of a dead zone
+/// never.
+phase_result run(driven_router &Driven, std::uint64_t &Query, int Queries,
+                 bool ZoneIsDead) {
+  constexpr int StepsAfter = 60;
+  phase_result Result;
+  std::vector<sub_request> Due;
+  for (int Step = 0; Step < 5 * Queries + StepsAfter; ++Step) {
+    for (const sub_request &Request : std::exchange(Due, {}))
+      if (!ZoneIsDead || Request.Endpoint.Value < Shards)
+        Driven.reply(Driven.answerTo(Request));
+    Driven.pass(millis{1});
+    if (Step % 5 == 0 && Step < 5 * Queries)
+      Driven.search(++Query);
+    for (const sub_request &Request : Driven.takeRequests()) {
+      ++(Request.Attempt == 0 ? Result.Primaries : Result.Extra);
+      Due.push_back(Request);
+    }
+    for (const answer &Answer : Driven.takeAnswers()) {
+      Result.Covered += Answer.Covered;
+      Result.Total += Answer.Total;
+    }
+    Driven.Out.clear();
+  }
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("a zone that dies silently costs little extra load and is avoided",
+          "[router]") {
+  driven_router Driven(Shards);
+  Driven.step(config_changed{{{2}, makeIntents(ExtraLoad), {}, {}}});
+  std::uint64_t Query = 0;
+  const phase_result Before = run(Driven, Query, 100, false);
+  CHECK(Before.Covered == Before.Total);
+  const phase_result Dying = run(Driven, Query, 200, true);
+  CHECK(Dying.Extra <= Dying.Primaries / 10);
+  const phase_result After = run(Driven, Query, 200, true);
+  CHECK(After.Extra <= After.Primaries / 10);
+  // Issue 4: service dips by at most a tenth.
+  CHECK(After.Covered >= After.Total * 0.9);
+}
