--- a/bench/experiments/cold_start.py
+++ b/bench/experiments/cold_start.py
@@ -29,8 +29,12 @@
         self.kill = kill
 
     def turn_cold(self):
-        count = sum(pool.endpoints for pool in self.fleet.deployment.pools.values())
-        for endpoint in self.random.sample(range(count), AT_ONCE):
+        """Most of them in the busy pool, whose endpoints have the smallest numbers."""
+        deployment = self.fleet.deployment
+        busy = deployment.pools[deployment.caller(deployment.first_caller())['pool']].endpoints
+        count = sum(pool.endpoints for pool in deployment.pools.values())
+        chosen = [*self.random.sample(range(busy), AT_ONCE - 1), self.random.randrange(busy, count)]
+        for endpoint in chosen:
             self.fleet.change_endpoints(endpoint, 'cold', {'reset': self.random.random() < 0.5})
 
     def run(self):
