--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -3,8 +3,9 @@
 /// The shell hands in events and carries out the actions in their order. Writes
 /// are asynchronous: after `persist` the shell writes, syncs and answers with
 /// `persisted`. A message that depends on a write is held inside and only
-/// appears as `send` after that answer. Entries of a leader leave before its
-/// own write ends; its own copy counts towards the majority afterwards.
+/// appears as `send` after that answer. A step writes once at most, and
+/// `persist` is its first action. Entries of a leader leave before its own
+/// write ends; its own copy counts towards the majority afterwards.
 #pragma once
 
 #include "bulrushtray/outcome.h"
@@ -156,8 +157,9 @@
   log_index Applied;
   bool Ready = false; ///< leader, and all earlier entries are applied
   /// As leader: the latest time at which a majority is known to have followed
-  /// it. Nobody else led before that time plus `ElectionMin`, on clocks of
-  /// equal speed.
+  /// it. Nobody is elected in a larger term before that time plus
+  /// `ElectionMin`, on clocks of equal speed and without a planned transfer; a
+  /// leader of a smaller term is confirmed no more.
   instant ConfirmedAt;
   voter_group Group;
 };
