--- a/test/unit/replica_test.cpp
+++ b/test/unit/replica_test.cpp
@@ -270,3 +270,54 @@
   REQUIRE(Reply);
   CHECK(std::get<vote_reply>(Reply->Message.Body).Granted);
 }
+
+TEST_CASE("a vote in a known term is written, and given once", "[replica]") {
+  recovered_state State;
+  State.Self = voter_id{1};
+  State.Boot = {1};
+  State.Hard.Term = {5};
+  replica Replica({}, State, 1);
+  std::vector<action> Out;
+  const instant Late{10000};
+  Replica.step(tick{}, instant{10}, Out);
+  Out.clear();
+  for (std::uint64_t Asker : {2, 3}) {
+    const message Ask{voter_id{Asker},   vm_id{2},      voter_id{1},
+                      incarnation_id{1}, term_id{5},    log_index{0},
+                      term_id{0},        vote_request{}};
+    Replica.step(message_received{Ask}, Late, Out);
+  }
+  REQUIRE_FALSE(Out.empty());
+  const persist *Write = std::get_if<persist>(&Out[0]);
+  REQUIRE(Write);
+  CHECK(Write->Hard.Vote == voter_id{2});
+  const write_id Number = Write->Write;
+  Out.clear();
+  Replica.step(persisted{Number}, Late, Out);
+  REQUIRE(Out.size() == 2);
+  for (const action &Action : Out) {
+    const send &Reply = std::get<send>(Action);
+    CHECK(std::get<vote_reply>(Reply.Message.Body).Granted ==
+          (Reply.Message.To == voter_id{2}));
+  }
+}
+
+TEST_CASE("no vote for a log that lacks entries", "[replica]") {
+  recovered_state State;
+  State.Self = voter_id{1};
+  State.Boot = {1};
+  State.Hard.Term = {5};
+  State.Entries.push_back({{1}, {4}, entry_kind::noop, shareBytes({})});
+  replica Replica({}, State, 1);
+  std::vector<action> Out;
+  Replica.step(tick{}, instant{10}, Out);
+  Out.clear();
+  const message Ask{voter_id{2}, vm_id{2},
+                    voter_id{1}, incarnation_id{1},
+                    term_id{5},  log_index{7},
+                    term_id{3},  vote_request{false, false, {7}, {3}}};
+  Replica.step(message_received{Ask}, instant{10000}, Out);
+  REQUIRE(Out.size() == 1);
+  CHECK_FALSE(
+      std::get<vote_reply>(std::get<send>(Out[0]).Message.Body).Granted);
+}
