--- a/test/unit/replica_test.cpp
+++ b/test/unit/replica_test.cpp
@@ -321,3 +321,23 @@
   CHECK_FALSE(
       std::get<vote_reply>(std::get<send>(Out[0]).Message.Body).Granted);
 }
+
+TEST_CASE("the own vote and the own entry count only when on disk",
+          "[replica]") {
+  recovered_state State;
+  State.Self = voter_id{1};
+  State.Boot = {1};
+  State.Hard.Term = {1};
+  const voter_group Alone{{{voter_id{1}, vm_id{1}, member_role::voter}}};
+  State.Snapshot = log_snapshot{{1}, {1}, Alone, shareBytes({})};
+  replica Replica({}, State, 1);
+  std::vector<action> Out;
+  Replica.step(tick{}, instant{10}, Out);
+  Replica.step(tick{}, instant{1000}, Out);
+  CHECK(Replica.status().Role == replica_role::candidate);
+  Replica.step(persisted{write_id{1}}, instant{1001}, Out);
+  CHECK(Replica.status().Role == replica_role::leader);
+  CHECK(Replica.status().Commit == log_index{1});
+  Replica.step(persisted{write_id{2}}, instant{1002}, Out);
+  CHECK(Replica.status().Commit == log_index{2});
+}
