Hedges: not to a replica that is much slower

Change: when the other replica is 2.5 times slower and the endpoint waited for has nothing else of this daemon to do, the hedge repeats there.

--- a/src/query/router_attempts.cpp
+++ b/src/query/router_attempts.cpp
@@ -12,6 +12,8 @@
 /// A reply counts at most as this many times the mean, so that one straggler
 /// does not turn work away from its endpoint for long.
 constexpr float MaxLatencyRatio = 3;
+/// A hedge's target may be so many times slower than the endpoint waited for.
+constexpr float MaxTargetRatio = 2.5F;
 /// A hedge that was denied is considered again after this.
 constexpr millis HedgeRecheck{2};
 
@@ -230,7 +232,7 @@
   if (!Ready || !Map)
     return hedge_denial::no_replica;
   collectTried(Gather, Shard);
-  const auto Target = Choice.chooseWarm(Map->Holders[Shard.Value], Tried);
+  const auto Target = hedgeTarget(Map->Holders[Shard.Value]);
   if (!Target)
     return hedge_denial::no_replica;
   if (Hedges.isZoneShifted(Endpoints[*Target].Zone, Class))
@@ -250,6 +252,23 @@
   return Throttles[Class];
 }
 
+/// Another warm holder. When that one is known to be much slower than the
+/// endpoint that is waited for, which has nothing else of this daemon to do,
+/// then that endpoint once more: a straggler is seldom the whole endpoint.
+std::optional<endpoint_id>
+router::impl::hedgeTarget(const std::vector<endpoint_id> &Holders) {
+  const auto Other = Choice.chooseWarm(Holders, Tried);
+  if (!Other)
+    return std::nullopt;
+  const endpoint_id Waited = Tried.back();
+  const endpoint_view &View = Endpoints[Waited];
+  const bool IsOtherSlow =
+      Endpoints[*Other].LatencyMs > MaxTargetRatio * View.LatencyMs;
+  const bool MayRepeat = View.usable() && View.Outstanding <= 1 &&
+                         View.Condition == endpoint_condition::warm;
+  return IsOtherSlow && MayRepeat ? Waited : Other;
+}
+
 retry_budget &router::impl::budgetOf(const query_state &Query) {
   const std::size_t Class = Query.Intent->Class.Value;
   while (Budgets.size() <= Class)
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -105,6 +105,8 @@
   void loseOwner(query_state &Query, vm_id Owner);
   void wakeUp(query_state &Query);
   void hedge(query_state &Query, shard_id Shard);
+  std::optional<endpoint_id>
+  hedgeTarget(const std::vector<endpoint_id> &Holders);
   hedge_denial tryHedge(query_state &Query, shard_id Shard);
   void observe(const query_state &Query, endpoint_id Endpoint, millis Took,
                bool Ended);
--- a/test/unit/router_attempts_test.cpp
+++ b/test/unit/router_attempts_test.cpp
@@ -194,3 +194,28 @@
   }
   CHECK(ToSilent < 10);
 }
+
+TEST_CASE("a hedge avoids a replica that is much slower", "[router]") {
+  driven_router Driven(20);
+  constexpr std::uint32_t SlowEndpoint = 0;
+  for (int Number = 0; Number < 100; ++Number) {
+    Driven.search(100 + Number);
+    const std::vector<sub_request> Requests = Driven.takeRequests();
+    Driven.pass(millis{2});
+    for (const sub_request &Request : Requests)
+      if (Request.Endpoint.Value != SlowEndpoint)
+        Driven.reply(Driven.answerTo(Request));
+    Driven.pass(millis{30});
+    for (const sub_request &Request : Requests)
+      if (Request.Endpoint.Value == SlowEndpoint)
+        Driven.reply(Driven.answerTo(Request));
+    Driven.pass(millis{20});
+    Driven.Out.clear();
+  }
+  const sub_request Late = searchWithStraggler(Driven);
+  REQUIRE(Late.Endpoint.Value != SlowEndpoint);
+  Driven.pass(millis{20});
+  const std::vector<sub_request> Hedges = Driven.takeRequests();
+  REQUIRE(Hedges.size() == 1);
+  CHECK(Hedges[0].Endpoint == Late.Endpoint);
+}
