--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -205,10 +205,11 @@
   return writeSecret(File, Token);
 }
 
-expected<json> endpointChange(const char *Key, const std::string &Number) {
+expected<json> numberedChange(const char *Key, const std::string &Number) {
   const json Parsed = json::parse(Number, nullptr, false);
   if (!Parsed.is_number_unsigned())
-    return fail("endpoint: found " + Number + ", allowed is a number");
+    return fail(std::string(Key) + ": found " + Number +
+                ", allowed is a number");
   return json{{Key, Parsed}};
 }
 
@@ -217,7 +218,8 @@
 std::string commandHelp() {
   return "status | intents | zones | endpoints | history | "
          "intent put FILE | intent drop NAME | zone out NAME | zone in NAME | "
-         "endpoint leave NUMBER | endpoint return NUMBER | confirm PLAN | "
+         "endpoint leave NUMBER | endpoint return NUMBER | voter add VM | "
+         "voter remove VM | confirm PLAN | "
          "explain query ID | explain endpoint NUMBER | explain zone NAME | "
          "keys new FILE | token new FILE";
 }
@@ -244,10 +246,17 @@
   for (const bool IsLeaving : {true, false}) {
     if (!Is({"endpoint", IsLeaving ? "leave" : "return"}, 3))
       continue;
-    const auto Change = endpointChange(
+    const auto Change = numberedChange(
         IsLeaving ? "endpointLeave" : "endpointReturn", Words[2]);
     return Change ? change(Options, *Change) : fail(Change.error());
   }
+  for (const bool IsNew : {true, false}) {
+    if (!Is({"voter", IsNew ? "add" : "remove"}, 3))
+      continue;
+    const auto Change =
+        numberedChange(IsNew ? "addVoter" : "removeVoter", Words[2]);
+    return Change ? change(Options, *Change) : fail(Change.error());
+  }
   if (Is({"confirm"}, 2)) {
     asker Ask(controlAddresses(Options.Deployment), Options.Token);
     return confirm(Options, Ask, Options.CommandId, Words[1]);
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -124,7 +124,6 @@
   void run(control::forward_request &Action);
   void run(control::addressed_reply &Action);
   void run(control::answer_ledger &Action);
-  void run(control::change_voter &Action);
   void run(control::became_leader &Action);
   void run(control::lost_leadership &Action);
   void run(control::group_changed &Action);
@@ -275,11 +274,6 @@
   sendTo({Action.Answer.Run.Daemon.Vm, wire::role::entry}, Message);
 }
 
-void control_daemon::state::run(control::change_voter &Action) {
-  logEvent(severity::warning, "voter_change_not_supported",
-           {{"vm", Action.Vm.Value}, {"add", Action.Add}});
-}
-
 void control_daemon::state::run(control::became_leader &Action) {
   Metrics.add("leadership", "gained");
   logEvent(severity::info, "leadership_gained", {{"term", Action.Term.Value}});
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -2,8 +2,17 @@
 
 #include "wire/control_codec.h"
 
+#include <algorithm>
+
 namespace bulrush::daemon {
 
+namespace {
+
+/// Between two tries of a change of the members.
+constexpr millis VoterRetry{500};
+
+} // namespace
+
 control_node::control_node(vm_id Self, deployment Deployment,
                            control::replica_options Options,
                            control::recovered_state State, std::uint64_t Seed)
@@ -21,6 +30,10 @@
       stepCore(std::get<control::control_event>(Event));
   }
   report();
+  proposeVoters();
+  for (const vm_id Vm : FinishedWishes)
+    VoterWishes.erase(Vm);
+  FinishedWishes.clear();
   Out = nullptr;
 }
 
@@ -39,10 +52,15 @@
       propose(std::move(*Proposal));
       continue;
     }
+    if (const auto *Voter = std::get_if<control::change_voter>(&Action)) {
+      VoterWishes[Voter->Vm] = {Voter->Add, {}, Now};
+      continue;
+    }
     std::visit(
         [this](auto &Each) {
           using type = std::decay_t<decltype(Each)>;
-          if constexpr (!std::is_same_v<type, control::propose_command>)
+          if constexpr (!std::is_same_v<type, control::propose_command> &&
+                        !std::is_same_v<type, control::change_voter>)
             Out->push_back(std::move(Each));
         },
         Action);
@@ -50,13 +68,29 @@
 }
 
 void control_node::propose(control::propose_command Proposal) {
-  LastProposal.Value += 1;
-  const control::proposal_id Id = LastProposal;
+  const control::proposal_id Id = nextProposal();
   std::string Payload = wire::encode(Proposal.Command);
   Proposals.emplace(Id, std::move(Proposal));
   stepLog(control::propose{Id, control::shareBytes(std::move(Payload))});
 }
 
+control::proposal_id control_node::nextProposal() {
+  LastProposal.Value += 1;
+  return LastProposal;
+}
+
+void control_node::proposeVoters() {
+  for (auto &[Vm, Wish] : VoterWishes) {
+    if (Wish.Proposal.Value != 0 || Now < Wish.NextTry)
+      continue;
+    Wish.Proposal = nextProposal();
+    if (Wish.Add)
+      stepLog(control::add_member{Wish.Proposal, Vm});
+    else
+      stepLog(control::remove_member{Wish.Proposal, Vm});
+  }
+}
+
 void control_node::on(control::apply &Action) {
   auto Command = wire::decodeCommand(*Action.Payload);
   control::entry_committed Event{Action.Index, {}};
@@ -93,11 +127,23 @@
 }
 
 void control_node::on(control::lost_leadership &Action) {
+  VoterWishes.clear();
   Out->push_back(Action);
   stepCore(control::leadership_lost{});
 }
 
 void control_node::on(control::proposal_result &Action) {
+  const auto Wish =
+      std::find_if(VoterWishes.begin(), VoterWishes.end(), [&](const auto &E) {
+        return E.second.Proposal == Action.Proposal;
+      });
+  if (Wish != VoterWishes.end()) {
+    Wish->second.Proposal = {};
+    Wish->second.NextTry = Now + VoterRetry;
+    if (Action.Outcome == outcome::answered)
+      FinishedWishes.push_back(Wish->first);
+    return;
+  }
   const auto Found = Proposals.find(Action.Proposal);
   if (Found == Proposals.end())
     return;
--- a/src/daemon/control_node.h
+++ b/src/daemon/control_node.h
@@ -13,11 +13,12 @@
 using node_event = std::variant<control::event, control::control_event>;
 
 /// What the node asks of its shell, in order.
-using node_action = std::variant<
-    control::persist, control::send, control::operator_answer,
-    control::forward_request, control::addressed_reply, control::answer_ledger,
-    control::change_voter, control::became_leader, control::lost_leadership,
-    control::group_changed, control::identity_lost, control::state_refused>;
+using node_action =
+    std::variant<control::persist, control::send, control::operator_answer,
+                 control::forward_request, control::addressed_reply,
+                 control::answer_ledger, control::became_leader,
+                 control::lost_leadership, control::group_changed,
+                 control::identity_lost, control::state_refused>;
 
 /// Feeds committed entries to the core and its proposals to the log. Has no
 /// I/O and no clock.
@@ -37,6 +38,8 @@
   void stepLog(const control::event &Event);
   void stepCore(const control::control_event &Event);
   void propose(control::propose_command Proposal);
+  void proposeVoters();
+  control::proposal_id nextProposal();
   void report();
 
   void on(control::persist &Action) { Out->push_back(std::move(Action)); }
@@ -55,6 +58,16 @@
   control::control_core Core;
   std::map<control::proposal_id, control::propose_command> Proposals;
   control::proposal_id LastProposal;
+  /// A change of the members that an operator wants; tried until the log takes
+  /// it, as a new voter must first have asked to join.
+  struct voter_wish {
+    bool Add = true;
+    control::proposal_id Proposal; ///< 0: none under way
+    instant NextTry{};
+  };
+
+  std::map<vm_id, voter_wish> VoterWishes; ///< while this node leads
+  std::vector<vm_id> FinishedWishes;
   std::optional<vm_id> KnownLeader;
   instant ConfirmedAt{};
   instant Now{};
