--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -87,8 +87,10 @@
 unsigned answerStatus(const query::answer &Answer) {
   if (Answer.Outcome == outcome::answered)
     return 200;
+  const bool IsAwayNow =
+      Answer.Reason == refusal::draining || Answer.Reason == refusal::not_ready;
   if (Answer.Outcome == outcome::unknown)
-    return 504;
+    return IsAwayNow ? 503 : 504;
   switch (Answer.Reason) {
   case refusal::bad_request:
     return 400;
--- a/src/query/router.cpp
+++ b/src/query/router.cpp
@@ -80,6 +80,7 @@
   Query.Revision = Revision;
   Query.Arrived = Now;
   Query.Gather.begin({}, 0, {}, Now);
+  Query.IsCommand = std::is_same_v<Arrival, command_arrived>;
   Query.Intent = Intents.find(Event.Caller, Event.Kind);
   refusal Reason = refusal::none;
   if (Stopping)
--- a/src/query/router_answer.cpp
+++ b/src/query/router_answer.cpp
@@ -18,9 +18,11 @@
 
 } // namespace
 
+/// A command that the ledger has not been asked about may have run before,
+/// through another daemon or in an earlier life of this one.
 void router::impl::refuse(query_state &Query, refusal Reason) {
   answer Answer;
-  Answer.Outcome = outcome::not_run;
+  Answer.Outcome = Query.IsCommand ? outcome::unknown : outcome::not_run;
   Answer.Reason = Reason;
   reply(Query, std::move(Answer));
 }
--- a/test/unit/router_command_test.cpp
+++ b/test/unit/router_command_test.cpp
@@ -99,3 +99,15 @@
   CHECK(Driven.takeAnswers()[0].Outcome == outcome::unknown);
   CHECK(Driven.takeRequests().empty());
 }
+
+TEST_CASE("a command refused before the ledger speaks is unknown", "[router]") {
+  driven_command Driven;
+  Driven.takeAnswers();
+  Driven.step(readiness_changed{false});
+  Driven.step(command_arrived{
+      {2}, {0}, "book", std::make_shared<std::string>("q"), "r2", Key});
+  const std::vector<answer> Answers = Driven.takeAnswers();
+  REQUIRE(Answers.size() == 1);
+  CHECK(Answers[0].Outcome == outcome::unknown);
+  CHECK(Answers[0].Reason == refusal::not_ready);
+}
