Tidy: smaller files, one main for daemons, one runner for fuzz tests

Change: the entry daemon's state has a header of its own and three files; each piece stands once. Behaviour, seeds and checks are as before.

--- a/programs/command_line.h
+++ b/programs/command_line.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "bulrushtray/ids.h"
+#include "daemon/process.h"
 
+#include <iostream>
 #include <string>
 #include <tclap/CmdLine.h>
 
@@ -33,4 +35,28 @@
   return {Settings.getValue(), {Vm.getValue()}, Check.getValue()};
 }
 
+/// The exit code for settings that cannot be used.
+inline constexpr int BadSettings = 2;
+
+/// The whole of a daemon's `main`: reads the settings with `Load`, starts the
+/// log as `Name` and the machine's number, and runs `Daemon`.
+template <class Daemon, class Load>
+int runDaemon(const std::string &Name, const std::string &Purpose, Load Loader,
+              int Count, char **Arguments) {
+  const daemon_options Options = parseDaemonOptions(Purpose, Count, Arguments);
+  auto Settings = Loader(Options.Settings, Options.Vm);
+  if (!Settings) {
+    std::cerr << Settings.error().Message << '\n';
+    return BadSettings;
+  }
+  if (Options.CheckOnly) {
+    std::cout << Options.Settings << ": valid\n";
+    return 0;
+  }
+  daemon::startProcessLog(Name + '-' + std::to_string(Options.Vm.Value),
+                          Settings->LogLevel);
+  Daemon Process(std::move(*Settings));
+  return static_cast<int>(Process.run());
+}
+
 } // namespace bulrush::programs
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -350,15 +350,7 @@
 }
 
 http::response control_daemon::state::cutLinks(const std::string &Body) {
-  http::response Response;
-  if (!Settings.Testing) {
-    Response.Status = 404;
-    return Response;
-  }
-  Links->cut(Body.find("true") == std::string::npos
-                 ? std::vector<wire::process_id>{}
-                 : allProcesses(Settings.Deployment));
-  return Response;
+  return cutForTest(*Links, Settings.Deployment, Settings.Testing, Body);
 }
 
 control_daemon::control_daemon(settings::control_settings Settings)
--- /dev/null
+++ b/src/daemon/entry_leases.cpp
@@ -0,0 +1,81 @@
+#include "daemon/entry_state.h"
+#include "telemetry/log.h"
+#include "wire/daemon_codec.h"
+#include "wire/generated/bulrush.pb.h"
+
+namespace bulrush::daemon {
+
+namespace {
+
+using telemetry::logEvent;
+using telemetry::severity;
+
+} // namespace
+
+void entry_daemon::state::stepAgent(const control::agent_event &Event) {
+  std::vector<control::agent_action> Actions;
+  Agent.step(Event, Clock.now(), Actions);
+  for (const control::agent_action &Action : Actions)
+    std::visit([this](const auto &Each) { run(Each); }, Action);
+  if (Agent.leases().ownedUntil() != SentOwnedUntil)
+    publishGrants();
+  checkFreshness();
+}
+
+void entry_daemon::state::run(const control::send_heartbeat &Action) {
+  wire::Envelope Message;
+  wire::put(Action.Beat, *Message.mutable_heartbeat());
+  for (const wire::process_id &Voter : Voters)
+    Links->send(Voter, Message);
+}
+
+void entry_daemon::state::run(const control::config_changed &) {
+  const fleet_config &Config = Agent.config();
+  logEvent(severity::info, "config_applied",
+           {{"revision", Config.Revision.Value},
+            {"intents", Config.Intents.size()},
+            {"zones_out", Config.ZonesOut.size()},
+            {"leaving", Config.Leaving.size()}});
+  Metrics.set("revision", {}, static_cast<double>(Config.Revision.Value));
+  Gate->push(query::router_event(query::config_changed{Config}));
+  Gate->push(query::owner_event(query::config_changed{Config}));
+}
+
+void entry_daemon::state::run(const control::members_changed &) {
+  logEvent(severity::info, "membership_changed",
+           {{"epoch", Agent.members().Epoch},
+            {"live", Agent.members().Live.size()}});
+  Gate->push(query::router_event(query::membership_changed{Agent.members()}));
+}
+
+void entry_daemon::state::publishGrants() {
+  const control::lease_holder &Leases = Agent.leases();
+  SentOwnedUntil = Leases.ownedUntil();
+  query::ownership_changed Event;
+  std::set<endpoint_id> Now;
+  for (const auto &[Endpoint, InheritedUntil] : Leases.granted()) {
+    Event.Grants.push_back({Endpoint, SentOwnedUntil, InheritedUntil});
+    Now.insert(Endpoint);
+    if (!Owned.contains(Endpoint))
+      Gateway->warm(Endpoint);
+  }
+  for (const endpoint_id Endpoint : Owned)
+    if (!Now.contains(Endpoint))
+      Gateway->retire(Endpoint);
+  Owned = std::move(Now);
+  Metrics.set("owned_endpoints", {}, static_cast<double>(Owned.size()));
+  Gate->push(query::owner_event(std::move(Event)));
+}
+
+void entry_daemon::state::checkFreshness() {
+  const bool IsFresh = Agent.leases().isFresh(Clock.now());
+  if (IsFresh == WasFresh)
+    return;
+  WasFresh = IsFresh;
+  logEvent(IsFresh ? severity::info : severity::warning, "freshness_changed",
+           {{"fresh", IsFresh}});
+  Metrics.add("freshness_changed", IsFresh ? "gained" : "lost");
+  Gate->push(query::router_event(query::readiness_changed{IsFresh}));
+}
+
+} // namespace bulrush::daemon
--- /dev/null
+++ b/src/daemon/entry_messages.cpp
@@ -0,0 +1,171 @@
+#include "daemon/entry_state.h"
+#include "telemetry/log.h"
+#include "wire/daemon_codec.h"
+#include "wire/generated/bulrush.pb.h"
+#include "wire/query_codec.h"
+
+namespace bulrush::daemon {
+
+namespace {
+
+using telemetry::logEvent;
+using telemetry::severity;
+using error_code = boost::system::error_code;
+
+} // namespace
+
+void entry_daemon::state::noteSign(vm_id Vm, incarnation_id Peer, instant Now) {
+  const peer_watch::news News = Watch.heard(Vm, Peer, Now);
+  if (News.WasSilent)
+    Gate->push(query::router_event(query::vm_recovered{Vm}));
+  if (News.WasSilent || News.HasStarted)
+    Mail->greet(Vm, Owned);
+}
+
+void entry_daemon::state::onMessage(wire::process_id From,
+                                    const wire::Envelope &Message) {
+  const instant Now = Clock.now();
+  if (From.Role == wire::role::entry)
+    noteSign(From.Vm, {Message.incarnation()}, Now);
+  switch (Message.body_case()) {
+  case wire::Envelope::kSubBatch: {
+    auto Batch = wire::take(From.Vm, Message.sub_batch());
+    Batch.Incarnation.Value = Message.incarnation();
+    Gate->push(query::owner_event(query::batch_arrived{std::move(Batch)}));
+    return;
+  }
+  case wire::Envelope::kSubCancel:
+    Gate->push(query::owner_event(query::cancel_arrived{
+        From.Vm, {Message.incarnation()}, wire::take(Message.sub_cancel())}));
+    return;
+  case wire::Envelope::kSubReplies:
+    if (Message.sub_replies().for_incarnation() == Incarnation.Value)
+      Gate->push(query::router_event(
+          query::replies_arrived{From.Vm, wire::take(Message.sub_replies())}));
+    return;
+  case wire::Envelope::kEndpointReports:
+    Gate->push(query::owner_event(
+        query::reports_heard{wire::take(Message.endpoint_reports())}));
+    Gate->push(query::router_event(query::reports_arrived{
+        From.Vm, wire::take(Message.endpoint_reports())}));
+    return;
+  case wire::Envelope::kHeartbeatReply: {
+    const auto Reply = wire::take(Message.heartbeat_reply());
+    if (!Reply) {
+      Metrics.add("link_refused", "malformed");
+      return;
+    }
+    Ledger->heardLeader(From);
+    stepAgent(control::agent_reply{*Reply});
+    return;
+  }
+  case wire::Envelope::kLedgerAnswer: {
+    const auto Answer = wire::take(Message.ledger_answer());
+    if (Answer)
+      Ledger->take(*Answer, Now);
+    else
+      Metrics.add("link_refused", "malformed");
+    return;
+  }
+  default:
+    Metrics.add("link_refused", "unexpected");
+  }
+}
+
+void entry_daemon::state::onEvents(std::vector<data_event> Events) {
+  data_actions Actions;
+  Path->step(std::move(Events), Clock.now(), Actions);
+  for (query::router_action &Action : Actions.Router)
+    runAction<query::router_event>(Action, RouterTimer);
+  for (query::owner_action &Action : Actions.Owner)
+    runAction<query::owner_event>(Action, OwnerTimer);
+  Mail->flush();
+}
+
+template <class Event, class Action>
+void entry_daemon::state::runAction(Action &Any,
+                                    boost::asio::steady_timer &Timer) {
+  std::visit(
+      [&](auto &Each) {
+        using type = std::decay_t<decltype(Each)>;
+        if constexpr (std::is_same_v<type, query::set_timer>)
+          setTimer<Event>(Timer, Each.At);
+        else
+          run(Each);
+      },
+      Any);
+}
+
+template <class Fired>
+void entry_daemon::state::setTimer(boost::asio::steady_timer &Timer,
+                                   instant At) {
+  if (At == Never) {
+    Timer.cancel();
+    return;
+  }
+  const millis Left = At - Clock.now();
+  Timer.expires_after(std::chrono::microseconds(
+      static_cast<std::int64_t>(std::max(Left.Count, 0.0) * 1000)));
+  Timer.async_wait([this](error_code Error) {
+    if (!Error)
+      Gate->push(Fired(query::timer_fired{}));
+  });
+}
+
+/// A batch that could not be queued did not run: the router may go elsewhere.
+void entry_daemon::state::run(query::send_batch &Action) {
+  if (Mail->send(Action))
+    return;
+  query::replies_arrived Event;
+  Event.From = Action.To;
+  for (const query::sub_request &Item : Action.Batch.Items) {
+    query::sub_reply &Reply = Event.Replies.emplace_back();
+    Reply.Sub = Item.Sub;
+    Reply.Query = Item.Query;
+    Reply.Endpoint = Item.Endpoint;
+    Reply.Shard = Item.Shard;
+    Reply.Snapshot = Item.Snapshot;
+    Reply.Outcome = outcome::not_run;
+    Reply.Reason = refusal::link_down;
+  }
+  Gate->push(query::router_event(std::move(Event)));
+}
+
+void entry_daemon::state::run(query::log_snapshot_moved &Action) {
+  logEvent(severity::info, "snapshot_moved",
+           {{"pool", Settings.Deployment.Pools[Action.Pool.Value].Name},
+            {"from", Action.From.Value},
+            {"to", Action.To.Value},
+            {"why", query::toString(Action.Why)},
+            {"promised", Action.Promised},
+            {"total", Action.Total}});
+}
+
+/// The last check before work leaves: a pause may have outlived the leases.
+void entry_daemon::state::run(query::send_to_endpoint &Action) {
+  const instant Now = Clock.now();
+  const endpoint_id Endpoint = Action.Request.Endpoint;
+  const control::lease_holder &Leases = Agent.leases();
+  if (Leases.owns(Endpoint, Now) && Leases.isFresh(Now)) {
+    Gateway->run(Action);
+    return;
+  }
+  Metrics.add("send_withheld", "lease_lost");
+  query::endpoint_replied Event;
+  Event.Endpoint = Endpoint;
+  Event.Attempt = Action.Attempt;
+  Event.What = query::reply_kind::connect_refused;
+  Gate->push(query::owner_event(std::move(Event)));
+}
+
+void entry_daemon::state::run(query::endpoint_event &Action) {
+  Metrics.add("endpoint_change", query::toString(Action.Change));
+  logEvent(severity::info, "endpoint_changed",
+           {{"endpoint", Action.Endpoint.Value},
+            {"change", query::toString(Action.Change)},
+            {"cause", query::toString(Action.Cause)},
+            {"limit", Action.Limit},
+            {"in_flight", Action.InFlight}});
+}
+
+} // namespace bulrush::daemon
--- /dev/null
+++ b/src/daemon/entry_state.h
@@ -0,0 +1,118 @@
+/// The parts of an entry daemon; shared by the files that implement it.
+#pragma once
+
+#include "control/control_agent.h"
+#include "daemon/caller_api.h"
+#include "daemon/endpoint_gateway.h"
+#include "daemon/entry_daemon.h"
+#include "daemon/event_gate.h"
+#include "daemon/ledger_link.h"
+#include "daemon/peer_mail.h"
+#include "daemon/peer_watch.h"
+#include "daemon/process.h"
+#include "telemetry/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <set>
+
+namespace bulrush::daemon {
+
+/// How far a planned stop has got.
+enum class stop_stage { running, announced, finishing };
+
+/// Touched by the I/O thread only. The files are entry_daemon.cpp (start and
+/// stop), entry_messages.cpp (messages and actions of the data path) and
+/// entry_leases.cpp (configuration, membership and leases).
+struct entry_daemon::state final : caller_api_host {
+  settings::entry_settings Settings;
+  steady_clock_source Clock;
+  telemetry::metrics Metrics;
+  incarnation_id Incarnation = drawIncarnation();
+  boost::asio::io_context Io{1};
+  caller_api Api{Settings.Deployment, *this, Metrics, Clock};
+  std::optional<http::server> Server;
+  std::optional<wire::link_set> Links;
+  std::optional<peer_mail> Mail;
+  std::optional<endpoint_gateway> Gateway;
+  std::optional<data_path> Path;
+  std::optional<event_gate> Gate;
+  std::optional<ledger_link> Ledger;
+  control::control_agent Agent;
+  peer_watch Watch;
+  std::vector<wire::process_id> Voters;
+  boost::asio::steady_timer AgentTimer{Io};
+  boost::asio::steady_timer RouterTimer{Io};
+  boost::asio::steady_timer OwnerTimer{Io};
+  boost::asio::signal_set Signals{Io};
+  std::set<endpoint_id> Owned;
+  bool WasFresh = false;
+  instant SentOwnedUntil{};
+  stop_stage Stage = stop_stage::running;
+  instant StopAskedAt{};
+  exit_status Exit = exit_status::stopped;
+
+  explicit state(settings::entry_settings Given) : Settings(std::move(Given)) {}
+
+  // caller_api_host
+  bool isReady() const override {
+    return Stage == stop_stage::running && Agent.leases().isFresh(Clock.now());
+  }
+  void submit(query::router_event Event) override {
+    Gate->push(std::move(Event));
+  }
+  void explain(const std::string &Target, http::responder Respond) override;
+  http::response cutLinks(const std::string &Body) override;
+
+  bool start();
+  void onMessage(wire::process_id From, const wire::Envelope &Message);
+  void noteSign(vm_id Vm, incarnation_id Peer, instant Now);
+  void onEvents(std::vector<data_event> Events);
+
+  void run(query::send_batch &Action);
+  void run(query::send_cancel &Action) { Mail->send(Action); }
+  void run(query::send_answer &Action) {
+    Api.answer(Action.Query, Action.Answer);
+  }
+  void run(query::ledger_start &Action) { Ledger->start(Action); }
+  void run(query::ledger_record &Action) { Ledger->record(Action); }
+  void run(query::count_refusal &Action) {
+    Metrics.add("refused", toString(Action.Reason), Action.Count);
+  }
+  void run(query::count_retry &Action) {
+    Metrics.add("retried", toString(Action.Reason), Action.Count);
+  }
+  void run(query::log_snapshot_moved &Action);
+
+  void run(query::send_to_endpoint &Action);
+  void run(query::cancel_at_endpoint &Action) { Gateway->run(Action); }
+  void run(query::reply_to_entry &Action) { Mail->add(std::move(Action)); }
+  void run(query::probe_health &Action) { Gateway->run(Action); }
+  void run(query::publish_report &Action) {
+    Mail->add(std::move(Action.Report));
+  }
+  void run(query::endpoint_event &Action);
+  void run(query::owner_drained &) {}
+
+  template <class Event, class Action>
+  void runAction(Action &Any, boost::asio::steady_timer &Timer);
+  template <class Fired>
+  void setTimer(boost::asio::steady_timer &Timer, instant At);
+
+  void stepAgent(const control::agent_event &Event);
+  void run(const control::send_heartbeat &Action);
+  void run(const control::config_changed &);
+  void run(const control::members_changed &);
+  void run(const control::grants_changed &) { publishGrants(); }
+  void publishGrants();
+  void checkFreshness();
+  void tick();
+  void waitForSignal();
+  void onSignal(int Number);
+  void continueStop();
+  void finish(exit_status Status);
+};
+
+} // namespace bulrush::daemon
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -66,6 +66,18 @@
   return Out;
 }
 
+http::response cutForTest(wire::link_set &Links, const deployment &Deployment,
+                          bool IsTesting, const std::string &Body) {
+  http::response Response;
+  if (!IsTesting) {
+    Response.Status = 404;
+    return Response;
+  }
+  const bool IsCut = Body.find("true") != std::string::npos;
+  Links.cut(IsCut ? allProcesses(Deployment) : std::vector<wire::process_id>{});
+  return Response;
+}
+
 caf::actor_system_config &quietConfig(caf::actor_system_config &Config) {
   Config.set("scheduler.policy", caf::atom("sharing"));
   Config.set("scheduler.max-threads", 1);
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -4,6 +4,7 @@
 #include "bulrushtray/error.h"
 #include "bulrushtray/ids.h"
 #include "bulrushtray/world.h"
+#include "http/message.h"
 #include "wire/link.h"
 
 #include <optional>
@@ -35,6 +36,11 @@
 /// Every process of a deployment, for cutting all links in failure tests.
 std::vector<wire::process_id> allProcesses(const deployment &Deployment);
 
+/// Answers POST /test/cut: cuts all links when `Body` holds `true`, else mends
+/// them. Without `IsTesting` the path does not exist.
+http::response cutForTest(wire::link_set &Links, const deployment &Deployment,
+                          bool IsTesting, const std::string &Body);
+
 /// One scheduler thread that sleeps when idle; the busy actors have threads of
 /// their own.
 caf::actor_system_config &quietConfig(caf::actor_system_config &Config);
--- a/test/fuzz/fuzz_params.h
+++ b/test/fuzz/fuzz_params.h
@@ -9,12 +9,16 @@
 
 namespace bulrush::test {
 
-/// Checks `Property` with a fixed seed, unless RC_PARAMS asks for another run.
+inline constexpr std::uint64_t UsualSeed = 20261203;
+
+/// Checks `Property` with a fixed seed, unless RC_PARAMS asks for another run,
+/// as in `RC_PARAMS="seed=7 max_success=1000"`.
 template <class Property>
-void checkProperty(const char *Name, int Runs, int Size, Property &&Check) {
+void checkProperty(const char *Name, int Runs, int Size, Property &&Check,
+                   std::uint64_t Seed = UsualSeed) {
   rc::detail::TestParams Params = rc::detail::configuration().testParams;
   if (!std::getenv("RC_PARAMS")) {
-    Params.seed = 20261203;
+    Params.seed = Seed;
     Params.maxSuccess = Runs;
     Params.maxSize = Size;
   }
@@ -22,7 +26,10 @@
       Check, rc::detail::TestMetadata{Name, Name}, Params);
   std::ostringstream Message;
   rc::detail::printResultMessage(Result, Message);
-  INFO(Message.str());
+  INFO("RC_PARAMS=\"seed=" << Params.seed
+                           << " max_success=" << Params.maxSuccess
+                           << " max_size=" << Params.maxSize << "\"\n"
+                           << Message.str());
   CHECK(Result.is<rc::detail::SuccessResult>());
 }
 
--- a/test/fuzz/replica_fuzz.cpp
+++ b/test/fuzz/replica_fuzz.cpp
@@ -1,6 +1,6 @@
 // Stateful fuzzing of the replicated log over data folders that lose what was
 // not synced. The promises are named in test/replica_group.h.
-#include "fuzz_check.h"
+#include "fuzz_params.h"
 #include "replica_group.h"
 
 #include <array>
@@ -8,7 +8,7 @@
 
 using namespace bulrush;
 using namespace bulrush::control;
-using bulrush::test::checkSeeded;
+using bulrush::test::checkProperty;
 using bulrush::test::group_settings;
 using bulrush::test::replica_group;
 
@@ -248,7 +248,7 @@
 
 template <class... Commands>
 void fuzzGroup(std::uint64_t Seed, int Runs, int Size) {
-  checkSeeded(Seed, Runs, Size, [] {
+  const auto Property = [] {
     group_settings Settings;
     Settings.Seed = *rc::gen::arbitrary<std::uint64_t>();
     Settings.SnapshotEvery = *rc::gen::element<std::size_t>(5, 16, 1000);
@@ -259,7 +259,8 @@
     rc::state::check(group_model{}, Group,
                      rc::state::gen::execOneOfWithArgs<Commands...>());
     finish(Group);
-  });
+  };
+  checkProperty("replica", Runs, Size, Property, Seed);
 }
 
 } // namespace
