--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -25,8 +25,6 @@
 using time_point = std::chrono::steady_clock::time_point;
 
 constexpr auto SweepEvery = std::chrono::seconds(1);
-/// A connection that was used so recently is taken to be open.
-constexpr auto TrustedFor = std::chrono::milliseconds(100);
 
 std::chrono::steady_clock::duration toChrono(millis D) {
   return std::chrono::microseconds(static_cast<std::int64_t>(D.Count * 1000));
@@ -107,10 +105,9 @@
         });
   }
 
-  /// Whether the server has closed this connection while it was idle.
+  /// Whether the server has closed this connection while it was idle, however
+  /// short: at an endpoint that is the first sign of a restart.
   bool isStale() {
-    if (std::chrono::steady_clock::now() - LastUse < TrustedFor)
-      return false;
     char Byte = 0;
     const ssize_t Got =
         ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace bulrush;
 
@@ -154,6 +155,36 @@
   CHECK(Ended == Expected);
 }
 
+TEST_CASE("a connection closed right after an answer is told too") {
+  using namespace std::chrono_literals;
+  boost::asio::io_context Io;
+  tcp::acceptor Acceptor(Io,
+                         {boost::asio::ip::make_address("127.0.0.1"), Port});
+  std::thread Server([&] {
+    tcp::socket Socket = Acceptor.accept();
+    std::string Request(4096, ' ');
+    Socket.read_some(boost::asio::buffer(Request));
+    const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(Socket, boost::asio::buffer(Answer));
+  });
+  http::client_settings Settings;
+  Settings.Server = {"127.0.0.1", Port};
+  Settings.FailWhenClosed = true;
+  http::client Client(Io, Settings);
+  std::vector<http::exchange_status> Ended;
+  for (int I = 0; I < 2; ++I) {
+    Client.send({"GET", "/", {}, {}}, [&](const http::exchange_result &Result) {
+      Ended.push_back(Result.Status);
+    });
+    Io.restart();
+    Io.run_for(50ms);
+  }
+  Server.join();
+  const std::vector<http::exchange_status> Expected = {
+      http::exchange_status::done, http::exchange_status::connect_failed};
+  CHECK(Ended == Expected);
+}
+
 TEST_CASE("a refused connection is reported as not sent") {
   boost::asio::io_context Io;
   http::client_settings Settings;
