Read-through: what stood twice stands once

Cause: a reading of the whole change found peers' reports decoded twice for each message, the name of a message's kind looked up twice for each send, one conversion of durations in HTTP client and server, and the loading of deployment and machine in both settings parsers. Change: reports are decoded once, the name is kept, detail::toChrono and loadMachine serve both. Behaviour is as before.

--- a/src/daemon/entry_messages.cpp
+++ b/src/daemon/entry_messages.cpp
@@ -43,12 +43,13 @@
       Gate->push(query::router_event(
           query::replies_arrived{From.Vm, wire::take(Message.sub_replies())}));
     return;
-  case wire::Envelope::kEndpointReports:
-    Gate->push(query::owner_event(
-        query::reports_heard{wire::take(Message.endpoint_reports())}));
-    Gate->push(query::router_event(query::reports_arrived{
-        From.Vm, wire::take(Message.endpoint_reports())}));
+  case wire::Envelope::kEndpointReports: {
+    auto Reports = wire::take(Message.endpoint_reports());
+    Gate->push(query::owner_event(query::reports_heard{Reports}));
+    Gate->push(query::router_event(
+        query::reports_arrived{From.Vm, std::move(Reports)}));
     return;
+  }
   case wire::Envelope::kHeartbeatReply: {
     const auto Reply = wire::take(Message.heartbeat_reply());
     if (!Reply) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -26,10 +26,6 @@
 
 constexpr auto SweepEvery = std::chrono::seconds(1);
 
-std::chrono::steady_clock::duration toChrono(millis D) {
-  return std::chrono::microseconds(static_cast<std::int64_t>(D.Count * 1000));
-}
-
 /// One exchange that waits for a connection or for its response.
 struct exchange {
   request Request;
@@ -265,7 +261,7 @@
       const auto Quiet = Now - Connection->lastUse();
       const auto Bound = Connection->isBusy() ? Self->Settings.ExchangeTimeout
                                               : Self->Settings.IdleTimeout;
-      if (Quiet <= toChrono(Bound))
+      if (Quiet <= detail::toChrono(Bound))
         continue;
       if (Connection->isBusy())
         Connection->close();
--- a/src/http/detail.h
+++ b/src/http/detail.h
@@ -1,10 +1,12 @@
 /// Conversions between our messages and Beast's.
 #pragma once
 
+#include "bulrushtray/clock.h"
 #include "http/message.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 
 namespace bulrush::http::detail {
 
@@ -15,6 +17,10 @@
   return {Text.data(), Text.size()};
 }
 
+inline std::chrono::steady_clock::duration toChrono(millis D) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(D.Count * 1000));
+}
+
 inline std::vector<header> takeHeaders(const beast::http::fields &Fields) {
   std::vector<header> Out;
   Out.reserve(12);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -24,10 +24,6 @@
 constexpr auto SweepEvery = std::chrono::milliseconds(500);
 constexpr int ListenBacklog = 1024;
 
-std::chrono::steady_clock::duration toChrono(millis D) {
-  return std::chrono::microseconds(static_cast<std::int64_t>(D.Count * 1000));
-}
-
 } // namespace
 
 class session;
@@ -73,8 +69,8 @@
   bool isOverdue(const server_settings &Settings) const {
     const auto Quiet = std::chrono::steady_clock::now() - LastActivity;
     if (IsWriting)
-      return Quiet > toChrono(Settings.WriteTimeout);
-    return Answers.empty() && Quiet > toChrono(Settings.IdleTimeout);
+      return Quiet > detail::toChrono(Settings.WriteTimeout);
+    return Answers.empty() && Quiet > detail::toChrono(Settings.IdleTimeout);
   }
 
   bool isIdle() const { return Answers.empty() && !IsWriting; }
--- a/src/settings/control_settings.cpp
+++ b/src/settings/control_settings.cpp
@@ -1,6 +1,5 @@
 #include "settings/control_settings.h"
 
-#include "settings/deployment.h"
 #include "settings/json_reader.h"
 #include "settings/paths.h"
 
@@ -34,17 +33,12 @@
   });
   if (!Read)
     return fail(Read.error());
-  auto Deployment = loadDeployment(DeploymentFile);
-  if (!Deployment)
-    return fail(Deployment.error());
-  Out.Deployment = std::move(*Deployment);
-  const auto Self = findVm(Out.Deployment, Vm, DeploymentFile);
-  if (!Self)
-    return fail(Self.error());
-  if (!Self->HasDisk)
+  const auto Found = loadMachine(DeploymentFile, Vm, Out.Deployment, Out.Self);
+  if (!Found)
+    return fail(Found.error());
+  if (!Out.Self.HasDisk)
     return fail(DeploymentFile + ": /vms: vm " + std::to_string(Vm.Value) +
                 ": found \"disk\": false, allowed for a control voter is true");
-  Out.Self = *Self;
   return Out;
 }
 
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -1,6 +1,5 @@
 #include "settings/entry_settings.h"
 
-#include "settings/deployment.h"
 #include "settings/json_reader.h"
 #include "settings/paths.h"
 
@@ -93,7 +92,7 @@
   entry_settings Out;
   std::string DeploymentFile;
   const auto Read = readObject(*Text, Path, [&](object_reader &Reader) {
-    DeploymentFile = Reader.text("deployment");
+    DeploymentFile = besideFile(Path, Reader.text("deployment"));
     Out.LogLevel = Reader.text("logLevel", Out.LogLevel);
     if (!isLogLevel(Out.LogLevel))
       Reader.reject("logLevel", LogLevels);
@@ -115,15 +114,9 @@
   });
   if (!Read)
     return fail(Read.error());
-  DeploymentFile = besideFile(Path, DeploymentFile);
-  auto Deployment = loadDeployment(DeploymentFile);
-  if (!Deployment)
-    return fail(Deployment.error());
-  Out.Deployment = std::move(*Deployment);
-  const auto Self = findVm(Out.Deployment, Vm, DeploymentFile);
-  if (!Self)
-    return fail(Self.error());
-  Out.Self = *Self;
+  const auto Found = loadMachine(DeploymentFile, Vm, Out.Deployment, Out.Self);
+  if (!Found)
+    return fail(Found.error());
   return Out;
 }
 
--- a/src/settings/paths.cpp
+++ b/src/settings/paths.cpp
@@ -1,5 +1,7 @@
 #include "settings/paths.h"
 
+#include "settings/deployment.h"
+
 #include <algorithm>
 #include <filesystem>
 
@@ -22,6 +24,19 @@
               ", allowed is the number of a vm of the deployment");
 }
 
+expected<void> loadMachine(const std::string &Path, vm_id Vm,
+                           deployment &Deployment, vm &Self) {
+  auto Loaded = loadDeployment(Path);
+  if (!Loaded)
+    return fail(Loaded.error());
+  Deployment = std::move(*Loaded);
+  const auto Found = findVm(Deployment, Vm, Path);
+  if (!Found)
+    return fail(Found.error());
+  Self = *Found;
+  return {};
+}
+
 bool isLogLevel(const std::string &Text) {
   return Text == "debug" || Text == "info" || Text == "warning" ||
          Text == "error";
--- a/src/settings/paths.h
+++ b/src/settings/paths.h
@@ -15,6 +15,10 @@
 expected<vm> findVm(const deployment &Deployment, vm_id Id,
                     const std::string &File);
 
+/// Reads the deployment file at `Path` and finds machine `Vm` in it.
+expected<void> loadMachine(const std::string &Path, vm_id Vm,
+                           deployment &Deployment, vm &Self);
+
 /// The values of `logLevel`.
 inline constexpr const char *LogLevels = "debug, info, warning or error";
 bool isLogLevel(const std::string &Text);
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -189,8 +189,9 @@
     State->Metrics.add("link_dropped", nameOf(To.Role));
     return false;
   }
-  State->Metrics.add("link_sent_bytes", kindOf(Message), Size);
-  State->Metrics.add("link_sent_messages", kindOf(Message));
+  const std::string_view Kind = kindOf(Message);
+  State->Metrics.add("link_sent_bytes", Kind, Size);
+  State->Metrics.add("link_sent_messages", Kind);
   return true;
 }
 
