Read-through: one builder of links, one way to fail a start, nothing that is not used

Cause: the same reading found the links of a process put together in both daemons and once more for failure tests, the entry daemon logging the failure of its start in three places where the voter returns it, a setting (connectTimeoutMs) that was read and never used, and an event (ledger_recorded) that cost a step of the cores and did nothing.

--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -29,22 +29,6 @@
 
 constexpr auto Tick = std::chrono::milliseconds(20);
 
-wire::link_settings linkSettings(const settings::control_settings &Settings,
-                                 incarnation_id Incarnation,
-                                 std::optional<wire::link_keys> Keys) {
-  wire::link_settings Out;
-  Out.Self = {Settings.Self.Id, wire::role::control};
-  Out.Incarnation = Incarnation;
-  Out.Bind = Settings.Self.Control;
-  Out.Keys = std::move(Keys);
-  for (const vm &Vm : Settings.Deployment.Vms) {
-    Out.Peers.push_back({{Vm.Id, wire::role::entry}, Vm.Peers});
-    if (Vm.HasDisk && Vm.Id != Settings.Self.Id)
-      Out.Peers.push_back({{Vm.Id, wire::role::control}, Vm.Control});
-  }
-  return Out;
-}
-
 control::replica_options
 replicaOptions(const settings::control_settings &Settings) {
   control::replica_options Out;
@@ -130,9 +114,6 @@
   void run(control::identity_lost &);
   void run(control::state_refused &Action);
 
-  void sendTo(wire::process_id To, wire::Envelope &Message) {
-    Links->send(To, Message);
-  }
   void tick();
   void waitForSignal();
   void stop(exit_status Status, std::string_view Why);
@@ -177,10 +158,13 @@
   auto Tokens = operator_tokens::load(Settings.OperatorsFile);
   if (!Tokens)
     return fail(Tokens.error());
-  Links.emplace(Io, linkSettings(Settings, Incarnation, *Keys), Metrics,
-                [this](wire::process_id From, const wire::Envelope &Message) {
-                  onMessage(From, Message);
-                });
+  Links.emplace(
+      Io,
+      linkSettings(Settings.Deployment, {Settings.Self.Id, wire::role::control},
+                   Settings.Self.Control, Incarnation, *Keys),
+      Metrics, [this](wire::process_id From, const wire::Envelope &Message) {
+        onMessage(From, Message);
+      });
   Api.emplace(Settings.Deployment, std::move(*Tokens), *this, Metrics);
   http::server_settings Http;
   Http.Listen = Settings.Self.Operators;
@@ -243,7 +227,7 @@
 void control_daemon::state::run(control::send &Action) {
   wire::Envelope Message;
   wire::put(Action.Message, *Message.mutable_voter());
-  sendTo({Action.Vm, wire::role::control}, Message);
+  Links->send({Action.Vm, wire::role::control}, Message);
 }
 
 void control_daemon::state::run(control::operator_answer &Action) {
@@ -253,25 +237,25 @@
   }
   wire::Envelope Message;
   wire::put(Action, *Message.mutable_operator_result());
-  sendTo({Action.To.Vm, wire::role::control}, Message);
+  Links->send({Action.To.Vm, wire::role::control}, Message);
 }
 
 void control_daemon::state::run(control::forward_request &Action) {
   wire::Envelope Message;
   wire::put(Action, *Message.mutable_operator_forward());
-  sendTo({Action.Leader, wire::role::control}, Message);
+  Links->send({Action.Leader, wire::role::control}, Message);
 }
 
 void control_daemon::state::run(control::addressed_reply &Action) {
   wire::Envelope Message;
   wire::put(Action.Reply, *Message.mutable_heartbeat_reply());
-  sendTo({Action.To.Vm, wire::role::entry}, Message);
+  Links->send({Action.To.Vm, wire::role::entry}, Message);
 }
 
 void control_daemon::state::run(control::answer_ledger &Action) {
   wire::Envelope Message;
   wire::put(Action.Answer, *Message.mutable_ledger_answer());
-  sendTo({Action.Answer.Run.Daemon.Vm, wire::role::entry}, Message);
+  Links->send({Action.Answer.Run.Daemon.Vm, wire::role::entry}, Message);
 }
 
 void control_daemon::state::run(control::became_leader &Action) {
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -19,35 +19,19 @@
 /// the balancer has time to see it.
 constexpr millis NotReadyFirst{1'000};
 
-wire::link_settings linkSettings(const settings::entry_settings &Settings,
-                                 incarnation_id Incarnation,
-                                 std::optional<wire::link_keys> Keys) {
-  wire::link_settings Out;
-  Out.Self = {Settings.Self.Id, wire::role::entry};
-  Out.Incarnation = Incarnation;
-  Out.Bind = Settings.Self.Peers;
-  Out.Keys = std::move(Keys);
-  for (const vm &Vm : Settings.Deployment.Vms) {
-    if (Vm.Id != Settings.Self.Id)
-      Out.Peers.push_back({{Vm.Id, wire::role::entry}, Vm.Peers});
-    if (Vm.HasDisk)
-      Out.Peers.push_back({{Vm.Id, wire::role::control}, Vm.Control});
-  }
-  return Out;
-}
-
 } // namespace
 
-bool entry_daemon::state::start() {
+expected<void> entry_daemon::state::start() {
   auto Keys = loadKeys(Settings.KeysFile);
-  if (!Keys) {
-    logEvent(severity::error, "start_failed", {{"why", Keys.error().Message}});
-    return false;
-  }
-  Links.emplace(Io, linkSettings(Settings, Incarnation, *Keys), Metrics,
-                [this](wire::process_id From, const wire::Envelope &Message) {
-                  onMessage(From, Message);
-                });
+  if (!Keys)
+    return fail(Keys.error());
+  Links.emplace(
+      Io,
+      linkSettings(Settings.Deployment, {Settings.Self.Id, wire::role::entry},
+                   Settings.Self.Peers, Incarnation, *Keys),
+      Metrics, [this](wire::process_id From, const wire::Envelope &Message) {
+        onMessage(From, Message);
+      });
   Mail.emplace(*Links, Settings.Deployment, Settings.Self.Id);
   Settings.Router.Seed ^= drawSeed();
   Path.emplace(data_path_options{Settings.Deployment, Settings.Self.Id,
@@ -73,14 +57,10 @@
   Http.IdleTimeout = Settings.Callers.IdleTimeout;
   Http.WriteTimeout = Settings.Callers.WriteTimeout;
   Server.emplace(Io, Http, Api, Metrics);
-  auto Started = Links->start();
-  if (Started)
-    Started = Server->start();
-  if (!Started) {
-    logEvent(severity::error, "start_failed",
-             {{"why", Started.error().Message}});
-    return false;
-  }
+  if (auto Started = Links->start(); !Started)
+    return Started;
+  if (auto Started = Server->start(); !Started)
+    return Started;
   waitForSignal();
   tick();
   logEvent(severity::info, "started",
@@ -88,7 +68,7 @@
             {"zone", Settings.Deployment.Zones[Settings.Self.Zone.Value].Name},
             {"callers_port", Settings.Self.Callers.Port},
             {"encrypted", Keys->has_value()}});
-  return true;
+  return {};
 }
 
 void entry_daemon::state::tick() {
@@ -177,8 +157,11 @@
 entry_daemon::~entry_daemon() = default;
 
 exit_status entry_daemon::run() {
-  if (!State->start())
+  if (auto Started = State->start(); !Started) {
+    logEvent(severity::error, "start_failed",
+             {{"why", Started.error().Message}});
     return exit_status::failed;
+  }
   runAsActor(State->Io);
   return State->Exit;
 }
--- a/src/daemon/entry_state.h
+++ b/src/daemon/entry_state.h
@@ -66,7 +66,7 @@
   void explain(const std::string &Target, http::responder Respond) override;
   http::response cutLinks(const std::string &Body) override;
 
-  bool start();
+  expected<void> start();
   void onMessage(wire::process_id From, const wire::Envelope &Message);
   void noteSign(vm_id Vm, incarnation_id Peer, instant Now);
   void onEvents(std::vector<data_event> Events);
--- a/src/daemon/ledger_link.cpp
+++ b/src/daemon/ledger_link.cpp
@@ -82,8 +82,4 @@
   OnEvent(std::move(Event));
 }
 
-void ledger_link::run(const control::outcome_recorded &Recorded) {
-  OnEvent(query::ledger_recorded{{Recorded.Key.Caller, Recorded.Key.Key}});
-}
-
 } // namespace bulrush::daemon
--- a/src/daemon/ledger_link.h
+++ b/src/daemon/ledger_link.h
@@ -35,7 +35,8 @@
   void step(const control::client_event &Event, instant Now);
   void run(const control::ask_ledger &Ask);
   void run(const control::start_decided &Decided);
-  void run(const control::outcome_recorded &Recorded);
+  /// Nobody waits for it: `waiting` has gone down.
+  void run(const control::outcome_recorded &) {}
 
   control::ledger_client Client;
   wire::link_set &Links;
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -10,6 +10,20 @@
 
 namespace bulrush::daemon {
 
+namespace {
+
+std::vector<wire::peer> allPeers(const deployment &Deployment) {
+  std::vector<wire::peer> Out;
+  for (const vm &Vm : Deployment.Vms) {
+    Out.push_back({{Vm.Id, wire::role::entry}, Vm.Peers});
+    if (Vm.HasDisk)
+      Out.push_back({{Vm.Id, wire::role::control}, Vm.Control});
+  }
+  return Out;
+}
+
+} // namespace
+
 incarnation_id drawIncarnation() {
   const auto Now = std::chrono::system_clock::now().time_since_epoch();
   const auto Micros =
@@ -56,13 +70,25 @@
   telemetry::startLog(Settings);
 }
 
+wire::link_settings linkSettings(const deployment &Deployment,
+                                 wire::process_id Self, const address &Bind,
+                                 incarnation_id Incarnation,
+                                 std::optional<wire::link_keys> Keys) {
+  wire::link_settings Out;
+  Out.Self = Self;
+  Out.Incarnation = Incarnation;
+  Out.Bind = Bind;
+  Out.Keys = std::move(Keys);
+  for (wire::peer &Peer : allPeers(Deployment))
+    if (Peer.Id != Self)
+      Out.Peers.push_back(std::move(Peer));
+  return Out;
+}
+
 std::vector<wire::process_id> allProcesses(const deployment &Deployment) {
   std::vector<wire::process_id> Out;
-  for (const vm &Vm : Deployment.Vms) {
-    Out.push_back({Vm.Id, wire::role::entry});
-    if (Vm.HasDisk)
-      Out.push_back({Vm.Id, wire::role::control});
-  }
+  for (const wire::peer &Peer : allPeers(Deployment))
+    Out.push_back(Peer.Id);
   return Out;
 }
 
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -33,6 +33,12 @@
 /// Starts the log of this process. `Level` is debug, info, warning or error.
 void startProcessLog(const std::string &Process, const std::string &Level);
 
+/// The links of one process to all others of its deployment.
+wire::link_settings linkSettings(const deployment &Deployment,
+                                 wire::process_id Self, const address &Bind,
+                                 incarnation_id Incarnation,
+                                 std::optional<wire::link_keys> Keys);
+
 /// Every process of a deployment, for cutting all links in failure tests.
 std::vector<wire::process_id> allProcesses(const deployment &Deployment);
 
--- a/src/query/router_command.cpp
+++ b/src/query/router_command.cpp
@@ -50,8 +50,6 @@
   }
 }
 
-void router::impl::on(const ledger_recorded &) {}
-
 /// The one send of a command, after its start is durable.
 void router::impl::sendCommand(query_state &Query) {
   Query.Phase = query_phase::replies;
--- a/src/query/router_events.h
+++ b/src/query/router_events.h
@@ -54,11 +54,6 @@
   millis RetryAfter;                  ///< when refused
 };
 
-/// The ledger has made the outcome of `Key` durable.
-struct ledger_recorded {
-  command_key Key;
-};
-
 /// Sub-requests that ended at one owner.
 struct replies_arrived {
   vm_id From;
@@ -98,8 +93,8 @@
 
 using router_event =
     std::variant<search_arrived, command_arrived, ledger_granted,
-                 ledger_recorded, replies_arrived, reports_arrived,
-                 config_changed, membership_changed, vm_suspected, vm_recovered,
+                 replies_arrived, reports_arrived, config_changed,
+                 membership_changed, vm_suspected, vm_recovered,
                  readiness_changed, caller_gone, stop_requested, timer_fired>;
 
 /// What a caller is told. Each query gets exactly one.
@@ -149,7 +144,8 @@
   request_digest Digest;
 };
 
-/// Make the outcome of `Key` durable; the reply is `ledger_recorded`.
+/// Make the outcome of `Key` durable. Whoever carries it repeats it until it
+/// is.
 struct ledger_record {
   command_key Key;
   outcome Outcome = outcome::unknown;
--- a/src/query/router_impl.h
+++ b/src/query/router_impl.h
@@ -60,7 +60,6 @@
   void on(const search_arrived &Event);
   void on(const command_arrived &Event);
   void on(const ledger_granted &Event);
-  void on(const ledger_recorded &Event);
   void on(const replies_arrived &Event);
   void on(const reports_arrived &Event);
   void on(const config_changed &Event);
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -107,9 +107,6 @@
     Out.StopBound = Reader.duration(
         "stopBoundMs",
         {.Least = 0, .Most = MostMillis, .Fallback = Out.StopBound.Count});
-    Out.ConnectTimeout = Reader.duration(
-        "connectTimeoutMs",
-        {.Least = 1, .Most = MostMillis, .Fallback = Out.ConnectTimeout.Count});
     Out.Testing = Reader.flag("testing", false);
   });
   if (!Read)
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -28,9 +28,8 @@
   caller_limits Callers;
   query::router_settings Router;
   query::owner_settings Owner;
-  millis StopBound{20'000};     ///< a planned stop takes no longer than this
-  millis ConnectTimeout{1'000}; ///< to an endpoint
-  bool Testing = false;         ///< allows POST /test/cut
+  millis StopBound{20'000}; ///< a planned stop takes no longer than this
+  bool Testing = false;     ///< allows POST /test/cut
 };
 
 /// Reads the settings file at `Path` and the deployment that it names. `Vm` is
--- a/src/settings/paths.cpp
+++ b/src/settings/paths.cpp
@@ -7,12 +7,9 @@
 
 namespace bulrush::settings {
 
-std::string besideFile(const std::string &File, const std::string &Named) {
-  if (Named.empty())
-    return Named;
-  return (std::filesystem::path(File).parent_path() / Named).string();
-}
+namespace {
 
+/// The vm with this number, or an error that names `File`.
 expected<vm> findVm(const deployment &Deployment, vm_id Id,
                     const std::string &File) {
   const auto Found =
@@ -24,6 +21,14 @@
               ", allowed is the number of a vm of the deployment");
 }
 
+} // namespace
+
+std::string besideFile(const std::string &File, const std::string &Named) {
+  if (Named.empty())
+    return Named;
+  return (std::filesystem::path(File).parent_path() / Named).string();
+}
+
 expected<void> loadMachine(const std::string &Path, vm_id Vm,
                            deployment &Deployment, vm &Self) {
   auto Loaded = loadDeployment(Path);
--- a/src/settings/paths.h
+++ b/src/settings/paths.h
@@ -11,10 +11,6 @@
 /// `Named` as seen from the folder of `File`; an empty name stays empty.
 std::string besideFile(const std::string &File, const std::string &Named);
 
-/// The vm with this number, or an error that names `File`.
-expected<vm> findVm(const deployment &Deployment, vm_id Id,
-                    const std::string &File);
-
 /// Reads the deployment file at `Path` and finds machine `Vm` in it.
 expected<void> loadMachine(const std::string &Path, vm_id Vm,
                            deployment &Deployment, vm &Self);
