Read-through: the identity of a reply is copied in one place

Cause: five places copied the same five fields of a sub-request into its reply: the owner twice, the entry daemon for a link that is down, a test fixture and a benchmark. Change: query::replyTo. Behaviour and assertions are as before.

--- a/bench/micro/router_bench.cpp
+++ b/bench/micro/router_bench.cpp
@@ -130,12 +130,7 @@
         continue;
       replies_arrived Event{Sent->To, {}};
       for (const sub_request &Item : Sent->Batch.Items) {
-        sub_reply Reply;
-        Reply.Sub = Item.Sub;
-        Reply.Query = Item.Query;
-        Reply.Endpoint = Item.Endpoint;
-        Reply.Shard = Item.Shard;
-        Reply.Snapshot = Item.Snapshot;
+        sub_reply Reply = replyTo(Item);
         Reply.Outcome = outcome::answered;
         Reply.Body = Body;
         Event.Replies.push_back(Reply);
--- a/src/daemon/entry_messages.cpp
+++ b/src/daemon/entry_messages.cpp
@@ -120,12 +120,7 @@
   query::replies_arrived Event;
   Event.From = Action.To;
   for (const query::sub_request &Item : Action.Batch.Items) {
-    query::sub_reply &Reply = Event.Replies.emplace_back();
-    Reply.Sub = Item.Sub;
-    Reply.Query = Item.Query;
-    Reply.Endpoint = Item.Endpoint;
-    Reply.Shard = Item.Shard;
-    Reply.Snapshot = Item.Snapshot;
+    query::sub_reply &Reply = Event.Replies.emplace_back(query::replyTo(Item));
     Reply.Outcome = outcome::not_run;
     Reply.Reason = refusal::link_down;
   }
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -56,6 +56,17 @@
   millis RetryAfter;  ///< for refusals: when a retry is worth while
 };
 
+/// A reply to `Request` in which only its identity is set.
+inline sub_reply replyTo(const sub_request &Request) {
+  sub_reply Reply;
+  Reply.Sub = Request.Sub;
+  Reply.Query = Request.Query;
+  Reply.Endpoint = Request.Endpoint;
+  Reply.Shard = Request.Shard;
+  Reply.Snapshot = Request.Snapshot;
+  return Reply;
+}
+
 /// What an endpoint holds of one snapshot.
 struct held_snapshot {
   snapshot_id Snapshot;
--- a/src/query/owner_replies.cpp
+++ b/src/query/owner_replies.cpp
@@ -66,12 +66,7 @@
                         shared_body Body, millis RetryAfter, context &In) {
   const bool WasSent = Item.State == work_state::sent;
   const instant Left = WasSent ? Item.Sent : In.Now;
-  sub_reply Reply;
-  Reply.Sub = Item.Request.Sub;
-  Reply.Query = Item.Request.Query;
-  Reply.Endpoint = Item.Request.Endpoint;
-  Reply.Shard = Item.Request.Shard;
-  Reply.Snapshot = Item.Request.Snapshot;
+  sub_reply Reply = replyTo(Item.Request);
   Reply.Outcome = Outcome;
   Reply.Reason = Reason;
   Reply.Body = std::move(Body);
--- a/src/query/owner_service.cpp
+++ b/src/query/owner_service.cpp
@@ -99,12 +99,7 @@
 
 void owner::impl::refuseNew(const sub_request &Request, const sub_batch &Batch,
                             refusal Reason, millis RetryAfter, context &In) {
-  sub_reply Reply;
-  Reply.Sub = Request.Sub;
-  Reply.Query = Request.Query;
-  Reply.Endpoint = Request.Endpoint;
-  Reply.Shard = Request.Shard;
-  Reply.Snapshot = Request.Snapshot;
+  sub_reply Reply = replyTo(Request);
   Reply.Outcome = outcome::not_run;
   Reply.Reason = Reason;
   Reply.RetryAfter = RetryAfter;
--- a/test/query_fixture.h
+++ b/test/query_fixture.h
@@ -125,12 +125,7 @@
   }
 
   static sub_reply answerTo(const sub_request &Request) {
-    sub_reply Reply;
-    Reply.Sub = Request.Sub;
-    Reply.Query = Request.Query;
-    Reply.Endpoint = Request.Endpoint;
-    Reply.Shard = Request.Shard;
-    Reply.Snapshot = Request.Snapshot;
+    sub_reply Reply = replyTo(Request);
     Reply.Outcome = outcome::answered;
     Reply.Body = std::make_shared<std::string>(
         std::to_string(Request.Query.Value) + "/" +
