--- a/cmake/shells.cmake
+++ b/cmake/shells.cmake
@@ -1,26 +1,32 @@
 # Everything that does I/O: messages, HTTP, daemons, programs and the bench.
-bulrush_library(wire bulrush_world bulrush_query bulrush_control bulrush_telemetry zmq protobuf)
+
+# Messages without ZeroMQ: the fleet's daemons need no more.
+add_library(bulrush_messages STATIC src/wire/voter_codec.cpp src/wire/fleet_codec.cpp
+            src/wire/generated/voter.pb.cc src/wire/generated/fleet.pb.cc)
+target_include_directories(bulrush_messages PUBLIC include src)
+target_link_libraries(bulrush_messages PUBLIC bulrush_control bulrush_relay protobuf)
+
 bulrush_library(http bulrush_world bulrush_telemetry Threads::Threads)
-bulrush_library(daemon bulrush_query bulrush_control bulrush_store bulrush_settings bulrush_wire
-                bulrush_http bulrush_telemetry caf_core)
+bulrush_library(fleet bulrush_relay bulrush_control bulrush_store bulrush_messages bulrush_http
+                bulrush_telemetry)
+add_library(bulrush_platform STATIC platform/adapter.cpp platform/catalogs.cpp platform/endpoints.cpp
+            platform/fields.cpp platform/operators.cpp platform/requests.cpp platform/settings.cpp)
+target_include_directories(bulrush_platform PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(bulrush_platform PUBLIC bulrush_fleet)
 
-bulrush_library(ctl bulrush_http bulrush_settings bulrush_wire)
+foreach(Name bulrush-relay bulrush-registry)
+  add_executable(${Name} programs/${Name}.cpp)
+  target_link_libraries(${Name} PRIVATE bulrush_platform)
+endforeach()
+
+set(ShellLibraries http fleet)
+if(NOT BULRUSH_PLATFORM_ONLY)
+  include(cmake/own_daemons.cmake)
+endif()
 
-foreach(Library wire http daemon)
+foreach(Library ${ShellLibraries})
   get_target_property(Type bulrush_${Library} TYPE)
   if(Type STREQUAL STATIC_LIBRARY AND BULRUSH_PCH)
     target_precompile_headers(bulrush_${Library} PRIVATE ${CMAKE_SOURCE_DIR}/cmake/pch_${Library}.h)
   endif()
 endforeach()
-
-# One program for each file programs/NAME.cpp; the bench adds its own folders.
-file(GLOB Programs CONFIGURE_DEPENDS programs/*.cpp)
-foreach(Source ${Programs})
-  get_filename_component(Name ${Source} NAME_WE)
-  add_executable(${Name} ${Source})
-  target_link_libraries(${Name} PRIVATE bulrush_daemon bulrush_ctl)
-endforeach()
-
-if(EXISTS ${CMAKE_SOURCE_DIR}/bench/CMakeLists.txt)
-  add_subdirectory(bench)
-endif()
--- a/include/bulrushtray/clock.h
+++ b/include/bulrushtray/clock.h
@@ -54,4 +54,11 @@
   instant now() const override;
 };
 
+/// Like the monotonic clock, but it also counts the time for which the machine
+/// was suspended: a lease must not outlive a suspension.
+class boot_clock_source final : public clock_source {
+public:
+  instant now() const override;
+};
+
 } // namespace bulrush
--- /dev/null
+++ b/src/control/registry_machine.cpp
@@ -0,0 +1,33 @@
+#include "control/registry_machine.h"
+
+namespace bulrush::control {
+
+bool registry_machine::apply(log_index Index, const registry_command &Command) {
+  Applied = Index;
+  const bool IsChanged =
+      std::visit([this](const auto &Each) { return on(Each); }, Command);
+  if (IsChanged)
+    State.Revision = {Index.Value};
+  return IsChanged;
+}
+
+bool registry_machine::on(const put_catalog &Command) {
+  if (Command.Version <= State.CatalogVersion)
+    return false;
+  State.CatalogVersion = Command.Version;
+  State.Catalog = Command.Bytes;
+  return true;
+}
+
+bool registry_machine::on(const set_zone &Command) {
+  if (Command.IsOut)
+    return State.ZonesOut.insert(Command.Zone).second;
+  return State.ZonesOut.erase(Command.Zone) > 0;
+}
+
+void registry_machine::load(log_index Index, registry_state NewState) {
+  Applied = Index;
+  State = std::move(NewState);
+}
+
+} // namespace bulrush::control
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -3,6 +3,8 @@
 #include "control/invariant.h"
 #include "control/replica_core.h"
 
+#include <algorithm>
+
 namespace bulrush::control {
 
 replica::replica(replica_options Options, recovered_state State,
@@ -26,6 +28,7 @@
       Boot(State.Boot), Random(Seed), Term(State.Hard.Term),
       Vote(State.Hard.Vote), Snapshot(std::move(State.Snapshot)) {
   Groups.emplace_back(log_index{0}, voter_group{});
+  Machines.insert(this->Options.Vms.begin(), this->Options.Vms.end());
   if (Snapshot) {
     Log.reset(Snapshot->Index, Snapshot->Term);
     Groups.front() = {Snapshot->Index, Snapshot->Group};
@@ -85,9 +88,17 @@
   Status.Commit = Commit;
   Status.Applied = Applied;
   Status.Ready = Ready;
-  if (Role == replica_role::leader)
-    Status.ConfirmedAt = confirmedAt();
   Status.Group = group();
+  if (Role != replica_role::leader)
+    return Status;
+  Status.ConfirmedAt = confirmedAt();
+  for (const group_member &Member : group().Members) {
+    const auto Known = Progress.find(Member.Id);
+    if (Member.Id != Self && Known != Progress.end())
+      Status.Followers.push_back(
+          {Member.Id, Member.Vm,
+           std::max(Known->second.FollowedAt, LeadsSince)});
+  }
   return Status;
 }
 
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -27,6 +27,11 @@
   /// The machines of the first group. It forms by itself once every one of them
   /// has an empty folder. A new folder on a member's machine replaces it.
   std::vector<vm_id> Vms;
+  /// Whether an empty folder may take part in forming the first group.
+  bool MayForm = true;
+  /// An entry is committed once so many voters, and a majority, hold it on disk;
+  /// fewer where there are not as many.
+  std::size_t CommitCopies = 1;
   millis Heartbeat{50};
   millis ElectionMin{300}; ///< silence before an election, lower bound
   millis ElectionMax{600};
@@ -77,10 +82,15 @@
 };
 /// Hands the leadership to the member that is furthest; for a planned stop.
 struct transfer_leadership {};
+/// Further machines that may know a group; an empty folder asks them too.
+struct machines_known {
+  std::vector<vm_id> Vms;
+};
 
 using event =
     std::variant<message_received, tick, propose, persisted, snapshot_taken,
-                 add_member, remove_member, form_group, transfer_leadership>;
+                 add_member, remove_member, form_group, transfer_leadership,
+                 machines_known>;
 
 // Actions.
 /// Write in this order and sync: the snapshot, then the hard state and the
@@ -145,6 +155,13 @@
   leader
 };
 
+/// What a leader knows of another member.
+struct follower_view {
+  voter_id Id;
+  vm_id Vm;
+  instant FollowedAt; ///< it followed at this time or later
+};
+
 /// A view of one member for status pages and leases.
 struct replica_status {
   replica_role Role = replica_role::follower;
@@ -162,6 +179,7 @@
   /// leader of a smaller term is confirmed no more.
   instant ConfirmedAt;
   voter_group Group;
+  std::vector<follower_view> Followers; ///< as leader
 };
 
 /// One member of the log. Deterministic: all randomness comes from `Seed`.
--- a/src/control/replica_append.cpp
+++ b/src/control/replica_append.cpp
@@ -173,17 +173,22 @@
   post(Member.Vm, Member.Id, std::move(Request));
 }
 
+std::size_t replica_core::copiesToCommit() const {
+  const std::size_t Wanted = std::min(Options.CommitCopies, group().voterCount());
+  return std::max(group().majority(), Wanted);
+}
+
 void replica_core::advanceCommit() {
   std::vector<log_index> Matches;
   for (const group_member &Member : group().Members)
     if (Member.Role == member_role::voter)
       Matches.push_back(Member.Id == Self ? DurableIndex
                                           : Progress[Member.Id].Match);
-  const std::size_t Majority = group().majority();
-  if (Matches.size() < Majority)
+  const std::size_t Copies = copiesToCommit();
+  if (Matches.size() < Copies)
     return;
   std::sort(Matches.begin(), Matches.end(), std::greater<>());
-  const log_index Agreed = Matches[Majority - 1];
+  const log_index Agreed = Matches[Copies - 1];
   if (Agreed <= Commit || Log.termAt(Agreed) != Term)
     return;
   Commit = Agreed;
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -51,6 +51,7 @@
   void on(const remove_member &Event);
   void on(const form_group &Event);
   void on(const transfer_leadership &Event);
+  void on(const machines_known &Event);
   void dispatch(const message &Message);
   void appendOwn(entry_kind Kind, shared_bytes Payload);
   bool acceptsProposals() const;
@@ -95,6 +96,7 @@
   void sendToAll(bool Heartbeat);
   void advanceCommit();
   log_index hintBefore(log_index Index) const;
+  std::size_t copiesToCommit() const;
 
   // replica_snapshot.cpp
   void onMessage(const message &From, const snapshot_chunk &Body);
@@ -201,6 +203,7 @@
   // Before a group is known.
   std::map<vm_id, voter_id> EmptyFolders;
   std::set<vm_id> SeenBy;
+  std::set<vm_id> Machines; ///< that are asked for a group
   instant SeekAt;
 };
 
--- a/src/control/replica_members.cpp
+++ b/src/control/replica_members.cpp
@@ -164,6 +164,10 @@
   appendOwn(entry_kind::group, shareBytes(encodeGroup(Group)));
 }
 
+void replica_core::on(const machines_known &Event) {
+  Machines.insert(Event.Vms.begin(), Event.Vms.end());
+}
+
 void replica_core::on(const add_member &Event) {
   const auto Joiner = Joiners.find(Event.Vm);
   if (!acceptsProposals() || groupChangePending() || Joiner == Joiners.end() ||
@@ -242,9 +246,11 @@
   if (!group().Members.empty() || Now < SeekAt)
     return;
   SeekAt = Now + Options.Heartbeat * 2;
-  for (vm_id Other : Options.Vms)
+  for (vm_id Other : Machines)
     if (Other != Vm)
       post(Other, NoVoter, join_request{EmptyFolders[Other]});
+  if (!Options.MayForm)
+    return;
   const auto Lowest = std::min_element(Options.Vms.begin(), Options.Vms.end());
   if (Lowest == Options.Vms.end() || *Lowest != Vm)
     return;
--- /dev/null
+++ b/src/control/voter_steward.cpp
@@ -0,0 +1,53 @@
+#include "control/voter_steward.h"
+
+#include <algorithm>
+
+namespace bulrush::control {
+
+std::optional<steward_wish> voter_steward::next(const replica_status &Status,
+                                                instant Now) {
+  if (Status.Role != replica_role::leader || !Status.Ready)
+    return std::nullopt;
+  const auto &Members = Status.Group.Members;
+  const bool IsChanging =
+      std::any_of(Members.begin(), Members.end(), [](const group_member &Each) {
+        return Each.Role == member_role::learner;
+      });
+  const std::size_t Voters = Status.Group.voterCount();
+  const std::optional<vm_id> Silent = silentVoter(Status, Now);
+  if (Silent && Voters > Settings.Wanted)
+    return remove_member{{}, *Silent};
+  if (IsChanging || (Voters >= Settings.Wanted && !Silent))
+    return std::nullopt;
+  if (const std::optional<vm_id> Joiner = joiner(Status, Now))
+    return add_member{{}, *Joiner};
+  return std::nullopt;
+}
+
+std::optional<vm_id>
+voter_steward::silentVoter(const replica_status &Status, instant Now) const {
+  std::optional<vm_id> Found;
+  instant Since = Never;
+  for (const follower_view &Each : Status.Followers) {
+    const bool IsVoter = Status.Group.hasVoter(Each.Id);
+    if (!IsVoter || Now - Each.FollowedAt < Settings.SilenceLimit ||
+        Each.FollowedAt >= Since)
+      continue;
+    Found = Each.Vm;
+    Since = Each.FollowedAt;
+  }
+  return Found;
+}
+
+std::optional<vm_id> voter_steward::joiner(const replica_status &Status,
+                                           instant Now) {
+  std::erase_if(Joiners, [&](const auto &Item) {
+    return Now - Item.second > Settings.JoinLimit;
+  });
+  for (const auto &[Vm, AskedAt] : Joiners)
+    if (!Status.Group.findOn(Vm))
+      return Vm;
+  return std::nullopt;
+}
+
+} // namespace bulrush::control
--- /dev/null
+++ b/src/fleet/decision_log.cpp
@@ -0,0 +1,100 @@
+#include "fleet/decision_log.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace bulrush::fleet {
+
+namespace {
+
+using telemetry::severity;
+
+constexpr double LinesPerSecond = 40;
+constexpr double MaxBurst = 200; ///< lines
+/// One in so many plain requests is logged.
+constexpr std::size_t SampleEvery = 128;
+
+bool isPlain(const relay::request_note &Note) {
+  return Note.Status == 200 && Note.Covered >= Note.Shards &&
+         Note.Took <= Note.Objective && Note.Retries == 0 && !Note.ClientLeft;
+}
+
+bool isSampled(const std::string &RequestId) {
+  return std::hash<std::string>{}(RequestId) % SampleEvery == 0;
+}
+
+} // namespace
+
+bool decision_log::mayWrite(instant Now) {
+  const double Seconds = std::max(0.0, (Now - FilledAt).Count / 1000);
+  Tokens = std::min(MaxBurst, Tokens + Seconds * LinesPerSecond);
+  FilledAt = Now;
+  if (Tokens < 1) {
+    ++Suppressed;
+    return false;
+  }
+  Tokens -= 1;
+  if (Suppressed > 0)
+    telemetry::logEvent(severity::warning, "lines_suppressed",
+                        {{"count", Suppressed}});
+  Suppressed = 0;
+  return true;
+}
+
+void decision_log::write(const relay::request_note &Note, instant Now) {
+  Metrics.add("requests", std::to_string(Note.Status));
+  Metrics.observe("request_ms", Note.Route, Note.Took);
+  if (Note.Hedges > 0)
+    Metrics.add("hedges", Note.Route, Note.Hedges);
+  if (Note.Retries > 0)
+    Metrics.add("retries", Note.Route, Note.Retries);
+  if (Note.Reason != relay::relay_refusal::none)
+    Metrics.add("refusals", toString(Note.Reason));
+  const bool Plain = isPlain(Note);
+  if (Plain && !isSampled(Note.RequestId))
+    return;
+  if (!Plain && !mayWrite(Now))
+    return;
+  telemetry::logEvent(Plain ? severity::info : severity::warning, "request",
+                      {{"id", Note.RequestId},
+                       {"route", Note.Route},
+                       {"catalog", Note.Version.Value},
+                       {"status", Note.Status},
+                       {"reason", toString(Note.Reason)},
+                       {"client_left", Note.ClientLeft},
+                       {"took_ms", Note.Took.Count},
+                       {"objective_ms", Note.Objective.Count},
+                       {"covered", Note.Covered},
+                       {"shards", Note.Shards},
+                       {"hedges", Note.Hedges},
+                       {"retries", Note.Retries},
+                       {"budget_denied", Note.Starved}});
+}
+
+void decision_log::write(const relay::attempt_note &Note, instant Now) {
+  Metrics.add("attempts_failed", toString(Note.Verdict));
+  if (!mayWrite(Now))
+    return;
+  telemetry::logEvent(severity::warning, "attempt_failed",
+                      {{"id", Note.RequestId},
+                       {"service", Note.Service.Value},
+                       {"endpoint", Note.Instance},
+                       {"verdict", toString(Note.Verdict)},
+                       {"status", Note.Status},
+                       {"took_ms", Note.Took.Count}});
+}
+
+void decision_log::write(const relay::belief_note &Note, instant Now) {
+  Metrics.add("beliefs", toString(Note.Change));
+  if (!mayWrite(Now))
+    return;
+  telemetry::logEvent(severity::info, "endpoint",
+                      {{"endpoint", Note.Instance},
+                       {"service", Note.Service.Value},
+                       {"change", toString(Note.Change)},
+                       {"cold_ms", Note.Detail.Count}});
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/decision_log.h
@@ -0,0 +1,28 @@
+/// What the relay decided, as log lines and metrics.
+#pragma once
+
+#include "relay/events.h"
+#include "telemetry/metrics.h"
+
+namespace bulrush::fleet {
+
+/// Keeps every line of a request that did not go as wanted, up to a rate, and a
+/// sample of the others that is the same at all daemons.
+class decision_log {
+public:
+  explicit decision_log(telemetry::metrics &Metrics) : Metrics(Metrics) {}
+
+  void write(const relay::request_note &Note, instant Now);
+  void write(const relay::attempt_note &Note, instant Now);
+  void write(const relay::belief_note &Note, instant Now);
+
+private:
+  bool mayWrite(instant Now);
+
+  telemetry::metrics &Metrics;
+  double Tokens = 0;
+  instant FilledAt{-1e300};
+  std::uint64_t Suppressed = 0;
+};
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/disk_thread.h
@@ -0,0 +1,44 @@
+/// The data folder of one voter on a thread of its own: a write waits for the
+/// disk, the decisions never do.
+#pragma once
+
+#include "store/durable_log.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace bulrush::fleet {
+
+/// Writes that wait during a sync share the next one.
+class disk_thread {
+public:
+  using synced_handler = std::function<void(control::write_id)>;
+  using failed_handler = std::function<void(store::disk_error)>;
+
+  /// The handlers are called on the disk's thread. After a failure nothing
+  /// further is written.
+  disk_thread(store::durable_log Log, synced_handler OnSynced,
+              failed_handler OnFailed);
+  /// Waits for the sync under way.
+  ~disk_thread();
+  disk_thread(const disk_thread &) = delete;
+  disk_thread &operator=(const disk_thread &) = delete;
+
+  void write(control::persist Write);
+
+private:
+  void run();
+
+  store::durable_log Log;
+  synced_handler OnSynced;
+  failed_handler OnFailed;
+  std::mutex Mutex;
+  std::condition_variable Wanted;
+  std::vector<control::persist> Waiting;
+  bool IsStopping = false;
+  std::thread Thread;
+};
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/endpoint_links.cpp
@@ -0,0 +1,163 @@
+#include "fleet/endpoint_links.h"
+
+#include <boost/asio/post.hpp>
+
+namespace bulrush::fleet {
+
+namespace {
+
+/// Longer than any round trip inside a region.
+constexpr millis ConnectTimeout{700};
+constexpr millis SilenceTimeout{1000};
+/// A health check that takes longer has failed.
+constexpr millis ProbeTimeout{700};
+constexpr millis ProbeSweep{300};
+constexpr millis IdleTimeout{20'000};
+/// No attempt lasts longer: its request has given up by then.
+constexpr millis ExchangeTimeout{60'000};
+
+http::client_settings settingsFor(const address &Server,
+                                  const request_codec &Codec) {
+  http::client_settings Out;
+  Out.Server = Server;
+  Out.ConnectTimeout = ConnectTimeout;
+  Out.SilenceTimeout = SilenceTimeout;
+  Out.IdleTimeout = IdleTimeout;
+  Out.ExchangeTimeout = ExchangeTimeout;
+  Out.EchoHeader = Codec.echoHeader();
+  return Out;
+}
+
+relay::attempt_end endOf(http::exchange_status Status) {
+  switch (Status) {
+  case http::exchange_status::done:
+    return relay::attempt_end::replied;
+  case http::exchange_status::connect_failed:
+  case http::exchange_status::not_sent:
+    return relay::attempt_end::not_sent;
+  case http::exchange_status::lost:
+    return relay::attempt_end::lost;
+  case http::exchange_status::garbled:
+    return relay::attempt_end::garbled;
+  }
+  return relay::attempt_end::lost;
+}
+
+} // namespace
+
+endpoint_links::endpoint_links(boost::asio::io_context &Io,
+                               std::shared_ptr<const request_codec> Codec,
+                               relay_event_handler OnEvent)
+    : Io(Io), Codec(std::move(Codec)), OnEvent(std::move(OnEvent)) {}
+
+endpoint_links::link_ptr endpoint_links::find(relay::endpoint_no No) const {
+  const auto Found = Links.find(No);
+  return Found == Links.end() ? nullptr : Found->second;
+}
+
+void endpoint_links::open(const relay::open_endpoint &Action) {
+  link_ptr &Link = Links[Action.Endpoint];
+  if (!Link) {
+    Link = std::make_shared<endpoint_link>();
+    http::client_settings Settings =
+        settingsFor(Action.Listed.Address, *Codec);
+    Settings.MaxConnections = Action.Connections;
+    Link->Client = std::make_unique<http::client>(Io, Settings);
+    Settings.MaxConnections = 1;
+    Settings.ExchangeTimeout = ProbeTimeout;
+    Settings.SweepInterval = ProbeSweep;
+    Link->Prober = std::make_unique<http::client>(Io, Settings);
+    if (!Action.Listed.IsLeaving)
+      Link->Client->warm(1);
+  }
+  Link->Listed = Action.Listed;
+  Link->HealthPath = Action.HealthPath;
+  Link->Client->setMaxConnections(Action.Connections);
+}
+
+void endpoint_links::close(const relay::close_endpoint &Action) {
+  const link_ptr Link = find(Action.Endpoint);
+  if (!Link)
+    return;
+  Link->IsClosing = true;
+  Link->Client->closeIdle();
+  dropIfIdle(Action.Endpoint);
+}
+
+void endpoint_links::dropIfIdle(relay::endpoint_no No) {
+  const link_ptr Link = find(No);
+  if (Link && Link->IsClosing && Link->Attempts.empty())
+    Links.erase(No);
+}
+
+void endpoint_links::later(relay::relay_event Event) {
+  boost::asio::post(Io, [this, Event = std::move(Event)] { OnEvent(Event); });
+}
+
+void endpoint_links::send(const relay::send_attempt &Action) {
+  const link_ptr Link = find(Action.Endpoint);
+  if (!Link) {
+    later(relay::attempt_ended{Action.Attempt, relay::attempt_end::not_sent,
+                               nullptr});
+    return;
+  }
+  Link->Attempts[Action.Attempt] = Link->Client->send(
+      Codec->encode(*Action.Content, Link->Listed.Identity.Instance,
+                    Action.Remaining),
+      [this, Weak = std::weak_ptr(Link),
+       Attempt = Action.Attempt](http::exchange_result Result) {
+        ended(Weak, Attempt, std::move(Result));
+      });
+}
+
+void endpoint_links::ended(const std::weak_ptr<endpoint_link> &Weak,
+                           relay::attempt_no Attempt,
+                           http::exchange_result Result) {
+  if (const auto Link = Weak.lock())
+    Link->Attempts.erase(Attempt);
+  relay::attempt_ended Event{Attempt, endOf(Result.Status), nullptr};
+  if (Event.End == relay::attempt_end::replied)
+    Event.Reply = std::make_shared<const relay::endpoint_reply>(
+        Codec->decode(std::move(Result.Response)));
+  OnEvent(Event);
+}
+
+void endpoint_links::cancel(const relay::cancel_attempt &Action) {
+  const link_ptr Link = find(Action.Endpoint);
+  if (!Link)
+    return;
+  const auto Found = Link->Attempts.find(Action.Attempt);
+  if (Found == Link->Attempts.end())
+    return;
+  Link->Client->cancel(Found->second);
+  Link->Attempts.erase(Found);
+  dropIfIdle(Action.Endpoint);
+}
+
+void endpoint_links::probe(const relay::probe_endpoint &Action) {
+  const link_ptr Link = find(Action.Endpoint);
+  if (!Link) {
+    later(relay::probe_ended{Action.Endpoint, false, {}, {}});
+    return;
+  }
+  // Kept connections may have gone silent with the endpoint.
+  Link->Client->closeIdle();
+  Link->Prober->closeIdle();
+  http::request Request;
+  Request.Method = "GET";
+  Request.Target = Link->HealthPath;
+  Link->Prober->send(
+      std::move(Request),
+      [this, No = Action.Endpoint](const http::exchange_result &Result) {
+        relay::probe_ended Event{No, false, {}, {}};
+        if (Result.Status == http::exchange_status::done) {
+          const endpoint_health Health = Codec->decodeHealth(Result.Response);
+          Event.IsHealthy = Health.IsHealthy;
+          Event.Instance = Health.Instance;
+          Event.ColdFor = Health.ColdFor;
+        }
+        OnEvent(Event);
+      });
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/endpoint_links.h
@@ -0,0 +1,52 @@
+/// Connections of one relay daemon to endpoints.
+#pragma once
+
+#include "fleet/adapter.h"
+#include "http/client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <unordered_map>
+
+namespace bulrush::fleet {
+
+using relay_event_handler = std::function<void(relay::relay_event)>;
+
+/// Carries out what the relay wants of endpoints. Runs on the thread of its
+/// `io_context`; the handler is never called from within another call.
+class endpoint_links {
+public:
+  endpoint_links(boost::asio::io_context &Io,
+                 std::shared_ptr<const request_codec> Codec,
+                 relay_event_handler OnEvent);
+
+  void open(const relay::open_endpoint &Action);
+  void close(const relay::close_endpoint &Action);
+  void send(const relay::send_attempt &Action);
+  void cancel(const relay::cancel_attempt &Action);
+  void probe(const relay::probe_endpoint &Action);
+
+private:
+  struct endpoint_link {
+    relay::listed_endpoint Listed;
+    std::string HealthPath;
+    std::unique_ptr<http::client> Client;
+    std::unique_ptr<http::client> Prober;
+    std::unordered_map<relay::attempt_no, http::exchange_id> Attempts;
+    bool IsClosing = false;
+  };
+  using link_ptr = std::shared_ptr<endpoint_link>;
+
+  link_ptr find(relay::endpoint_no No) const;
+  void ended(const std::weak_ptr<endpoint_link> &Link,
+             relay::attempt_no Attempt, http::exchange_result Result);
+  void later(relay::relay_event Event);
+  void dropIfIdle(relay::endpoint_no No);
+
+  boost::asio::io_context &Io;
+  std::shared_ptr<const request_codec> Codec;
+  relay_event_handler OnEvent;
+  std::unordered_map<relay::endpoint_no, link_ptr> Links;
+};
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/endpoint_reader.cpp
@@ -0,0 +1,123 @@
+#include "fleet/endpoint_reader.h"
+
+#include "telemetry/log.h"
+
+#include <chrono>
+
+namespace bulrush::fleet {
+
+namespace {
+
+using telemetry::severity;
+
+std::chrono::microseconds toChrono(millis Time) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(Time.Count * 1e3));
+}
+
+http::client_settings clientSettings(const reader_settings &Settings) {
+  http::client_settings Out;
+  Out.Server = Settings.Server;
+  Out.MaxConnections = 1;
+  Out.SilenceTimeout = Settings.PageTimeout;
+  return Out;
+}
+
+} // namespace
+
+endpoint_reader::endpoint_reader(
+    boost::asio::io_context &Io, reader_settings Given,
+    std::shared_ptr<const endpoint_list_codec> Codec,
+    const clock_source &Clock, directory_handler OnRead)
+    : Settings(std::move(Given)), Codec(std::move(Codec)), Clock(Clock),
+      OnRead(std::move(OnRead)), Client(Io, clientSettings(Settings)),
+      Timer(Io) {}
+
+void endpoint_reader::start() {
+  if (IsRunning)
+    return;
+  IsRunning = true;
+  again(millis{0}, true);
+}
+
+void endpoint_reader::stop() {
+  if (!IsRunning)
+    return;
+  IsRunning = false;
+  Timer.cancel();
+  if (Exchange != 0)
+    Client.cancel(Exchange);
+  Exchange = 0;
+}
+
+void endpoint_reader::again(millis Delay, bool Restart) {
+  if (Restart) {
+    Found.clear();
+    Unreadable = 0;
+    Token.clear();
+  }
+  IsWaitingForPage = false;
+  Timer.expires_after(toChrono(Delay));
+  Timer.async_wait([this](boost::system::error_code Error) {
+    if (!Error && IsRunning)
+      onTimer();
+  });
+}
+
+void endpoint_reader::onTimer() {
+  if (!IsWaitingForPage) {
+    if (Token.empty())
+      Began = Clock.now();
+    readPage();
+    return;
+  }
+  Client.cancel(Exchange);
+  onPage({http::exchange_status::lost, {}});
+}
+
+void endpoint_reader::readPage() {
+  IsWaitingForPage = true;
+  Exchange = Client.send(Codec->page(Token), [this](auto Result) {
+    if (IsRunning)
+      onPage(Result);
+  });
+  Timer.expires_after(toChrono(Settings.PageTimeout));
+  Timer.async_wait([this](boost::system::error_code Error) {
+    if (!Error && IsRunning)
+      onTimer();
+  });
+}
+
+void endpoint_reader::onPage(const http::exchange_result &Result) {
+  Exchange = 0;
+  Timer.cancel();
+  const bool IsDone = Result.Status == http::exchange_status::done;
+  auto Page = IsDone ? Codec->decode(Result.Response)
+                     : expected<endpoint_page>(fail("no response"));
+  if (!Page) {
+    if (!IsDown)
+      telemetry::logEvent(severity::warning, "endpoint_list_lost",
+                          {{"error", Page.error().Message}});
+    IsDown = true;
+    again(Settings.RetryDelay, true);
+    return;
+  }
+  if (IsDown)
+    telemetry::logEvent(severity::info, "endpoint_list_regained", {});
+  IsDown = false;
+  Unreadable += Page->Unreadable;
+  for (relay::listed_endpoint &Each : Page->Endpoints)
+    Found.push_back(std::move(Each));
+  if (!Page->NextToken.empty()) {
+    Token = Page->NextToken;
+    readPage();
+    return;
+  }
+  if (Unreadable != ToldUnreadable)
+    telemetry::logEvent(severity::warning, "endpoint_list_unreadable_entries",
+                        {{"count", Unreadable}});
+  ToldUnreadable = Unreadable;
+  OnRead(std::move(Found), Began);
+  again(Settings.Interval, true);
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/frame_link.cpp
@@ -0,0 +1,145 @@
+#include "fleet/frame_link.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace bulrush::fleet {
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+frame_link::frame_link(socket Given, frame_bounds Bounds)
+    : Socket(std::move(Given)), Bounds(Bounds) {}
+
+void frame_link::start(frame_handler Frames, close_handler Closed) {
+  OnFrame = std::move(Frames);
+  OnClosed = std::move(Closed);
+  onOpened();
+}
+
+void frame_link::connect(const asio::ip::tcp::endpoint &To,
+                         frame_handler Frames, close_handler Closed) {
+  OnFrame = std::move(Frames);
+  OnClosed = std::move(Closed);
+  Socket.async_connect(To, [Self = shared_from_this()](error_code Error) {
+    if (Self->IsClosed)
+      return;
+    if (Error)
+      Self->fail();
+    else
+      Self->onOpened();
+  });
+}
+
+void frame_link::onOpened() {
+  IsOpen = true;
+  error_code Ignored;
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  const auto Timeout = static_cast<unsigned>(Bounds.SilenceTimeout.Count);
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout,
+               sizeof Timeout);
+  readHead();
+  writeNext();
+}
+
+void frame_link::readHead() {
+  asio::async_read(
+      Socket, asio::buffer(Head),
+      [Self = shared_from_this()](error_code Error, std::size_t) {
+        if (Self->IsClosed)
+          return;
+        if (Error) {
+          Self->fail();
+          return;
+        }
+        std::size_t Size = 0;
+        for (const unsigned char Byte : Self->Head)
+          Size = Size << 8 | Byte;
+        if (Size > Self->Bounds.MaxFrameBytes) {
+          Self->fail();
+          return;
+        }
+        Self->Body.assign(Size, '\0');
+        Self->readBody();
+      });
+}
+
+void frame_link::readBody() {
+  asio::async_read(Socket, asio::buffer(Body),
+                   [Self = shared_from_this()](error_code Error, std::size_t) {
+                     if (Self->IsClosed)
+                       return;
+                     if (Error) {
+                       Self->fail();
+                       return;
+                     }
+                     // The handler may close the link, which drops it.
+                     const auto Handler = std::move(Self->OnFrame);
+                     Handler(std::move(Self->Body));
+                     if (Self->IsClosed)
+                       return;
+                     Self->OnFrame = Handler;
+                     Self->readHead();
+                   });
+}
+
+void frame_link::send(const std::string &Bytes) {
+  if (IsClosed)
+    return;
+  std::string Frame;
+  Frame.reserve(Head.size() + Bytes.size());
+  for (int Shift = 24; Shift >= 0; Shift -= 8)
+    Frame += static_cast<char>(Bytes.size() >> Shift & 0xff);
+  Frame += Bytes;
+  QueuedBytes += Frame.size();
+  Queue.push_back(std::move(Frame));
+  if (QueuedBytes > Bounds.MaxQueuedBytes && Queue.size() > 1) {
+    fail();
+    return;
+  }
+  writeNext();
+}
+
+void frame_link::writeNext() {
+  if (!IsOpen || IsWriting || Queue.empty())
+    return;
+  IsWriting = true;
+  asio::async_write(Socket, asio::buffer(Queue.front()),
+                    [Self = shared_from_this()](error_code Error, std::size_t) {
+                      if (Self->IsClosed)
+                        return;
+                      Self->IsWriting = false;
+                      if (Error) {
+                        Self->fail();
+                        return;
+                      }
+                      Self->QueuedBytes -= Self->Queue.front().size();
+                      Self->Queue.pop_front();
+                      Self->writeNext();
+                    });
+}
+
+void frame_link::close() {
+  if (IsClosed)
+    return;
+  IsClosed = true;
+  IsOpen = false;
+  error_code Ignored;
+  Socket.close(Ignored);
+  OnFrame = nullptr;
+  OnClosed = nullptr;
+}
+
+/// The handler runs from the event loop, never from within `send`.
+void frame_link::fail() {
+  const auto Closed = std::move(OnClosed);
+  const auto Executor = Socket.get_executor();
+  close();
+  if (Closed)
+    asio::post(Executor, Closed);
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/messages.h
@@ -0,0 +1,63 @@
+/// Messages between relay daemons and the registry, and between its voters.
+#pragma once
+
+#include "control/replica_messages.h"
+#include "relay/directory.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bulrush::fleet {
+
+/// A daemon wants to be kept up to date.
+struct subscribe {
+  std::string Node;
+  std::string Zone;
+  incarnation_id Incarnation;
+  revision Revision;                ///< of the state that it holds
+  std::uint64_t CatalogVersion = 0; ///< 0: none
+};
+
+/// The receiver of `subscribe` does not lead.
+struct redirect {
+  vm_id Leader; ///< 0: not known
+  std::vector<vm_id> Voters;
+};
+
+/// The registry's state.
+struct fleet_state {
+  revision Revision;
+  std::uint64_t CatalogVersion = 0;
+  std::string Catalog; ///< empty: as the receiver holds it
+  std::vector<std::string> ZonesOut;
+  std::vector<vm_id> Voters;
+};
+
+/// The platform's list, read `Age` ago.
+struct endpoint_directory {
+  relay::directory Directory;
+  millis Age;
+};
+
+/// The leader's sign of life.
+struct leader_beat {
+  revision Revision;
+  std::uint32_t Peers = 0; ///< relay daemons that are subscribed
+};
+
+/// A subscriber's sign of life.
+struct applied {
+  revision Revision; ///< that it acts on
+};
+
+/// Members of the group, for a folder that wants to join it.
+struct known_voters {
+  std::vector<vm_id> Voters;
+};
+
+using fleet_message =
+    std::variant<subscribe, redirect, fleet_state, endpoint_directory,
+                 leader_beat, applied, known_voters, control::message>;
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/process_start.cpp
@@ -0,0 +1,39 @@
+#include "fleet/process_start.h"
+
+#include "telemetry/log.h"
+
+#include <random>
+
+namespace bulrush::fleet {
+
+int failStart(const error &Error) {
+  telemetry::logEvent(telemetry::severity::error, "start_failed",
+                      {{"error", Error.Message}});
+  return 1;
+}
+
+void startProcessLog(const std::string &Process) {
+  telemetry::log_settings Settings;
+  Settings.Process = Process;
+  telemetry::startLog(Settings);
+}
+
+std::uint64_t drawSeed() {
+  std::random_device Source;
+  return (static_cast<std::uint64_t>(Source()) << 32) | Source();
+}
+
+std::uint64_t unixMillis() {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now).count());
+}
+
+http::server_settings metricsSettings(const process_settings &Settings) {
+  http::server_settings Out;
+  Out.Listen = {Settings.Ip, Settings.MetricsPort};
+  Out.MaxConnections = 16;
+  return Out;
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/process_start.h
@@ -0,0 +1,22 @@
+/// What the fleet's daemons share at their start.
+#pragma once
+
+#include "fleet/adapter.h"
+#include "fleet/metrics_page.h"
+
+#include <chrono>
+
+namespace bulrush::fleet {
+
+/// Logs why the process does not start; returns its exit status.
+int failStart(const error &Error);
+void startProcessLog(const std::string &Process);
+std::uint64_t drawSeed();
+std::uint64_t unixMillis();
+http::server_settings metricsSettings(const process_settings &Settings);
+
+inline std::chrono::microseconds toChrono(millis Time) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(Time.Count * 1e3));
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/registry_daemon.cpp
@@ -0,0 +1,523 @@
+#include "fleet/registry_daemon.h"
+
+#include "fleet/disk_thread.h"
+#include "fleet/endpoint_reader.h"
+#include "fleet/operator_desk.h"
+#include "fleet/process_start.h"
+#include "fleet/subscribers.h"
+#include "fleet/voter_links.h"
+#include "telemetry/log.h"
+#include "wire/fleet_codec.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <unordered_set>
+
+namespace bulrush::fleet {
+
+namespace {
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+using telemetry::severity;
+
+constexpr millis Heartbeat{120};
+constexpr millis ElectionMin{520};
+constexpr millis ElectionMax{1040};
+constexpr millis TickInterval{60};
+/// Subscribers are told that the leader lives.
+constexpr millis BeatInterval{400};
+constexpr millis DiskRetry{500};
+/// After SIGTERM, for answers and for the next leader.
+constexpr millis LeaveTime{500};
+constexpr std::size_t SnapshotEvery = 128; ///< entries; each holds a catalog
+constexpr std::size_t KeepEntries = 16;
+
+class registry_process final : public operator_desk_host {
+public:
+  registry_process(const adapter &Adapter, process_settings Given)
+      : Adapter(Adapter), Settings(std::move(Given)),
+        Self(*machineOf(Settings.Ip)), Desk(*Adapter.Operators, *this, Metrics),
+        Acceptor(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), Ticker(Io),
+        Retry(Io), Leaving(Io),
+        Subscribers([this](const node_event &Event) { step(Event); }),
+        Links(Io, Settings.FleetPort,
+              [this](const std::string &Bytes) { onAnswerFrame(Bytes); }),
+        Reader(Io, readerSettings(Settings), Adapter.Endpoints, Clock,
+               [this](auto Found, instant Began) {
+                 onDirectory(std::move(Found), Began);
+               }) {}
+
+  int run() {
+    telemetry::logEvent(severity::info, "registry_started",
+                        {{"node", Settings.Node},
+                         {"zone", Settings.Zone},
+                         {"first_start", Settings.IsFirstStart}});
+    const auto Started = startServers();
+    if (!Started)
+      return failStart(Started.error());
+    openFolder();
+    awaitSignal();
+    tickLater();
+    Io.run();
+    telemetry::logEvent(severity::info, "registry_stopped",
+                        {{"node", Settings.Node}});
+    return 0;
+  }
+
+private:
+  static reader_settings readerSettings(const process_settings &Settings) {
+    reader_settings Out;
+    Out.Server = Settings.EndpointList;
+    return Out;
+  }
+
+  expected<void> startServers() {
+    http::server_settings Http;
+    Http.Listen = Settings.Operators;
+    Http.MaxBodyBytes = 8 << 20;
+    Operators.emplace(Io, Http, Desk, Metrics);
+    auto Started = Operators->start();
+    if (!Started)
+      return Started;
+    if (Settings.MetricsPort != 0) {
+      Page.emplace(Io, metricsSettings(Settings), MetricsPage, Metrics);
+      if (auto Other = Page->start(); !Other)
+        return Other;
+    }
+    return listenFleet();
+  }
+
+  expected<void> listenFleet() {
+    const asio::ip::tcp::endpoint Where = endpointOf(Self, Settings.FleetPort);
+    error_code Error;
+    Acceptor.open(Where.protocol(), Error);
+    if (!Error)
+      Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), Error);
+    if (!Error)
+      Acceptor.bind(Where, Error);
+    if (!Error)
+      Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+    if (Error)
+      return fail("cannot listen on " + Settings.Ip + ":" +
+                  std::to_string(Settings.FleetPort) + ": " + Error.message());
+    acceptNext();
+    return {};
+  }
+
+  void acceptNext() {
+    Acceptor.async_accept(
+        [this](error_code Error, asio::ip::tcp::socket Socket) {
+          if (Error == asio::error::operation_aborted)
+            return;
+          if (!Error)
+            accept(std::move(Socket));
+          acceptNext();
+        });
+  }
+
+  void accept(asio::ip::tcp::socket Socket) {
+    auto Link = std::make_shared<frame_link>(std::move(Socket));
+    const frame_link *Key = Link.get();
+    Accepted.insert(Link);
+    Link->start([this, Key](const std::string &Bytes) { onFrame(Key, Bytes); },
+                [this, Weak = std::weak_ptr(Link)] {
+                  const auto Closed = Weak.lock();
+                  if (!Closed)
+                    return;
+                  Subscribers.onClosed(Closed.get());
+                  Accepted.erase(Closed);
+                });
+  }
+
+  std::shared_ptr<frame_link> linkOf(const frame_link *Key) const {
+    for (const auto &Link : Accepted)
+      if (Link.get() == Key)
+        return Link;
+    return nullptr;
+  }
+
+  void onFrame(const frame_link *Key, const std::string &Bytes) {
+    auto Message = wire::decodeFleet(Bytes);
+    if (!Message) {
+      Metrics.add("fleet_messages_refused");
+      telemetry::logEvent(severity::warning, "fleet_message_refused",
+                          {{"error", Message.error().Message}});
+      return;
+    }
+    if (auto *Voter = std::get_if<control::message>(&*Message))
+      onVoter(Key, std::move(*Voter));
+    else if (const auto *Asked = std::get_if<subscribe>(&*Message))
+      onSubscribe(Key, *Asked);
+    else if (const auto *Applied = std::get_if<applied>(&*Message))
+      Subscribers.onApplied(Key, Applied->Revision, Clock.now());
+  }
+
+  void onVoter(const frame_link *Key, control::message Message) {
+    if (!Node)
+      return;
+    const bool IsJoining =
+        std::holds_alternative<control::join_request>(Message.Body);
+    if (IsJoining && !Voters.empty())
+      if (const auto Link = linkOf(Key))
+        Link->send(wire::encode(known_voters{Voters}));
+    step(control::event(control::message_received{std::move(Message)}));
+  }
+
+  /// What other voters send back on the links of this one.
+  void onAnswerFrame(const std::string &Bytes) {
+    const auto Message = wire::decodeFleet(Bytes);
+    if (!Message || !Node)
+      return;
+    if (const auto *Known = std::get_if<known_voters>(&*Message))
+      step(control::event(control::machines_known{Known->Voters}));
+  }
+
+  void onSubscribe(const frame_link *Key, const subscribe &Asked) {
+    const auto Link = linkOf(Key);
+    if (!Link)
+      return;
+    if (!Node || !Node->leads()) {
+      const vm_id Leader =
+          Node ? leaderOf(Node->status()).value_or(vm_id{}) : vm_id{};
+      Link->send(wire::encode(redirect{Leader, Voters}));
+      return;
+    }
+    Subscribers.add(Link, Asked, Clock.now());
+    Subscribers.tellState(Node->state(), Voters);
+    Subscribers.beat(Node->state().Revision, Clock.now());
+  }
+
+  static std::optional<vm_id> leaderOf(const control::replica_status &Status) {
+    if (Status.Leader == control::NoVoter)
+      return std::nullopt;
+    return Status.LeaderVm;
+  }
+
+  // The data folder.
+
+  void openFolder() {
+    auto Folder = store::openPosixDisk(Settings.DataFolder);
+    if (!Folder) {
+      onDiskError(Folder.error().Message);
+      return;
+    }
+    Disk = std::move(*Folder);
+    store::folder_options Options;
+    Options.Vm = Self;
+    Options.FreshId = drawSeed() | 1;
+    Options.BootHint = unixMillis();
+    auto Log = store::durable_log::open(*Disk, Options);
+    if (!Log) {
+      onDiskError(Log.error().Message);
+      return;
+    }
+    for (const store::folder_notice Notice : Log->notices())
+      telemetry::logEvent(severity::info, "folder_notice",
+                          {{"notice", static_cast<int>(Notice)},
+                           {"torn_bytes", Log->tornBytes()}});
+    const control::recovered_state State = Log->state();
+    const std::uint64_t Life = ++FolderLife;
+    Writer = std::make_unique<disk_thread>(
+        std::move(*Log),
+        [this, Life](control::write_id Write) {
+          asio::post(Io, [this, Life, Write] {
+            if (Life == FolderLife && Node)
+              step(control::event(control::persisted{Write}));
+          });
+        },
+        [this, Life](const store::disk_error &Error) {
+          asio::post(Io, [this, Life, Message = Error.Message] {
+            if (Life == FolderLife)
+              onDiskError(Message);
+          });
+        });
+    Node.emplace(nodeSettings(), State, drawSeed());
+    telemetry::logEvent(severity::info, "folder_opened",
+                        {{"voter", State.Self.Value},
+                         {"boot", State.Boot.Value},
+                         {"entries", State.Entries.size()}});
+    step(control::event(control::tick{}));
+  }
+
+  node_settings nodeSettings() const {
+    node_settings Out;
+    for (const std::string &Seed : Settings.Seeds)
+      if (const auto Vm = machineOf(Seed))
+        Out.Log.Vms.push_back(*Vm);
+    Out.Log.MayForm = Settings.IsFirstStart;
+    Out.Log.CommitCopies = Settings.LostMachines + 1;
+    Out.Log.Heartbeat = Heartbeat;
+    Out.Log.ElectionMin = ElectionMin;
+    Out.Log.ElectionMax = ElectionMax;
+    Out.Log.SnapshotEvery = SnapshotEvery;
+    Out.Log.KeepEntries = KeepEntries;
+    Out.Steward.Wanted = 2 * Settings.LostMachines + 1;
+    return Out;
+  }
+
+  /// The process lives on without its vote and tries the disk again.
+  void onDiskError(const std::string &Message) {
+    telemetry::logEvent(severity::error, "disk_failed", {{"error", Message}});
+    Metrics.add("disk_failures");
+    closeFolder();
+    Retry.expires_after(toChrono(DiskRetry));
+    Retry.async_wait([this](error_code Error) {
+      if (!Error)
+        openFolder();
+    });
+  }
+
+  void closeFolder() {
+    ++FolderLife;
+    if (Node && Node->leads())
+      onLeadership(false);
+    Node.reset();
+    Writer.reset();
+    Disk.reset();
+    Desk.endAll(call_end::unclear);
+  }
+
+  void onIdentityLost() {
+    telemetry::logEvent(severity::warning, "identity_lost",
+                        {{"node", Settings.Node}});
+    asio::post(Io, [this] {
+      closeFolder();
+      if (auto Folder = store::openPosixDisk(Settings.DataFolder))
+        if (const auto Retired = store::durable_log::retire(**Folder); !Retired)
+          telemetry::logEvent(severity::error, "disk_failed",
+                              {{"error", Retired.error().Message}});
+      openFolder();
+    });
+  }
+
+  // The node.
+
+  void step(const node_event &Event) {
+    if (!Node)
+      return;
+    std::vector<node_action> Actions;
+    Node->step(Event, Clock.now(), Actions);
+    for (node_action &Action : Actions)
+      std::visit([this](auto &Each) { on(Each); }, Action);
+  }
+
+  void on(control::persist &Action) {
+    if (Writer)
+      Writer->write(std::move(Action));
+  }
+  void on(control::send &Action) {
+    if (Action.Vm != Self)
+      Links.send(Action.Vm, std::move(Action.Message), Clock.now());
+  }
+  void on(control::group_changed &Action) {
+    Voters.clear();
+    std::string Text;
+    for (const control::group_member &Each : Action.Group.Members) {
+      Voters.push_back(Each.Vm);
+      Text += (Text.empty() ? "" : ",") + toText(Each.Vm) +
+              (Each.Role == control::member_role::learner ? "(learner)" : "");
+    }
+    telemetry::logEvent(severity::info, "voters_changed", {{"members", Text}});
+  }
+  void on(control::identity_lost &) { onIdentityLost(); }
+  void on(call_ended &Action) { Desk.end(Action.Call, Action.End); }
+  void on(state_changed &) {
+    const control::registry_state &State = Node->state();
+    Metrics.set("registry_revision", "",
+                static_cast<double>(State.Revision.Value));
+    if (!Node->leads())
+      return;
+    telemetry::logEvent(severity::info, "state_changed",
+                        {{"revision", State.Revision.Value},
+                         {"catalog_version", State.CatalogVersion},
+                         {"zones_out", State.ZonesOut.size()}});
+    Subscribers.tellState(State, Voters);
+  }
+  void on(leadership_changed &Action) { onLeadership(Action.Leads); }
+
+  void onLeadership(bool Leads) {
+    const control::replica_status Status = Node->status();
+    telemetry::logEvent(severity::info, Leads ? "leading" : "not_leading",
+                        {{"node", Settings.Node},
+                         {"term", Status.Term.Value},
+                         {"revision", Node->state().Revision.Value}});
+    Metrics.set("registry_leads", "", Leads ? 1 : 0);
+    if (Leads) {
+      Sequence = 0;
+      Reader.start();
+      return;
+    }
+    Reader.stop();
+    asio::post(Io, [this] { Subscribers.clear(); });
+  }
+
+  // The platform's list.
+
+  void onDirectory(std::vector<relay::listed_endpoint> Found, instant Began) {
+    if (!Node || !Node->leads())
+      return;
+    relay::directory Directory;
+    Directory.Endpoints = std::move(Found);
+    const bool IsSame = Sequence > 0 && isSame(Directory, LastDirectory);
+    Metrics.add("endpoint_list_readings");
+    if (IsSame) {
+      LastDirectory.Endpoints = std::move(Directory.Endpoints);
+      return;
+    }
+    Directory.Order = {Node->status().Term.Value, ++Sequence};
+    telemetry::logEvent(severity::info, "endpoints_changed",
+                        {{"sequence", Sequence},
+                         {"endpoints", Directory.Endpoints.size()}});
+    LastDirectory = Directory;
+    Subscribers.setDirectory(std::move(Directory), Began, Clock.now());
+  }
+
+  /// How long an endpoint stays cold shrinks by itself.
+  static bool isSame(const relay::directory &A, const relay::directory &B) {
+    const auto IsAlike = [](const relay::listed_endpoint &X,
+                            const relay::listed_endpoint &Y) {
+      relay::listed_endpoint Copy = X;
+      const bool CooledDown =
+          Y.ColdFor > millis{0} && X.ColdFor <= Y.ColdFor;
+      if (CooledDown)
+        Copy.ColdFor = Y.ColdFor;
+      return Copy == Y;
+    };
+    return std::equal(A.Endpoints.begin(), A.Endpoints.end(),
+                      B.Endpoints.begin(), B.Endpoints.end(), IsAlike);
+  }
+
+  // Operators.
+
+  void order(call_id Call, control::registry_command Command) override {
+    if (Node)
+      step(order_arrived{Call, std::move(Command)});
+    else
+      Desk.end(Call, call_end::unclear);
+  }
+  void read(call_id Call) override {
+    if (Node)
+      step(read_arrived{Call});
+    else
+      Desk.end(Call, call_end::unclear);
+  }
+  std::optional<address> leader() const override {
+    const auto Vm = Node ? leaderOf(Node->status()) : std::nullopt;
+    if (!Vm || *Vm == Self)
+      return std::nullopt;
+    return address{toText(*Vm), Settings.Operators.Port};
+  }
+  const control::registry_state &state() const override {
+    return Node->state();
+  }
+
+  // Time and signals.
+
+  void tickLater() {
+    Ticker.expires_after(toChrono(TickInterval));
+    Ticker.async_wait([this](error_code Error) {
+      if (Error)
+        return;
+      onTick();
+      tickLater();
+    });
+  }
+
+  void onTick() {
+    const instant Now = Clock.now();
+    step(control::event(control::tick{}));
+    Subscribers.dropSilent(Now);
+    if (Now - BeatAt < BeatInterval)
+      return;
+    BeatAt = Now;
+    Links.closeUnused(Now);
+    if (Node && Node->leads())
+      Subscribers.beat(Node->state().Revision, Now);
+  }
+
+  void awaitSignal() {
+    Signals.async_wait([this](error_code Error, int Signal) {
+      if (Error)
+        return;
+      if (Signal == SIGHUP)
+        reload();
+      else
+        leave();
+      awaitSignal();
+    });
+  }
+
+  void reload() {
+    auto Read = Adapter.Settings->read();
+    if (!Read) {
+      telemetry::logEvent(severity::error, "settings_refused",
+                          {{"error", Read.error().Message}});
+      return;
+    }
+    telemetry::logEvent(severity::info, "settings_reloaded",
+                        {{"seeds", Read->Seeds.size()}});
+    control::machines_known Known;
+    for (const std::string &Seed : Read->Seeds)
+      if (const auto Vm = machineOf(Seed))
+        Known.Vms.push_back(*Vm);
+    step(control::event(Known));
+  }
+
+  void leave() {
+    if (IsLeaving)
+      return;
+    IsLeaving = true;
+    telemetry::logEvent(severity::info, "stopping", {{"node", Settings.Node}});
+    Operators->closeAfterAnswers();
+    step(control::event(control::transfer_leadership{}));
+    Leaving.expires_after(toChrono(LeaveTime));
+    Leaving.async_wait([this](error_code) {
+      closeFolder();
+      Io.stop();
+    });
+  }
+
+  const adapter &Adapter;
+  process_settings Settings;
+  vm_id Self;
+  asio::io_context Io{1};
+  boot_clock_source Clock;
+  telemetry::metrics Metrics;
+  metrics_page MetricsPage{Metrics};
+  operator_desk Desk;
+  std::optional<http::server> Operators;
+  std::optional<http::server> Page;
+  asio::ip::tcp::acceptor Acceptor;
+  asio::signal_set Signals;
+  asio::steady_timer Ticker;
+  asio::steady_timer Retry;
+  asio::steady_timer Leaving;
+  std::unordered_set<std::shared_ptr<frame_link>> Accepted;
+  subscribers Subscribers;
+  voter_links Links;
+  endpoint_reader Reader;
+  std::unique_ptr<store::disk> Disk;
+  std::unique_ptr<disk_thread> Writer;
+  std::optional<registry_node> Node;
+  std::uint64_t FolderLife = 0;
+  std::vector<vm_id> Voters;
+  relay::directory LastDirectory;
+  std::uint64_t Sequence = 0; ///< of directories in this term
+  instant BeatAt{-1e300};
+  bool IsLeaving = false;
+};
+
+} // namespace
+
+int runRegistry(const adapter &Adapter) {
+  auto Settings = Adapter.Settings->read();
+  if (!Settings)
+    return failStart(Settings.error());
+  startProcessLog(Settings->Node);
+  if (!machineOf(Settings->Ip))
+    return failStart({"ip: no IPv4 address: " + Settings->Ip});
+  return registry_process(Adapter, std::move(*Settings)).run();
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/registry_node.cpp
@@ -0,0 +1,228 @@
+#include "fleet/registry_node.h"
+
+#include "wire/fleet_codec.h"
+
+#include <algorithm>
+
+namespace bulrush::fleet {
+
+registry_node::registry_node(node_settings Given,
+                             control::recovered_state State, std::uint64_t Seed)
+    : Settings(std::move(Given)), Log(Settings.Log, std::move(State), Seed),
+      Steward(Settings.Steward) {}
+
+void registry_node::step(const node_event &Event, instant At,
+                         std::vector<node_action> &Actions) {
+  Now = At;
+  Out = &Actions;
+  std::visit([this](const auto &Each) { on(Each); }, Event);
+  endOrders();
+  endReads();
+  Out = nullptr;
+}
+
+void registry_node::on(const control::event &Event) {
+  noteJoiner(Event);
+  if (const auto *Written = std::get_if<control::persisted>(&Event))
+    if (Written->Write >= LastWrite)
+      WriteSince = Never;
+  stepLog(Event);
+  if (!std::holds_alternative<control::tick>(Event))
+    return;
+  yieldOnSlowDisk();
+  keepGroupWhole();
+}
+
+void registry_node::noteJoiner(const control::event &Event) {
+  const auto *Received = std::get_if<control::message_received>(&Event);
+  if (!Received)
+    return;
+  const control::message &Message = Received->Message;
+  if (std::holds_alternative<control::join_request>(Message.Body))
+    Steward.asked(Message.Vm, Now);
+}
+
+void registry_node::keepGroupWhole() {
+  auto Wish = Steward.next(Log.status(), Now);
+  if (!Wish)
+    return;
+  ++LastProposal.Value;
+  std::visit(
+      [this](auto &Each) {
+        Each.Proposal = LastProposal;
+        stepLog(Each);
+      },
+      *Wish);
+}
+
+/// Nothing is applied here before it is on the own disk.
+void registry_node::yieldOnSlowDisk() {
+  if (!Leads || Now - WriteSince < Settings.SlowWrite) {
+    HasYielded = false;
+    return;
+  }
+  if (HasYielded)
+    return;
+  HasYielded = true;
+  stepLog(control::transfer_leadership{});
+}
+
+void registry_node::on(const order_arrived &Event) {
+  if (!Leads) {
+    end(Event.Call, call_end::not_leading);
+    return;
+  }
+  if (!hasVoters()) {
+    end(Event.Call, call_end::unclear);
+    return;
+  }
+  ++LastProposal.Value;
+  Orders.push_back({Event.Call, LastProposal, Now, Never, {}});
+  stepLog(control::propose{
+      LastProposal, control::shareBytes(wire::encode(Event.Command))});
+}
+
+/// With too few voters the loss of disks that is to be borne could lose an
+/// acknowledged order.
+bool registry_node::hasVoters() const {
+  return Log.status().Group.voterCount() >= Settings.Steward.Wanted ||
+         Now - LeadsSince >= Settings.GatheringLimit;
+}
+
+void registry_node::on(const read_arrived &Event) {
+  if (!Leads) {
+    end(Event.Call, call_end::not_leading);
+    return;
+  }
+  Reads.push_back({Event.Call, Now});
+}
+
+void registry_node::on(const subscriber_came &Event) {
+  Subscribers[Event.Subscriber] = {};
+}
+
+void registry_node::on(const subscriber_left &Event) {
+  Subscribers.erase(Event.Subscriber);
+}
+
+void registry_node::on(const subscriber_applied &Event) {
+  const auto Found = Subscribers.find(Event.Subscriber);
+  if (Found != Subscribers.end())
+    Found->second = std::max(Found->second, Event.Revision);
+}
+
+void registry_node::stepLog(const control::event &Event) {
+  std::vector<control::action> Actions;
+  Log.step(Event, Now, Actions);
+  for (control::action &Action : Actions)
+    std::visit([this](auto &Each) { on(Each); }, Action);
+}
+
+void registry_node::on(control::persist &Action) {
+  LastWrite = Action.Write;
+  if (WriteSince == Never)
+    WriteSince = Now;
+  Out->push_back(std::move(Action));
+}
+
+void registry_node::on(control::apply &Action) {
+  const auto Command = wire::decodeRegistryCommand(*Action.Payload);
+  if (!Command) {
+    Machine.skip(Action.Index);
+    return;
+  }
+  if (Machine.apply(Action.Index, *Command))
+    Out->push_back(state_changed{});
+}
+
+void registry_node::on(control::install_snapshot &Action) {
+  auto State = wire::decodeRegistryState(*Action.Bytes);
+  if (!State)
+    return;
+  Machine.load(Action.Index, std::move(*State));
+  Out->push_back(state_changed{});
+}
+
+void registry_node::on(control::snapshot_wanted &) {
+  stepLog(control::snapshot_taken{
+      Log.status().Applied, control::shareBytes(wire::encode(Machine.state()))});
+}
+
+void registry_node::on(control::became_leader &) { LeadsSince = Now; }
+
+void registry_node::on(control::leader_ready &) { setLeads(true); }
+
+void registry_node::on(control::lost_leadership &) {
+  for (const pending_order &Order : Orders)
+    end(Order.Call, call_end::unclear);
+  for (const pending_read &Read : Reads)
+    end(Read.Call, call_end::unclear);
+  Orders.clear();
+  Reads.clear();
+  setLeads(false);
+}
+
+void registry_node::setLeads(bool Value) {
+  if (Leads == Value)
+    return;
+  Leads = Value;
+  Out->push_back(leadership_changed{Value});
+}
+
+void registry_node::on(control::proposal_result &Action) {
+  const auto Found =
+      std::find_if(Orders.begin(), Orders.end(), [&](const pending_order &O) {
+        return O.Proposal == Action.Proposal;
+      });
+  if (Found == Orders.end())
+    return;
+  if (Action.Outcome == outcome::answered) {
+    Found->CommittedAt = Now;
+    Found->Revision = Machine.state().Revision;
+    return;
+  }
+  end(Found->Call, Action.Outcome == outcome::not_run ? call_end::not_leading
+                                                      : call_end::unclear);
+  Orders.erase(Found);
+}
+
+bool registry_node::isSpread(revision Revision) const {
+  return std::all_of(Subscribers.begin(), Subscribers.end(),
+                     [&](const auto &Each) { return Each.second >= Revision; });
+}
+
+void registry_node::endOrders() {
+  std::erase_if(Orders, [&](const pending_order &Order) {
+    if (Order.CommittedAt == Never) {
+      if (Now - Order.ArrivedAt < Settings.CallLimit)
+        return false;
+      end(Order.Call, call_end::unclear);
+      return true;
+    }
+    const bool IsLate = Now - Order.ArrivedAt >= Settings.SpreadLimit;
+    if (!IsLate && !isSpread(Order.Revision))
+      return false;
+    end(Order.Call, call_end::done);
+    return true;
+  });
+}
+
+/// A majority that followed this leader after the read had arrived proves that
+/// no other leader has acknowledged anything newer by then.
+void registry_node::endReads() {
+  if (Reads.empty())
+    return;
+  const instant ConfirmedAt = Log.status().ConfirmedAt;
+  std::erase_if(Reads, [&](const pending_read &Read) {
+    if (ConfirmedAt >= Read.ArrivedAt) {
+      end(Read.Call, call_end::done);
+      return true;
+    }
+    if (Now - Read.ArrivedAt < Settings.CallLimit)
+      return false;
+    end(Read.Call, call_end::unclear);
+    return true;
+  });
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/registry_node.h
@@ -0,0 +1,155 @@
+/// Joins the replicated log and the registry's state machine of one voter:
+/// orders and reads of operators, and what subscribers are told.
+#pragma once
+
+#include "control/registry_machine.h"
+#include "control/replica.h"
+#include "control/voter_steward.h"
+
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace bulrush::fleet {
+
+/// An order or a read of an operator; unique in one life of the process.
+using call_id = numbered<struct call_tag, std::uint64_t>;
+/// A daemon that is subscribed at this node.
+using subscriber_id = numbered<struct subscriber_tag, std::uint64_t>;
+
+// Events beside those of the log.
+struct order_arrived {
+  call_id Call;
+  control::registry_command Command;
+};
+struct read_arrived {
+  call_id Call;
+};
+struct subscriber_came {
+  subscriber_id Subscriber;
+};
+struct subscriber_left {
+  subscriber_id Subscriber;
+};
+struct subscriber_applied {
+  subscriber_id Subscriber;
+  revision Revision;
+};
+
+using node_event =
+    std::variant<control::event, order_arrived, read_arrived, subscriber_came,
+                 subscriber_left, subscriber_applied>;
+
+/// How an order or a read ended.
+enum class call_end : std::uint8_t {
+  done,        ///< the order is in force, or the state may be read now
+  not_leading, ///< nothing was done; `Leader` may know
+  unclear      ///< it may take effect; asked again it gets its answer
+};
+
+struct call_ended {
+  call_id Call;
+  call_end End = call_end::unclear;
+};
+
+/// Subscribers are to be told the new state.
+struct state_changed {};
+
+/// This node serves orders from now on, or does no longer.
+struct leadership_changed {
+  bool Leads = false;
+};
+
+using node_action =
+    std::variant<control::persist, control::send, control::group_changed,
+                 control::identity_lost, call_ended, state_changed,
+                 leadership_changed>;
+
+struct node_settings {
+  control::replica_options Log;
+  control::steward_settings Steward;
+  /// An order waits so long for the subscribers to act on it.
+  millis SpreadLimit{700};
+  /// An operator asks elsewhere after a second.
+  millis CallLimit{900};
+  /// Orders are taken with fewer voters than wanted after so long.
+  millis GatheringLimit{8000};
+  /// A leader whose write takes longer hands the leadership over.
+  millis SlowWrite{600};
+};
+
+/// Deterministic; has no I/O and no clock.
+class registry_node {
+public:
+  registry_node(node_settings Settings, control::recovered_state State,
+                std::uint64_t Seed);
+
+  void step(const node_event &Event, instant Now,
+            std::vector<node_action> &Out);
+
+  const control::registry_state &state() const { return Machine.state(); }
+  control::replica_status status() const { return Log.status(); }
+  bool leads() const { return Leads; }
+
+private:
+  struct pending_order {
+    call_id Call;
+    control::proposal_id Proposal;
+    instant ArrivedAt;
+    instant CommittedAt = Never;
+    revision Revision; ///< the state that holds it
+  };
+  struct pending_read {
+    call_id Call;
+    instant ArrivedAt;
+  };
+
+  void on(const control::event &Event);
+  void on(const order_arrived &Event);
+  void on(const read_arrived &Event);
+  void on(const subscriber_came &Event);
+  void on(const subscriber_left &Event);
+  void on(const subscriber_applied &Event);
+
+  void on(control::persist &Action);
+  void on(control::send &Action) { Out->push_back(std::move(Action)); }
+  void on(control::apply &Action);
+  void on(control::install_snapshot &Action);
+  void on(control::snapshot_wanted &Action);
+  void on(control::became_leader &Action);
+  void on(control::leader_ready &Action);
+  void on(control::lost_leadership &Action);
+  void on(control::proposal_result &Action);
+  void on(control::group_changed &Action) { Out->push_back(std::move(Action)); }
+  void on(control::identity_lost &Action) { Out->push_back(Action); }
+
+  void stepLog(const control::event &Event);
+  void noteJoiner(const control::event &Event);
+  void keepGroupWhole();
+  void yieldOnSlowDisk();
+  void endOrders();
+  void endReads();
+  bool isSpread(revision Revision) const;
+  bool hasVoters() const;
+  void setLeads(bool Value);
+  void end(call_id Call, call_end End) { Out->push_back(call_ended{Call, End}); }
+
+  node_settings Settings;
+  control::replica Log;
+  control::registry_machine Machine;
+  control::voter_steward Steward;
+  bool Leads = false;
+  instant LeadsSince;
+  control::proposal_id LastProposal;
+  std::vector<pending_order> Orders;
+  std::vector<pending_read> Reads;
+  std::map<subscriber_id, revision> Subscribers; ///< what they act on
+  control::write_id LastWrite;
+  instant WriteSince = Never; ///< of the oldest write under way
+  bool HasYielded = false;
+  instant Now;
+  std::vector<node_action> *Out = nullptr;
+};
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/relay_daemon.cpp
@@ -0,0 +1,285 @@
+#include "fleet/relay_daemon.h"
+
+#include "fleet/decision_log.h"
+#include "fleet/endpoint_links.h"
+#include "fleet/process_start.h"
+#include "fleet/registry_follower.h"
+#include "fleet/voter_links.h"
+#include "relay/relay.h"
+#include "telemetry/log.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+namespace bulrush::fleet {
+
+namespace {
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+using telemetry::severity;
+
+/// The platform asks each second and sends nobody new after two misses.
+constexpr millis RotationTime{2600};
+constexpr millis LeaveLook{100};
+/// Before the process is killed, the last answers leave.
+constexpr millis GraceMargin{400};
+
+class readiness final : public http::handler {
+public:
+  void handle(http::request, http::responder Respond) override {
+    http::response Out;
+    Out.Status = IsReady() ? 200 : 503;
+    Out.Body = "{}";
+    Respond(std::move(Out));
+  }
+  std::function<bool()> IsReady;
+};
+
+class relay_process final : public http::handler, public follower_host {
+public:
+  relay_process(const adapter &Adapter, process_settings Given)
+      : Adapter(Adapter), Settings(std::move(Given)),
+        Relay(Settings.Relay, drawSeed()),
+        Links(Io, Adapter.Requests,
+              [this](const relay::relay_event &Event) { step(Event); }),
+        Follower(Io, followerSettings(Settings), Clock, *this), Log(Metrics),
+        Waker(Io), Leaving(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP) {
+    Ready.IsReady = [this] { return Relay.isReady() && !IsLeaving; };
+  }
+
+  int run() {
+    telemetry::logEvent(severity::info, "relay_started",
+                        {{"node", Settings.Node}, {"zone", Settings.Zone}});
+    const auto Started = startServers();
+    if (!Started)
+      return failStart(Started.error());
+    Follower.start();
+    awaitSignal();
+    Io.run();
+    telemetry::logEvent(severity::info, "relay_stopped",
+                        {{"node", Settings.Node}});
+    return 0;
+  }
+
+private:
+  static follower_settings followerSettings(const process_settings &Settings) {
+    follower_settings Out;
+    Out.Node = Settings.Node;
+    Out.Zone = Settings.Zone;
+    Out.Port = Settings.FleetPort;
+    Out.Seeds = machinesOf(Settings.Seeds);
+    Out.Incarnation = {unixMillis()};
+    return Out;
+  }
+
+  static std::vector<vm_id> machinesOf(const std::vector<std::string> &Seeds) {
+    std::vector<vm_id> Out;
+    for (const std::string &Seed : Seeds)
+      if (const auto Vm = machineOf(Seed))
+        Out.push_back(*Vm);
+    return Out;
+  }
+
+  expected<void> startServers() {
+    http::server_settings Front;
+    Front.Listen = Settings.Clients;
+    Front.AbandonOnClose = true;
+    Front.MaxConnections = 3000;
+    Clients.emplace(Io, Front, *this, Metrics);
+    http::server_settings Other;
+    Other.Listen = Settings.Readiness;
+    Readiness.emplace(Io, Other, Ready, Metrics);
+    for (http::server *Server : {&*Clients, &*Readiness})
+      if (auto Started = Server->start(); !Started)
+        return Started;
+    if (Settings.MetricsPort == 0)
+      return {};
+    Page.emplace(Io, metricsSettings(Settings), MetricsPage, Metrics);
+    return Page->start();
+  }
+
+  // Clients.
+
+  void handle(http::request Request, http::responder Respond) override {
+    const query_id Id{Request.Token};
+    Responders[Id] = std::move(Respond);
+    client_request Decoded = Adapter.Requests->decode(std::move(Request));
+    step(relay::request_arrived{Id, std::move(Decoded.Content),
+                                Decoded.Patience});
+  }
+
+  void abandon(http::request_token Token) override {
+    if (Responders.erase({Token}) == 0)
+      return;
+    asio::post(Io, [this, Token] { step(relay::client_left{{Token}}); });
+  }
+
+  // The relay's decisions.
+
+  void step(const relay::relay_event &Event) {
+    relay::relay_actions Actions;
+    Relay.step(Event, Clock.now(), Actions);
+    for (const relay::relay_action &Action : Actions)
+      std::visit([this](const auto &Each) { on(Each); }, Action);
+  }
+
+  void on(const relay::send_attempt &Action) { Links.send(Action); }
+  void on(const relay::cancel_attempt &Action) { Links.cancel(Action); }
+  void on(const relay::probe_endpoint &Action) { Links.probe(Action); }
+  void on(const relay::open_endpoint &Action) { Links.open(Action); }
+  void on(const relay::close_endpoint &Action) { Links.close(Action); }
+  void on(const relay::request_note &Note) { Log.write(Note, Clock.now()); }
+  void on(const relay::attempt_note &Note) { Log.write(Note, Clock.now()); }
+  void on(const relay::belief_note &Note) { Log.write(Note, Clock.now()); }
+
+  void on(const relay::give_answer &Answer) {
+    const auto Found = Responders.find(Answer.Request);
+    if (Found == Responders.end())
+      return;
+    const http::responder Respond = std::move(Found->second);
+    Responders.erase(Found);
+    Respond(Adapter.Requests->encode(Answer));
+  }
+
+  void on(const relay::wake_at &Action) {
+    const millis Delay = Action.At - Clock.now();
+    Waker.expires_after(toChrono(std::max(Delay, millis{0})));
+    Waker.async_wait([this](error_code Error) {
+      if (!Error)
+        step(relay::timer_fired{});
+    });
+  }
+
+  // The registry.
+
+  bool take(const fleet_state &State) override {
+    if (!State.Catalog.empty()) {
+      auto Catalog = Adapter.Catalogs->decode(State.Catalog);
+      if (!Catalog) {
+        telemetry::logEvent(severity::error, "catalog_refused",
+                            {{"error", Catalog.error().Message}});
+        return false;
+      }
+      Clients->setBounds(Catalog->Limits.MaxHeaderBytes,
+                         Catalog->Limits.MaxBodyBytes,
+                         Catalog->Limits.IdleTimeout);
+      step(relay::catalog_arrived{
+          std::make_shared<const relay::catalog>(std::move(*Catalog))});
+    }
+    step(relay::zones_out_arrived{
+        {State.ZonesOut.begin(), State.ZonesOut.end()}});
+    telemetry::logEvent(severity::info, "state_in_force",
+                        {{"revision", State.Revision.Value},
+                         {"catalog_version", Relay.version().Value},
+                         {"zones_out", State.ZonesOut.size()}});
+    return true;
+  }
+
+  void take(endpoint_directory Directory) override {
+    step(relay::directory_arrived{std::make_shared<const relay::directory>(
+                                      std::move(Directory.Directory)),
+                                  Directory.Age});
+  }
+
+  void takePeers(std::uint32_t Count) override {
+    step(relay::peers_counted{Count});
+  }
+
+  std::vector<vm_id> seeds() override {
+    const auto Read = Adapter.Settings->read();
+    return Read ? machinesOf(Read->Seeds) : std::vector<vm_id>{};
+  }
+
+  // Signals.
+
+  void awaitSignal() {
+    Signals.async_wait([this](error_code Error, int Signal) {
+      if (Error)
+        return;
+      if (Signal == SIGHUP)
+        reload();
+      else
+        leave();
+      awaitSignal();
+    });
+  }
+
+  void reload() {
+    const auto Read = Adapter.Settings->read();
+    if (!Read) {
+      telemetry::logEvent(severity::error, "settings_refused",
+                          {{"error", Read.error().Message}});
+      return;
+    }
+    Follower.addMachines(machinesOf(Read->Seeds));
+    telemetry::logEvent(severity::info, "settings_reloaded",
+                        {{"seeds", Read->Seeds.size()}});
+  }
+
+  /// Not ready at once; new connections are served until the platform sends no
+  /// more; then each open request gets its answer.
+  void leave() {
+    if (IsLeaving)
+      return;
+    IsLeaving = true;
+    LeaveBy = Clock.now() + Settings.GraceTime - GraceMargin;
+    telemetry::logEvent(severity::info, "stopping",
+                        {{"node", Settings.Node},
+                         {"requests", Relay.active()}});
+    Clients->closeAfterAnswers();
+    Leaving.expires_after(toChrono(RotationTime));
+    Leaving.async_wait([this](error_code Error) {
+      if (Error)
+        return;
+      Clients->stopAccepting();
+      Clients->closeIdle();
+      stopOnceDone();
+    });
+  }
+
+  void stopOnceDone() {
+    if (Clients->inWork() == 0 || Clock.now() >= LeaveBy) {
+      Io.stop();
+      return;
+    }
+    Leaving.expires_after(toChrono(LeaveLook));
+    Leaving.async_wait([this](error_code Error) {
+      if (!Error)
+        stopOnceDone();
+    });
+  }
+
+  const adapter &Adapter;
+  process_settings Settings;
+  asio::io_context Io{1};
+  boot_clock_source Clock;
+  telemetry::metrics Metrics;
+  metrics_page MetricsPage{Metrics};
+  readiness Ready;
+  relay::relay Relay;
+  endpoint_links Links;
+  registry_follower Follower;
+  decision_log Log;
+  std::unordered_map<query_id, http::responder> Responders;
+  std::optional<http::server> Clients;
+  std::optional<http::server> Readiness;
+  std::optional<http::server> Page;
+  asio::steady_timer Waker;
+  asio::steady_timer Leaving;
+  asio::signal_set Signals;
+  bool IsLeaving = false;
+  instant LeaveBy;
+};
+
+} // namespace
+
+int runRelay(const adapter &Adapter) {
+  auto Settings = Adapter.Settings->read();
+  if (!Settings)
+    return failStart(Settings.error());
+  startProcessLog(Settings->Node);
+  return relay_process(Adapter, std::move(*Settings)).run();
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/relay_daemon.h
@@ -0,0 +1,11 @@
+/// The relay on one machine: clients' requests, forwarded to endpoints.
+#pragma once
+
+#include "fleet/adapter.h"
+
+namespace bulrush::fleet {
+
+/// Runs until SIGTERM; returns the exit status of the process.
+int runRelay(const adapter &Adapter);
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/subscribers.cpp
@@ -0,0 +1,108 @@
+#include "fleet/subscribers.h"
+
+#include "telemetry/log.h"
+#include "wire/fleet_codec.h"
+
+namespace bulrush::fleet {
+
+namespace {
+
+using telemetry::severity;
+
+/// A subscriber says something at least every `BeatInterval` of its own.
+constexpr millis SilenceLimit{1500};
+
+} // namespace
+
+void subscribers::add(std::shared_ptr<frame_link> Link, const subscribe &Asked,
+                      instant Now) {
+  const frame_link *Key = Link.get();
+  subscriber &New = All[Key];
+  New.Id = {++Last.Value};
+  New.Link = std::move(Link);
+  New.Node = Asked.Node;
+  New.CatalogVersion = Asked.CatalogVersion;
+  New.HeardAt = Now;
+  telemetry::logEvent(
+      severity::info, "subscriber_joined",
+      {{"node", Asked.Node}, {"revision", Asked.Revision.Value}});
+  OnEvent(subscriber_came{New.Id});
+  tellDirectory(New, Now);
+}
+
+void subscribers::onApplied(const frame_link *Link, revision Revision,
+                            instant Now) {
+  const auto Found = All.find(Link);
+  if (Found == All.end())
+    return;
+  Found->second.HeardAt = Now;
+  OnEvent(subscriber_applied{Found->second.Id, Revision});
+}
+
+void subscribers::onClosed(const frame_link *Link) { drop(Link, "closed"); }
+
+void subscribers::drop(const frame_link *Link, const char *Why) {
+  const auto Found = All.find(Link);
+  if (Found == All.end())
+    return;
+  const subscriber Gone = std::move(Found->second);
+  All.erase(Found);
+  Gone.Link->close();
+  telemetry::logEvent(severity::info, "subscriber_left",
+                      {{"node", Gone.Node}, {"reason", Why}});
+  OnEvent(subscriber_left{Gone.Id});
+}
+
+void subscribers::tellState(const control::registry_state &State,
+                            const std::vector<vm_id> &Voters) {
+  for (auto &[Key, Each] : All) {
+    fleet_state Message;
+    Message.Revision = State.Revision;
+    Message.CatalogVersion = State.CatalogVersion;
+    if (Each.CatalogVersion < State.CatalogVersion)
+      Message.Catalog = *State.Catalog;
+    Each.CatalogVersion = std::max(Each.CatalogVersion, State.CatalogVersion);
+    Message.ZonesOut = {State.ZonesOut.begin(), State.ZonesOut.end()};
+    Message.Voters = Voters;
+    Each.Link->send(wire::encode(Message));
+  }
+}
+
+void subscribers::setDirectory(relay::directory New, instant ReadAt,
+                               instant Now) {
+  Directory = std::move(New);
+  DirectoryReadAt = ReadAt;
+  for (auto &[Key, Each] : All)
+    tellDirectory(Each, Now);
+}
+
+void subscribers::tellDirectory(subscriber &Subscriber, instant Now) {
+  if (Directory.Order.Term == 0)
+    return;
+  Subscriber.Link->send(
+      wire::encode(endpoint_directory{Directory, Now - DirectoryReadAt}));
+}
+
+void subscribers::beat(revision Revision, instant) {
+  const std::string Beat = wire::encode(
+      leader_beat{Revision, static_cast<std::uint32_t>(All.size())});
+  for (auto &[Key, Each] : All)
+    Each.Link->send(Beat);
+}
+
+void subscribers::dropSilent(instant Now) {
+  std::vector<const frame_link *> Silent;
+  for (const auto &[Key, Each] : All)
+    if (Now - Each.HeardAt > SilenceLimit)
+      Silent.push_back(Key);
+  for (const frame_link *Link : Silent)
+    drop(Link, "silent");
+}
+
+void subscribers::clear() {
+  while (!All.empty())
+    drop(All.begin()->first, "not_leading");
+  Directory = {};
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/subscribers.h
@@ -0,0 +1,56 @@
+/// The daemons that are kept up to date by this leader.
+#pragma once
+
+#include "fleet/frame_link.h"
+#include "fleet/messages.h"
+#include "fleet/registry_node.h"
+
+#include <algorithm>
+#include <map>
+
+namespace bulrush::fleet {
+
+/// What each subscriber was told, and its link.
+class subscribers {
+public:
+  /// Told with each subscriber that acts on a revision or has gone.
+  using event_handler = std::function<void(const node_event &)>;
+
+  explicit subscribers(event_handler OnEvent) : OnEvent(std::move(OnEvent)) {}
+
+  /// Takes a link that asked to be kept up to date.
+  void add(std::shared_ptr<frame_link> Link, const subscribe &Asked,
+           instant Now);
+  void onApplied(const frame_link *Link, revision Revision, instant Now);
+  /// A link was closed by the other side.
+  void onClosed(const frame_link *Link);
+
+  void tellState(const control::registry_state &State,
+                 const std::vector<vm_id> &Voters);
+  void setDirectory(relay::directory Directory, instant ReadAt, instant Now);
+  void beat(revision Revision, instant Now);
+  /// Closes the links of subscribers that were silent for too long.
+  void dropSilent(instant Now);
+  void clear();
+  std::size_t count() const { return All.size(); }
+
+private:
+  struct subscriber {
+    subscriber_id Id;
+    std::shared_ptr<frame_link> Link;
+    std::string Node;
+    std::uint64_t CatalogVersion = 0; ///< that it was sent last
+    instant HeardAt;
+  };
+
+  void tellDirectory(subscriber &Subscriber, instant Now);
+  void drop(const frame_link *Link, const char *Why);
+
+  event_handler OnEvent;
+  std::map<const frame_link *, subscriber> All;
+  subscriber_id Last;
+  relay::directory Directory;
+  instant DirectoryReadAt;
+};
+
+} // namespace bulrush::fleet
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,12 +2,14 @@
 
 #include "http/detail.h"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <deque>
+#include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
 #include <unordered_set>
@@ -24,10 +26,13 @@
 using wire_request = beast::http::request<beast::http::string_body>;
 using time_point = std::chrono::steady_clock::time_point;
 
-constexpr auto SweepEvery = std::chrono::seconds(1);
+/// Responses of earlier requests that are passed over before a connection is
+/// given up.
+constexpr unsigned MaxForeign = 3;
 
 /// One exchange that waits for a connection or for its response.
 struct exchange {
+  exchange_id Id = 0;
   request Request;
   exchange_handler Done;
 };
@@ -47,6 +52,8 @@
   std::unordered_set<connection_ptr> Connections;
   std::vector<connection_ptr> Idle; ///< the last used is taken first
   std::deque<exchange> Waiting;
+  exchange_id LastExchange = 0;
+  bool IsSweeping = false;
 
   client_state(asio::io_context &Io, client_settings Given)
       : Io(Io), Settings(std::move(Given)), Sweeper(Io) {
@@ -57,11 +64,13 @@
   }
 
   void send(exchange Exchange);
+  void cancel(exchange_id Exchange);
   void openOne();
   void release(const connection_ptr &Connection);
   void remove(const connection_ptr &Connection);
   void failWaiting(exchange_status Status);
   void sweep();
+  void closeOverdue();
   void finishLater(exchange_handler Done, exchange_status Status) {
     asio::post(Io, [Done = std::move(Done), Status] { Done({Status, {}}); });
   }
@@ -85,12 +94,14 @@
 
   void run(exchange Given) {
     Current = std::move(Given);
+    Foreign = 0;
     touch();
     Out = {};
     Out.version(11);
     Out.method_string(Current->Request.Method);
     Out.target(Current->Request.Target);
-    Out.set(beast::http::field::host, "bulrush");
+    if (!findHeader(Current->Request.Headers, "Host"))
+      Out.set(beast::http::field::host, "bulrush");
     detail::putHeaders(Out, Current->Request.Headers);
     Out.body() = std::move(Current->Request.Body);
     Out.prepare_payload();
@@ -116,6 +127,15 @@
   }
 
   bool isBusy() const { return Current.has_value(); }
+  bool isOpened() const { return IsOpened; }
+  bool runs(exchange_id Exchange) const {
+    return Current && Current->Id == Exchange;
+  }
+  /// The handler of the exchange under way will not be called.
+  void drop() {
+    Current.reset();
+    close();
+  }
   time_point lastUse() const { return LastUse; }
 
 private:
@@ -130,16 +150,31 @@
       Client->failWaiting(exchange_status::connect_failed);
       return;
     }
+    IsOpened = true;
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
+    if (Client->Settings.SilenceTimeout > millis{0})
+      setSilenceTimeout(Client->Settings.SilenceTimeout);
     Client->release(shared_from_this());
   }
 
+  void setSilenceTimeout(millis Timeout) {
+    const auto Value = static_cast<unsigned>(Timeout.Count);
+    ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Value,
+                 sizeof Value);
+  }
+
   void onWritten(error_code Error) {
+    if (!Current)
+      return;
     if (Error) {
       finish(exchange_status::lost, {});
       return;
     }
+    readResponse();
+  }
+
+  void readResponse() {
     Parser.emplace();
     if (const auto Client = Owner.lock())
       Parser->body_limit(Client->Settings.MaxBodyBytes);
@@ -151,12 +186,21 @@
   }
 
   void onRead(error_code Error) {
+    if (!Current)
+      return;
     if (Error) {
-      finish(exchange_status::lost, {});
+      finish(statusOf(Error), {});
       return;
     }
     auto Message = Parser->release();
-    MayKeep = Message.keep_alive();
+    if (isForeign(Message)) {
+      if (++Foreign > MaxForeign || !Message.keep_alive())
+        finish(exchange_status::lost, {});
+      else
+        readResponse();
+      return;
+    }
+    MayKeep = Message.keep_alive() && Buffer.size() == 0;
     response Response;
     Response.Status = Message.result_int();
     Response.Headers = detail::takeHeaders(Message);
@@ -164,6 +208,29 @@
     finish(exchange_status::done, std::move(Response));
   }
 
+  /// Bytes that are no response differ from a connection that broke.
+  static exchange_status statusOf(error_code Error) {
+    using beast::http::error;
+    const bool IsParsing =
+        Error.category() ==
+        beast::http::make_error_code(error::end_of_stream).category();
+    return IsParsing && Error != error::end_of_stream
+               ? exchange_status::garbled
+               : exchange_status::lost;
+  }
+
+  bool isForeign(const beast::http::response<beast::http::string_body> &Message)
+      const {
+    const auto Client = Owner.lock();
+    if (!Client || Client->Settings.EchoHeader.empty())
+      return false;
+    const auto Got = Message.find(Client->Settings.EchoHeader);
+    if (Got == Message.end())
+      return false;
+    const auto Sent = Out.find(Client->Settings.EchoHeader);
+    return Sent == Out.end() || Sent->value() != Got->value();
+  }
+
   void finish(exchange_status Status, response Response) {
     touch();
     const auto Self = shared_from_this();
@@ -186,6 +253,8 @@
   std::optional<exchange> Current;
   time_point LastUse;
   bool MayKeep = true;
+  bool IsOpened = false;
+  unsigned Foreign = 0; ///< responses passed over in this exchange
 };
 
 void detail::client_state::send(exchange Exchange) {
@@ -214,12 +283,32 @@
   openOne();
 }
 
+void detail::client_state::cancel(exchange_id Exchange) {
+  const auto Found =
+      std::find_if(Waiting.begin(), Waiting.end(),
+                   [&](const exchange &Each) { return Each.Id == Exchange; });
+  if (Found != Waiting.end()) {
+    Waiting.erase(Found);
+    return;
+  }
+  for (const connection_ptr &Connection : Connections) {
+    if (!Connection->runs(Exchange))
+      continue;
+    const connection_ptr Dropped = Connection;
+    Dropped->drop();
+    remove(Dropped);
+    return;
+  }
+}
+
 void detail::client_state::openOne() {
   if (Connections.size() >= Settings.MaxConnections)
     return;
   const auto Opened = std::make_shared<connection>(shared_from_this());
   Connections.insert(Opened);
   Opened->open();
+  if (!IsSweeping)
+    sweep();
 }
 
 void detail::client_state::release(const connection_ptr &Connection) {
@@ -249,42 +338,61 @@
   finishLater(std::move(First.Done), Status);
 }
 
+/// Looks at the timeouts for as long as there are connections.
 void detail::client_state::sweep() {
-  Sweeper.expires_after(SweepEvery);
+  IsSweeping = !Connections.empty() || !Waiting.empty();
+  if (!IsSweeping)
+    return;
+  Sweeper.expires_after(detail::toChrono(Settings.SweepInterval));
   Sweeper.async_wait([Weak = weak_from_this()](error_code Error) {
     const auto Self = Weak.lock();
     if (Error || !Self)
       return;
-    const auto Now = std::chrono::steady_clock::now();
-    const auto Open = Self->Connections;
-    for (const connection_ptr &Connection : Open) {
-      const auto Quiet = Now - Connection->lastUse();
-      const auto Bound = Connection->isBusy() ? Self->Settings.ExchangeTimeout
-                                              : Self->Settings.IdleTimeout;
-      if (Quiet <= detail::toChrono(Bound))
-        continue;
-      if (Connection->isBusy())
-        Connection->close();
-      else
-        Self->remove(Connection);
-    }
+    Self->closeOverdue();
     Self->sweep();
   });
 }
 
-client::client(asio::io_context &Io, client_settings Settings)
-    : State(std::make_shared<detail::client_state>(Io, std::move(Settings))) {
-  State->sweep();
+void detail::client_state::closeOverdue() {
+  const auto Now = std::chrono::steady_clock::now();
+  const auto Open = Connections;
+  for (const connection_ptr &Connection : Open) {
+    const auto Quiet = Now - Connection->lastUse();
+    const bool IsOpening = !Connection->isOpened();
+    millis Bound = Connection->isBusy() ? Settings.ExchangeTimeout
+                                        : Settings.IdleTimeout;
+    if (IsOpening && Settings.ConnectTimeout > millis{0})
+      Bound = Settings.ConnectTimeout;
+    if (Quiet <= detail::toChrono(Bound))
+      continue;
+    if (Connection->isBusy() || IsOpening)
+      Connection->close();
+    else
+      remove(Connection);
+  }
 }
 
+client::client(asio::io_context &Io, client_settings Settings)
+    : State(std::make_shared<detail::client_state>(Io, std::move(Settings))) {}
+
 client::~client() {
   State->Sweeper.cancel();
   for (const connection_ptr &Connection : State->Connections)
     Connection->close();
 }
 
-void client::send(request Request, exchange_handler Done) {
-  State->send({std::move(Request), std::move(Done)});
+exchange_id client::send(request Request, exchange_handler Done) {
+  const exchange_id Id = ++State->LastExchange;
+  State->send({Id, std::move(Request), std::move(Done)});
+  return Id;
+}
+
+void client::cancel(exchange_id Exchange) { State->cancel(Exchange); }
+
+void client::setMaxConnections(std::size_t Count) {
+  State->Settings.MaxConnections = Count;
+  while (State->Connections.size() > Count && !State->Idle.empty())
+    State->remove(State->Idle.front());
 }
 
 void client::warm(std::size_t Count) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -28,6 +28,14 @@
   /// with `connect_failed`, as a sign of a restart, or opens another one.
   bool FailWhenClosed = false;
   millis IdleTimeout{30'000}; ///< after this an unused connection is closed
+  millis ConnectTimeout{0};   ///< 0: the operating system's
+  /// Unacknowledged bytes close the connection after this; 0: the operating
+  /// system's.
+  millis SilenceTimeout{0};
+  millis SweepInterval{1'000}; ///< between two looks at the timeouts
+  /// A header that the server copies into its response. A response with another
+  /// value belongs to an earlier request and is passed over.
+  std::string EchoHeader;
   millis ExchangeTimeout{
       60'000}; ///< after this the connection is closed and the exchange is lost
 };
@@ -38,9 +46,13 @@
   connect_failed, ///< nothing was sent
   not_sent, ///< no connection was free and too many requests wait; nothing was
             ///< sent
-  lost ///< the connection broke after sending began: the server may have run it
+  lost, ///< the connection broke after sending began: the server may have run it
+  garbled ///< what came is no whole response
 };
 
+/// Names an exchange of one client.
+using exchange_id = std::uint64_t;
+
 struct exchange_result {
   exchange_status Status = exchange_status::lost;
   response Response;
@@ -59,7 +71,12 @@
 
   /// Sends on an idle connection, or opens one while fewer than the bound are
   /// open, or waits for one.
-  void send(request Request, exchange_handler Done);
+  exchange_id send(request Request, exchange_handler Done);
+  /// Gives an exchange up: its handler is not called, and its connection is
+  /// closed so that the server may stop work.
+  void cancel(exchange_id Exchange);
+  /// Open connections are at most so many from now on.
+  void setMaxConnections(std::size_t Count);
   /// Opens connections until `Count` are open, within the bound.
   void warm(std::size_t Count);
   /// Closes the connections that run no exchange.
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -1,6 +1,7 @@
 /// HTTP messages as the rest of the program sees them.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,17 +17,21 @@
 const std::string *findHeader(const std::vector<header> &Headers,
                               std::string_view Name);
 
+/// Names a request while it is under way at a server.
+using request_token = std::uint64_t;
+
 struct request {
   std::string Method;
   std::string Target;
   std::vector<header> Headers;
   std::string Body;
+  request_token Token = 0; ///< set by the server
 };
 
 struct response {
   unsigned Status = 200;
   std::vector<header> Headers;
-  std::string ContentType = "application/json";
+  std::string ContentType = "application/json"; ///< empty: as in `Headers`
   std::string Body;
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -37,6 +37,8 @@
   asio::steady_timer Sweeper;
   std::unordered_set<std::shared_ptr<session>> Sessions;
   std::size_t InWork = 0;
+  request_token LastToken = 0;
+  bool ClosesAfterAnswers = false;
 
   server_state(asio::io_context &Io, server_settings Settings, handler &Handler,
                telemetry::metrics &Metrics)
@@ -63,6 +65,10 @@
     if (!Owner)
       return;
     Owner->InWork -= Answers.size();
+    if (Owner->Settings.AbandonOnClose)
+      for (const answer_slot &Slot : Answers)
+        if (Slot.Token != 0 && !Slot.Response)
+          Owner->Handler.abandon(Slot.Token);
     Owner->Sessions.erase(shared_from_this());
   }
 
@@ -79,6 +85,7 @@
   /// The place of one answer in the order of the requests.
   struct answer_slot {
     std::uint64_t Number = 0;
+    request_token Token = 0;
     bool KeepAlive = true;
     unsigned Version = 11;
     std::optional<response> Response;
@@ -116,9 +123,11 @@
     const bool KeepAlive = Message.keep_alive();
     IsLastRead = !KeepAlive;
     const std::uint64_t Number = addSlot(*Owner, KeepAlive, Message.version());
+    Answers.back().Token = ++Owner->LastToken;
     request Request{detail::toString(Message.method_string()),
                     detail::toString(Message.target()),
-                    detail::takeHeaders(Message), std::move(Message.body())};
+                    detail::takeHeaders(Message), std::move(Message.body()),
+                    Owner->LastToken};
     Owner->Handler.handle(std::move(Request),
                           [Weak = weak_from_this(), Number](response Response) {
                             if (const auto Self = Weak.lock())
@@ -134,7 +143,10 @@
         beast::http::make_error_code(error::end_of_stream).category();
     if (!IsClientsFault || Error == error::end_of_stream ||
         Error == error::partial_message) {
-      finishReading();
+      if (Owner.Settings.AbandonOnClose)
+        close();
+      else
+        finishReading();
       return;
     }
     response Response;
@@ -182,10 +194,14 @@
     IsWriting = true;
     LastActivity = std::chrono::steady_clock::now();
     answer_slot &Slot = Answers.front();
+    const auto Owner = Server.lock();
+    if (Owner && Owner->ClosesAfterAnswers)
+      Slot.KeepAlive = false;
     Out = {};
     Out.version(Slot.Version);
     Out.result(Slot.Response->Status);
-    Out.set(beast::http::field::content_type, Slot.Response->ContentType);
+    if (!Slot.Response->ContentType.empty())
+      Out.set(beast::http::field::content_type, Slot.Response->ContentType);
     detail::putHeaders(Out, Slot.Response->Headers);
     Out.keep_alive(Slot.KeepAlive);
     Out.body() = std::move(Slot.Response->Body);
@@ -320,6 +336,22 @@
   State->Acceptor.close(Ignored);
 }
 
+void server::closeAfterAnswers() { State->ClosesAfterAnswers = true; }
+
+void server::closeIdle() {
+  const auto Open = State->Sessions;
+  for (const auto &Session : Open)
+    if (Session->isIdle())
+      Session->close();
+}
+
+void server::setBounds(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes,
+                       millis IdleTimeout) {
+  State->Settings.MaxHeaderBytes = MaxHeaderBytes;
+  State->Settings.MaxBodyBytes = MaxBodyBytes;
+  State->Settings.IdleTimeout = IdleTimeout;
+}
+
 std::size_t server::inWork() const { return State->InWork; }
 
 } // namespace bulrush::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -33,6 +33,8 @@
   std::size_t MaxHeaderBytes = 16 << 10;
   millis IdleTimeout{60'000}; ///< no request and none in work
   millis WriteTimeout{5'000}; ///< a client that does not read its answers
+  /// Whether a client that closes its connection is taken to want no answer.
+  bool AbandonOnClose = false;
 };
 
 /// Gives the answer to one request; must be called once, on the server's
@@ -46,6 +48,9 @@
   /// Answers now or later by calling `Respond` once. Answers leave in the order
   /// of the requests.
   virtual void handle(request Request, responder Respond) = 0;
+  /// The client of a request has left, with `AbandonOnClose`; its answer is
+  /// wanted no longer.
+  virtual void abandon(request_token) {}
 };
 
 /// Runs on the thread of its `io_context`.
@@ -62,6 +67,13 @@
   expected<void> start();
   /// Accepts no more connections; those open go on until their answers are out.
   void stopAccepting();
+  /// From now on each answer is the last one of its connection.
+  void closeAfterAnswers();
+  /// Closes the connections on which no request is under way.
+  void closeIdle();
+  /// What clients may send from now on.
+  void setBounds(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes,
+                 millis IdleTimeout);
   /// Requests that were handed to the handler and are not yet written out.
   std::size_t inWork() const;
 
--- /dev/null
+++ b/src/relay/endpoint_set.cpp
@@ -0,0 +1,257 @@
+#include "relay/endpoint_set.h"
+
+#include <algorithm>
+
+namespace bulrush::relay {
+
+namespace {
+
+/// Connections of all daemons together stay below an endpoint's bound by this.
+constexpr double ConnectionShare = 0.9;
+/// What one request in flight adds to the latency to expect, of the typical.
+constexpr double LoadWeight = 0.35;
+/// What a certain failure adds, in typical latencies.
+constexpr double FailureCost = 6;
+/// A request in flight for longer than this, in typical latencies, shows that
+/// its endpoint stands still.
+constexpr double StallFactor = 2.5;
+/// What another zone adds; bytes between zones cost.
+constexpr millis OtherZoneCost{1.5};
+/// Choices differ by so much, so that daemons do not move together.
+constexpr double Jitter = 0.15;
+
+belief_note note(const endpoint_state &Endpoint, belief_change Change,
+                 millis Detail = {}) {
+  return {Endpoint.listed().Identity.Instance, Endpoint.listed().Service,
+          Change, Detail};
+}
+
+} // namespace
+
+endpoint_set::endpoint_set(const relay_settings &Settings, std::uint64_t Seed)
+    : Settings(Settings), Random(static_cast<std::uint32_t>(Seed | 1)) {}
+
+service_state &endpoint_set::service(const service_name &Name) {
+  std::unique_ptr<service_state> &Known = Services[Name.Value];
+  if (!Known) {
+    Known = std::make_unique<service_state>();
+    Known->Name = Name;
+    Known->Budget.resize(Settings.Budget, Peers);
+  }
+  return *Known;
+}
+
+endpoint_state *endpoint_set::find(endpoint_no No) {
+  const auto Found = Endpoints.find(No);
+  return Found == Endpoints.end() ? nullptr : Found->second.get();
+}
+
+std::size_t endpoint_set::limitOf(const service_state &Service) const {
+  const double Share = Service.MaxConnections * ConnectionShare / Peers;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(Share));
+}
+
+void endpoint_set::open(endpoint_state &Endpoint, relay_actions &Out) const {
+  const service_state &Service = *Services.at(Endpoint.listed().Service.Value);
+  if (Service.MaxConnections == 0)
+    return;
+  Out.push_back(open_endpoint{Endpoint.number(), Endpoint.listed(),
+                              Service.HealthPath, limitOf(Service)});
+}
+
+void endpoint_set::install(const catalog &Catalog, relay_actions &Out) {
+  for (const relay::service &Each : Catalog.Services) {
+    service_state &State = service(Each.Name);
+    const bool IsChanged = State.MaxConnections != Each.MaxConnections ||
+                           State.HealthPath != Each.HealthPath;
+    State.HealthPath = Each.HealthPath;
+    State.MaxConnections = Each.MaxConnections;
+    State.ColdRate = Each.ColdRate;
+    if (!IsChanged)
+      continue;
+    for (const endpoint_no No : State.Endpoints)
+      open(*Endpoints.at(No), Out);
+  }
+}
+
+void endpoint_set::install(const directory &Directory, instant AsOf,
+                           instant Now, relay_actions &Out) {
+  if (Directory.Order < Order)
+    return;
+  Order = Directory.Order;
+  std::set<endpoint_no> Named;
+  for (const listed_endpoint &Entry : Directory.Endpoints) {
+    const auto Known = ByIdentity.find(Entry.Identity);
+    if (Known == ByIdentity.end())
+      add(Entry, AsOf, Out);
+    else
+      refresh(*Endpoints.at(Known->second), Entry, AsOf, Now, Out);
+    Named.insert(ByIdentity.at(Entry.Identity));
+  }
+  for (auto &[No, Endpoint] : Endpoints)
+    if (!Named.count(No) && !Endpoint->isGone())
+      remove(*Endpoint, Out);
+  dropRetired();
+}
+
+void endpoint_set::add(const listed_endpoint &Entry, instant AsOf,
+                       relay_actions &Out) {
+  const endpoint_no No{++LastNumber};
+  auto State = std::make_unique<endpoint_state>(No, Entry);
+  State->update(Entry, AsOf);
+  State->setZoneOut(ZonesOut.count(Entry.Zone) > 0);
+  service(Entry.Service).Endpoints.push_back(No);
+  ByIdentity[Entry.Identity] = No;
+  Out.push_back(note(*State, belief_change::listed, Entry.ColdFor));
+  open(*State, Out);
+  Endpoints.emplace(No, std::move(State));
+}
+
+void endpoint_set::refresh(endpoint_state &Endpoint,
+                           const listed_endpoint &Entry, instant AsOf,
+                           instant Now, relay_actions &Out) {
+  const bool WasLeaving = Endpoint.listed().IsLeaving;
+  const bool WasCold = Endpoint.isCold(Now);
+  Endpoint.update(Entry, AsOf);
+  if (Entry.IsLeaving && !WasLeaving)
+    Out.push_back(note(Endpoint, belief_change::leaving));
+  if (Endpoint.isCold(Now) && !WasCold)
+    Out.push_back(note(Endpoint, belief_change::cold, Entry.ColdFor));
+}
+
+void endpoint_set::remove(endpoint_state &Endpoint, relay_actions &Out) {
+  Endpoint.retire();
+  ByIdentity.erase(Endpoint.listed().Identity);
+  Suspects.erase(Endpoint.number());
+  std::erase(service(Endpoint.listed().Service).Endpoints, Endpoint.number());
+  Out.push_back(note(Endpoint, belief_change::gone));
+  Out.push_back(close_endpoint{Endpoint.number()});
+}
+
+void endpoint_set::dropRetired() {
+  std::erase_if(Endpoints, [](const auto &Item) {
+    return Item.second->isGone() && Item.second->inFlight() == 0;
+  });
+}
+
+void endpoint_set::setZonesOut(const std::set<std::string> &Zones,
+                               instant Now) {
+  for (auto &[No, Endpoint] : Endpoints) {
+    const std::string &Zone = Endpoint->listed().Zone;
+    const bool Returns = ZonesOut.count(Zone) && !Zones.count(Zone);
+    Endpoint->setZoneOut(Zones.count(Zone) > 0);
+    // It may have turned cold while it got no work.
+    if (Returns && !Endpoint->isGone()) {
+      Endpoint->suspect(Now);
+      Suspects.insert(No);
+    }
+  }
+  ZonesOut = Zones;
+}
+
+void endpoint_set::setPeers(std::uint32_t Count, relay_actions &Out) {
+  if (Count == Peers || Count == 0)
+    return;
+  Peers = Count;
+  for (auto &[Name, Service] : Services) {
+    Service->Budget.resize(Settings.Budget, Peers);
+    for (const endpoint_no No : Service->Endpoints)
+      open(*Endpoints.at(No), Out);
+  }
+}
+
+double endpoint_set::cost(const endpoint_state &Endpoint, millis Typical,
+                          instant Now) {
+  const double Load =
+      1 + LoadWeight * static_cast<double>(Endpoint.inFlight());
+  double Cost = Typical.Count * Endpoint.expectedSlowness(Now) * Load;
+  Cost += Typical.Count * FailureCost * Endpoint.expectedFailures(Now);
+  const millis Waits = Endpoint.oldestWait(Now);
+  if (Waits > Typical * StallFactor)
+    Cost += Waits.Count;
+  if (Endpoint.listed().Zone != Settings.Zone)
+    Cost += OtherZoneCost.Count;
+  const double Share = static_cast<double>(Random() % 1024) / 1024;
+  return Cost * (1 + Jitter * Share);
+}
+
+endpoint_state *endpoint_set::choose(const service_state &Service,
+                                     const std::vector<endpoint_no> &Tried,
+                                     millis Typical, instant Now) {
+  endpoint_state *Best = nullptr;
+  double BestCost = 0;
+  const std::size_t Limit = limitOf(Service);
+  for (const endpoint_no No : Service.Endpoints) {
+    endpoint_state &Each = *Endpoints.at(No);
+    const bool WasTried =
+        std::find(Tried.begin(), Tried.end(), No) != Tried.end();
+    if (WasTried || !Each.isOpen(Limit, Now))
+      continue;
+    const double Cost = cost(Each, Typical, Now);
+    if (Best && Cost >= BestCost)
+      continue;
+    Best = &Each;
+    BestCost = Cost;
+  }
+  return Best;
+}
+
+availability endpoint_set::available(const service_state &Service,
+                                     instant Now) const {
+  availability Found = availability::none;
+  const std::size_t Limit = limitOf(Service);
+  for (const endpoint_no No : Service.Endpoints) {
+    const endpoint_state &Each = *Endpoints.at(No);
+    if (Each.isOpen(Limit, Now))
+      return availability::open;
+    if (!Each.isBarred(Now) && !Each.isDown())
+      Found = availability::busy;
+  }
+  return Found;
+}
+
+void endpoint_set::suspect(endpoint_state &Endpoint, instant Now,
+                           relay_actions &Out) {
+  Endpoint.suspect(Now);
+  if (Endpoint.isGone() || !Suspects.insert(Endpoint.number()).second)
+    return;
+  Out.push_back(note(Endpoint, belief_change::suspected));
+}
+
+void endpoint_set::probe(instant Now, relay_actions &Out) {
+  for (const endpoint_no No : Suspects) {
+    endpoint_state &Each = *Endpoints.at(No);
+    if (Each.isBarred(Now) || !Each.wantsProbe(Now))
+      continue;
+    Each.probeSent(Now);
+    Out.push_back(probe_endpoint{No});
+  }
+}
+
+instant endpoint_set::nextProbe() const {
+  instant Next = Never;
+  for (const endpoint_no No : Suspects)
+    Next = std::min(Next, Endpoints.at(No)->nextProbe());
+  return Next;
+}
+
+void endpoint_set::on(const probe_ended &Event, instant Now,
+                      relay_actions &Out) {
+  endpoint_state *Endpoint = find(Event.Endpoint);
+  if (!Endpoint)
+    return;
+  const std::string &Expected = Endpoint->listed().Identity.Instance;
+  const bool IsSame = Event.Instance.empty() || Event.Instance == Expected;
+  const bool IsHealthy = Event.IsHealthy && IsSame;
+  Endpoint->probeEnded(IsHealthy, Now);
+  if (IsHealthy && Event.ColdFor > millis{0}) {
+    Endpoint->learnCold(Event.ColdFor, Now);
+    Out.push_back(note(*Endpoint, belief_change::cold, Event.ColdFor));
+  }
+  if (IsHealthy)
+    Suspects.erase(Event.Endpoint);
+  Out.push_back(note(*Endpoint, IsHealthy ? belief_change::probe_succeeded
+                                          : belief_change::probe_failed));
+}
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/endpoint_set.h
@@ -0,0 +1,78 @@
+/// All endpoints that one daemon knows, by service, and the choice among them.
+#pragma once
+
+#include "relay/events.h"
+#include "relay/service_budget.h"
+
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace bulrush::relay {
+
+/// Whether some endpoint of a service can take a request.
+enum class availability : std::uint8_t {
+  open, ///< one can now
+  busy, ///< each that could has its share of requests in flight, or is probed
+  none  ///< all are down, cold, leaving or out
+};
+
+/// One service in one life of the daemon.
+struct service_state {
+  service_name Name;
+  std::string HealthPath = "/";
+  std::uint32_t MaxConnections = 0; ///< of an endpoint; 0: no catalog names it
+  double ColdRate = 0;
+  std::vector<endpoint_no> Endpoints;
+  service_budget Budget;
+};
+
+class endpoint_set {
+public:
+  endpoint_set(const relay_settings &Settings, std::uint64_t Seed);
+
+  void install(const catalog &Catalog, relay_actions &Out);
+  void install(const directory &Directory, instant AsOf, instant Now,
+               relay_actions &Out);
+  void setZonesOut(const std::set<std::string> &Zones, instant Now);
+  void setPeers(std::uint32_t Count, relay_actions &Out);
+
+  service_state &service(const service_name &Name);
+  endpoint_state *find(endpoint_no No);
+
+  /// The endpoint that is likely to reply first, not one of `Tried`.
+  endpoint_state *choose(const service_state &Service,
+                         const std::vector<endpoint_no> &Tried, millis Typical,
+                         instant Now);
+  availability available(const service_state &Service, instant Now) const;
+
+  /// Asks for the probes that are due.
+  void probe(instant Now, relay_actions &Out);
+  instant nextProbe() const;
+  /// Notes that trust was lost; the endpoint gets probes from now on.
+  void suspect(endpoint_state &Endpoint, instant Now, relay_actions &Out);
+  void on(const probe_ended &Event, instant Now, relay_actions &Out);
+
+private:
+  std::size_t limitOf(const service_state &Service) const;
+  void open(endpoint_state &Endpoint, relay_actions &Out) const;
+  void add(const listed_endpoint &Entry, instant AsOf, relay_actions &Out);
+  static void refresh(endpoint_state &Endpoint, const listed_endpoint &Entry,
+                      instant AsOf, instant Now, relay_actions &Out);
+  void remove(endpoint_state &Endpoint, relay_actions &Out);
+  void dropRetired();
+  double cost(const endpoint_state &Endpoint, millis Typical, instant Now);
+
+  relay_settings Settings;
+  std::minstd_rand Random;
+  std::uint32_t Peers = 1;
+  std::set<std::string> ZonesOut;
+  std::map<std::string, std::unique_ptr<service_state>> Services;
+  std::unordered_map<endpoint_no, std::unique_ptr<endpoint_state>> Endpoints;
+  std::map<endpoint_identity, endpoint_no> ByIdentity;
+  std::set<endpoint_no> Suspects;
+  directory_order Order;
+  std::uint32_t LastNumber = 0;
+};
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/events.cpp
@@ -0,0 +1,67 @@
+#include "relay/events.h"
+
+namespace bulrush::relay {
+
+std::string_view toString(relay_refusal Reason) {
+  switch (Reason) {
+  case relay_refusal::none:
+    return "none";
+  case relay_refusal::no_catalog:
+    return "no_catalog";
+  case relay_refusal::no_route:
+    return "no_route";
+  case relay_refusal::no_endpoint:
+    return "no_endpoint";
+  case relay_refusal::not_run:
+    return "not_run";
+  case relay_refusal::few_shards:
+    return "few_shards";
+  case relay_refusal::lost:
+    return "lost";
+  case relay_refusal::out_of_time:
+    return "out_of_time";
+  }
+  return "none";
+}
+
+std::string_view toString(attempt_verdict Verdict) {
+  switch (Verdict) {
+  case attempt_verdict::success:
+    return "success";
+  case attempt_verdict::failure:
+    return "failure";
+  case attempt_verdict::overload:
+    return "overload";
+  case attempt_verdict::unreachable:
+    return "unreachable";
+  case attempt_verdict::overdue:
+    return "overdue";
+  case attempt_verdict::cancelled:
+    return "cancelled";
+  }
+  return "cancelled";
+}
+
+std::string_view toString(belief_change Change) {
+  switch (Change) {
+  case belief_change::listed:
+    return "listed";
+  case belief_change::gone:
+    return "gone";
+  case belief_change::suspected:
+    return "suspected";
+  case belief_change::probe_failed:
+    return "probe_failed";
+  case belief_change::probe_succeeded:
+    return "probe_succeeded";
+  case belief_change::trusted:
+    return "trusted";
+  case belief_change::cold:
+    return "cold";
+  case belief_change::leaving:
+    return "leaving";
+  }
+  return "listed";
+}
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/events.h
@@ -0,0 +1,218 @@
+/// What the relay is told and what it asks its shell to do.
+#pragma once
+
+#include "http/message.h"
+#include "relay/endpoint_state.h"
+#include "relay/settings.h"
+
+#include <memory>
+#include <set>
+#include <variant>
+
+namespace bulrush::relay {
+
+/// A client's request, forwarded whole.
+struct opaque_request {
+  std::string RequestId;
+  std::string Method;
+  std::string Host;
+  std::string Target;
+  std::vector<http::header> Headers; ///< that travel end to end
+  std::string Body;
+};
+
+/// An endpoint's whole reply.
+struct endpoint_reply {
+  unsigned Status = 0;
+  std::vector<http::header> Headers; ///< that travel end to end
+  std::string Body;
+  std::string Signature;        ///< of this reply; empty when there is none
+  bool IsNotRun = false;        ///< it says that it did not run the request
+  bool IsOtherInstance = false; ///< another one lives at this address now
+};
+
+// Events.
+
+/// `Request` must be new in this life of the process.
+struct request_arrived {
+  query_id Request;
+  std::shared_ptr<const opaque_request> Content;
+  millis Patience; ///< the client waits no longer; 0 when it does not say
+};
+
+/// How an attempt ended.
+enum class attempt_end : std::uint8_t {
+  replied,
+  not_sent, ///< no connection; nothing was sent
+  lost,     ///< the connection broke after sending began; it may have run
+  garbled   ///< the reply is no whole message; it ran
+};
+
+struct attempt_ended {
+  attempt_no Attempt;
+  attempt_end End = attempt_end::lost;
+  std::shared_ptr<const endpoint_reply> Reply; ///< when replied
+};
+
+struct client_left {
+  query_id Request;
+};
+
+/// What an endpoint's health check says.
+struct probe_ended {
+  endpoint_no Endpoint;
+  bool IsHealthy = false;
+  std::string Instance; ///< empty when it does not say
+  millis ColdFor;
+};
+
+/// The catalog in force; an older version than the one held is ignored.
+struct catalog_arrived {
+  std::shared_ptr<const catalog> Catalog;
+};
+
+/// The platform's list, read `Age` ago.
+struct directory_arrived {
+  std::shared_ptr<const directory> Directory;
+  millis Age;
+};
+
+struct zones_out_arrived {
+  std::set<std::string> Zones;
+};
+
+/// How many daemons share the endpoints, this one included.
+struct peers_counted {
+  std::uint32_t Count = 1;
+};
+
+struct timer_fired {};
+
+using relay_event =
+    std::variant<request_arrived, attempt_ended, client_left, probe_ended,
+                 catalog_arrived, directory_arrived, zones_out_arrived,
+                 peers_counted, timer_fired>;
+
+// Actions.
+
+/// Ends with one `attempt_ended`, unless it is cancelled.
+struct send_attempt {
+  attempt_no Attempt;
+  endpoint_no Endpoint;
+  std::shared_ptr<const opaque_request> Content;
+  millis Remaining; ///< until the client's deadline
+};
+
+/// Give the attempt up at once, so that its endpoint stops work on it.
+struct cancel_attempt {
+  attempt_no Attempt;
+  endpoint_no Endpoint;
+};
+
+/// Why the relay answers by itself.
+enum class relay_refusal : std::uint8_t {
+  none,
+  no_catalog,    ///< none has arrived yet
+  no_route,      ///< none matches
+  no_endpoint,   ///< none can take the request; it was sent to none
+  not_run,       ///< each endpoint that was asked said that it did not run it
+  few_shards,    ///< too few shards can be asked
+  lost,          ///< it may have run; no reply came
+  out_of_time    ///< no reply before the deadline
+};
+
+/// Ends a request; each gets exactly one, unless its client has left.
+struct give_answer {
+  query_id Request;
+  std::shared_ptr<const opaque_request> Content;
+  unsigned Status = 0;
+  relay_refusal Reason = relay_refusal::none;
+  std::shared_ptr<const endpoint_reply> Reply; ///< passed through; else null
+  bool IsGathered = false;
+  std::string Body;
+  std::vector<std::string> Signatures; ///< of the parts that are in
+  std::uint32_t Missing = 0;           ///< shards that are left out
+  millis RetryAfter;                   ///< of a refusal; 0 for none
+};
+
+/// Ends with one `probe_ended`.
+struct probe_endpoint {
+  endpoint_no Endpoint;
+};
+
+/// From now on the endpoint may be sent to, with at most `Connections`.
+struct open_endpoint {
+  endpoint_no Endpoint;
+  listed_endpoint Listed;
+  std::string HealthPath;
+  std::size_t Connections = 1;
+};
+
+/// Nothing further is sent to it once its attempts have ended.
+struct close_endpoint {
+  endpoint_no Endpoint;
+};
+
+/// One `timer_fired` is wanted at this time; replaces the one before.
+struct wake_at {
+  instant At;
+};
+
+/// What one request took, for the log and the statistics.
+struct request_note {
+  std::string RequestId;
+  std::string Route;
+  unsigned Status = 0;
+  relay_refusal Reason = relay_refusal::none;
+  catalog_version Version;
+  millis Took;
+  millis Objective;
+  std::uint32_t Shards = 0; ///< that were asked for
+  std::uint32_t Covered = 0;
+  std::uint32_t Hedges = 0;
+  std::uint32_t Retries = 0;
+  std::uint32_t Starved = 0; ///< further attempts that the budget denied
+  bool ClientLeft = false;
+};
+
+/// One attempt that did not end as wanted.
+struct attempt_note {
+  std::string RequestId;
+  service_name Service;
+  std::string Instance;
+  attempt_verdict Verdict = attempt_verdict::failure;
+  unsigned Status = 0; ///< of the reply, where there is one
+  millis Took;
+};
+
+/// Why the relay changed what it believes of an endpoint.
+enum class belief_change : std::uint8_t {
+  listed,
+  gone,
+  suspected,
+  probe_failed,
+  probe_succeeded,
+  trusted,
+  cold,
+  leaving
+};
+
+struct belief_note {
+  std::string Instance;
+  service_name Service;
+  belief_change Change = belief_change::listed;
+  millis Detail; ///< how long it stays cold
+};
+
+using relay_action =
+    std::variant<send_attempt, cancel_attempt, give_answer, probe_endpoint,
+                 open_endpoint, close_endpoint, wake_at, request_note,
+                 attempt_note, belief_note>;
+using relay_actions = std::vector<relay_action>;
+
+/// The names used in logs.
+std::string_view toString(relay_refusal Reason);
+std::string_view toString(attempt_verdict Verdict);
+std::string_view toString(belief_change Change);
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/relay.cpp
@@ -0,0 +1,275 @@
+#include "relay/relay.h"
+
+#include "relay/relay_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrush::relay {
+
+namespace {
+
+/// The client still has so much time when the last answer leaves.
+constexpr millis DeadlineMargin{4};
+/// A request that no endpoint could take is refused after this share of its
+/// objective; held longer, its client could not come back in time.
+constexpr double GiveUpShare = 0.2;
+/// A hedge leaves in time to be answered within the objective.
+constexpr double LatestHedgeShare = 0.45;
+constexpr millis LeastHedgeDelay{4};
+/// No request wakes the relay by this name: suspects and late attempts do.
+constexpr query_id Housekeeping{0};
+
+} // namespace
+
+relay::relay(relay_settings Settings, std::uint64_t Seed)
+    : Impl(std::make_unique<impl>(std::move(Settings), Seed)) {}
+relay::~relay() = default;
+relay::relay(relay &&) noexcept = default;
+relay &relay::operator=(relay &&) noexcept = default;
+
+void relay::step(const relay_event &Event, instant Now, relay_actions &Out) {
+  Impl->step(Event, Now, Out);
+}
+std::size_t relay::active() const { return Impl->active(); }
+bool relay::isReady() const { return Impl->isReady(); }
+catalog_version relay::version() const { return Impl->version(); }
+
+relay::impl::impl(relay_settings Given, std::uint64_t Seed)
+    : Settings(std::move(Given)), Endpoints(Settings, Seed) {}
+
+void relay::impl::step(const relay_event &Event, instant At,
+                       relay_actions &Actions) {
+  Now = At;
+  Out = &Actions;
+  std::visit([this](const auto &Each) { on(Each); }, Event);
+  Endpoints.probe(Now, Actions);
+  armTimer();
+  Out = nullptr;
+}
+
+void relay::impl::on(const request_arrived &Event) {
+  if (!isReady()) {
+    refuseUnrouted(Event, 503, relay_refusal::no_catalog);
+    return;
+  }
+  const route *Route = Table->find(Event.Content->Host, Event.Content->Target);
+  if (!Route) {
+    refuseUnrouted(Event, 404, relay_refusal::no_route);
+    return;
+  }
+  auto Owned = std::make_unique<request_work>();
+  request_work &Work = *Owned;
+  Works[Event.Request] = std::move(Owned);
+  Work.Request = Event.Request;
+  Work.Content = Event.Content;
+  Work.Table = Table;
+  Work.Route = Route;
+  Work.Learnt = &Routes.try_emplace(Route->Host + Route->PathPrefix,
+                                    Route->Objective)
+                     .first->second;
+  setTimes(Work, Event.Patience);
+  if (Work.isGathered()) {
+    for (const service_name &Shard : Route->Gather.Shards)
+      Work.Parts.emplace_back().Service = &Endpoints.service(Shard);
+    if (!canCover(Work)) {
+      refuse(Work, relay_refusal::few_shards);
+      return;
+    }
+  } else {
+    Work.Parts.emplace_back().Service = &Endpoints.service(pickTarget(Work));
+  }
+  for (request_part &Part : Work.Parts)
+    begin(Work, Part);
+  settle(Work);
+}
+
+void relay::impl::setTimes(request_work &Work, millis Patience) const {
+  const route &Route = *Work.Route;
+  millis Left = Route.Timeout;
+  if (Patience > millis{0})
+    Left = std::min(Left, Patience);
+  Work.ArrivedAt = Now;
+  Work.Deadline = Now + std::max(millis{1}, Left - DeadlineMargin);
+  Work.AnswerBy = std::min(Now + Route.Objective - Settings.ClientTravel,
+                           Work.Deadline);
+  Work.GiveUpAt = Now + Route.Objective * GiveUpShare;
+  const millis Latest = Route.Objective * LatestHedgeShare;
+  const millis Delay = std::max(LeastHedgeDelay, Work.Learnt->Slow.value());
+  Work.HedgeAt = Now + std::min(Delay, Latest);
+  Work.Note.RequestId = Work.Content->RequestId;
+  Work.Note.Route = Route.Name;
+  Work.Note.Objective = Route.Objective;
+  Work.Note.Version = Work.Table->content().Version;
+  Work.Note.Shards = static_cast<std::uint32_t>(Route.Gather.Shards.size());
+}
+
+/// Each target's credit grows by its weight; the one with the most is picked
+/// and pays for all. Shares come out exactly, and evenly in time.
+service_name relay::impl::pickTarget(request_work &Work) const {
+  const auto &Targets = Work.Route->Targets;
+  if (Targets.size() == 1)
+    return Targets.front().Service;
+  double Sum = 0;
+  const weighted_service *Picked = nullptr;
+  auto &Credits = Work.Learnt->Credits;
+  for (const weighted_service &Each : Targets) {
+    Sum += Each.Weight;
+    Credits[Each.Service.Value] += Each.Weight;
+    if (Each.Weight <= 0)
+      continue;
+    if (!Picked || Credits[Each.Service.Value] > Credits[Picked->Service.Value])
+      Picked = &Each;
+  }
+  Credits[Picked->Service.Value] -= Sum;
+  return Picked->Service;
+}
+
+bool relay::impl::canCover(const request_work &Work) const {
+  const auto Reachable = std::count_if(
+      Work.Parts.begin(), Work.Parts.end(), [&](const request_part &Part) {
+        return Endpoints.available(*Part.Service, Now) != availability::none;
+      });
+  return static_cast<std::uint32_t>(Reachable) >= Work.leastCovered();
+}
+
+void relay::impl::on(const attempt_ended &Event) {
+  const auto Found = Attempts.find(Event.Attempt);
+  if (Found == Attempts.end())
+    return;
+  const attempt_place Place = Found->second;
+  Attempts.erase(Found);
+  request_work *Work = find(Place.Request);
+  const attempt_verdict Verdict = verdictOf(Work, Event);
+  const millis Took = Now - Place.SentAt;
+  endpoint_state *Endpoint = Endpoints.find(Place.Endpoint);
+  if (Endpoint &&
+      Endpoint->ended(Event.Attempt, Verdict, Place.Learnt->Median.value(),
+                      Now))
+    Endpoints.suspect(*Endpoint, Now, *Out);
+  if (Verdict == attempt_verdict::success)
+    observe(*Place.Learnt, Took);
+  if (!Work) {
+    std::erase_if(Lingering, [&](const lingering_attempt &Each) {
+      return Each.Attempt == Event.Attempt;
+    });
+    return;
+  }
+  request_part &Part = Work->Parts[Place.Part];
+  std::erase_if(Part.Running, [&](const running_attempt &Each) {
+    return Each.Attempt == Event.Attempt;
+  });
+  if (Verdict != attempt_verdict::success)
+    noteAttempt(*Work, Part, Endpoint, Verdict, Event, Took);
+  takeReply(*Work, Part, Event);
+  settle(*Work);
+  retryWaiting();
+}
+
+void relay::impl::on(const client_left &Event) {
+  request_work *Work = find(Event.Request);
+  if (!Work)
+    return;
+  Work->Note.ClientLeft = true;
+  Work->Note.Took = Now - Work->ArrivedAt;
+  Work->Note.Covered = Work->covered();
+  Out->push_back(Work->Note);
+  forget(*Work, false);
+}
+
+void relay::impl::on(const probe_ended &Event) {
+  Endpoints.on(Event, Now, *Out);
+  retryWaiting();
+}
+
+void relay::impl::on(const catalog_arrived &Event) {
+  if (Table && Event.Catalog->Version <= Table->content().Version)
+    return;
+  Table = std::make_shared<const route_table>(Event.Catalog);
+  Endpoints.install(*Event.Catalog, *Out);
+}
+
+void relay::impl::on(const directory_arrived &Event) {
+  HasDirectory = true;
+  Endpoints.install(*Event.Directory, Now - Event.Age, Now, *Out);
+  retryWaiting();
+}
+
+void relay::impl::on(const zones_out_arrived &Event) {
+  Endpoints.setZonesOut(Event.Zones, Now);
+}
+
+void relay::impl::on(const peers_counted &Event) {
+  Endpoints.setPeers(Event.Count, *Out);
+}
+
+void relay::impl::on(const timer_fired &) {
+  Wakes.disarm();
+  if (Now >= HousekeepingAt)
+    HousekeepingAt = Never;
+  cancelLingering();
+  while (const auto Next = Wakes.front()) {
+    if (Next->At > Now)
+      break;
+    Wakes.pop();
+    if (request_work *Work = find(Next->Query))
+      lookAt(*Work);
+  }
+}
+
+/// Does what is due for a request.
+void relay::impl::lookAt(request_work &Work) {
+  if (Now < Work.WakeAt)
+    return;
+  Work.WakeAt = Never;
+  if (Now >= Work.Deadline) {
+    atDeadline(Work);
+    return;
+  }
+  for (request_part &Part : Work.Parts)
+    if (Part.Phase == part_phase::waiting)
+      begin(Work, Part);
+  if (Now >= Work.HedgeAt)
+    for (request_part &Part : Work.Parts)
+      hedge(Work, Part);
+  settle(Work);
+}
+
+void relay::impl::retryWaiting() {
+  const std::set<query_id> Looked = std::exchange(Waiting, {});
+  for (const query_id Request : Looked) {
+    request_work *Work = find(Request);
+    if (!Work)
+      continue;
+    for (request_part &Part : Work->Parts)
+      if (Part.Phase == part_phase::waiting)
+        begin(*Work, Part);
+    settle(*Work);
+  }
+}
+
+request_work *relay::impl::find(query_id Request) {
+  const auto Found = Works.find(Request);
+  return Found == Works.end() ? nullptr : Found->second.get();
+}
+
+void relay::impl::wakeAt(request_work &Work, instant At) {
+  if (At >= Work.WakeAt)
+    return;
+  Work.WakeAt = At;
+  Wakes.push({At, Work.Request});
+}
+
+void relay::impl::armTimer() {
+  instant Next = Endpoints.nextProbe();
+  for (const lingering_attempt &Each : Lingering)
+    Next = std::min(Next, Each.Until);
+  if (Next < HousekeepingAt) {
+    HousekeepingAt = Next;
+    Wakes.push({Next, Housekeeping});
+  }
+  if (const auto At = Wakes.arm())
+    Out->push_back(wake_at{*At});
+}
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/relay_answers.cpp
@@ -0,0 +1,174 @@
+// The end of a request.
+#include "relay/record_merge.h"
+#include "relay/relay_impl.h"
+
+#include <algorithm>
+
+namespace bulrush::relay {
+
+namespace {
+
+/// Attempts of a request that has its answer may end by themselves for so long:
+/// their connections stay whole, and their latencies are learnt.
+constexpr millis LingerTime{250};
+/// Refused requests may come back when an endpoint is likely to be free or
+/// found again.
+constexpr millis BusyRetryAfter{60};
+constexpr millis DownRetryAfter{400};
+
+} // namespace
+
+void relay::impl::settle(request_work &Work) {
+  if (Work.isGathered())
+    settleGather(Work);
+  else
+    settleSingle(Work);
+}
+
+void relay::impl::settleGather(request_work &Work) {
+  const bool IsPending =
+      std::any_of(Work.Parts.begin(), Work.Parts.end(), [](const auto &Part) {
+        return Part.Phase == part_phase::running ||
+               Part.Phase == part_phase::waiting;
+      });
+  const bool IsTime = Now >= Work.AnswerBy && Work.isCoveredEnough();
+  if (!IsPending || IsTime) {
+    if (Work.isCoveredEnough())
+      answerGathered(Work);
+    else
+      refuse(Work, Work.hasRun() ? relay_refusal::lost
+                                 : relay_refusal::few_shards);
+    return;
+  }
+  instant Next = Now < Work.AnswerBy ? Work.AnswerBy : Work.Deadline;
+  if (Now < Work.HedgeAt)
+    Next = std::min(Next, Work.HedgeAt);
+  wakeAt(Work, Next);
+}
+
+void relay::impl::settleSingle(request_work &Work) {
+  request_part &Part = Work.Parts.front();
+  switch (Part.Phase) {
+  case part_phase::done:
+    answerReply(Work, Part.Reply);
+    return;
+  case part_phase::failed:
+    if (Part.Failure)
+      answerReply(Work, Part.Failure);
+    else if (Part.Runs > 0)
+      refuse(Work, relay_refusal::lost);
+    else
+      refuse(Work, Part.Sends > 0 ? relay_refusal::not_run
+                                  : relay_refusal::no_endpoint);
+    return;
+  case part_phase::waiting:
+    if (Now >= Work.GiveUpAt && Part.Sends == 0)
+      refuse(Work, relay_refusal::no_endpoint);
+    else
+      wakeAt(Work, std::min(std::max(Work.GiveUpAt, Now + millis{1}),
+                            Work.Deadline));
+    return;
+  case part_phase::running:
+    wakeAt(Work, Now < Work.HedgeAt ? std::min(Work.HedgeAt, Work.Deadline)
+                                    : Work.Deadline);
+    return;
+  }
+}
+
+void relay::impl::answerGathered(request_work &Work) {
+  give_answer Answer;
+  Answer.Status = 200;
+  Answer.IsGathered = true;
+  std::vector<std::string_view> Bodies;
+  for (const request_part &Part : Work.Parts) {
+    if (Part.Phase != part_phase::done)
+      continue;
+    Bodies.push_back(Part.Reply->Body);
+    Answer.Signatures.push_back(Part.Reply->Signature);
+  }
+  Answer.Missing =
+      static_cast<std::uint32_t>(Work.Parts.size() - Bodies.size());
+  Answer.Body = greatestRecords(Bodies, Work.Route->Gather.TopRecords);
+  give(Work, std::move(Answer));
+}
+
+void relay::impl::answerReply(request_work &Work,
+                              std::shared_ptr<const endpoint_reply> Reply) {
+  give_answer Answer;
+  Answer.Status = Reply->Status;
+  Answer.Reply = std::move(Reply);
+  give(Work, std::move(Answer));
+}
+
+/// 503 only where no endpoint has run the request or ever will.
+void relay::impl::refuse(request_work &Work, relay_refusal Reason) {
+  give_answer Answer;
+  Answer.Reason = Reason;
+  Answer.Status = 503;
+  if (Work.hasRun())
+    Answer.Status = Reason == relay_refusal::out_of_time ? 504 : 502;
+  if (Answer.Status == 503)
+    Answer.RetryAfter = retryAfter(Work);
+  give(Work, std::move(Answer));
+}
+
+millis relay::impl::retryAfter(const request_work &Work) const {
+  const bool IsBusy = std::any_of(
+      Work.Parts.begin(), Work.Parts.end(), [&](const request_part &Part) {
+        return Endpoints.available(*Part.Service, Now) != availability::none;
+      });
+  return IsBusy && !Work.isGathered() ? BusyRetryAfter : DownRetryAfter;
+}
+
+void relay::impl::atDeadline(request_work &Work) {
+  if (Work.isGathered() && Work.isCoveredEnough())
+    answerGathered(Work);
+  else
+    refuse(Work, relay_refusal::out_of_time);
+}
+
+void relay::impl::give(request_work &Work, give_answer Answer) {
+  Answer.Request = Work.Request;
+  Answer.Content = Work.Content;
+  Work.Note.Status = Answer.Status;
+  Work.Note.Reason = Answer.Reason;
+  Work.Note.Took = Now - Work.ArrivedAt;
+  Work.Note.Covered = Work.covered();
+  Out->push_back(std::move(Answer));
+  Out->push_back(std::move(Work.Note));
+  const bool MayLinger = Work.Route->IsIdempotent && Now < Work.Deadline;
+  forget(Work, MayLinger);
+}
+
+void relay::impl::forget(request_work &Work, bool Linger) {
+  for (const request_part &Part : Work.Parts) {
+    for (const running_attempt &Each : Part.Running) {
+      if (Linger)
+        Lingering.push_back({Each.Attempt, Now + LingerTime});
+      else
+        cancel(Each.Attempt, attempt_verdict::cancelled);
+    }
+  }
+  Waiting.erase(Work.Request);
+  Works.erase(Work.Request);
+}
+
+void relay::impl::refuseUnrouted(const request_arrived &Event, unsigned Status,
+                                 relay_refusal Reason) {
+  give_answer Answer;
+  Answer.Request = Event.Request;
+  Answer.Content = Event.Content;
+  Answer.Status = Status;
+  Answer.Reason = Reason;
+  if (Status == 503)
+    Answer.RetryAfter = DownRetryAfter;
+  request_note Note;
+  Note.RequestId = Event.Content->RequestId;
+  Note.Status = Status;
+  Note.Reason = Reason;
+  Note.Version = version();
+  Out->push_back(std::move(Answer));
+  Out->push_back(std::move(Note));
+}
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/relay_attempts.cpp
@@ -0,0 +1,175 @@
+// Attempts of one part: the first, hedges and further tries.
+#include "relay/relay_impl.h"
+
+#include <algorithm>
+
+namespace bulrush::relay {
+
+namespace {
+
+/// Sendings of one part, those included that no endpoint ran.
+constexpr std::uint32_t MaxSends = 4;
+
+bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
+bool isServerError(unsigned Status) { return Status >= 500; }
+
+} // namespace
+
+void relay::impl::begin(request_work &Work, request_part &Part) {
+  if (send(Work, Part))
+    return;
+  const availability State = Endpoints.available(*Part.Service, Now);
+  const bool MayWait = State != availability::none && Now < Work.AnswerBy;
+  Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
+  if (MayWait)
+    Waiting.insert(Work.Request);
+}
+
+/// Sends the part to the endpoint that is likely to reply first; false when no
+/// endpoint can take it.
+bool relay::impl::send(request_work &Work, request_part &Part) {
+  endpoint_state *To = Endpoints.choose(*Part.Service, Part.Tried,
+                                        Work.Learnt->Median.value(), Now);
+  if (!To)
+    return false;
+  const attempt_no Attempt{++LastAttempt};
+  if (Part.Sends == 0)
+    Part.Service->Budget.countFirst();
+  Part.Phase = part_phase::running;
+  Part.Running.push_back({Attempt, To->number(), Now});
+  Part.Tried.push_back(To->number());
+  ++Part.Sends;
+  ++Part.Runs;
+  To->sent(Attempt, Now);
+  const auto Place = static_cast<std::size_t>(&Part - Work.Parts.data());
+  Attempts[Attempt] = {Work.Request, Place, To->number(), Now, Work.Learnt};
+  Out->push_back(
+      send_attempt{Attempt, To->number(), Work.Content, Work.Deadline - Now});
+  return true;
+}
+
+void relay::impl::hedge(request_work &Work, request_part &Part) {
+  const bool MayHedge = Work.Route->IsIdempotent &&
+                        Part.Phase == part_phase::running &&
+                        Part.Running.size() == 1 &&
+                        Part.Runs < Work.Route->MaxAttempts;
+  if (!MayHedge || Now >= Work.AnswerBy)
+    return;
+  service_budget &Budget = Part.Service->Budget;
+  if (!Budget.has(Budget.hedgeReserve())) {
+    Work.Note.Starved += Part.IsHedgeDenied ? 0 : 1;
+    Part.IsHedgeDenied = true;
+    return;
+  }
+  if (!send(Work, Part))
+    return;
+  Budget.spend();
+  ++Work.Note.Hedges;
+}
+
+attempt_verdict relay::impl::verdictOf(const request_work *Work,
+                                       const attempt_ended &Event) const {
+  if (Event.End != attempt_end::replied)
+    return Event.End == attempt_end::garbled ? attempt_verdict::failure
+                                             : attempt_verdict::unreachable;
+  const endpoint_reply &Reply = *Event.Reply;
+  if (Reply.IsOtherInstance)
+    return attempt_verdict::unreachable;
+  if (Reply.IsNotRun)
+    return attempt_verdict::overload;
+  const bool IsPlain = isSuccess(Reply.Status) ? !Reply.Signature.empty()
+                                               : !isServerError(Reply.Status);
+  const bool IsPartLost = Work && Work->isGathered() && !isSuccess(Reply.Status);
+  return IsPlain && !IsPartLost ? attempt_verdict::success
+                                : attempt_verdict::failure;
+}
+
+void relay::impl::takeReply(request_work &Work, request_part &Part,
+                            const attempt_ended &Event) {
+  const attempt_verdict Verdict = verdictOf(&Work, Event);
+  if (Part.Phase == part_phase::done)
+    return;
+  if (Verdict == attempt_verdict::success) {
+    Part.Phase = part_phase::done;
+    Part.Reply = Event.Reply;
+    return;
+  }
+  const bool IsProvedUnrun =
+      Event.End == attempt_end::not_sent || Verdict == attempt_verdict::overload ||
+      (Event.Reply && Event.Reply->IsOtherInstance);
+  if (IsProvedUnrun && Part.Runs > 0)
+    --Part.Runs;
+  if (Event.Reply && !IsProvedUnrun &&
+      (isServerError(Event.Reply->Status) || Work.isGathered()))
+    Part.Failure = Event.Reply;
+  if (!Part.Running.empty())
+    return;
+  tryAgain(Work, Part, Event.End != attempt_end::not_sent);
+}
+
+/// After a failed attempt. `Arrived`: the endpoint got it, so that another
+/// sending counts against the budget.
+void relay::impl::tryAgain(request_work &Work, request_part &Part,
+                           bool Arrived) {
+  Part.Phase = part_phase::failed;
+  const bool MayRepeat = Work.Route->IsIdempotent || Part.Runs == 0;
+  if (!MayRepeat || Part.Runs >= Work.Route->MaxAttempts ||
+      Part.Sends >= MaxSends || Now >= Work.Deadline)
+    return;
+  if (Arrived && !Part.Service->Budget.has()) {
+    ++Work.Note.Starved;
+    return;
+  }
+  if (!send(Work, Part)) {
+    begin(Work, Part);
+    return;
+  }
+  if (Arrived)
+    Part.Service->Budget.spend();
+  ++Work.Note.Retries;
+}
+
+void relay::impl::observe(route_state &Learnt, millis Took) {
+  Learnt.Median.add(Took);
+  Learnt.Slow.add(Took);
+}
+
+void relay::impl::noteAttempt(const request_work &Work,
+                              const request_part &Part,
+                              const endpoint_state *Endpoint,
+                              attempt_verdict Verdict,
+                              const attempt_ended &Event, millis Took) {
+  attempt_note Note;
+  Note.RequestId = Work.Content->RequestId;
+  Note.Service = Part.Service->Name;
+  if (Endpoint)
+    Note.Instance = Endpoint->listed().Identity.Instance;
+  Note.Verdict = Verdict;
+  Note.Status = Event.Reply ? Event.Reply->Status : 0;
+  Note.Took = Took;
+  Out->push_back(std::move(Note));
+}
+
+void relay::impl::cancel(attempt_no Attempt, attempt_verdict Verdict) {
+  const auto Found = Attempts.find(Attempt);
+  if (Found == Attempts.end())
+    return;
+  const attempt_place Place = Found->second;
+  Attempts.erase(Found);
+  if (endpoint_state *Endpoint = Endpoints.find(Place.Endpoint))
+    Endpoint->ended(Attempt, Verdict, Place.Learnt->Median.value(), Now);
+  if (Verdict == attempt_verdict::overdue)
+    observe(*Place.Learnt, Now - Place.SentAt);
+  Out->push_back(cancel_attempt{Attempt, Place.Endpoint});
+}
+
+void relay::impl::cancelLingering() {
+  std::erase_if(Lingering, [&](const lingering_attempt &Each) {
+    if (Each.Until > Now)
+      return false;
+    cancel(Each.Attempt, attempt_verdict::overdue);
+    return true;
+  });
+}
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/relay_impl.h
@@ -0,0 +1,100 @@
+/// The inside of the relay; see relay.h.
+#pragma once
+
+#include "query/wake_queue.h"
+#include "relay/relay.h"
+#include "relay/request_work.h"
+
+namespace bulrush::relay {
+
+class relay::impl {
+public:
+  impl(relay_settings Settings, std::uint64_t Seed);
+
+  void step(const relay_event &Event, instant Now, relay_actions &Actions);
+  std::size_t active() const { return Works.size(); }
+  bool isReady() const { return Table && HasDirectory; }
+  catalog_version version() const {
+    return Table ? Table->content().Version : catalog_version{};
+  }
+
+private:
+  // relay.cpp: events
+  void on(const request_arrived &Event);
+  void on(const attempt_ended &Event);
+  void on(const client_left &Event);
+  void on(const probe_ended &Event);
+  void on(const catalog_arrived &Event);
+  void on(const directory_arrived &Event);
+  void on(const zones_out_arrived &Event);
+  void on(const peers_counted &Event);
+  void on(const timer_fired &Event);
+  void armTimer();
+  void wakeAt(request_work &Work, instant At);
+  void lookAt(request_work &Work);
+  void retryWaiting();
+  request_work *find(query_id Request);
+  void setTimes(request_work &Work, millis Patience) const;
+  service_name pickTarget(request_work &Work) const;
+  bool canCover(const request_work &Work) const;
+
+  // relay_attempts.cpp: the way of one part
+  void begin(request_work &Work, request_part &Part);
+  bool send(request_work &Work, request_part &Part);
+  void hedge(request_work &Work, request_part &Part);
+  void takeReply(request_work &Work, request_part &Part,
+                 const attempt_ended &Event);
+  void tryAgain(request_work &Work, request_part &Part, bool Arrived);
+  attempt_verdict verdictOf(const request_work *Work,
+                            const attempt_ended &Event) const;
+  void observe(route_state &Learnt, millis Took);
+  void noteAttempt(const request_work &Work, const request_part &Part,
+                   const endpoint_state *Endpoint, attempt_verdict Verdict,
+                   const attempt_ended &Event, millis Took);
+
+  // relay_answers.cpp: the end of a request
+  void settle(request_work &Work);
+  void settleGather(request_work &Work);
+  void settleSingle(request_work &Work);
+  void answerGathered(request_work &Work);
+  void answerReply(request_work &Work,
+                   std::shared_ptr<const endpoint_reply> Reply);
+  void refuse(request_work &Work, relay_refusal Reason);
+  void atDeadline(request_work &Work);
+  void give(request_work &Work, give_answer Answer);
+  void forget(request_work &Work, bool Linger);
+  millis retryAfter(const request_work &Work) const;
+  void refuseUnrouted(const request_arrived &Event, unsigned Status,
+                      relay_refusal Reason);
+
+  struct attempt_place {
+    query_id Request;
+    std::size_t Part = 0;
+    endpoint_no Endpoint;
+    instant SentAt;
+    route_state *Learnt = nullptr;
+  };
+  struct lingering_attempt {
+    attempt_no Attempt;
+    instant Until;
+  };
+  void cancel(attempt_no Attempt, attempt_verdict Verdict);
+  void cancelLingering();
+
+  relay_settings Settings;
+  endpoint_set Endpoints;
+  std::shared_ptr<const route_table> Table;
+  bool HasDirectory = false;
+  std::map<std::string, route_state> Routes; ///< by host and prefix
+  std::unordered_map<query_id, std::unique_ptr<request_work>> Works;
+  std::unordered_map<attempt_no, attempt_place> Attempts;
+  std::vector<lingering_attempt> Lingering; ///< of requests that have ended
+  std::set<query_id> Waiting; ///< with a part that no endpoint could take
+  query::wake_queue Wakes;
+  instant HousekeepingAt = Never;
+  std::uint64_t LastAttempt = 0;
+  instant Now;                   ///< of the step under way
+  relay_actions *Out = nullptr; ///< of the step under way
+};
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/request_work.cpp
@@ -0,0 +1,35 @@
+#include "relay/request_work.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrush::relay {
+
+std::uint32_t request_work::covered() const {
+  return static_cast<std::uint32_t>(
+      std::count_if(Parts.begin(), Parts.end(), [](const request_part &Part) {
+        return Part.Phase == part_phase::done;
+      }));
+}
+
+std::uint32_t request_work::leastCovered() const {
+  constexpr double Rounding = 1e-9;
+  const double Least =
+      Route->Gather.LeastShare * static_cast<double>(Parts.size());
+  const auto Whole = static_cast<std::uint32_t>(std::ceil(Least - Rounding));
+  return std::max(1U, Whole);
+}
+
+bool request_work::hasRun() const {
+  return std::any_of(Parts.begin(), Parts.end(), [](const request_part &Part) {
+    return Part.Runs > 0;
+  });
+}
+
+bool request_work::wasSent() const {
+  return std::any_of(Parts.begin(), Parts.end(), [](const request_part &Part) {
+    return Part.Sends > 0;
+  });
+}
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/request_work.h
@@ -0,0 +1,72 @@
+/// One request under way in the relay.
+#pragma once
+
+#include "relay/endpoint_set.h"
+#include "relay/latency_quantile.h"
+#include "relay/route_table.h"
+
+namespace bulrush::relay {
+
+/// What was learnt of one route; kept over versions of the catalog.
+struct route_state {
+  explicit route_state(millis Objective)
+      : Median(0.5, Objective * 0.15), Slow(SlowShare, Objective * 0.3) {}
+
+  /// The share of attempts that end before a hedge is sent.
+  static constexpr double SlowShare = 0.93;
+
+  latency_quantile Median;
+  latency_quantile Slow;
+  std::map<std::string, double> Credits; ///< of the split, by service
+};
+
+struct running_attempt {
+  attempt_no Attempt;
+  endpoint_no Endpoint;
+  instant SentAt;
+};
+
+enum class part_phase : std::uint8_t {
+  waiting, ///< for an endpoint that can take it
+  running,
+  done,
+  failed
+};
+
+/// What one service is asked for: a shard, or the whole request.
+struct request_part {
+  service_state *Service = nullptr;
+  part_phase Phase = part_phase::waiting;
+  std::vector<running_attempt> Running;
+  std::vector<endpoint_no> Tried;
+  std::uint32_t Sends = 0;
+  std::uint32_t Runs = 0; ///< sendings that may have run
+  bool IsHedgeDenied = false;
+  std::shared_ptr<const endpoint_reply> Reply; ///< done: its result
+  std::shared_ptr<const endpoint_reply> Failure; ///< the last failing reply
+};
+
+struct request_work {
+  query_id Request;
+  std::shared_ptr<const opaque_request> Content;
+  std::shared_ptr<const route_table> Table; ///< pinned at its arrival
+  const route *Route = nullptr;
+  route_state *Learnt = nullptr;
+  instant ArrivedAt;
+  instant HedgeAt;   ///< parts that still run get a second attempt
+  instant AnswerBy;  ///< a later answer earns less
+  instant GiveUpAt;  ///< a request that was sent to no endpoint is refused
+  instant Deadline;
+  instant WakeAt = Never; ///< the next look at it
+  std::vector<request_part> Parts;
+  request_note Note;
+
+  bool isGathered() const { return !Route->Gather.Shards.empty(); }
+  std::uint32_t covered() const;
+  std::uint32_t leastCovered() const;
+  bool isCoveredEnough() const { return covered() >= leastCovered(); }
+  bool hasRun() const; ///< whether an endpoint may have run it
+  bool wasSent() const;
+};
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/settings.h
@@ -0,0 +1,42 @@
+/// Figures that the relay decides by.
+#pragma once
+
+#include "bulrushtray/clock.h"
+
+#include <cstdint>
+#include <string>
+
+namespace bulrush::relay {
+
+struct budget_settings {
+  /// Further arrivals at a service, as a share of its requests; the bound of
+  /// all daemons together.
+  double Ratio = 0.2;
+  /// Further arrivals in one window beside that share; all daemons together.
+  double Slack = 54;
+
+  bool operator==(const budget_settings &) const = default;
+};
+
+struct cold_settings {
+  /// Requests in one second that a cold endpoint survives, beside its rate; all
+  /// daemons together.
+  double Slack = 5;
+
+  bool operator==(const cold_settings &) const = default;
+};
+
+struct relay_settings {
+  budget_settings Budget;
+  cold_settings Cold;
+  /// From the moment when an answer leaves until the client has it, and from
+  /// the client's start of the clock until the request is here.
+  millis ClientTravel{12};
+  /// How far the platform's list lags behind.
+  millis DirectoryLag{800};
+  std::string Zone; ///< of this daemon
+
+  bool operator==(const relay_settings &) const = default;
+};
+
+} // namespace bulrush::relay
--- /dev/null
+++ b/src/wire/fleet_codec.cpp
@@ -0,0 +1,204 @@
+#include "wire/fleet_codec.h"
+
+#include "wire/generated/fleet.pb.h"
+#include "wire/voter_codec.h"
+
+namespace bulrush::wire {
+
+namespace {
+
+template <class Vms, class Field> void putVms(const Vms &From, Field &To) {
+  for (const vm_id Vm : From)
+    To.Add(Vm.Value);
+}
+
+template <class Field> std::vector<vm_id> takeVms(const Field &From) {
+  std::vector<vm_id> To;
+  for (const std::uint32_t Each : From)
+    To.push_back({Each});
+  return To;
+}
+
+void putBody(const fleet::subscribe &From, FleetMessage &To) {
+  Subscribe &Out = *To.mutable_subscribe();
+  Out.set_node(From.Node);
+  Out.set_zone(From.Zone);
+  Out.set_incarnation(From.Incarnation.Value);
+  Out.set_revision(From.Revision.Value);
+  Out.set_catalog_version(From.CatalogVersion);
+}
+
+void putBody(const fleet::redirect &From, FleetMessage &To) {
+  To.mutable_redirect()->set_leader(From.Leader.Value);
+  putVms(From.Voters, *To.mutable_redirect()->mutable_voters());
+}
+
+void putBody(const fleet::fleet_state &From, FleetMessage &To) {
+  FleetState &Out = *To.mutable_state();
+  Out.set_revision(From.Revision.Value);
+  Out.set_catalog_version(From.CatalogVersion);
+  Out.set_catalog(From.Catalog);
+  for (const std::string &Zone : From.ZonesOut)
+    Out.add_zones_out(Zone);
+  putVms(From.Voters, *Out.mutable_voters());
+}
+
+void putBody(const fleet::endpoint_directory &From, FleetMessage &To) {
+  Directory &Out = *To.mutable_directory();
+  Out.set_term(From.Directory.Order.Term);
+  Out.set_sequence(From.Directory.Order.Sequence);
+  Out.set_age_ms(From.Age.Count);
+  for (const relay::listed_endpoint &Each : From.Directory.Endpoints) {
+    ListedEndpoint &Item = *Out.add_endpoints();
+    Item.set_instance(Each.Identity.Instance);
+    Item.set_born(Each.Identity.Born);
+    Item.set_service(Each.Service.Value);
+    Item.set_host(Each.Address.Host);
+    Item.set_port(Each.Address.Port);
+    Item.set_zone(Each.Zone);
+    Item.set_slots(Each.Slots);
+    Item.set_leaving(Each.IsLeaving);
+    Item.set_cold_for_ms(Each.ColdFor.Count);
+  }
+}
+
+void putBody(const fleet::leader_beat &From, FleetMessage &To) {
+  To.mutable_leader_beat()->set_revision(From.Revision.Value);
+  To.mutable_leader_beat()->set_peers(From.Peers);
+}
+
+void putBody(const fleet::applied &From, FleetMessage &To) {
+  To.mutable_applied()->set_revision(From.Revision.Value);
+}
+
+void putBody(const fleet::known_voters &From, FleetMessage &To) {
+  putVms(From.Voters, *To.mutable_known_voters()->mutable_voters());
+}
+
+void putBody(const control::message &From, FleetMessage &To) {
+  put(From, *To.mutable_voter());
+}
+
+fleet::subscribe take(const Subscribe &From) {
+  return {From.node(),
+          From.zone(),
+          {From.incarnation()},
+          {From.revision()},
+          From.catalog_version()};
+}
+
+fleet::fleet_state take(const FleetState &From) {
+  fleet::fleet_state To;
+  To.Revision = {From.revision()};
+  To.CatalogVersion = From.catalog_version();
+  To.Catalog = From.catalog();
+  To.ZonesOut = {From.zones_out().begin(), From.zones_out().end()};
+  To.Voters = takeVms(From.voters());
+  return To;
+}
+
+fleet::endpoint_directory take(const Directory &From) {
+  fleet::endpoint_directory To;
+  To.Directory.Order = {From.term(), From.sequence()};
+  To.Age = {From.age_ms()};
+  for (const ListedEndpoint &Item : From.endpoints()) {
+    relay::listed_endpoint &Each = To.Directory.Endpoints.emplace_back();
+    Each.Identity = {Item.instance(), Item.born()};
+    Each.Service = {Item.service()};
+    Each.Address = {Item.host(), static_cast<std::uint16_t>(Item.port())};
+    Each.Zone = Item.zone();
+    Each.Slots = Item.slots();
+    Each.IsLeaving = Item.leaving();
+    Each.ColdFor = {Item.cold_for_ms()};
+  }
+  return To;
+}
+
+} // namespace
+
+std::string encode(const fleet::fleet_message &Message) {
+  FleetMessage Out;
+  std::visit([&](const auto &Body) { putBody(Body, Out); }, Message);
+  return Out.SerializeAsString();
+}
+
+expected<fleet::fleet_message> decodeFleet(std::string_view Bytes) {
+  FleetMessage In;
+  if (!In.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return fail("fleet message: not readable");
+  switch (In.body_case()) {
+  case FleetMessage::kSubscribe:
+    return take(In.subscribe());
+  case FleetMessage::kRedirect:
+    return fleet::redirect{{In.redirect().leader()},
+                           takeVms(In.redirect().voters())};
+  case FleetMessage::kState:
+    return take(In.state());
+  case FleetMessage::kDirectory:
+    return take(In.directory());
+  case FleetMessage::kLeaderBeat:
+    return fleet::leader_beat{{In.leader_beat().revision()},
+                              In.leader_beat().peers()};
+  case FleetMessage::kApplied:
+    return fleet::applied{{In.applied().revision()}};
+  case FleetMessage::kKnownVoters:
+    return fleet::known_voters{takeVms(In.known_voters().voters())};
+  case FleetMessage::kVoter: {
+    auto Voter = take(In.voter());
+    if (!Voter)
+      return fail(Voter.error());
+    return std::move(*Voter);
+  }
+  case FleetMessage::BODY_NOT_SET:
+    break;
+  }
+  return fail("fleet message: no known body");
+}
+
+std::string encode(const control::registry_command &Command) {
+  RegistryCommand Out;
+  if (const auto *Put = std::get_if<control::put_catalog>(&Command)) {
+    Out.set_catalog_version(Put->Version);
+    Out.set_catalog(*Put->Bytes);
+  } else {
+    const auto &Zone = std::get<control::set_zone>(Command);
+    Out.set_zone(Zone.Zone);
+    Out.set_zone_out(Zone.IsOut);
+  }
+  return Out.SerializeAsString();
+}
+
+expected<control::registry_command>
+decodeRegistryCommand(std::string_view Bytes) {
+  RegistryCommand In;
+  if (!In.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return fail("registry command: not readable");
+  if (In.zone().empty())
+    return control::put_catalog{In.catalog_version(),
+                                control::shareBytes(In.catalog())};
+  return control::set_zone{In.zone(), In.zone_out()};
+}
+
+std::string encode(const control::registry_state &State) {
+  RegistrySnapshot Out;
+  Out.set_revision(State.Revision.Value);
+  Out.set_catalog_version(State.CatalogVersion);
+  Out.set_catalog(*State.Catalog);
+  for (const std::string &Zone : State.ZonesOut)
+    Out.add_zones_out(Zone);
+  return Out.SerializeAsString();
+}
+
+expected<control::registry_state> decodeRegistryState(std::string_view Bytes) {
+  RegistrySnapshot In;
+  if (!In.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return fail("registry snapshot: not readable");
+  control::registry_state State;
+  State.Revision = {In.revision()};
+  State.CatalogVersion = In.catalog_version();
+  State.Catalog = control::shareBytes(In.catalog());
+  State.ZonesOut = {In.zones_out().begin(), In.zones_out().end()};
+  return State;
+}
+
+} // namespace bulrush::wire
--- /dev/null
+++ b/src/wire/fleet_codec.h
@@ -0,0 +1,22 @@
+/// Conversions between the fleet's messages, the registry's log and protobuf.
+#pragma once
+
+#include "bulrushtray/error.h"
+#include "control/registry_machine.h"
+#include "fleet/messages.h"
+
+#include <string>
+
+namespace bulrush::wire {
+
+std::string encode(const fleet::fleet_message &Message);
+/// An error when the bytes hold no known message.
+expected<fleet::fleet_message> decodeFleet(std::string_view Bytes);
+
+std::string encode(const control::registry_command &Command);
+expected<control::registry_command> decodeRegistryCommand(std::string_view Bytes);
+
+std::string encode(const control::registry_state &State);
+expected<control::registry_state> decodeRegistryState(std::string_view Bytes);
+
+} // namespace bulrush::wire
--- a/src/world/clock.cpp
+++ b/src/world/clock.cpp
@@ -1,6 +1,7 @@
 #include "bulrushtray/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace bulrush {
 
@@ -10,4 +11,11 @@
   return {fractional_millis(SinceStart).count()};
 }
 
+instant boot_clock_source::now() const {
+  timespec Time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Time);
+  return {static_cast<double>(Time.tv_sec) * 1e3 +
+          static_cast<double>(Time.tv_nsec) / 1e6};
+}
+
 } // namespace bulrush
