A folder is kept where file numbers change at a restart

Cause: the log takes a folder for copied files when its file number differs from the one it was written under; on the platform that number changes with each start, so every voter came back empty after the final fault (CONFIG, RECOVER). Change: folder_options.HasFileNumbers; the registry leaves the check to the other voters, which refuse old copies by their positions. Test: a folder with new file numbers keeps its entries.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -207,6 +207,7 @@
     Options.Vm = Self;
     Options.FreshId = drawSeed() | 1;
     Options.BootHint = unixMillis();
+    Options.HasFileNumbers = false; // not on every platform
     auto Log = store::durable_log::open(*Disk, Options);
     if (!Log) {
       onDiskError(Log.error().Message);
--- a/src/store/durable_log.cpp
+++ b/src/store/durable_log.cpp
@@ -135,10 +135,12 @@
 }
 
 /// Whether the files were written by this folder and not copied into it.
-expected<bool> isOwn(disk &Disk,
+expected<bool> isOwn(disk &Disk, const folder_options &Options,
                      const std::optional<folder_contents> &Contents) {
   if (!Contents)
     return false;
+  if (!Options.HasFileNumbers)
+    return true;
   auto Fingerprint = Disk.fingerprint(LogName);
   if (!Fingerprint)
     return fail(Fingerprint.error().Message);
@@ -231,7 +233,7 @@
   auto Contents = readFolder(Disk);
   if (!Contents)
     return fail(Contents.error());
-  expected<bool> Own = isOwn(Disk, *Contents);
+  expected<bool> Own = isOwn(Disk, Options, *Contents);
   if (!Own)
     return fail(Own.error());
   const bool Known = *Own;
--- a/test/unit/durable_log_test.cpp
+++ b/test/unit/durable_log_test.cpp
@@ -125,6 +125,23 @@
   CHECK(Copy->state().Entries.empty());
 }
 
+TEST_CASE("a folder whose file numbers change is kept where they mean nothing",
+          "[store]") {
+  fake_disk Disk;
+  folder_options Options = Fresh;
+  Options.HasFileNumbers = false;
+  {
+    auto Log = durable_log::open(Disk, Options);
+    Log->write(entries(1, 1, 3));
+    REQUIRE(Log->sync());
+  }
+  Disk.restore(Disk.backup(), false);
+  auto Again = durable_log::open(Disk, Options);
+  REQUIRE(Again);
+  CHECK(Again->notices().empty());
+  CHECK(Again->state().Entries.size() == 3);
+}
+
 TEST_CASE("a snapshot that is missing or damaged is refused", "[store]") {
   fake_disk Disk;
   {
