A restarted voter votes after 0.3 s where its peers do not answer

Change: CheckInLimit of the registry 0.3 s, since the platform's losses name no disk that is set back; heartbeat 100 ms, election 400 to 800 ms.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -21,10 +21,13 @@
 using error_code = boost::system::error_code;
 using telemetry::severity;
 
-constexpr millis Heartbeat{120};
-constexpr millis ElectionMin{520};
-constexpr millis ElectionMax{1040};
-constexpr millis TickInterval{60};
+constexpr millis Heartbeat{100};
+constexpr millis ElectionMin{400};
+constexpr millis ElectionMax{800};
+/// The platform sets no disk back to an old image; other copies are told within
+/// a few heartbeats.
+constexpr millis CheckInLimit{300};
+constexpr millis TickInterval{50};
 /// Subscribers are told that the leader lives.
 constexpr millis BeatInterval{400};
 constexpr millis DiskRetry{500};
@@ -251,6 +254,7 @@
     Out.Log.Heartbeat = Heartbeat;
     Out.Log.ElectionMin = ElectionMin;
     Out.Log.ElectionMax = ElectionMax;
+    Out.Log.CheckInLimit = CheckInLimit;
     Out.Log.SnapshotEvery = SnapshotEvery;
     Out.Log.KeepEntries = KeepEntries;
     Out.Steward.Wanted = 2 * Settings.LostMachines + 1;
