--- a/src/control/registry_machine.cpp
+++ b/src/control/registry_machine.cpp
@@ -25,6 +25,12 @@
   return State.ZonesOut.erase(Command.Zone) > 0;
 }
 
+/// No daemon acts on it by itself: the revision stays.
+bool registry_machine::on(const set_fleet_size &Command) {
+  State.FleetSize = Command.Daemons;
+  return false;
+}
+
 void registry_machine::load(log_index Index, registry_state NewState) {
   Applied = Index;
   State = std::move(NewState);
--- a/src/control/registry_machine.h
+++ b/src/control/registry_machine.h
@@ -1,5 +1,5 @@
-/// The registry's replicated state: the catalog that operators sent last, and
-/// the zones that take no work.
+/// The registry's replicated state: the catalog that operators sent last, the
+/// zones that take no work, and how many daemons share the endpoints.
 #pragma once
 
 #include "bulrushtray/ids.h"
@@ -23,13 +23,20 @@
   bool IsOut = false;
 };
 
-using registry_command = std::variant<put_catalog, set_zone>;
+/// How many daemons share the endpoints. It outlives a restart of the whole
+/// fleet, when the daemons come back one by one.
+struct set_fleet_size {
+  std::uint32_t Daemons = 0;
+};
+
+using registry_command = std::variant<put_catalog, set_zone, set_fleet_size>;
 
 struct registry_state {
   revision Revision; ///< the log index of the last change
   std::uint64_t CatalogVersion = 0;
   shared_bytes Catalog = shareBytes({});
   std::set<std::string> ZonesOut;
+  std::uint32_t FleetSize = 0;
 };
 
 /// Applies committed commands in the order of the log.
@@ -48,6 +55,7 @@
 private:
   bool on(const put_catalog &Command);
   bool on(const set_zone &Command);
+  bool on(const set_fleet_size &Command);
 
   registry_state State;
   log_index Applied;
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -35,6 +35,12 @@
   millis Heartbeat{50};
   millis ElectionMin{300}; ///< silence before an election, lower bound
   millis ElectionMax{600};
+  /// Silence before the first election after a start; shorter where all voters
+  /// have started at once. Nothing: as before any other election.
+  std::optional<millis> FirstElectionMax;
+  /// Whether `ConfirmedAt` backs leases: a restarted voter gives no vote for
+  /// `ElectionMin` then.
+  bool HasLeases = true;
   /// A restarted voter gives no vote before its peers have confirmed that it is
   /// no old copy, or for this long where they cannot be reached.
   millis CheckInLimit{5000};
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -69,6 +69,7 @@
   void noteChange(log_index From);
 
   // replica_election.cpp
+  double randomShare();
   void resetElectionTimer();
   void checkQuorum();
   void campaign(bool PreVote, bool Transfer);
--- a/src/control/replica_election.cpp
+++ b/src/control/replica_election.cpp
@@ -7,11 +7,14 @@
 
 namespace bulrush::control {
 
-void replica_core::resetElectionTimer() {
+double replica_core::randomShare() {
   constexpr std::uint64_t Steps = 1'000'000;
-  const double Share = static_cast<double>(Random() % Steps) / Steps;
+  return static_cast<double>(Random() % Steps) / Steps;
+}
+
+void replica_core::resetElectionTimer() {
   const millis Spread = Options.ElectionMax - Options.ElectionMin;
-  ElectionAt = Now + Options.ElectionMin + Spread * Share;
+  ElectionAt = Now + Options.ElectionMin + Spread * randomShare();
 }
 
 bool replica_core::hearsLeader() const {
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -43,7 +43,7 @@
 /// The leader's sign of life.
 struct leader_beat {
   revision Revision;
-  std::uint32_t Peers = 0; ///< relay daemons that are subscribed
+  std::uint32_t Peers = 0; ///< relay daemons that share the endpoints
 };
 
 /// A subscriber's sign of life.
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -24,6 +24,8 @@
 constexpr millis Heartbeat{100};
 constexpr millis ElectionMin{400};
 constexpr millis ElectionMax{800};
+/// After a start there is either a leader that says so, or none.
+constexpr millis FirstElectionMax{200};
 /// The platform sets no disk back to an old image; other copies are told within
 /// a few heartbeats.
 constexpr millis CheckInLimit{300};
@@ -180,15 +182,30 @@
     const auto Link = linkOf(Key);
     if (!Link)
       return;
-    if (!Node || !Node->leads()) {
-      const vm_id Leader =
-          Node ? leaderOf(Node->status()).value_or(vm_id{}) : vm_id{};
-      Link->send(wire::encode(redirect{Leader, Voters}));
+    Asking.push_back({Link, Asked});
+    answerSubscribers();
+  }
+
+  /// Whoever asks while no leader is known waits for the next one.
+  void answerSubscribers() {
+    if (Asking.empty() || !Node)
+      return;
+    const auto Leader = leaderOf(Node->status());
+    if (!Node->leads() && (!Leader || *Leader == Self))
       return;
+    for (const auto &[Weak, Asked] : std::exchange(Asking, {})) {
+      const auto Link = Weak.lock();
+      if (!Link || !Link->isOpen())
+        continue;
+      if (Node->leads())
+        Subscribers.add(Link, Asked, Clock.now());
+      else
+        Link->send(wire::encode(redirect{*Leader, Voters}));
     }
-    Subscribers.add(Link, Asked, Clock.now());
+    if (!Node->leads())
+      return;
     Subscribers.tellState(Node->state(), Voters);
-    Subscribers.beat(Node->state().Revision, Clock.now());
+    Subscribers.beat(Node->state().Revision, Node->fleetSize());
   }
 
   static std::optional<vm_id> leaderOf(const control::replica_status &Status) {
@@ -254,6 +271,8 @@
     Out.Log.Heartbeat = Heartbeat;
     Out.Log.ElectionMin = ElectionMin;
     Out.Log.ElectionMax = ElectionMax;
+    Out.Log.FirstElectionMax = FirstElectionMax;
+    Out.Log.HasLeases = false;
     Out.Log.CheckInLimit = CheckInLimit;
     Out.Log.SnapshotEvery = SnapshotEvery;
     Out.Log.KeepEntries = KeepEntries;
@@ -305,6 +324,7 @@
     Node->step(Event, Clock.now(), Actions);
     for (node_action &Action : Actions)
       std::visit([this](auto &Each) { on(Each); }, Action);
+    answerSubscribers();
   }
 
   void on(control::persist &Action) {
@@ -438,7 +458,7 @@
     BeatAt = Now;
     Links.closeUnused(Now);
     if (Node && Node->leads())
-      Subscribers.beat(Node->state().Revision, Now);
+      Subscribers.beat(Node->state().Revision, Node->fleetSize());
   }
 
   void awaitSignal() {
@@ -500,6 +520,7 @@
   asio::steady_timer Leaving;
   std::unordered_set<std::shared_ptr<frame_link>> Accepted;
   subscribers Subscribers;
+  std::vector<std::pair<std::weak_ptr<frame_link>, subscribe>> Asking;
   voter_links Links;
   endpoint_reader Reader;
   std::unique_ptr<store::disk> Disk;
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -19,11 +19,9 @@
 constexpr millis SilenceLimit{1300};
 /// A machine that does not answer the first question by then is passed over.
 constexpr millis AskLimit{450};
-constexpr millis RetryDelay{100};
+constexpr millis RetryDelay{50};
 /// The subscriber's own sign of life.
 constexpr millis TellInterval{400};
-/// A new leader counts its subscribers from nothing: the most of late counts.
-constexpr millis PeerMemory{10'000};
 
 } // namespace
 
@@ -175,7 +173,7 @@
 }
 
 void registry_follower::on(const leader_beat &Beat) {
-  Host.takePeers(peersOfLate(Beat.Peers));
+  Host.takePeers(Beat.Peers);
 }
 
 void registry_follower::on(const redirect &Redirect) {
@@ -192,19 +190,4 @@
   Link->send(wire::encode(applied{Revision}));
 }
 
-std::uint32_t registry_follower::peersOfLate(std::uint32_t Count) {
-  const instant Now = Clock.now();
-  std::erase_if(PeerCounts, [&](const auto &Each) {
-    return Now - Each.first > PeerMemory;
-  });
-  if (PeerCounts.empty() || PeerCounts.back().second != Count)
-    PeerCounts.push_back({Now, Count});
-  else
-    PeerCounts.back().first = Now;
-  std::uint32_t Most = 1;
-  for (const auto &[At, Each] : PeerCounts)
-    Most = std::max(Most, Each);
-  return Most;
-}
-
 } // namespace bulrush::fleet
--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -55,7 +55,6 @@
   void on(const leader_beat &Beat);
   void on(const redirect &Redirect);
   void tellApplied();
-  std::uint32_t peersOfLate(std::uint32_t Count);
 
   boost::asio::io_context &Io;
   follower_settings Settings;
@@ -74,7 +73,6 @@
   vm_id LastTried;
   revision Revision;
   std::uint64_t CatalogVersion = 0;
-  std::vector<std::pair<instant, std::uint32_t>> PeerCounts;
 };
 
 } // namespace bulrush::fleet
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -6,6 +6,13 @@
 
 namespace bulrush::fleet {
 
+namespace {
+
+/// Between two proposals of the fleet's size.
+constexpr millis SizeInterval{500};
+
+} // namespace
+
 registry_node::registry_node(node_settings Given,
                              control::recovered_state State, std::uint64_t Seed)
     : Settings(std::move(Given)), Log(Settings.Log, std::move(State), Seed),
@@ -31,6 +38,7 @@
     return;
   yieldOnSlowDisk();
   keepGroupWhole();
+  noteFleetSize();
 }
 
 void registry_node::noteJoiner(const control::event &Event) {
@@ -76,10 +84,37 @@
     end(Event.Call, call_end::unclear);
     return;
   }
+  Orders.push_back({Event.Call, {LastProposal.Value + 1}, Now, Never, {}});
+  propose(Event.Command);
+}
+
+void registry_node::propose(const control::registry_command &Command) {
   ++LastProposal.Value;
-  Orders.push_back({Event.Call, LastProposal, Now, Never, {}});
-  stepLog(control::propose{
-      LastProposal, control::shareBytes(wire::encode(Event.Command))});
+  stepLog(control::propose{LastProposal,
+                           control::shareBytes(wire::encode(Command))});
+}
+
+std::uint32_t registry_node::fleetSize() const {
+  return std::max(Machine.state().FleetSize,
+                  static_cast<std::uint32_t>(Subscribers.size()));
+}
+
+/// A larger fleet counts at once, a smaller one only after a while: daemons that
+/// restart come back.
+void registry_node::noteFleetSize() {
+  const auto Count = static_cast<std::uint32_t>(Subscribers.size());
+  const std::uint32_t Known = Machine.state().FleetSize;
+  if (!Leads || Count >= Known)
+    SmallerSince = Never;
+  else if (SmallerSince == Never)
+    SmallerSince = Now;
+  const bool IsSmaller =
+      Count > 0 && Now - SmallerSince >= Settings.ShrinkDelay;
+  const bool IsWanted = Leads && (Count > Known || IsSmaller);
+  if (!IsWanted || Now - SizeProposedAt < SizeInterval)
+    return;
+  SizeProposedAt = Now;
+  propose(control::set_fleet_size{Count});
 }
 
 /// With too few voters the loss of disks that is to be borne could lose an
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -77,6 +77,8 @@
   millis GatheringLimit{8000};
   /// A leader whose write takes longer hands the leadership over.
   millis SlowWrite{600};
+  /// The fleet is taken to be smaller once it was so for so long.
+  millis ShrinkDelay{30'000};
 };
 
 /// Deterministic; has no I/O and no clock.
@@ -91,6 +93,9 @@
   const control::registry_state &state() const { return Machine.state(); }
   control::replica_status status() const { return Log.status(); }
   bool leads() const { return Leads; }
+  /// How many daemons share the endpoints: those subscribed, or as many as were
+  /// of late.
+  std::uint32_t fleetSize() const;
 
 private:
   struct pending_order {
@@ -128,6 +133,8 @@
   void noteJoiner(const control::event &Event);
   void keepGroupWhole();
   void yieldOnSlowDisk();
+  void noteFleetSize();
+  void propose(const control::registry_command &Command);
   void endOrders();
   void endReads();
   bool isSpread(revision Revision) const;
@@ -148,6 +155,8 @@
   control::write_id LastWrite;
   instant WriteSince = Never; ///< of the oldest write under way
   bool HasYielded = false;
+  instant SmallerSince = Never; ///< than the replicated size
+  instant SizeProposedAt{-1e300};
   instant Now;
   std::vector<node_action> *Out = nullptr;
 };
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -83,9 +83,8 @@
       wire::encode(endpoint_directory{Directory, Now - DirectoryReadAt}));
 }
 
-void subscribers::beat(revision Revision, instant) {
-  const std::string Beat = wire::encode(
-      leader_beat{Revision, static_cast<std::uint32_t>(All.size())});
+void subscribers::beat(revision Revision, std::uint32_t FleetSize) {
+  const std::string Beat = wire::encode(leader_beat{Revision, FleetSize});
   for (auto &[Key, Each] : All)
     Each.Link->send(Beat);
 }
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -28,7 +28,7 @@
   void tellState(const control::registry_state &State,
                  const std::vector<vm_id> &Voters);
   void setDirectory(relay::directory Directory, instant ReadAt, instant Now);
-  void beat(revision Revision, instant Now);
+  void beat(revision Revision, std::uint32_t FleetSize);
   /// Closes the links of subscribers that were silent for too long.
   void dropSilent(instant Now);
   void clear();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -42,6 +42,7 @@
                        relay_actions &Actions) {
   Now = At;
   Out = &Actions;
+  StartedAt = std::min(StartedAt, Now);
   std::visit([this](const auto &Each) { on(Each); }, Event);
   Endpoints.probe(Now, Actions);
   armTimer();
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -15,6 +15,9 @@
 /// found again.
 constexpr millis BusyRetryAfter{60};
 constexpr millis DownRetryAfter{400};
+/// A daemon that has just started has its catalog by then.
+constexpr millis StartTime{1000};
+constexpr millis LeastRetryAfter{150};
 
 } // namespace
 
@@ -161,7 +164,8 @@
   Answer.Status = Status;
   Answer.Reason = Reason;
   if (Status == 503)
-    Answer.RetryAfter = DownRetryAfter;
+    Answer.RetryAfter =
+        std::max(LeastRetryAfter, StartTime - (Now - StartedAt));
   request_note Note;
   Note.RequestId = Event.Content->RequestId;
   Note.Status = Status;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -93,6 +93,7 @@
   query::wake_queue Wakes;
   instant HousekeepingAt = Never;
   std::uint64_t LastAttempt = 0;
+  instant StartedAt = Never;
   instant Now;                   ///< of the step under way
   relay_actions *Out = nullptr; ///< of the step under way
 };
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -160,10 +160,11 @@
   if (const auto *Put = std::get_if<control::put_catalog>(&Command)) {
     Out.set_catalog_version(Put->Version);
     Out.set_catalog(*Put->Bytes);
+  } else if (const auto *Zone = std::get_if<control::set_zone>(&Command)) {
+    Out.set_zone(Zone->Zone);
+    Out.set_zone_out(Zone->IsOut);
   } else {
-    const auto &Zone = std::get<control::set_zone>(Command);
-    Out.set_zone(Zone.Zone);
-    Out.set_zone_out(Zone.IsOut);
+    Out.set_fleet_size(std::get<control::set_fleet_size>(Command).Daemons);
   }
   return Out.SerializeAsString();
 }
@@ -173,6 +174,8 @@
   RegistryCommand In;
   if (!In.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
     return fail("registry command: not readable");
+  if (In.fleet_size() > 0)
+    return control::set_fleet_size{In.fleet_size()};
   if (In.zone().empty())
     return control::put_catalog{In.catalog_version(),
                                 control::shareBytes(In.catalog())};
@@ -186,6 +189,7 @@
   Out.set_catalog(*State.Catalog);
   for (const std::string &Zone : State.ZonesOut)
     Out.add_zones_out(Zone);
+  Out.set_fleet_size(State.FleetSize);
   return Out.SerializeAsString();
 }
 
@@ -198,6 +202,7 @@
   State.CatalogVersion = In.catalog_version();
   State.Catalog = control::shareBytes(In.catalog());
   State.ZonesOut = {In.zones_out().begin(), In.zones_out().end()};
+  State.FleetSize = In.fleet_size();
   return State;
 }
 
