Voters that start at once elect at once

Cause: the first election tries came before three voters were up; the next came after the full silence of 400 to 800 ms, and links to machines that were down were tried anew only after 150 to 600 ms. Change: while no leader was heard in this life the silence is 60 to 120 ms; a message from a machine makes the own link to it be tried anew; a joining subscriber alone is told the state. A part whose endpoints were all tried fails at once. Tests of relay and registry node without network.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -59,8 +59,6 @@
   if (!Started) {
     Started = true;
     resetElectionTimer();
-    if (Options.FirstElectionMax)
-      ElectionAt = Now + *Options.FirstElectionMax * randomShare();
     if (Term.Value > 0 && Options.HasLeases)
       LeaderSeen = Now; // a leader may count on what an earlier life answered
     if (!group().Members.empty()) {
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -35,8 +35,9 @@
   millis Heartbeat{50};
   millis ElectionMin{300}; ///< silence before an election, lower bound
   millis ElectionMax{600};
-  /// Silence before the first election after a start; shorter where all voters
-  /// have started at once. Nothing: as before any other election.
+  /// Silence before an election while no leader was heard in this life, so that
+  /// voters that all start at once need not wait. Nothing: as before any other
+  /// election.
   std::optional<millis> FirstElectionMax;
   /// Whether `ConfirmedAt` backs leases: a restarted voter gives no vote for
   /// `ElectionMin` then.
--- a/src/control/replica_append.cpp
+++ b/src/control/replica_append.cpp
@@ -38,6 +38,7 @@
   invariant(Role != replica_role::leader, "two leaders in one term");
   becomeFollower(From.Term, From.From);
   LeaderSeen = Now;
+  HasHeardLeader = true;
   resetElectionTimer();
 }
 
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -176,6 +176,7 @@
   instant LeaderSeen{-1e300};
   instant ElectionAt;
   bool Started = false;
+  bool HasHeardLeader = false; ///< in this life, itself included
   bool Retired = false;
   bool InstallPending = false;
   log_index Commit;
--- a/src/control/replica_election.cpp
+++ b/src/control/replica_election.cpp
@@ -15,6 +15,8 @@
 void replica_core::resetElectionTimer() {
   const millis Spread = Options.ElectionMax - Options.ElectionMin;
   ElectionAt = Now + Options.ElectionMin + Spread * randomShare();
+  if (Options.FirstElectionMax && !HasHeardLeader)
+    ElectionAt = Now + *Options.FirstElectionMax * (0.5 + randomShare() / 2);
 }
 
 bool replica_core::hearsLeader() const {
@@ -96,6 +98,7 @@
 }
 
 void replica_core::becomeLeader() {
+  HasHeardLeader = true;
   Role = replica_role::leader;
   Leader = Self;
   LeadsSince = Now;
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -25,10 +25,10 @@
 constexpr millis ElectionMin{400};
 constexpr millis ElectionMax{800};
 /// After a start there is either a leader that says so, or none.
-constexpr millis FirstElectionMax{200};
+constexpr millis FirstElectionMax{120};
 /// The platform sets no disk back to an old image; other copies are told within
 /// a few heartbeats.
-constexpr millis CheckInLimit{300};
+constexpr millis CheckInLimit{150};
 constexpr millis TickInterval{50};
 /// Subscribers are told that the leader lives.
 constexpr millis BeatInterval{400};
@@ -161,6 +161,7 @@
   void onVoter(const frame_link *Key, control::message Message) {
     if (!Node)
       return;
+    Links.heard(Message.Vm);
     const bool IsJoining =
         std::holds_alternative<control::join_request>(Message.Body);
     if (IsJoining && !Voters.empty())
@@ -197,15 +198,13 @@
       const auto Link = Weak.lock();
       if (!Link || !Link->isOpen())
         continue;
-      if (Node->leads())
-        Subscribers.add(Link, Asked, Clock.now());
-      else
+      if (!Node->leads()) {
         Link->send(wire::encode(redirect{*Leader, Voters}));
+        continue;
+      }
+      Subscribers.add(Link, Asked, Node->state(), Voters, Clock.now());
+      Subscribers.beat(Node->state().Revision, Node->fleetSize());
     }
-    if (!Node->leads())
-      return;
-    Subscribers.tellState(Node->state(), Voters);
-    Subscribers.beat(Node->state().Revision, Node->fleetSize());
   }
 
   static std::optional<vm_id> leaderOf(const control::replica_status &Status) {
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -15,7 +15,8 @@
 } // namespace
 
 void subscribers::add(std::shared_ptr<frame_link> Link, const subscribe &Asked,
-                      instant Now) {
+                      const control::registry_state &State,
+                      const std::vector<vm_id> &Voters, instant Now) {
   const frame_link *Key = Link.get();
   subscriber &New = All[Key];
   New.Id = {++Last.Value};
@@ -27,6 +28,7 @@
       severity::info, "subscriber_joined",
       {{"node", Asked.Node}, {"revision", Asked.Revision.Value}});
   OnEvent(subscriber_came{New.Id});
+  tellState(New, State, Voters);
   tellDirectory(New, Now);
 }
 
@@ -55,17 +57,23 @@
 
 void subscribers::tellState(const control::registry_state &State,
                             const std::vector<vm_id> &Voters) {
-  for (auto &[Key, Each] : All) {
-    fleet_state Message;
-    Message.Revision = State.Revision;
-    Message.CatalogVersion = State.CatalogVersion;
-    if (Each.CatalogVersion < State.CatalogVersion)
-      Message.Catalog = *State.Catalog;
-    Each.CatalogVersion = std::max(Each.CatalogVersion, State.CatalogVersion);
-    Message.ZonesOut = {State.ZonesOut.begin(), State.ZonesOut.end()};
-    Message.Voters = Voters;
-    Each.Link->send(wire::encode(Message));
-  }
+  for (auto &[Key, Each] : All)
+    tellState(Each, State, Voters);
+}
+
+void subscribers::tellState(subscriber &Subscriber,
+                            const control::registry_state &State,
+                            const std::vector<vm_id> &Voters) {
+  fleet_state Message;
+  Message.Revision = State.Revision;
+  Message.CatalogVersion = State.CatalogVersion;
+  if (Subscriber.CatalogVersion < State.CatalogVersion)
+    Message.Catalog = *State.Catalog;
+  Subscriber.CatalogVersion =
+      std::max(Subscriber.CatalogVersion, State.CatalogVersion);
+  Message.ZonesOut = {State.ZonesOut.begin(), State.ZonesOut.end()};
+  Message.Voters = Voters;
+  Subscriber.Link->send(wire::encode(Message));
 }
 
 void subscribers::setDirectory(relay::directory New, instant ReadAt,
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -20,7 +20,8 @@
 
   /// Takes a link that asked to be kept up to date.
   void add(std::shared_ptr<frame_link> Link, const subscribe &Asked,
-           instant Now);
+           const control::registry_state &State,
+           const std::vector<vm_id> &Voters, instant Now);
   void onApplied(const frame_link *Link, revision Revision, instant Now);
   /// A link was closed by the other side.
   void onClosed(const frame_link *Link);
@@ -43,6 +44,9 @@
     instant HeardAt;
   };
 
+  static void tellState(subscriber &Subscriber,
+                        const control::registry_state &State,
+                        const std::vector<vm_id> &Voters);
   void tellDirectory(subscriber &Subscriber, instant Now);
   void drop(const frame_link *Link, const char *Why);
 
--- a/src/fleet/voter_links.cpp
+++ b/src/fleet/voter_links.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr millis RetryDelay{150};
+constexpr millis RetryDelay{60};
 /// A link that could not be opened by then is given up.
-constexpr millis OpeningLimit{600};
+constexpr millis OpeningLimit{400};
 constexpr millis UnusedLimit{10'000};
 
 } // namespace
@@ -60,6 +60,19 @@
   Machine.Link->send(wire::encode(Message));
 }
 
+void voter_links::heard(vm_id From) {
+  const auto Known = Machines.find(From);
+  if (Known == Machines.end())
+    return;
+  machine_link &Machine = Known->second;
+  if (Machine.Link && Machine.Link->isOpen())
+    return;
+  if (Machine.Link)
+    Machine.Link->close();
+  Machine.Link.reset();
+  Machine.RetryAt = {-1e300};
+}
+
 void voter_links::closeUnused(instant Now) {
   for (auto Each = Machines.begin(); Each != Machines.end();) {
     if (Now - Each->second.UsedAt < UnusedLimit) {
--- a/src/fleet/voter_links.h
+++ b/src/fleet/voter_links.h
@@ -26,6 +26,9 @@
       : Io(Io), Port(Port), OnFrame(std::move(OnFrame)) {}
 
   void send(vm_id To, const fleet_message &Message, instant Now);
+  /// A message came from a machine: a link to it that is not open yet is tried
+  /// anew.
+  void heard(vm_id From);
   /// Closes the links that carried nothing of late.
   void closeUnused(instant Now);
 
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -20,6 +20,10 @@
 /// Choices differ by so much, so that daemons do not move together.
 constexpr double Jitter = 0.15;
 
+bool contains(const std::vector<endpoint_no> &Set, endpoint_no No) {
+  return std::find(Set.begin(), Set.end(), No) != Set.end();
+}
+
 belief_note note(const endpoint_state &Endpoint, belief_change Change,
                  millis Detail = {}) {
   return {Endpoint.listed().Identity.Instance, Endpoint.listed().Service,
@@ -183,9 +187,7 @@
   const std::size_t Limit = limitOf(Service);
   for (const endpoint_no No : Service.Endpoints) {
     endpoint_state &Each = *Endpoints.at(No);
-    const bool WasTried =
-        std::find(Tried.begin(), Tried.end(), No) != Tried.end();
-    if (WasTried || !Each.isOpen(Limit, Now))
+    if (contains(Tried, No) || !Each.isOpen(Limit, Now))
       continue;
     const double Cost = cost(Each, Typical, Now);
     if (Best && Cost >= BestCost)
@@ -196,11 +198,14 @@
   return Best;
 }
 
-availability endpoint_set::available(const service_state &Service,
-                                     instant Now) const {
+availability
+endpoint_set::available(const service_state &Service, instant Now,
+                        const std::vector<endpoint_no> &Tried) const {
   availability Found = availability::none;
   const std::size_t Limit = limitOf(Service);
   for (const endpoint_no No : Service.Endpoints) {
+    if (contains(Tried, No))
+      continue;
     const endpoint_state &Each = *Endpoints.at(No);
     if (Each.isOpen(Limit, Now))
       return availability::open;
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -44,7 +44,8 @@
   endpoint_state *choose(const service_state &Service,
                          const std::vector<endpoint_no> &Tried, millis Typical,
                          instant Now);
-  availability available(const service_state &Service, instant Now) const;
+  availability available(const service_state &Service, instant Now,
+                         const std::vector<endpoint_no> &Tried = {}) const;
 
   /// Asks for the probes that are due.
   void probe(instant Now, relay_actions &Out);
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -18,7 +18,8 @@
 void relay::impl::begin(request_work &Work, request_part &Part) {
   if (send(Work, Part))
     return;
-  const availability State = Endpoints.available(*Part.Service, Now);
+  const availability State =
+      Endpoints.available(*Part.Service, Now, Part.Tried);
   const bool MayWait = State != availability::none && Now < Work.AnswerBy;
   Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
   if (MayWait)
--- /dev/null
+++ b/test/relay_fixture.h
@@ -0,0 +1,184 @@
+/// A relay with a few services, and shorthand to drive it.
+#pragma once
+
+#include "relay/relay.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace bulrush::test {
+
+using namespace bulrush::relay;
+
+/// Endpoints are named "SERVICE-N"; every other one is in zone "far".
+struct relay_fixture {
+  explicit relay_fixture(relay_settings Given = settings())
+      : Relay(std::move(Given), 7) {}
+
+  static relay_settings settings() {
+    relay_settings Out;
+    Out.Zone = "near";
+    Out.ClientTravel = {10};
+    return Out;
+  }
+
+  relay::relay Relay;
+  instant Now{1000};
+  relay_actions Actions;
+  catalog Catalog;
+  directory Directory;
+  std::map<std::uint64_t, send_attempt> Sent; ///< by attempt, not ended yet
+  std::map<std::uint32_t, std::string> Names; ///< of endpoints
+  std::uint64_t NextRequest = 0;
+
+  void step(const relay_event &Event) {
+    const std::size_t Before = Actions.size();
+    Relay.step(Event, Now, Actions);
+    for (std::size_t I = Before; I < Actions.size(); ++I)
+      note(Actions[I]);
+  }
+
+  void addService(const std::string &Name, int Endpoints,
+                  std::uint32_t Connections = 100) {
+    service Service;
+    Service.Name = {Name};
+    Service.MaxConnections = Connections;
+    Catalog.Services.push_back(Service);
+    for (int I = 0; I < Endpoints; ++I) {
+      listed_endpoint Entry;
+      Entry.Identity = {Name + "-" + std::to_string(I), 1};
+      Entry.Service = {Name};
+      Entry.Address = {"10.0.0.1", static_cast<std::uint16_t>(8000 + I)};
+      Entry.Zone = I % 2 == 0 ? "near" : "far";
+      Entry.Slots = 2;
+      Directory.Endpoints.push_back(Entry);
+    }
+  }
+
+  route &addRoute(const std::string &Prefix, std::vector<std::string> Shards) {
+    route &Route = Catalog.Routes.emplace_back();
+    Route.Name = Prefix;
+    Route.Host = "shop.example";
+    Route.PathPrefix = Prefix;
+    Route.IsIdempotent = true;
+    Route.Timeout = {800};
+    Route.Objective = {100};
+    Route.MaxAttempts = 2;
+    for (const std::string &Shard : Shards)
+      Route.Gather.Shards.push_back({Shard});
+    Route.Gather.TopRecords = 10;
+    Route.Gather.LeastShare = 0.75;
+    return Route;
+  }
+  route &addPlainRoute(const std::string &Prefix, const std::string &Service) {
+    route &Route = addRoute(Prefix, {});
+    Route.Targets.push_back({{Service}, 1});
+    return Route;
+  }
+
+  /// Puts the catalog and the directory in force.
+  void install(std::uint32_t Peers = 1) {
+    ++Catalog.Version.Value;
+    step(catalog_arrived{std::make_shared<const catalog>(Catalog)});
+    step(peers_counted{Peers});
+    list();
+  }
+  void list() {
+    Directory.Order = {1, Directory.Order.Sequence + 1};
+    step(directory_arrived{std::make_shared<const directory>(Directory), {}});
+  }
+  listed_endpoint &entry(const std::string &Instance) {
+    return *std::find_if(Directory.Endpoints.begin(), Directory.Endpoints.end(),
+                         [&](const listed_endpoint &Each) {
+                           return Each.Identity.Instance == Instance;
+                         });
+  }
+
+  query_id ask(const std::string &Target, millis Patience = {800}) {
+    auto Content = std::make_shared<opaque_request>();
+    Content->RequestId = "id-" + std::to_string(++NextRequest);
+    Content->Method = "GET";
+    Content->Host = "shop.example";
+    Content->Target = Target;
+    step(request_arrived{{NextRequest}, Content, Patience});
+    return {NextRequest};
+  }
+
+  void wait(double Ms) {
+    Now = Now + millis{Ms};
+    step(timer_fired{});
+  }
+
+  std::string nameOf(const send_attempt &Attempt) const {
+    return Names.at(Attempt.Endpoint.Value);
+  }
+  std::uint64_t attemptAt(const std::string &Instance) const {
+    for (const auto &[Number, Each] : Sent)
+      if (nameOf(Each) == Instance)
+        return Number;
+    return 0;
+  }
+  std::size_t sentTo(const std::string &Service) const {
+    return static_cast<std::size_t>(
+        std::count_if(Sent.begin(), Sent.end(), [&](const auto &Each) {
+          return nameOf(Each.second).rfind(Service + "-", 0) == 0;
+        }));
+  }
+
+  void reply(std::uint64_t Attempt, unsigned Status = 200,
+             const std::string &Body = "0123456789abcdef") {
+    endpoint_reply Reply;
+    Reply.Status = Status;
+    Reply.Body = Body;
+    Reply.Signature = "s" + std::to_string(Attempt);
+    end(Attempt, attempt_end::replied, Reply);
+  }
+  void refuse(std::uint64_t Attempt) {
+    endpoint_reply Reply;
+    Reply.Status = 503;
+    Reply.IsNotRun = true;
+    end(Attempt, attempt_end::replied, Reply);
+  }
+  void lose(std::uint64_t Attempt) { end(Attempt, attempt_end::lost, {}); }
+  /// All attempts under way get a reply.
+  void replyAll() {
+    while (!Sent.empty())
+      reply(Sent.begin()->first);
+  }
+
+  const give_answer *answerTo(query_id Request) const {
+    for (const relay_action &Each : Actions)
+      if (const auto *Answer = std::get_if<give_answer>(&Each))
+        if (Answer->Request == Request)
+          return Answer;
+    return nullptr;
+  }
+  template <class Action> std::size_t count() const {
+    return static_cast<std::size_t>(std::count_if(
+        Actions.begin(), Actions.end(), [](const relay_action &Each) {
+          return std::holds_alternative<Action>(Each);
+        }));
+  }
+
+private:
+  void end(std::uint64_t Attempt, attempt_end End,
+           const endpoint_reply &Reply) {
+    REQUIRE(Sent.erase(Attempt) == 1);
+    attempt_ended Event{{Attempt}, End, nullptr};
+    if (End == attempt_end::replied)
+      Event.Reply = std::make_shared<const endpoint_reply>(Reply);
+    step(Event);
+  }
+
+  void note(const relay_action &Action) {
+    if (const auto *Send = std::get_if<send_attempt>(&Action))
+      Sent[Send->Attempt.Value] = *Send;
+    if (const auto *Cancel = std::get_if<cancel_attempt>(&Action))
+      Sent.erase(Cancel->Attempt.Value);
+    if (const auto *Open = std::get_if<open_endpoint>(&Action))
+      Names[Open->Endpoint.Value] = Open->Listed.Identity.Instance;
+  }
+};
+
+} // namespace bulrush::test
--- /dev/null
+++ b/test/shell/registry_node_test.cpp
@@ -0,0 +1,272 @@
+#include "fleet/registry_node.h"
+#include "wire/fleet_codec.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <optional>
+
+using namespace bulrush;
+using namespace bulrush::fleet;
+
+namespace {
+
+/// Voters that write and talk without delay.
+struct registry_fixture {
+  struct voter {
+    vm_id Vm;
+    std::optional<registry_node> Node;
+    bool IsUp = true;
+    bool IsDiskStuck = false;
+    std::vector<call_ended> Ended;
+  };
+
+  std::vector<voter> Voters;
+  std::deque<control::send> Mail;
+  instant Now{1000};
+
+  explicit registry_fixture(std::uint32_t Seeds = 3, std::uint32_t Others = 2) {
+    for (std::uint32_t I = 1; I <= Seeds + Others; ++I) {
+      voter &Each = Voters.emplace_back();
+      Each.Vm = {I};
+    }
+    for (std::uint32_t I = 0; I < Voters.size(); ++I)
+      start(I, Seeds, true, 100 + I);
+  }
+
+  void start(std::uint32_t Index, std::uint32_t Seeds, bool IsFirst,
+             std::uint64_t FolderId) {
+    voter &Voter = Voters[Index];
+    node_settings Settings;
+    for (std::uint32_t Seed = 1; Seed <= Seeds; ++Seed)
+      Settings.Log.Vms.push_back({Seed});
+    Settings.Log.MayForm = IsFirst;
+    Settings.Log.CommitCopies = 3;
+    Settings.Log.HasLeases = false;
+    Settings.Log.FirstElectionMax = millis{100};
+    Settings.Log.CheckInLimit = {300};
+    Settings.Steward.Wanted = 5;
+    control::recovered_state State;
+    State.Self = {FolderId};
+    State.Vm = Voter.Vm;
+    State.Boot = {static_cast<std::uint64_t>(Now.Ms)};
+    Voter.Node.emplace(Settings, State, FolderId);
+    Voter.IsUp = true;
+  }
+
+  void step(voter &Voter, const node_event &Event) {
+    if (!Voter.IsUp)
+      return;
+    std::vector<node_action> Actions;
+    Voter.Node->step(Event, Now, Actions);
+    for (node_action &Action : Actions) {
+      if (auto *Write = std::get_if<control::persist>(&Action)) {
+        if (!Voter.IsDiskStuck)
+          step(Voter, control::event(control::persisted{Write->Write}));
+      } else if (auto *Send = std::get_if<control::send>(&Action)) {
+        Mail.push_back(std::move(*Send));
+      } else if (const auto *Ended = std::get_if<call_ended>(&Action)) {
+        Voter.Ended.push_back(*Ended);
+      }
+    }
+  }
+
+  void run(double Ms) {
+    constexpr double Tick = 10;
+    for (double Done = 0; Done < Ms; Done += Tick) {
+      Now = Now + millis{Tick};
+      for (voter &Each : Voters)
+        step(Each, control::event(control::tick{}));
+      deliver();
+    }
+  }
+
+  void deliver() {
+    for (int Bound = 0; !Mail.empty() && Bound < 10000; ++Bound) {
+      const control::send Next = std::move(Mail.front());
+      Mail.pop_front();
+      for (voter &Each : Voters)
+        if (Each.Vm == Next.Vm)
+          step(Each, control::event(control::message_received{Next.Message}));
+    }
+  }
+
+  voter *leader() {
+    for (voter &Each : Voters)
+      if (Each.IsUp && Each.Node->leads())
+        return &Each;
+    return nullptr;
+  }
+
+  std::optional<call_end> order(std::uint64_t Call,
+                                const control::registry_command &Command) {
+    voter &To = *leader();
+    step(To, order_arrived{{Call}, Command});
+    deliver();
+    for (const call_ended &Each : To.Ended)
+      if (Each.Call == call_id{Call})
+        return Each.End;
+    return std::nullopt;
+  }
+};
+
+control::put_catalog catalogOf(std::uint64_t Version,
+                               const std::string &Text) {
+  return {Version, control::shareBytes(Text)};
+}
+
+} // namespace
+
+TEST_CASE("three seeds form the group and the others join as voters",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  REQUIRE(Registry.leader());
+  CHECK(Registry.leader()->Node->status().Group.voterCount() == 5);
+}
+
+TEST_CASE("machines that are no first start form no group", "[registry]") {
+  registry_fixture Registry(3, 0);
+  for (std::uint32_t I = 0; I < 3; ++I)
+    Registry.start(I, 3, false, 200 + I);
+  Registry.run(3000);
+  CHECK(Registry.leader() == nullptr);
+}
+
+TEST_CASE("an order ends once it is committed, and the highest version wins",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  CHECK(Registry.order(1, catalogOf(7, "seven")) == call_end::done);
+  CHECK(Registry.order(2, catalogOf(5, "five")) == call_end::done);
+  CHECK(Registry.order(3, catalogOf(7, "other")) == call_end::done);
+  CHECK(*Registry.leader()->Node->state().Catalog == "seven");
+}
+
+TEST_CASE("no order is taken before the voters can lose the machines that they "
+          "must",
+          "[registry]") {
+  registry_fixture Registry(3, 0);
+  Registry.run(2000);
+  REQUIRE(Registry.leader());
+  CHECK(Registry.order(1, catalogOf(1, "one")) == call_end::unclear);
+}
+
+TEST_CASE("an order waits for the subscribers to act on it, but not for long",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  auto &Leader = *Registry.leader();
+  Registry.step(Leader, subscriber_came{{1}});
+  CHECK(!Registry.order(1, catalogOf(1, "one")));
+  const revision Revision = Leader.Node->state().Revision;
+  Registry.step(Leader, subscriber_applied{{1}, Revision});
+  REQUIRE(Leader.Ended.size() == 1);
+  CHECK(!Registry.order(2, catalogOf(2, "two")));
+  Registry.run(800);
+  CHECK(Leader.Ended.size() == 2);
+}
+
+TEST_CASE("a machine with an empty disk takes the place of its former self",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  Registry.order(1, catalogOf(1, "one"));
+  const std::uint32_t Lost =
+      Registry.leader() == &Registry.Voters[4] ? 3 : 4;
+  Registry.start(Lost, 3, false, 900);
+  Registry.run(2000);
+  const auto Group = Registry.leader()->Node->status().Group;
+  CHECK(Group.voterCount() == 5);
+  CHECK(Group.hasVoter({900}));
+  CHECK(*Registry.Voters[Lost].Node->state().Catalog == "one");
+}
+
+TEST_CASE("a machine at another address replaces one that is gone",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  const std::uint32_t Gone =
+      Registry.leader() == &Registry.Voters[4] ? 3 : 4;
+  Registry.Voters[Gone].IsUp = false;
+  Registry.Voters.emplace_back().Vm = {9};
+  Registry.start(5, 3, false, 909);
+  Registry.run(5000);
+  const auto Group = Registry.leader()->Node->status().Group;
+  CHECK(Group.voterCount() == 5);
+  CHECK(Group.hasVoter({909}));
+  CHECK(!Group.findOn(Registry.Voters[Gone].Vm));
+}
+
+TEST_CASE("after a restart of all voters one leads within half a second",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  for (auto &Voter : Registry.Voters)
+    Voter.IsUp = false;
+  Registry.Mail.clear();
+  const auto Group = Registry.Voters[0].Node->status().Group;
+  for (std::uint32_t I = 0; I < 5; ++I) {
+    auto &Voter = Registry.Voters[I];
+    const control::replica_status Old = Voter.Node->status();
+    node_settings Settings;
+    Settings.Log.HasLeases = false;
+    Settings.Log.FirstElectionMax = millis{100};
+    Settings.Log.CheckInLimit = {300};
+    control::recovered_state State;
+    State.Self = {100 + I};
+    State.Vm = Voter.Vm;
+    State.Boot = {5000};
+    State.Hard.Term = Old.Term;
+    State.Snapshot = control::log_snapshot{
+        Old.LastIndex, Old.Term, Group,
+        control::shareBytes(wire::encode(Voter.Node->state()))};
+    Voter.Node.emplace(Settings, State, I);
+    Voter.IsUp = true;
+  }
+  Registry.run(500);
+  CHECK(Registry.leader());
+}
+
+TEST_CASE("a leader whose disk stands still hands the leadership over",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  auto &Slow = *Registry.leader();
+  Slow.IsDiskStuck = true;
+  Registry.step(Slow, order_arrived{{1}, catalogOf(1, "one")});
+  Registry.run(2500);
+  REQUIRE(Registry.leader());
+  CHECK(Registry.leader() != &Slow);
+}
+
+TEST_CASE("a larger fleet counts at once, a smaller one after a while",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  auto &Leader = *Registry.leader();
+  for (std::uint64_t I = 1; I <= 7; ++I)
+    Registry.step(Leader, subscriber_came{{I}});
+  Registry.run(1000);
+  CHECK(Leader.Node->state().FleetSize == 7);
+  for (std::uint64_t I = 1; I <= 6; ++I)
+    Registry.step(Leader, subscriber_left{{I}});
+  Registry.run(5000);
+  CHECK(Leader.Node->fleetSize() == 7);
+  Registry.run(30'000);
+  CHECK(Leader.Node->fleetSize() == 1);
+}
+
+TEST_CASE("a read ends only after a majority followed the leader once more",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  auto &Leader = *Registry.leader();
+  for (auto &Voter : Registry.Voters)
+    if (&Voter != &Leader)
+      Voter.IsUp = false;
+  Registry.step(Leader, read_arrived{{1}});
+  CHECK(Leader.Ended.empty());
+  Registry.run(1000);
+  REQUIRE(Leader.Ended.size() == 1);
+  CHECK(Leader.Ended[0].End == call_end::unclear);
+}
--- /dev/null
+++ b/test/unit/relay_test.cpp
@@ -0,0 +1,312 @@
+#include "relay_fixture.h"
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+/// Four shards of two endpoints each; three are enough.
+struct gather_fixture : relay_fixture {
+  gather_fixture() {
+    for (const char *Shard : {"a", "b", "c", "d"})
+      addService(Shard, 2);
+    addRoute("/all/", {"a", "b", "c", "d"});
+    install();
+  }
+};
+
+/// One service of three endpoints.
+struct single_fixture : relay_fixture {
+  explicit single_fixture(bool IsIdempotent = true) {
+    addService("one", 3);
+    addPlainRoute("/one/", "one").IsIdempotent = IsIdempotent;
+    install();
+  }
+};
+
+} // namespace
+
+TEST_CASE("a daemon without a catalog refuses and says when to come back",
+          "[relay]") {
+  relay_fixture Relay;
+  const query_id Request = Relay.ask("/all/");
+  REQUIRE(Relay.answerTo(Request)->Status == 503);
+  CHECK(Relay.answerTo(Request)->RetryAfter > millis{0});
+}
+
+TEST_CASE("a path that no route matches is not found", "[relay]") {
+  gather_fixture Relay;
+  CHECK(Relay.answerTo(Relay.ask("/none/"))->Status == 404);
+}
+
+TEST_CASE("a query is sent to one endpoint of each shard and answered whole",
+          "[relay]") {
+  gather_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  REQUIRE(Relay.Sent.size() == 4);
+  for (const char *Shard : {"a", "b", "c", "d"})
+    CHECK(Relay.sentTo(Shard) == 1);
+  REQUIRE(Relay.answerTo(Request) == nullptr);
+  Relay.replyAll();
+  const give_answer *Answer = Relay.answerTo(Request);
+  REQUIRE(Answer);
+  CHECK(Answer->Status == 200);
+  CHECK(Answer->Signatures.size() == 4);
+  CHECK(Answer->Missing == 0);
+  CHECK(Answer->Body.size() == 4 * 16);
+}
+
+TEST_CASE("an answer with enough shards leaves before the objective",
+          "[relay]") {
+  gather_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  while (Relay.Sent.size() > 1)
+    Relay.reply(Relay.Sent.begin()->first);
+  Relay.wait(89);
+  CHECK(Relay.answerTo(Request) == nullptr);
+  Relay.wait(1);
+  const give_answer *Answer = Relay.answerTo(Request);
+  REQUIRE(Answer);
+  CHECK(Answer->Missing == 1);
+  CHECK(Answer->Signatures.size() == 3);
+}
+
+TEST_CASE("below the least coverage a query waits for its deadline", "[relay]") {
+  gather_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  Relay.reply(Relay.Sent.begin()->first);
+  Relay.reply(Relay.Sent.begin()->first);
+  Relay.wait(100);
+  CHECK(Relay.answerTo(Request) == nullptr);
+  Relay.wait(700);
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 504);
+}
+
+TEST_CASE("a slow part is hedged at another endpoint, once", "[relay]") {
+  gather_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  while (Relay.Sent.size() > 1)
+    Relay.reply(Relay.Sent.begin()->first);
+  const std::string Slow = Relay.nameOf(Relay.Sent.begin()->second);
+  Relay.wait(46);
+  REQUIRE(Relay.Sent.size() == 2);
+  const std::string Other = Relay.nameOf(Relay.Sent.rbegin()->second);
+  CHECK(Other != Slow);
+  CHECK(Other.substr(0, 1) == Slow.substr(0, 1));
+  Relay.reply(Relay.Sent.rbegin()->first);
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Missing == 0);
+}
+
+TEST_CASE("a query that too few shards can serve is refused at once",
+          "[relay]") {
+  gather_fixture Relay;
+  for (const char *Gone : {"a-0", "a-1", "b-0", "b-1"})
+    Relay.entry(Gone).IsLeaving = true;
+  Relay.list();
+  const query_id Request = Relay.ask("/all/x");
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 503);
+  CHECK(Relay.answerTo(Request)->RetryAfter > millis{0});
+  CHECK(Relay.Sent.empty());
+}
+
+TEST_CASE("a query keeps the shards of the catalog that it arrived under",
+          "[relay]") {
+  gather_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  Relay.Catalog.Routes[0].Gather.Shards = {{"a"}};
+  Relay.install();
+  Relay.replyAll();
+  CHECK(Relay.answerTo(Request)->Signatures.size() == 4);
+}
+
+TEST_CASE("an older catalog changes nothing", "[relay]") {
+  gather_fixture Relay;
+  auto Old = Relay.Catalog;
+  Old.Routes.clear();
+  Relay.step(catalog_arrived{std::make_shared<const catalog>(Old)});
+  Relay.ask("/all/x");
+  CHECK(Relay.Sent.size() == 4);
+}
+
+TEST_CASE("a request that may have run is not sent again unless idempotent",
+          "[relay]") {
+  single_fixture Relay(false);
+  const query_id Request = Relay.ask("/one/");
+  Relay.lose(Relay.Sent.begin()->first);
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 502);
+  CHECK(Relay.count<send_attempt>() == 1);
+}
+
+TEST_CASE("a non-idempotent request is never hedged", "[relay]") {
+  single_fixture Relay(false);
+  Relay.ask("/one/");
+  Relay.wait(300);
+  CHECK(Relay.count<send_attempt>() == 1);
+}
+
+TEST_CASE("a request that no endpoint ran is tried elsewhere, then refused",
+          "[relay]") {
+  single_fixture Relay(false);
+  const query_id Request = Relay.ask("/one/");
+  Relay.refuse(Relay.Sent.begin()->first);
+  REQUIRE(Relay.Sent.size() == 1);
+  Relay.refuse(Relay.Sent.begin()->first);
+  REQUIRE(Relay.Sent.size() == 1);
+  Relay.refuse(Relay.Sent.begin()->first);
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 503);
+}
+
+TEST_CASE("a success without a signature is no success", "[relay]") {
+  single_fixture Relay;
+  Relay.ask("/one/");
+  attempt_ended Event{{Relay.Sent.begin()->first}, attempt_end::replied, {}};
+  endpoint_reply Reply;
+  Reply.Status = 200;
+  Event.Reply = std::make_shared<const endpoint_reply>(Reply);
+  Relay.Sent.clear();
+  Relay.step(Event);
+  CHECK(Relay.Sent.size() == 1);
+}
+
+TEST_CASE("an endpoint that cannot be reached gets probes until one succeeds",
+          "[relay]") {
+  single_fixture Relay;
+  Relay.ask("/one/");
+  const auto [Number, Attempt] = *Relay.Sent.begin();
+  Relay.lose(Number);
+  REQUIRE(Relay.count<probe_endpoint>() == 1);
+  for (int I = 0; I < 9; ++I)
+    Relay.ask("/one/");
+  for (const auto &[Other, Each] : Relay.Sent)
+    CHECK(Each.Endpoint != Attempt.Endpoint);
+  Relay.step(probe_ended{Attempt.Endpoint, true, {}, {}});
+  for (int I = 0; I < 9; ++I)
+    Relay.ask("/one/");
+  CHECK(Relay.attemptAt(Relay.nameOf(Attempt)) != 0);
+}
+
+TEST_CASE("an endpoint that says it is cold gets nothing", "[relay]") {
+  single_fixture Relay;
+  Relay.ask("/one/");
+  const auto [Number, Attempt] = *Relay.Sent.begin();
+  Relay.lose(Number);
+  Relay.step(probe_ended{Attempt.Endpoint, true, {}, {3000}});
+  for (int I = 0; I < 9; ++I)
+    Relay.ask("/one/");
+  CHECK(Relay.attemptAt(Relay.nameOf(Attempt)) == 0);
+  Relay.wait(3001);
+  for (int I = 0; I < 9; ++I)
+    Relay.ask("/one/");
+  CHECK(Relay.attemptAt(Relay.nameOf(Attempt)) != 0);
+}
+
+TEST_CASE("cold, leaving and unlisted endpoints get nothing", "[relay]") {
+  single_fixture Relay;
+  Relay.entry("one-0").ColdFor = {2000};
+  Relay.entry("one-1").IsLeaving = true;
+  std::erase_if(Relay.Directory.Endpoints, [](const listed_endpoint &Each) {
+    return Each.Identity.Instance == "one-2";
+  });
+  Relay.list();
+  const query_id Request = Relay.ask("/one/");
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 503);
+}
+
+TEST_CASE("a zone that is out gets nothing, and probes when it returns",
+          "[relay]") {
+  single_fixture Relay;
+  Relay.step(zones_out_arrived{{"near"}});
+  for (int I = 0; I < 3; ++I)
+    Relay.ask("/one/");
+  CHECK(Relay.attemptAt("one-0") == 0);
+  CHECK(Relay.attemptAt("one-2") == 0);
+  Relay.step(zones_out_arrived{{}});
+  CHECK(Relay.count<probe_endpoint>() == 2);
+  Relay.ask("/one/");
+  CHECK(Relay.attemptAt("one-0") == 0);
+}
+
+TEST_CASE("an endpoint that starts anew under its id is another one",
+          "[relay]") {
+  single_fixture Relay;
+  Relay.entry("one-0").Identity.Born = 2;
+  Relay.entry("one-0").ColdFor = {3000};
+  Relay.list();
+  for (int I = 0; I < 9; ++I)
+    Relay.ask("/one/");
+  CHECK(Relay.attemptAt("one-0") == 0);
+}
+
+TEST_CASE("a client that leaves cancels its attempts", "[relay]") {
+  gather_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  Relay.step(client_left{Request});
+  CHECK(Relay.count<cancel_attempt>() == 4);
+  CHECK(Relay.Relay.active() == 0);
+  CHECK(Relay.answerTo(Request) == nullptr);
+}
+
+TEST_CASE("parts of a split get their shares exactly", "[relay]") {
+  relay_fixture Relay;
+  Relay.addService("big", 1);
+  Relay.addService("small", 1);
+  route &Route = Relay.addRoute("/split/", {});
+  Route.Targets = {{{"big"}, 3}, {{"small"}, 1}};
+  Relay.install();
+  for (int I = 0; I < 40; ++I)
+    Relay.ask("/split/");
+  CHECK(Relay.sentTo("big") == 30);
+  CHECK(Relay.sentTo("small") == 10);
+}
+
+TEST_CASE("further attempts of a service stay within its budget", "[relay]") {
+  relay_settings Settings = relay_fixture::settings();
+  Settings.Budget = {0.2, 10};
+  relay_fixture Relay(Settings);
+  Relay.addService("one", 2, 100000);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install(2);
+  constexpr int Requests = 200;
+  for (int I = 0; I < Requests; ++I) {
+    Relay.ask("/one/");
+    Relay.reply(Relay.Sent.begin()->first, 500);
+    while (!Relay.Sent.empty())
+      Relay.reply(Relay.Sent.begin()->first, 500);
+  }
+  const std::size_t Further = Relay.count<send_attempt>() - Requests;
+  CHECK(Further <= 0.2 * Requests + 10.0 / 2);
+  CHECK(Further >= 20);
+}
+
+TEST_CASE("requests in flight at an endpoint stay within its connections",
+          "[relay]") {
+  relay_fixture Relay;
+  Relay.addService("one", 1, 20);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install(6);
+  for (int I = 0; I < 9; ++I)
+    Relay.ask("/one/");
+  CHECK(Relay.Sent.size() == 3);
+  Relay.reply(Relay.Sent.begin()->first);
+  CHECK(Relay.Sent.size() == 3);
+}
+
+TEST_CASE("a request that nothing can take is refused early enough to come back",
+          "[relay]") {
+  relay_fixture Relay;
+  Relay.addService("one", 1, 1);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install();
+  Relay.ask("/one/");
+  const query_id Second = Relay.ask("/one/");
+  Relay.wait(25);
+  REQUIRE(Relay.answerTo(Second));
+  CHECK(Relay.answerTo(Second)->Status == 503);
+  CHECK(Relay.answerTo(Second)->RetryAfter > millis{0});
+}
