A restarted relay finds room at the endpoints, and the leader at once

Relays asked one machine at a time, 450 ms each, while some were still starting. Change: one idle connection is kept an endpoint, others for 0.7 s; a new connection that is closed at once makes no suspect while others are open, and no further one is opened for 0.3 s; voters are asked side by side.

--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -13,6 +13,11 @@
 constexpr millis ProbeTimeout{700};
 constexpr millis ProbeSweep{300};
 constexpr millis IdleTimeout{20'000};
+/// An endpoint that loses a relay without a word keeps its connections for a
+/// while: the next life of that relay must find room beside them.
+constexpr std::size_t KeptIdle = 1;
+constexpr millis SpareTimeout{700};
+constexpr millis OpenBackoff{300};
 /// No attempt lasts longer: its request has given up by then.
 constexpr millis ExchangeTimeout{60'000};
 
@@ -23,6 +28,9 @@
   Out.ConnectTimeout = ConnectTimeout;
   Out.SilenceTimeout = SilenceTimeout;
   Out.IdleTimeout = IdleTimeout;
+  Out.KeptIdle = KeptIdle;
+  Out.SpareTimeout = SpareTimeout;
+  Out.OpenBackoff = OpenBackoff;
   Out.ExchangeTimeout = ExchangeTimeout;
   Out.EchoHeader = Codec.echoHeader();
   return Out;
@@ -37,6 +45,8 @@
     return relay::attempt_end::not_sent;
   case http::exchange_status::lost:
     return relay::attempt_end::lost;
+  case http::exchange_status::turned_away:
+    return relay::attempt_end::turned_away;
   case http::exchange_status::garbled:
     return relay::attempt_end::garbled;
   }
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -17,9 +17,11 @@
 constexpr millis TickInterval{100};
 /// The leader says something at least every 400 ms.
 constexpr millis SilenceLimit{1300};
-/// A machine that does not answer the first question by then is passed over.
-constexpr millis AskLimit{450};
-constexpr millis RetryDelay{50};
+/// A machine that does not answer is asked anew after so long; one that knows no
+/// leader answers once it does.
+constexpr millis AskLimit{700};
+/// Between two machines that are asked; they are asked side by side.
+constexpr millis AskInterval{50};
 /// The subscriber's own sign of life.
 constexpr millis TellInterval{400};
 
@@ -35,15 +37,15 @@
 }
 
 void registry_follower::start() {
-  connect();
+  askNext();
   tickLater();
 }
 
 void registry_follower::stop() {
   Ticker.cancel();
-  if (Link)
-    Link->close();
-  Link.reset();
+  for (auto &[Machine, Each] : Asked)
+    Each.Link->close();
+  Asked.clear();
 }
 
 void registry_follower::addMachines(const std::vector<vm_id> &Added) {
@@ -51,7 +53,7 @@
 }
 
 void registry_follower::tickLater() {
-  Ticker.expires_after(toChrono(TickInterval));
+  Ticker.expires_after(toChrono(isFollowing() ? TickInterval : AskInterval));
   Ticker.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
@@ -62,57 +64,52 @@
 
 void registry_follower::onTick() {
   const instant Now = Clock.now();
-  if (!Link) {
-    if (Now >= ConnectAt)
-      connect();
-    return;
-  }
-  const millis Limit = IsFollowing ? SilenceLimit : AskLimit;
-  if (Now - HeardAt > Limit) {
-    onLost("silent");
-    return;
-  }
-  if (IsFollowing && Now - ToldAt >= TellInterval)
+  std::vector<vm_id> Silent;
+  for (const auto &[Machine, Each] : Asked)
+    if (Now - Each.HeardAt > (Machine == Leader ? SilenceLimit : AskLimit))
+      Silent.push_back(Machine);
+  for (const vm_id Machine : Silent)
+    onLost(Machine, "silent");
+  if (!isFollowing())
+    askNext();
+  else if (Now - ToldAt >= TellInterval)
     tellApplied();
 }
 
+/// The next machine that is not being asked; 0 when all are.
 vm_id registry_follower::nextMachine() {
-  if (Hinted.Value != 0)
-    return std::exchange(Hinted, vm_id{});
-  if (Machines.empty())
-    return {};
-  auto Next = Machines.upper_bound(LastTried);
-  if (Next == Machines.end())
-    Next = Machines.begin();
-  LastTried = *Next;
-  return *Next;
+  for (std::size_t I = 0; I < Machines.size(); ++I) {
+    auto Next = Machines.upper_bound(LastTried);
+    if (Next == Machines.end())
+      Next = Machines.begin();
+    LastTried = *Next;
+    if (!Asked.count(LastTried))
+      return LastTried;
+  }
+  return {};
 }
 
-void registry_follower::connect() {
-  if (!WasFollowing)
+void registry_follower::askNext() {
+  if (!WasFollowing && Machines.empty())
     addMachines(Host.seeds());
   const vm_id Machine = nextMachine();
   if (Machine.Value != 0)
-    connectTo(Machine);
+    ask(Machine);
 }
 
-void registry_follower::connectTo(vm_id Machine) {
-  Asked = Machine;
-  IsFollowing = false;
-  HeardAt = Clock.now();
-  Link = std::make_shared<frame_link>(boost::asio::ip::tcp::socket(Io));
+/// The question waits in the link until that is open.
+void registry_follower::ask(vm_id Machine) {
+  auto Link =
+      std::make_shared<frame_link>(boost::asio::ip::tcp::socket(Io));
+  Asked[Machine] = {Link, Clock.now()};
   Link->connect(
       endpointOf(Machine, Settings.Port),
-      [this](const std::string &Bytes) { onFrame(Bytes); },
-      [this, Closed = Link.get()] {
-        if (Link.get() == Closed)
-          onLost("closed");
+      [this, Machine](const std::string &Bytes) { onFrame(Machine, Bytes); },
+      [this, Machine, Closed = Link.get()] {
+        const auto Known = Asked.find(Machine);
+        if (Known != Asked.end() && Known->second.Link.get() == Closed)
+          onLost(Machine, "closed");
       });
-  ask();
-}
-
-/// The question waits in the link until that is open.
-void registry_follower::ask() {
   subscribe Question;
   Question.Node = Settings.Node;
   Question.Zone = Settings.Zone;
@@ -122,72 +119,91 @@
   Link->send(wire::encode(Question));
 }
 
-void registry_follower::onLost(const char *Why) {
-  if (IsFollowing)
-    telemetry::logEvent(severity::warning, "registry_lost",
-                        {{"machine", toText(Asked)},
-                         {"reason", Why},
-                         {"revision", Revision.Value}});
-  if (Link)
-    Link->close();
-  Link.reset();
-  IsFollowing = false;
-  ConnectAt = Clock.now() + RetryDelay;
+void registry_follower::onLost(vm_id Machine, const char *Why) {
+  const auto Found = Asked.find(Machine);
+  if (Found == Asked.end())
+    return;
+  Found->second.Link->close();
+  Asked.erase(Found);
+  if (Machine != Leader)
+    return;
+  Leader = {};
+  telemetry::logEvent(severity::warning, "registry_lost",
+                      {{"machine", toText(Machine)},
+                       {"reason", Why},
+                       {"revision", Revision.Value}});
+  askNext();
 }
 
-void registry_follower::onFrame(const std::string &Bytes) {
+void registry_follower::onFrame(vm_id Machine, const std::string &Bytes) {
   auto Message = wire::decodeFleet(Bytes);
   if (!Message) {
     telemetry::logEvent(severity::warning, "fleet_message_refused",
                         {{"error", Message.error().Message}});
     return;
   }
-  HeardAt = Clock.now();
+  const auto Known = Asked.find(Machine);
+  if (Known == Asked.end())
+    return;
+  Known->second.HeardAt = Clock.now();
   if (const auto *State = std::get_if<fleet_state>(&*Message))
-    on(*State);
-  else if (auto *Directory = std::get_if<endpoint_directory>(&*Message))
-    on(*Directory);
-  else if (const auto *Beat = std::get_if<leader_beat>(&*Message))
-    on(*Beat);
+    on(Machine, *State);
   else if (const auto *Elsewhere = std::get_if<redirect>(&*Message))
-    on(*Elsewhere);
+    on(Machine, *Elsewhere);
+  if (Machine != Leader)
+    return;
+  if (auto *Directory = std::get_if<endpoint_directory>(&*Message))
+    Host.take(std::move(*Directory));
+  else if (const auto *Beat = std::get_if<leader_beat>(&*Message))
+    Host.takePeers(Beat->Peers);
 }
 
-void registry_follower::on(const fleet_state &State) {
-  if (!IsFollowing)
-    telemetry::logEvent(severity::info, "registry_found",
-                        {{"machine", toText(Asked)},
-                         {"revision", State.Revision.Value},
-                         {"catalog_version", State.CatalogVersion}});
-  IsFollowing = WasFollowing = true;
+void registry_follower::on(vm_id Machine, const fleet_state &State) {
+  if (State.Revision < Revision) {
+    onLost(Machine, "older_state");
+    return;
+  }
+  if (Machine != Leader)
+    follow(Machine, State);
   addMachines(State.Voters);
-  if (State.Revision < Revision || !Host.take(State))
+  if (!Host.take(State))
     return;
   Revision = State.Revision;
   CatalogVersion = std::max(CatalogVersion, State.CatalogVersion);
   tellApplied();
 }
 
-void registry_follower::on(endpoint_directory &Directory) {
-  Host.take(std::move(Directory));
-}
-
-void registry_follower::on(const leader_beat &Beat) {
-  Host.takePeers(Beat.Peers);
+/// The first that leads is followed; all others are let go.
+void registry_follower::follow(vm_id Machine, const fleet_state &State) {
+  telemetry::logEvent(severity::info, "registry_found",
+                      {{"machine", toText(Machine)},
+                       {"revision", State.Revision.Value},
+                       {"catalog_version", State.CatalogVersion}});
+  Leader = Machine;
+  WasFollowing = true;
+  for (auto Each = Asked.begin(); Each != Asked.end();) {
+    if (Each->first == Machine) {
+      ++Each;
+      continue;
+    }
+    Each->second.Link->close();
+    Each = Asked.erase(Each);
+  }
 }
 
-void registry_follower::on(const redirect &Redirect) {
+void registry_follower::on(vm_id Machine, const redirect &Redirect) {
   addMachines(Redirect.Voters);
-  if (Redirect.Leader != Asked)
-    Hinted = Redirect.Leader;
-  onLost("not_leading");
-  if (Hinted.Value != 0)
-    ConnectAt = Clock.now();
+  const vm_id Leading = Redirect.Leader;
+  onLost(Machine, "not_leading");
+  if (!isFollowing() && Leading.Value != 0 && !Asked.count(Leading))
+    ask(Leading);
 }
 
 void registry_follower::tellApplied() {
   ToldAt = Clock.now();
-  Link->send(wire::encode(applied{Revision}));
+  const auto Known = Asked.find(Leader);
+  if (Known != Asked.end())
+    Known->second.Link->send(wire::encode(applied{Revision}));
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <set>
 
 namespace bulrush::fleet {
@@ -42,34 +43,36 @@
   void addMachines(const std::vector<vm_id> &Machines);
 
 private:
+  /// A link on which a machine was asked; one of them is followed.
+  struct asked_machine {
+    std::shared_ptr<frame_link> Link;
+    instant HeardAt;
+  };
+
   void tickLater();
   void onTick();
-  void connect();
-  void connectTo(vm_id Machine);
+  void askNext();
+  void ask(vm_id Machine);
   vm_id nextMachine();
-  void ask();
-  void onFrame(const std::string &Bytes);
-  void onLost(const char *Why);
-  void on(const fleet_state &State);
-  void on(endpoint_directory &Directory);
-  void on(const leader_beat &Beat);
-  void on(const redirect &Redirect);
+  void onFrame(vm_id Machine, const std::string &Bytes);
+  void onLost(vm_id Machine, const char *Why);
+  void on(vm_id Machine, const fleet_state &State);
+  void on(vm_id Machine, const redirect &Redirect);
+  void follow(vm_id Machine, const fleet_state &State);
   void tellApplied();
+  bool isFollowing() const { return Leader.Value != 0; }
 
   boost::asio::io_context &Io;
   follower_settings Settings;
   const clock_source &Clock;
   follower_host &Host;
   boost::asio::steady_timer Ticker;
-  std::shared_ptr<frame_link> Link;
-  vm_id Asked; ///< the machine that `Link` leads to
-  bool IsFollowing = false;
+  std::map<vm_id, asked_machine> Asked;
+  vm_id Leader; ///< the machine that is followed; 0: none
   bool WasFollowing = false;
-  instant HeardAt;
-  instant ConnectAt{-1e300};
+  instant AskAt{-1e300};
   instant ToldAt{-1e300};
   std::set<vm_id> Machines;
-  vm_id Hinted; ///< the leader, by a redirect
   vm_id LastTried;
   revision Revision;
   std::uint64_t CatalogVersion = 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -54,6 +54,7 @@
   std::deque<exchange> Waiting;
   exchange_id LastExchange = 0;
   bool IsSweeping = false;
+  time_point NoOpenUntil{};
 
   client_state(asio::io_context &Io, client_settings Given)
       : Io(Io), Settings(std::move(Given)), Sweeper(Io) {
@@ -66,11 +67,13 @@
   void send(exchange Exchange);
   void cancel(exchange_id Exchange);
   void openOne();
+  exchange_status turnedAway();
   void release(const connection_ptr &Connection);
   void remove(const connection_ptr &Connection);
   void failWaiting(exchange_status Status);
   void sweep();
   void closeOverdue();
+  void closeSpare(time_point Now);
   void finishLater(exchange_handler Done, exchange_status Status) {
     asio::post(Io, [Done = std::move(Done), Status] { Done({Status, {}}); });
   }
@@ -237,11 +240,15 @@
     exchange Finished = std::move(*Current);
     Current.reset();
     if (const auto Client = Owner.lock()) {
+      if (Status == exchange_status::lost && IsNew &&
+          Client->Connections.size() > 1)
+        Status = Client->turnedAway();
       if (Status == exchange_status::done && MayKeep)
         Client->release(Self);
       else
         Client->remove(Self);
     }
+    IsNew = false;
     Finished.Done({Status, std::move(Response)});
   }
 
@@ -254,6 +261,7 @@
   time_point LastUse;
   bool MayKeep = true;
   bool IsOpened = false;
+  bool IsNew = true; ///< no exchange has ended on it
   unsigned Foreign = 0; ///< responses passed over in this exchange
 };
 
@@ -301,9 +309,18 @@
   }
 }
 
+exchange_status detail::client_state::turnedAway() {
+  NoOpenUntil =
+      std::chrono::steady_clock::now() + detail::toChrono(Settings.OpenBackoff);
+  return exchange_status::turned_away;
+}
+
 void detail::client_state::openOne() {
   if (Connections.size() >= Settings.MaxConnections)
     return;
+  const bool HasOther = !Connections.empty();
+  if (HasOther && std::chrono::steady_clock::now() < NoOpenUntil)
+    return;
   const auto Opened = std::make_shared<connection>(shared_from_this());
   Connections.insert(Opened);
   Opened->open();
@@ -370,6 +387,15 @@
     else
       remove(Connection);
   }
+  closeSpare(Now);
+}
+
+/// The last used are kept: they are taken first.
+void detail::client_state::closeSpare(time_point Now) {
+  while (Idle.size() > Settings.KeptIdle &&
+         Now - Idle.front()->lastUse() >
+             detail::toChrono(Settings.SpareTimeout))
+    remove(Idle.front());
 }
 
 client::client(asio::io_context &Io, client_settings Settings)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -6,6 +6,7 @@
 #include "http/message.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -28,6 +29,12 @@
   /// with `connect_failed`, as a sign of a restart, or opens another one.
   bool FailWhenClosed = false;
   millis IdleTimeout{30'000}; ///< after this an unused connection is closed
+  /// Idle connections beyond `KeptIdle` are closed after `SpareTimeout`.
+  std::size_t KeptIdle = SIZE_MAX;
+  millis SpareTimeout{0};
+  /// After a new connection was closed by the server before any response, no
+  /// further one is opened for so long while another is open.
+  millis OpenBackoff{0};
   millis ConnectTimeout{0};   ///< 0: the operating system's
   /// Unacknowledged bytes close the connection after this; 0: the operating
   /// system's.
@@ -47,6 +54,7 @@
   not_sent, ///< no connection was free and too many requests wait; nothing was
             ///< sent
   lost, ///< the connection broke after sending began: the server may have run it
+  turned_away, ///< like `lost`, on a new connection, while others are open
   garbled ///< what came is no whole response
 };
 
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -45,6 +45,7 @@
   replied,
   not_sent, ///< no connection; nothing was sent
   lost,     ///< the connection broke after sending began; it may have run
+  turned_away, ///< like `lost`; the endpoint accepts no further connection now
   garbled   ///< the reply is no whole message; it ran
 };
 
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -70,9 +70,17 @@
 
 attempt_verdict relay::impl::verdictOf(const request_work *Work,
                                        const attempt_ended &Event) const {
-  if (Event.End != attempt_end::replied)
-    return Event.End == attempt_end::garbled ? attempt_verdict::failure
-                                             : attempt_verdict::unreachable;
+  switch (Event.End) {
+  case attempt_end::replied:
+    break;
+  case attempt_end::garbled:
+    return attempt_verdict::failure;
+  case attempt_end::turned_away:
+    return attempt_verdict::overload;
+  case attempt_end::not_sent:
+  case attempt_end::lost:
+    return attempt_verdict::unreachable;
+  }
   const endpoint_reply &Reply = *Event.Reply;
   if (Reply.IsOtherInstance)
     return attempt_verdict::unreachable;
@@ -96,8 +104,8 @@
     return;
   }
   const bool IsProvedUnrun =
-      Event.End == attempt_end::not_sent || Verdict == attempt_verdict::overload ||
-      (Event.Reply && Event.Reply->IsOtherInstance);
+      Event.End == attempt_end::not_sent ||
+      (Event.Reply && (Event.Reply->IsNotRun || Event.Reply->IsOtherInstance));
   if (IsProvedUnrun && Part.Runs > 0)
     --Part.Runs;
   if (Event.Reply && !IsProvedUnrun &&
