Requests in flight at an endpoint are limited by what ends in time

Change: flight_limit (additive increase, cut when a reply is shed or late), and no sending that is not likely to be in time while enough shards are in.

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -8,8 +8,6 @@
 
 /// Connections of all daemons together stay below an endpoint's bound by this.
 constexpr double ConnectionShare = 0.9;
-/// What one request in flight adds to the latency to expect, of the typical.
-constexpr double LoadWeight = 0.35;
 /// What a certain failure adds, in typical latencies.
 constexpr double FailureCost = 6;
 /// A request in flight for longer than this, in typical latencies, shows that
@@ -166,9 +164,7 @@
 
 double endpoint_set::cost(const endpoint_state &Endpoint, millis Typical,
                           instant Now) {
-  const double Load =
-      1 + LoadWeight * static_cast<double>(Endpoint.inFlight());
-  double Cost = Typical.Count * Endpoint.expectedSlowness(Now) * Load;
+  double Cost = Endpoint.expectedLatency(Typical, Now).Count;
   Cost += Typical.Count * FailureCost * Endpoint.expectedFailures(Now);
   const millis Waits = Endpoint.oldestWait(Now);
   if (Waits > Typical * StallFactor)
@@ -181,13 +177,14 @@
 
 endpoint_state *endpoint_set::choose(const service_state &Service,
                                      const std::vector<endpoint_no> &Tried,
-                                     millis Typical, instant Now) {
+                                     millis Typical, instant By, instant Now) {
   endpoint_state *Best = nullptr;
   double BestCost = 0;
   const std::size_t Limit = limitOf(Service);
   for (const endpoint_no No : Service.Endpoints) {
     endpoint_state &Each = *Endpoints.at(No);
-    if (contains(Tried, No) || !Each.isOpen(Limit, Now))
+    if (contains(Tried, No) || !Each.isOpen(Limit, Now) ||
+        Now + Each.expectedLatency(Typical, Now) > By)
       continue;
     const double Cost = cost(Each, Typical, Now);
     if (Best && Cost >= BestCost)
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -40,10 +40,11 @@
   service_state &service(const service_name &Name);
   endpoint_state *find(endpoint_no No);
 
-  /// The endpoint that is likely to reply first, not one of `Tried`.
+  /// The endpoint that is likely to reply first, not one of `Tried`; null when
+  /// none can take the request or is likely to reply by `By`.
   endpoint_state *choose(const service_state &Service,
                          const std::vector<endpoint_no> &Tried, millis Typical,
-                         instant Now);
+                         instant By, instant Now);
   availability available(const service_state &Service, instant Now,
                          const std::vector<endpoint_no> &Tried = {}) const;
 
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -9,6 +9,8 @@
 
 constexpr double SlownessWeight = 0.3; ///< of a new sample
 constexpr millis SlownessMemory{1500}; ///< a belief fades to 1/e in this time
+/// What one request in flight adds to the latency to expect, of the typical.
+constexpr double LoadWeight = 0.35;
 constexpr double FailureWeight = 0.2; ///< of a new verdict
 constexpr millis FailureMemory{3000};
 constexpr millis FirstProbeDelay{60};
@@ -26,15 +28,26 @@
     ColdUntil = std::max(ColdUntil, AsOf + Entry.ColdFor);
 }
 
+void endpoint_state::sent(attempt_no Attempt, instant Now) {
+  const std::size_t Level = InFlight.size() + 1;
+  InFlight[Attempt] = {Now, Level};
+}
+
 bool endpoint_state::ended(attempt_no Attempt, attempt_verdict Verdict,
                            millis Typical, instant Now) {
   const auto Found = InFlight.find(Attempt);
   if (Found == InFlight.end())
     return false;
-  const millis Took = Now - Found->second;
+  const flight Flight = Found->second;
+  const millis Took = Now - Flight.SentAt;
   InFlight.erase(Found);
   if (Verdict == attempt_verdict::cancelled)
     return false;
+  if (Verdict == attempt_verdict::success)
+    Limit.onSuccess(Flight.Level);
+  if (Verdict == attempt_verdict::overload ||
+      Verdict == attempt_verdict::overdue)
+    Limit.onCongestion(Now);
   const double Old = Failures * faded(FailuresAt, FailureMemory, Now);
   const bool IsFailure = Verdict != attempt_verdict::success &&
                          Verdict != attempt_verdict::overdue;
@@ -54,8 +67,8 @@
 
 millis endpoint_state::oldestWait(instant Now) const {
   millis Oldest{0};
-  for (const auto &[Attempt, SentAt] : InFlight)
-    Oldest = std::max(Oldest, Now - SentAt);
+  for (const auto &[Attempt, Flight] : InFlight)
+    Oldest = std::max(Oldest, Now - Flight.SentAt);
   return Oldest;
 }
 
@@ -63,18 +76,24 @@
   return IsGone || IsZoneOut || Listed.IsLeaving || isCold(Now);
 }
 
-bool endpoint_state::isOpen(std::size_t Limit, instant Now) const {
+bool endpoint_state::isOpen(std::size_t Connections, instant Now) const {
   if (isBarred(Now) || Trust == endpoint_trust::suspect)
     return false;
   if (Trust == endpoint_trust::probation)
     return InFlight.empty();
-  return InFlight.size() < Limit;
+  return InFlight.size() <
+         std::min(Connections, Limit.limit());
 }
 
 double endpoint_state::expectedSlowness(instant Now) const {
   return 1 + (Slowness - 1) * faded(SlownessAt, SlownessMemory, Now);
 }
 
+millis endpoint_state::expectedLatency(millis Typical, instant Now) const {
+  const double Load = 1 + LoadWeight * static_cast<double>(InFlight.size());
+  return Typical * (expectedSlowness(Now) * Load);
+}
+
 double endpoint_state::expectedFailures(instant Now) const {
   return Failures * faded(FailuresAt, FailureMemory, Now);
 }
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "relay/directory.h"
+#include "relay/flight_limit.h"
 
 #include <map>
 
@@ -49,7 +50,7 @@
   /// The endpoint itself says how long it stays cold.
   void learnCold(millis Left, instant Now) { ColdUntil = Now + Left; }
 
-  void sent(attempt_no Attempt, instant Now) { InFlight[Attempt] = Now; }
+  void sent(attempt_no Attempt, instant Now);
   /// Takes the end of an attempt that usually takes `Typical`; returns whether
   /// trust was lost by it.
   bool ended(attempt_no Attempt, attempt_verdict Verdict, millis Typical,
@@ -58,14 +59,19 @@
   /// How long the oldest request in flight has waited.
   millis oldestWait(instant Now) const;
 
-  /// Whether a request may be sent now, with at most `Limit` in flight.
-  bool isOpen(std::size_t Limit, instant Now) const;
+  /// Whether a request may be sent now, with at most so many in flight.
+  bool isOpen(std::size_t Connections, instant Now) const;
   /// Whether the list or the endpoint bars it, beside load and trust.
   bool isBarred(instant Now) const;
 
+  /// A request is still under way when its answer had to leave.
+  void late(instant Now) { Limit.onCongestion(Now); }
+
   /// How many times longer than usual it takes; without a recent sample this
   /// drifts to 1.
   double expectedSlowness(instant Now) const;
+  /// How long a request that usually takes `Typical` is likely to take now.
+  millis expectedLatency(millis Typical, instant Now) const;
   /// The share of requests to expect to fail.
   double expectedFailures(instant Now) const;
   /// A request took `Slowness` times as long as such requests usually take.
@@ -91,7 +97,12 @@
   bool IsGone = false;
   bool IsZoneOut = false;
   instant ColdUntil{-1e300};
-  std::map<attempt_no, instant> InFlight;
+  struct flight {
+    instant SentAt;
+    std::size_t Level = 1; ///< in flight then, itself included
+  };
+  std::map<attempt_no, flight> InFlight;
+  flight_limit Limit;
   double Slowness = 1;
   instant SlownessAt{-1e300};
   double Failures = 0; ///< share, smoothed
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -146,6 +146,9 @@
 void relay::impl::forget(request_work &Work, bool Linger) {
   for (const request_part &Part : Work.Parts) {
     for (const running_attempt &Each : Part.Running) {
+      endpoint_state *Endpoint = Endpoints.find(Each.Endpoint);
+      if (Endpoint && Part.Phase == part_phase::running && Linger)
+        Endpoint->late(Now);
       if (Linger)
         Lingering.push_back({Each.Attempt, Now + LingerTime});
       else
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -15,12 +15,20 @@
 
 } // namespace
 
+/// By when a reply to a part that is sent now is wanted. An answer that has
+/// enough shards does not wait for it: an endpoint with too much work would do
+/// what nobody waits for.
+instant relay::impl::wantedBy(const request_work &Work) {
+  const bool MayLeaveOut = Work.isGathered() && Work.isCoveredEnough();
+  return MayLeaveOut ? Work.AnswerBy : Never;
+}
+
 void relay::impl::begin(request_work &Work, request_part &Part) {
   if (send(Work, Part))
     return;
   const availability State =
       Endpoints.available(*Part.Service, Now, Part.Tried);
-  const bool MayWait = State != availability::none && Now < Work.AnswerBy;
+  const bool MayWait = State == availability::busy && Now < Work.AnswerBy;
   Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
   if (MayWait)
     Waiting.insert(Work.Request);
@@ -29,8 +37,9 @@
 /// Sends the part to the endpoint that is likely to reply first; false when no
 /// endpoint can take it.
 bool relay::impl::send(request_work &Work, request_part &Part) {
-  endpoint_state *To = Endpoints.choose(*Part.Service, Part.Tried,
-                                        Work.Learnt->Median.value(), Now);
+  endpoint_state *To =
+      Endpoints.choose(*Part.Service, Part.Tried, Work.Learnt->Median.value(),
+                       wantedBy(Work), Now);
   if (!To)
     return false;
   const attempt_no Attempt{++LastAttempt};
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -39,6 +39,7 @@
   bool canCover(const request_work &Work) const;
 
   // relay_attempts.cpp: the way of one part
+  static instant wantedBy(const request_work &Work);
   void begin(request_work &Work, request_part &Part);
   bool send(request_work &Work, request_part &Part);
   void hedge(request_work &Work, request_part &Part);
