--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -29,8 +29,8 @@
   std::vector<vm_id> Vms;
   /// Whether an empty folder may take part in forming the first group.
   bool MayForm = true;
-  /// An entry is committed once so many voters, and a majority, hold it on disk;
-  /// fewer where there are not as many.
+  /// An entry is committed once so many voters, and a majority, hold it on
+  /// disk; fewer where there are not as many.
   std::size_t CommitCopies = 1;
   millis Heartbeat{50};
   millis ElectionMin{300}; ///< silence before an election, lower bound
@@ -94,10 +94,9 @@
   std::vector<vm_id> Vms;
 };
 
-using event =
-    std::variant<message_received, tick, propose, persisted, snapshot_taken,
-                 add_member, remove_member, form_group, transfer_leadership,
-                 machines_known>;
+using event = std::variant<message_received, tick, propose, persisted,
+                           snapshot_taken, add_member, remove_member,
+                           form_group, transfer_leadership, machines_known>;
 
 // Actions.
 /// Write in this order and sync: the snapshot, then the hard state and the
--- a/src/control/voter_steward.cpp
+++ b/src/control/voter_steward.cpp
@@ -24,8 +24,8 @@
   return std::nullopt;
 }
 
-std::optional<vm_id>
-voter_steward::silentVoter(const replica_status &Status, instant Now) const {
+std::optional<vm_id> voter_steward::silentVoter(const replica_status &Status,
+                                                instant Now) const {
   std::optional<vm_id> Found;
   instant Since = Never;
   for (const follower_view &Each : Status.Followers) {
--- a/src/fleet/adapter.h
+++ b/src/fleet/adapter.h
@@ -19,17 +19,17 @@
   std::string Node;
   std::string Zone;
   std::string Ip;
-  address Clients;   ///< of a relay: requests of clients
-  address Readiness; ///< of a relay: whether it takes new connections
-  address Operators; ///< of the registry: orders and reads
+  address Clients;             ///< of a relay: requests of clients
+  address Readiness;           ///< of a relay: whether it takes new connections
+  address Operators;           ///< of the registry: orders and reads
   std::uint16_t FleetPort = 0; ///< of the registry, on each of its machines
-  std::uint16_t MetricsPort = 0; ///< 0: none
+  std::uint16_t MetricsPort = 0;  ///< 0: none
   std::vector<std::string> Seeds; ///< machines of the registry
-  bool IsFirstStart = false; ///< the whole fleet starts, with empty disks
-  std::string DataFolder;    ///< of the registry
-  address EndpointList;      ///< of the platform
-  std::size_t LostMachines = 1; ///< of the registry, that may be lost at once
-  millis GraceTime{5000};       ///< from SIGTERM until the process is killed
+  bool IsFirstStart = false;      ///< the whole fleet starts, with empty disks
+  std::string DataFolder;         ///< of the registry
+  address EndpointList;           ///< of the platform
+  std::size_t LostMachines = 1;   ///< of the registry, that may be lost at once
+  millis GraceTime{5000};         ///< from SIGTERM until the process is killed
   relay::relay_settings Relay;
 
   bool operator==(const process_settings &) const = default;
@@ -76,7 +76,8 @@
                                const std::string &Instance,
                                millis Remaining) const = 0;
   virtual relay::endpoint_reply decode(http::response Response) const = 0;
-  virtual endpoint_health decodeHealth(const http::response &Response) const = 0;
+  virtual endpoint_health
+  decodeHealth(const http::response &Response) const = 0;
   /// The header that endpoints copy into their replies.
   virtual std::string echoHeader() const = 0;
 };
@@ -92,7 +93,8 @@
 public:
   virtual ~endpoint_list_codec() = default;
   virtual http::request page(const std::string &Token) const = 0;
-  virtual expected<endpoint_page> decode(const http::response &Response) const = 0;
+  virtual expected<endpoint_page>
+  decode(const http::response &Response) const = 0;
 };
 
 /// What an operator asks of the registry.
--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -44,6 +44,10 @@
 }
 
 void decision_log::write(const relay::request_note &Note, instant Now) {
+  if (Note.IsAsk) {
+    writeAsk(Note, Now);
+    return;
+  }
   Metrics.add("requests", std::to_string(Note.Status));
   Metrics.observe("request_ms", Note.Route, Note.Took);
   if (Note.Hedges > 0)
@@ -70,6 +74,23 @@
                        {"shards", Note.Shards},
                        {"hedges", Note.Hedges},
                        {"retries", Note.Retries},
+                       {"repeats", Note.Repeats},
+                       {"budget_denied", Note.Starved}});
+}
+
+/// Shards that another relay asked for.
+void decision_log::writeAsk(const relay::request_note &Note, instant Now) {
+  Metrics.add("asks", Note.Covered < Note.Shards ? "partial" : "whole");
+  Metrics.observe("ask_ms", "", Note.Took);
+  if (Note.Covered >= Note.Shards || !mayWrite(Now))
+    return;
+  telemetry::logEvent(severity::warning, "ask",
+                      {{"id", Note.RequestId},
+                       {"took_ms", Note.Took.Count},
+                       {"covered", Note.Covered},
+                       {"shards", Note.Shards},
+                       {"hedges", Note.Hedges},
+                       {"retries", Note.Retries},
                        {"budget_denied", Note.Starved}});
 }
 
--- a/src/fleet/decision_log.h
+++ b/src/fleet/decision_log.h
@@ -17,6 +17,7 @@
   void write(const relay::belief_note &Note, instant Now);
 
 private:
+  void writeAsk(const relay::request_note &Note, instant Now);
   bool mayWrite(instant Now);
 
   telemetry::metrics &Metrics;
--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -69,15 +69,14 @@
   link_ptr &Link = Links[Action.Endpoint];
   if (!Link) {
     Link = std::make_shared<endpoint_link>();
-    http::client_settings Settings =
-        settingsFor(Action.Listed.Address, *Codec);
+    http::client_settings Settings = settingsFor(Action.Listed.Address, *Codec);
     Settings.MaxConnections = Action.Connections;
     Link->Client = std::make_unique<http::client>(Io, Settings);
     Settings.MaxConnections = 1;
     Settings.ExchangeTimeout = ProbeTimeout;
     Settings.SweepInterval = ProbeSweep;
     Link->Prober = std::make_unique<http::client>(Io, Settings);
-    if (!Action.Listed.IsLeaving)
+    if (Action.IsWarm && !Action.Listed.IsLeaving)
       Link->Client->warm(1);
   }
   Link->Listed = Action.Listed;
--- a/src/fleet/endpoint_reader.cpp
+++ b/src/fleet/endpoint_reader.cpp
@@ -26,8 +26,8 @@
 
 endpoint_reader::endpoint_reader(
     boost::asio::io_context &Io, reader_settings Given,
-    std::shared_ptr<const endpoint_list_codec> Codec,
-    const clock_source &Clock, directory_handler OnRead)
+    std::shared_ptr<const endpoint_list_codec> Codec, const clock_source &Clock,
+    directory_handler OnRead)
     : Settings(std::move(Given)), Codec(std::move(Codec)), Clock(Clock),
       OnRead(std::move(OnRead)), Client(Io, clientSettings(Settings)),
       Timer(Io) {}
--- a/src/fleet/frame_link.cpp
+++ b/src/fleet/frame_link.cpp
@@ -11,6 +11,23 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
+expected<void> listenOn(asio::ip::tcp::acceptor &Acceptor,
+                        const asio::ip::tcp::endpoint &Where) {
+  error_code Error;
+  Acceptor.open(Where.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Where, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return bulrush::fail("cannot listen on " + Where.address().to_string() +
+                         ':' + std::to_string(Where.port()) + ": " +
+                         Error.message());
+  return {};
+}
+
 frame_link::frame_link(socket Given, frame_bounds Bounds)
     : Socket(std::move(Given)), Bounds(Bounds) {}
 
@@ -46,25 +63,24 @@
 }
 
 void frame_link::readHead() {
-  asio::async_read(
-      Socket, asio::buffer(Head),
-      [Self = shared_from_this()](error_code Error, std::size_t) {
-        if (Self->IsClosed)
-          return;
-        if (Error) {
-          Self->fail();
-          return;
-        }
-        std::size_t Size = 0;
-        for (const unsigned char Byte : Self->Head)
-          Size = Size << 8 | Byte;
-        if (Size > Self->Bounds.MaxFrameBytes) {
-          Self->fail();
-          return;
-        }
-        Self->Body.assign(Size, '\0');
-        Self->readBody();
-      });
+  asio::async_read(Socket, asio::buffer(Head),
+                   [Self = shared_from_this()](error_code Error, std::size_t) {
+                     if (Self->IsClosed)
+                       return;
+                     if (Error) {
+                       Self->fail();
+                       return;
+                     }
+                     std::size_t Size = 0;
+                     for (const unsigned char Byte : Self->Head)
+                       Size = Size << 8 | Byte;
+                     if (Size > Self->Bounds.MaxFrameBytes) {
+                       Self->fail();
+                       return;
+                     }
+                     Self->Body.assign(Size, '\0');
+                     Self->readBody();
+                   });
 }
 
 void frame_link::readBody() {
--- a/src/fleet/frame_link.h
+++ b/src/fleet/frame_link.h
@@ -2,9 +2,10 @@
 #pragma once
 
 #include "bulrushtray/clock.h"
+#include "bulrushtray/error.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <array>
+#include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -12,6 +13,10 @@
 
 namespace bulrush::fleet {
 
+/// Opens, binds and listens; the error names the address.
+expected<void> listenOn(boost::asio::ip::tcp::acceptor &Acceptor,
+                        const boost::asio::ip::tcp::endpoint &Where);
+
 /// Bounds of one link.
 struct frame_bounds {
   std::size_t MaxFrameBytes = 16 << 20; ///< a larger frame closes the link
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "control/replica_messages.h"
-#include "relay/directory.h"
+#include "relay/events.h"
 
 #include <string>
 #include <variant>
@@ -17,6 +17,7 @@
   incarnation_id Incarnation;
   revision Revision;                ///< of the state that it holds
   std::uint64_t CatalogVersion = 0; ///< 0: none
+  vm_id Machine;
 };
 
 /// The receiver of `subscribe` does not lead.
@@ -48,7 +49,21 @@
 
 /// A subscriber's sign of life.
 struct applied {
-  revision Revision; ///< that it acts on
+  revision Revision;      ///< that it acts on
+  bool IsLeaving = false; ///< it stops soon and is asked nothing new
+};
+
+/// The relays that take part.
+struct roster {
+  std::vector<relay::relay_peer> Peers;
+
+  bool operator==(const roster &) const = default;
+};
+
+/// The asker needs no further reply.
+struct ask_cancel {
+  relay::ask_no Ask;
+  bool HasClientLeft = false;
 };
 
 /// Members of the group, for a folder that wants to join it.
@@ -58,6 +73,7 @@
 
 using fleet_message =
     std::variant<subscribe, redirect, fleet_state, endpoint_directory,
-                 leader_beat, applied, known_voters, control::message>;
+                 leader_beat, applied, known_voters, control::message, roster,
+                 relay::shard_ask, relay::shard_reply, ask_cancel>;
 
 } // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/peer_links.cpp
@@ -0,0 +1,116 @@
+#include "fleet/peer_links.h"
+
+#include "fleet/voter_links.h"
+#include "telemetry/log.h"
+#include "wire/fleet_codec.h"
+
+namespace bulrush::fleet {
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+using telemetry::severity;
+
+peer_links::peer_links(asio::io_context &Io, vm_id Self, std::uint16_t Port,
+                       event_handler OnEvent)
+    : Io(Io), Self(Self), Port(Port), OnEvent(std::move(OnEvent)),
+      Acceptor(Io) {}
+
+expected<void> peer_links::listen() {
+  auto Listening = listenOn(Acceptor, endpointOf(Self, Port));
+  if (Listening)
+    acceptNext();
+  return Listening;
+}
+
+void peer_links::acceptNext() {
+  Acceptor.async_accept([this](error_code Error, asio::ip::tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    if (!Error)
+      accept(std::move(Socket));
+    acceptNext();
+  });
+}
+
+void peer_links::accept(asio::ip::tcp::socket Socket) {
+  error_code Error;
+  const auto Remote = Socket.remote_endpoint(Error);
+  if (Error)
+    return;
+  const vm_id From{
+      static_cast<std::uint32_t>(Remote.address().to_v4().to_uint())};
+  auto Link = std::make_shared<frame_link>(std::move(Socket));
+  if (const auto Old = Incoming.find(From); Old != Incoming.end())
+    Old->second->close();
+  Incoming[From] = Link;
+  Link->start([this, From](const std::string &Bytes) { onAsk(From, Bytes); },
+              [this, From, Closed = Link.get()] {
+                const auto Known = Incoming.find(From);
+                if (Known != Incoming.end() && Known->second.get() == Closed)
+                  Incoming.erase(Known);
+              });
+}
+
+void peer_links::onAsk(vm_id From, const std::string &Bytes) {
+  auto Message = wire::decodeFleet(Bytes);
+  if (!Message) {
+    telemetry::logEvent(severity::warning, "fleet_message_refused",
+                        {{"error", Message.error().Message}});
+    return;
+  }
+  if (auto *Ask = std::get_if<relay::shard_ask>(&*Message))
+    OnEvent(relay::ask_arrived{From, std::move(*Ask)});
+  else if (const auto *Cancel = std::get_if<ask_cancel>(&*Message))
+    OnEvent(relay::ask_cancelled{From, Cancel->Ask, Cancel->HasClientLeft});
+}
+
+void peer_links::onReply(vm_id From, const std::string &Bytes) {
+  auto Message = wire::decodeFleet(Bytes);
+  if (!Message) {
+    telemetry::logEvent(severity::warning, "fleet_message_refused",
+                        {{"error", Message.error().Message}});
+    return;
+  }
+  if (auto *Reply = std::get_if<relay::shard_reply>(&*Message))
+    OnEvent(relay::ask_replied{From, std::move(*Reply)});
+}
+
+std::shared_ptr<frame_link> peer_links::linkTo(vm_id Peer) {
+  std::shared_ptr<frame_link> &Link = Outgoing[Peer];
+  if (Link)
+    return Link;
+  Link = std::make_shared<frame_link>(asio::ip::tcp::socket(Io));
+  Link->connect(
+      endpointOf(Peer, Port),
+      [this, Peer](const std::string &Bytes) { onReply(Peer, Bytes); },
+      [this, Peer, Lost = Link.get()] { onLost(Peer, Lost); });
+  return Link;
+}
+
+void peer_links::onLost(vm_id Peer, const frame_link *Link) {
+  const auto Known = Outgoing.find(Peer);
+  if (Known == Outgoing.end() || Known->second.get() != Link)
+    return;
+  Outgoing.erase(Known);
+  telemetry::logEvent(severity::warning, "peer_lost", {{"peer", toText(Peer)}});
+  OnEvent(relay::peer_lost{Peer});
+}
+
+void peer_links::send(const relay::send_ask &Action) {
+  linkTo(Action.To)->send(wire::encode(Action.Ask));
+}
+
+void peer_links::send(const relay::cancel_ask &Action) {
+  const auto Known = Outgoing.find(Action.To);
+  if (Known != Outgoing.end())
+    Known->second->send(
+        wire::encode(ask_cancel{Action.Ask, Action.HasClientLeft}));
+}
+
+void peer_links::send(const relay::send_reply &Action) {
+  const auto Known = Incoming.find(Action.To);
+  if (Known != Incoming.end())
+    Known->second->send(wire::encode(Action.Reply));
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/peer_links.h
@@ -0,0 +1,45 @@
+/// Questions and replies between relay daemons.
+#pragma once
+
+#include "fleet/adapter.h"
+#include "fleet/frame_link.h"
+#include "fleet/messages.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <unordered_map>
+
+namespace bulrush::fleet {
+
+/// A link to each relay that is asked, opened on demand; replies come back on
+/// it. Runs on the thread of its `io_context`.
+class peer_links {
+public:
+  using event_handler = std::function<void(relay::relay_event)>;
+
+  peer_links(boost::asio::io_context &Io, vm_id Self, std::uint16_t Port,
+             event_handler OnEvent);
+
+  expected<void> listen();
+  void send(const relay::send_ask &Action);
+  void send(const relay::cancel_ask &Action);
+  void send(const relay::send_reply &Action);
+
+private:
+  void acceptNext();
+  void accept(boost::asio::ip::tcp::socket Socket);
+  void onAsk(vm_id From, const std::string &Bytes);
+  void onReply(vm_id From, const std::string &Bytes);
+  std::shared_ptr<frame_link> linkTo(vm_id Peer);
+  void onLost(vm_id Peer, const frame_link *Link);
+
+  boost::asio::io_context &Io;
+  vm_id Self;
+  std::uint16_t Port;
+  event_handler OnEvent;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::map<vm_id, std::shared_ptr<frame_link>> Outgoing;
+  std::map<vm_id, std::shared_ptr<frame_link>> Incoming; ///< the latest of each
+};
+
+} // namespace bulrush::fleet
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -94,20 +94,10 @@
   }
 
   expected<void> listenFleet() {
-    const asio::ip::tcp::endpoint Where = endpointOf(Self, Settings.FleetPort);
-    error_code Error;
-    Acceptor.open(Where.protocol(), Error);
-    if (!Error)
-      Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), Error);
-    if (!Error)
-      Acceptor.bind(Where, Error);
-    if (!Error)
-      Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-    if (Error)
-      return fail("cannot listen on " + Settings.Ip + ":" +
-                  std::to_string(Settings.FleetPort) + ": " + Error.message());
-    acceptNext();
-    return {};
+    auto Listening = listenOn(Acceptor, endpointOf(Self, Settings.FleetPort));
+    if (Listening)
+      acceptNext();
+    return Listening;
   }
 
   void acceptNext() {
@@ -155,7 +145,7 @@
     else if (const auto *Asked = std::get_if<subscribe>(&*Message))
       onSubscribe(Key, *Asked);
     else if (const auto *Applied = std::get_if<applied>(&*Message))
-      Subscribers.onApplied(Key, Applied->Revision, Clock.now());
+      Subscribers.onApplied(Key, *Applied, Clock.now());
   }
 
   void onVoter(const frame_link *Key, control::message Message) {
@@ -390,9 +380,9 @@
       return;
     }
     Directory.Order = {Node->status().Term.Value, ++Sequence};
-    telemetry::logEvent(severity::info, "endpoints_changed",
-                        {{"sequence", Sequence},
-                         {"endpoints", Directory.Endpoints.size()}});
+    telemetry::logEvent(
+        severity::info, "endpoints_changed",
+        {{"sequence", Sequence}, {"endpoints", Directory.Endpoints.size()}});
     LastDirectory = Directory;
     Subscribers.setDirectory(std::move(Directory), Began, Clock.now());
   }
@@ -402,8 +392,7 @@
     const auto IsAlike = [](const relay::listed_endpoint &X,
                             const relay::listed_endpoint &Y) {
       relay::listed_endpoint Copy = X;
-      const bool CooledDown =
-          Y.ColdFor > millis{0} && X.ColdFor <= Y.ColdFor;
+      const bool CooledDown = Y.ColdFor > millis{0} && X.ColdFor <= Y.ColdFor;
       if (CooledDown)
         Copy.ColdFor = Y.ColdFor;
       return Copy == Y;
@@ -452,6 +441,7 @@
     const instant Now = Clock.now();
     step(control::event(control::tick{}));
     Subscribers.dropSilent(Now);
+    Subscribers.tellRoster();
     if (Now - BeatAt < BeatInterval)
       return;
     BeatAt = Now;
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -17,8 +17,8 @@
 constexpr millis TickInterval{100};
 /// The leader says something at least every 400 ms.
 constexpr millis SilenceLimit{1300};
-/// A machine that does not answer is asked anew after so long; one that knows no
-/// leader answers once it does.
+/// A machine that does not answer is asked anew after so long; one that knows
+/// no leader answers once it does.
 constexpr millis AskLimit{700};
 /// Between two machines that are asked; they are asked side by side.
 constexpr millis AskInterval{50};
@@ -31,8 +31,7 @@
                                      follower_settings Given,
                                      const clock_source &Clock,
                                      follower_host &Host)
-    : Io(Io), Settings(std::move(Given)), Clock(Clock), Host(Host),
-      Ticker(Io) {
+    : Io(Io), Settings(std::move(Given)), Clock(Clock), Host(Host), Ticker(Io) {
   addMachines(Settings.Seeds);
 }
 
@@ -99,8 +98,7 @@
 
 /// The question waits in the link until that is open.
 void registry_follower::ask(vm_id Machine) {
-  auto Link =
-      std::make_shared<frame_link>(boost::asio::ip::tcp::socket(Io));
+  auto Link = std::make_shared<frame_link>(boost::asio::ip::tcp::socket(Io));
   Asked[Machine] = {Link, Clock.now()};
   Link->connect(
       endpointOf(Machine, Settings.Port),
@@ -116,6 +114,7 @@
   Question.Incarnation = Settings.Incarnation;
   Question.Revision = Revision;
   Question.CatalogVersion = CatalogVersion;
+  Question.Machine = Settings.Self;
   Link->send(wire::encode(Question));
 }
 
@@ -150,12 +149,15 @@
     on(Machine, *State);
   else if (const auto *Elsewhere = std::get_if<redirect>(&*Message))
     on(Machine, *Elsewhere);
+  // The roster comes first, so that the catalog finds it.
+  if (const auto *Roster = std::get_if<roster>(&*Message))
+    Host.take(*Roster);
   if (Machine != Leader)
     return;
   if (auto *Directory = std::get_if<endpoint_directory>(&*Message))
     Host.take(std::move(*Directory));
   else if (const auto *Beat = std::get_if<leader_beat>(&*Message))
-    Host.takePeers(Beat->Peers);
+    Host.takeFleetSize(Beat->Peers);
 }
 
 void registry_follower::on(vm_id Machine, const fleet_state &State) {
@@ -199,11 +201,16 @@
     ask(Leading);
 }
 
+void registry_follower::announceLeaving() {
+  IsLeaving = true;
+  tellApplied();
+}
+
 void registry_follower::tellApplied() {
   ToldAt = Clock.now();
   const auto Known = Asked.find(Leader);
   if (Known != Asked.end())
-    Known->second.Link->send(wire::encode(applied{Revision}));
+    Known->second.Link->send(wire::encode(applied{Revision, IsLeaving}));
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -16,6 +16,7 @@
   std::string Node;
   std::string Zone;
   std::uint16_t Port = 0;
+  vm_id Self;
   std::vector<vm_id> Seeds;
   incarnation_id Incarnation;
 };
@@ -27,7 +28,8 @@
   /// A newer state; returns false when its catalog cannot be used.
   virtual bool take(const fleet_state &State) = 0;
   virtual void take(endpoint_directory Directory) = 0;
-  virtual void takePeers(std::uint32_t Count) = 0;
+  virtual void takeFleetSize(std::uint32_t Count) = 0;
+  virtual void take(const roster &Roster) = 0;
   /// Seeds as the settings name them now.
   virtual std::vector<vm_id> seeds() = 0;
 };
@@ -41,6 +43,8 @@
   void start();
   void stop();
   void addMachines(const std::vector<vm_id> &Machines);
+  /// This daemon stops soon: it is followed on, and no relay asks it anything.
+  void announceLeaving();
 
 private:
   /// A link on which a machine was asked; one of them is followed.
@@ -70,6 +74,7 @@
   std::map<vm_id, asked_machine> Asked;
   vm_id Leader; ///< the machine that is followed; 0: none
   bool WasFollowing = false;
+  bool IsLeaving = false;
   instant AskAt{-1e300};
   instant ToldAt{-1e300};
   std::set<vm_id> Machines;
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -99,8 +99,8 @@
                   static_cast<std::uint32_t>(Subscribers.size()));
 }
 
-/// A larger fleet counts at once, a smaller one only after a while: daemons that
-/// restart come back.
+/// A larger fleet counts at once, a smaller one only after a while: daemons
+/// that restart come back.
 void registry_node::noteFleetSize() {
   const auto Count = static_cast<std::uint32_t>(Subscribers.size());
   const std::uint32_t Known = Machine.state().FleetSize;
@@ -180,7 +180,8 @@
 
 void registry_node::on(control::snapshot_wanted &) {
   stepLog(control::snapshot_taken{
-      Log.status().Applied, control::shareBytes(wire::encode(Machine.state()))});
+      Log.status().Applied,
+      control::shareBytes(wire::encode(Machine.state()))});
 }
 
 void registry_node::on(control::became_leader &) { LeadsSince = Now; }
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -61,10 +61,9 @@
   bool Leads = false;
 };
 
-using node_action =
-    std::variant<control::persist, control::send, control::group_changed,
-                 control::identity_lost, call_ended, state_changed,
-                 leadership_changed>;
+using node_action = std::variant<control::persist, control::send,
+                                 control::group_changed, control::identity_lost,
+                                 call_ended, state_changed, leadership_changed>;
 
 struct node_settings {
   control::replica_options Log;
@@ -140,7 +139,9 @@
   bool isSpread(revision Revision) const;
   bool hasVoters() const;
   void setLeads(bool Value);
-  void end(call_id Call, call_end End) { Out->push_back(call_ended{Call, End}); }
+  void end(call_id Call, call_end End) {
+    Out->push_back(call_ended{Call, End});
+  }
 
   node_settings Settings;
   control::replica Log;
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/decision_log.h"
 #include "fleet/endpoint_links.h"
+#include "fleet/peer_links.h"
 #include "fleet/process_start.h"
 #include "fleet/registry_follower.h"
 #include "fleet/voter_links.h"
@@ -43,6 +44,8 @@
         Relay(Settings.Relay, drawSeed()),
         Links(Io, Adapter.Requests,
               [this](const relay::relay_event &Event) { step(Event); }),
+        Peers(Io, Settings.Relay.Self, Settings.FleetPort,
+              [this](const relay::relay_event &Event) { step(Event); }),
         Follower(Io, followerSettings(Settings), Clock, *this), Log(Metrics),
         Waker(Io), Leaving(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP) {
     Ready.IsReady = [this] { return Relay.isReady() && !IsLeaving; };
@@ -67,6 +70,7 @@
     follower_settings Out;
     Out.Node = Settings.Node;
     Out.Zone = Settings.Zone;
+    Out.Self = Settings.Relay.Self;
     Out.Port = Settings.FleetPort;
     Out.Seeds = machinesOf(Settings.Seeds);
     Out.Incarnation = {unixMillis()};
@@ -93,6 +97,8 @@
     for (http::server *Server : {&*Clients, &*Readiness})
       if (auto Started = Server->start(); !Started)
         return Started;
+    if (auto Listening = Peers.listen(); !Listening)
+      return Listening;
     if (Settings.MetricsPort == 0)
       return {};
     Page.emplace(Io, metricsSettings(Settings), MetricsPage, Metrics);
@@ -129,6 +135,9 @@
   void on(const relay::probe_endpoint &Action) { Links.probe(Action); }
   void on(const relay::open_endpoint &Action) { Links.open(Action); }
   void on(const relay::close_endpoint &Action) { Links.close(Action); }
+  void on(const relay::send_ask &Action) { Peers.send(Action); }
+  void on(const relay::cancel_ask &Action) { Peers.send(Action); }
+  void on(const relay::send_reply &Action) { Peers.send(Action); }
   void on(const relay::request_note &Note) { Log.write(Note, Clock.now()); }
   void on(const relay::attempt_note &Note) { Log.write(Note, Clock.now()); }
   void on(const relay::belief_note &Note) { Log.write(Note, Clock.now()); }
@@ -182,10 +191,14 @@
                                   Directory.Age});
   }
 
-  void takePeers(std::uint32_t Count) override {
+  void takeFleetSize(std::uint32_t Count) override {
     step(relay::peers_counted{Count});
   }
 
+  void take(const roster &Roster) override {
+    step(relay::peers_arrived{Roster.Peers});
+  }
+
   std::vector<vm_id> seeds() override {
     const auto Read = Adapter.Settings->read();
     return Read ? machinesOf(Read->Seeds) : std::vector<vm_id>{};
@@ -224,10 +237,11 @@
       return;
     IsLeaving = true;
     LeaveBy = Clock.now() + Settings.GraceTime - GraceMargin;
-    telemetry::logEvent(severity::info, "stopping",
-                        {{"node", Settings.Node},
-                         {"requests", Relay.active()}});
+    telemetry::logEvent(
+        severity::info, "stopping",
+        {{"node", Settings.Node}, {"requests", Relay.active()}});
     Clients->closeAfterAnswers();
+    Follower.announceLeaving();
     Leaving.expires_after(toChrono(RotationTime));
     Leaving.async_wait([this](error_code Error) {
       if (Error)
@@ -239,7 +253,8 @@
   }
 
   void stopOnceDone() {
-    if (Clients->inWork() == 0 || Clock.now() >= LeaveBy) {
+    const bool IsDone = Clients->inWork() == 0 && Relay.active() == 0;
+    if (IsDone || Clock.now() >= LeaveBy) {
       Io.stop();
       return;
     }
@@ -259,6 +274,7 @@
   readiness Ready;
   relay::relay Relay;
   endpoint_links Links;
+  peer_links Peers;
   registry_follower Follower;
   decision_log Log;
   std::unordered_map<query_id, http::responder> Responders;
@@ -279,6 +295,10 @@
   if (!Settings)
     return failStart(Settings.error());
   startProcessLog(Settings->Node);
+  const auto Self = machineOf(Settings->Ip);
+  if (!Self)
+    return failStart({"ip: no IPv4 address: " + Settings->Ip});
+  Settings->Relay.Self = *Self;
   return relay_process(Adapter, std::move(*Settings)).run();
 }
 
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -22,23 +22,48 @@
   New.Id = {++Last.Value};
   New.Link = std::move(Link);
   New.Node = Asked.Node;
+  New.Peer = {Asked.Machine, Asked.Zone};
   New.CatalogVersion = Asked.CatalogVersion;
   New.HeardAt = Now;
   telemetry::logEvent(
       severity::info, "subscriber_joined",
       {{"node", Asked.Node}, {"revision", Asked.Revision.Value}});
   OnEvent(subscriber_came{New.Id});
+  New.Link->send(wire::encode(currentRoster()));
   tellState(New, State, Voters);
   tellDirectory(New, Now);
 }
 
-void subscribers::onApplied(const frame_link *Link, revision Revision,
+void subscribers::onApplied(const frame_link *Link, const applied &Applied,
                             instant Now) {
   const auto Found = All.find(Link);
   if (Found == All.end())
     return;
   Found->second.HeardAt = Now;
-  OnEvent(subscriber_applied{Found->second.Id, Revision});
+  Found->second.IsLeaving = Applied.IsLeaving;
+  OnEvent(subscriber_applied{Found->second.Id, Applied.Revision});
+}
+
+roster subscribers::currentRoster() const {
+  roster Out;
+  for (const auto &[Key, Each] : All)
+    if (!Each.IsLeaving)
+      Out.Peers.push_back(Each.Peer);
+  std::sort(Out.Peers.begin(), Out.Peers.end(),
+            [](const relay::relay_peer &A, const relay::relay_peer &B) {
+              return A.Vm < B.Vm;
+            });
+  return Out;
+}
+
+void subscribers::tellRoster() {
+  roster Current = currentRoster();
+  if (Current == ToldRoster)
+    return;
+  const std::string Bytes = wire::encode(Current);
+  for (auto &[Key, Each] : All)
+    Each.Link->send(Bytes);
+  ToldRoster = std::move(Current);
 }
 
 void subscribers::onClosed(const frame_link *Link) { drop(Link, "closed"); }
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -22,7 +22,7 @@
   void add(std::shared_ptr<frame_link> Link, const subscribe &Asked,
            const control::registry_state &State,
            const std::vector<vm_id> &Voters, instant Now);
-  void onApplied(const frame_link *Link, revision Revision, instant Now);
+  void onApplied(const frame_link *Link, const applied &Applied, instant Now);
   /// A link was closed by the other side.
   void onClosed(const frame_link *Link);
 
@@ -30,6 +30,8 @@
                  const std::vector<vm_id> &Voters);
   void setDirectory(relay::directory Directory, instant ReadAt, instant Now);
   void beat(revision Revision, std::uint32_t FleetSize);
+  /// Tells who takes part where that has changed.
+  void tellRoster();
   /// Closes the links of subscribers that were silent for too long.
   void dropSilent(instant Now);
   void clear();
@@ -40,10 +42,14 @@
     subscriber_id Id;
     std::shared_ptr<frame_link> Link;
     std::string Node;
+    relay::relay_peer Peer;
+    bool IsLeaving = false;
     std::uint64_t CatalogVersion = 0; ///< that it was sent last
     instant HeardAt;
   };
 
+  roster currentRoster() const;
+
   static void tellState(subscriber &Subscriber,
                         const control::registry_state &State,
                         const std::vector<vm_id> &Voters);
@@ -55,6 +61,7 @@
   subscriber_id Last;
   relay::directory Directory;
   instant DirectoryReadAt;
+  roster ToldRoster;
 };
 
 } // namespace bulrush::fleet
--- a/src/fleet/voter_links.cpp
+++ b/src/fleet/voter_links.cpp
@@ -36,8 +36,7 @@
   Machine.UsedAt = Now;
   Machine.RetryAt = Now + RetryDelay;
   Machine.Link->connect(
-      endpointOf(To, Port), OnFrame,
-      [this, To, Failed = Machine.Link.get()] {
+      endpointOf(To, Port), OnFrame, [this, To, Failed = Machine.Link.get()] {
         const auto Known = Machines.find(To);
         if (Known != Machines.end() && Known->second.Link.get() == Failed)
           Known->second.Link.reset();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -217,13 +217,12 @@
     const bool IsParsing =
         Error.category() ==
         beast::http::make_error_code(error::end_of_stream).category();
-    return IsParsing && Error != error::end_of_stream
-               ? exchange_status::garbled
-               : exchange_status::lost;
+    return IsParsing && Error != error::end_of_stream ? exchange_status::garbled
+                                                      : exchange_status::lost;
   }
 
-  bool isForeign(const beast::http::response<beast::http::string_body> &Message)
-      const {
+  bool isForeign(
+      const beast::http::response<beast::http::string_body> &Message) const {
     const auto Client = Owner.lock();
     if (!Client || Client->Settings.EchoHeader.empty())
       return false;
@@ -261,7 +260,7 @@
   time_point LastUse;
   bool MayKeep = true;
   bool IsOpened = false;
-  bool IsNew = true; ///< no exchange has ended on it
+  bool IsNew = true;    ///< no exchange has ended on it
   unsigned Foreign = 0; ///< responses passed over in this exchange
 };
 
@@ -376,8 +375,8 @@
   for (const connection_ptr &Connection : Open) {
     const auto Quiet = Now - Connection->lastUse();
     const bool IsOpening = !Connection->isOpened();
-    millis Bound = Connection->isBusy() ? Settings.ExchangeTimeout
-                                        : Settings.IdleTimeout;
+    millis Bound =
+        Connection->isBusy() ? Settings.ExchangeTimeout : Settings.IdleTimeout;
     if (IsOpening && Settings.ConnectTimeout > millis{0})
       Bound = Settings.ConnectTimeout;
     if (Quiet <= detail::toChrono(Bound))
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -35,7 +35,7 @@
   /// After a new connection was closed by the server before any response, no
   /// further one is opened for so long while another is open.
   millis OpenBackoff{0};
-  millis ConnectTimeout{0};   ///< 0: the operating system's
+  millis ConnectTimeout{0}; ///< 0: the operating system's
   /// Unacknowledged bytes close the connection after this; 0: the operating
   /// system's.
   millis SilenceTimeout{0};
@@ -53,9 +53,10 @@
   connect_failed, ///< nothing was sent
   not_sent, ///< no connection was free and too many requests wait; nothing was
             ///< sent
-  lost, ///< the connection broke after sending began: the server may have run it
+  lost, ///< the connection broke after sending began: the server may have run
+        ///< it
   turned_away, ///< like `lost`, on a new connection, while others are open
-  garbled ///< what came is no whole response
+  garbled      ///< what came is no whole response
 };
 
 /// Names an exchange of one client.
--- a/src/relay/catalog.h
+++ b/src/relay/catalog.h
@@ -50,9 +50,9 @@
   std::string Host;
   std::string PathPrefix; ///< begins and ends with a slash
   bool IsIdempotent = false;
-  millis Timeout;              ///< the longest that a client is kept waiting
-  millis Objective;            ///< an answer within it earns its full worth
-  std::uint32_t Rank = 0;      ///< 0 is the most urgent
+  millis Timeout;                ///< the longest that a client is kept waiting
+  millis Objective;              ///< an answer within it earns its full worth
+  std::uint32_t Rank = 0;        ///< 0 is the most urgent
   std::uint32_t MaxAttempts = 1; ///< endpoints that may run one request
   std::vector<weighted_service> Targets; ///< empty with `Gather`
   gather_rule Gather;
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -49,7 +49,9 @@
 }
 
 std::size_t endpoint_set::limitOf(const service_state &Service) const {
-  const double Share = Service.MaxConnections * ConnectionShare / Peers;
+  const double Users =
+      Service.IsSliced ? static_cast<double>(Sharers) : Peers;
+  const double Share = Service.MaxConnections * ConnectionShare / Users;
   return std::max<std::size_t>(1, static_cast<std::size_t>(Share));
 }
 
@@ -57,8 +59,26 @@
   const service_state &Service = *Services.at(Endpoint.listed().Service.Value);
   if (Service.MaxConnections == 0)
     return;
+  const bool HasRoom = Service.MaxConnections * ConnectionShare >= Peers;
   Out.push_back(open_endpoint{Endpoint.number(), Endpoint.listed(),
-                              Service.HealthPath, limitOf(Service)});
+                              Service.HealthPath, limitOf(Service),
+                              !Service.IsSliced && HasRoom});
+}
+
+void endpoint_set::setSliced(const std::set<service_name> &Names,
+                             std::size_t Count, relay_actions &Out) {
+  const bool IsOtherCount = Count != Sharers;
+  Sharers = Count;
+  for (const service_name &Name : Names)
+    service(Name);
+  for (auto &[Name, Service] : Services) {
+    const bool IsSliced = Names.count(Service->Name) > 0;
+    if (IsSliced == Service->IsSliced && !(IsSliced && IsOtherCount))
+      continue;
+    Service->IsSliced = IsSliced;
+    for (const endpoint_no No : Service->Endpoints)
+      open(*Endpoints.at(No), Out);
+  }
 }
 
 void endpoint_set::install(const catalog &Catalog, relay_actions &Out) {
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -23,6 +23,7 @@
   std::string HealthPath = "/";
   std::uint32_t MaxConnections = 0; ///< of an endpoint; 0: no catalog names it
   double ColdRate = 0;
+  bool IsSliced = false; ///< few relays ask it
   std::vector<endpoint_no> Endpoints;
   service_budget Budget;
 };
@@ -36,6 +37,9 @@
                relay_actions &Out);
   void setZonesOut(const std::set<std::string> &Zones, instant Now);
   void setPeers(std::uint32_t Count, relay_actions &Out);
+  /// Which services few relays ask, and how many these are.
+  void setSliced(const std::set<service_name> &Names, std::size_t Sharers,
+                 relay_actions &Out);
 
   service_state &service(const service_name &Name);
   endpoint_state *find(endpoint_no No);
@@ -68,6 +72,7 @@
   relay_settings Settings;
   std::minstd_rand Random;
   std::uint32_t Peers = 1;
+  std::size_t Sharers = 1; ///< of a sliced service
   std::set<std::string> ZonesOut;
   std::map<std::string, std::unique_ptr<service_state>> Services;
   std::unordered_map<endpoint_no, std::unique_ptr<endpoint_state>> Endpoints;
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -81,8 +81,7 @@
     return false;
   if (Trust == endpoint_trust::probation)
     return InFlight.empty();
-  return InFlight.size() <
-         std::min(Connections, Limit.limit());
+  return InFlight.size() < std::min(Connections, Limit.limit());
 }
 
 double endpoint_state::expectedSlowness(instant Now) const {
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -90,7 +90,6 @@
   }
 
 private:
-
   endpoint_no Number;
   listed_endpoint Listed;
   endpoint_trust Trust = endpoint_trust::trusted;
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -4,6 +4,7 @@
 #include "http/message.h"
 #include "relay/endpoint_state.h"
 #include "relay/settings.h"
+#include "relay/slices.h"
 
 #include <memory>
 #include <set>
@@ -31,6 +32,33 @@
   bool IsOtherInstance = false; ///< another one lives at this address now
 };
 
+/// One relay's question to another; unique in one life of the sender.
+using ask_no = numbered<struct ask_tag, std::uint64_t>;
+
+/// Asks another relay for some shards of a query.
+struct shard_ask {
+  ask_no Ask;
+  std::shared_ptr<const opaque_request> Content;
+  std::vector<service_name> Shards;
+  std::string RouteKey; ///< what is learnt of latencies is kept by it
+  std::uint32_t TopRecords = 0;
+  std::uint32_t MaxAttempts = 1;
+  millis Objective;
+  millis AnswerIn;  ///< a later reply earns less
+  millis Remaining; ///< until the client's deadline
+  /// Another relay was asked before: the sendings count against the budgets.
+  bool IsRepeat = false;
+};
+
+/// What has become of an ask since the last reply to it.
+struct shard_reply {
+  ask_no Ask;
+  std::vector<std::uint32_t> Covered;  ///< places in the ask
+  std::vector<std::string> Signatures; ///< of the parts that are covered
+  std::string Records;                 ///< the greatest of these parts
+  bool IsFinal = false;                ///< nothing further comes
+};
+
 // Events.
 
 /// `Request` must be new in this life of the process.
@@ -43,10 +71,10 @@
 /// How an attempt ended.
 enum class attempt_end : std::uint8_t {
   replied,
-  not_sent, ///< no connection; nothing was sent
-  lost,     ///< the connection broke after sending began; it may have run
+  not_sent,    ///< no connection; nothing was sent
+  lost,        ///< the connection broke after sending began; it may have run
   turned_away, ///< like `lost`; the endpoint accepts no further connection now
-  garbled   ///< the reply is no whole message; it ran
+  garbled      ///< the reply is no whole message; it ran
 };
 
 struct attempt_ended {
@@ -87,12 +115,40 @@
   std::uint32_t Count = 1;
 };
 
+/// The relays that take part, this one included.
+struct peers_arrived {
+  std::vector<relay_peer> Peers;
+};
+
+struct ask_arrived {
+  vm_id From;
+  shard_ask Ask;
+};
+
+/// The asker needs no further reply.
+struct ask_cancelled {
+  vm_id From;
+  ask_no Ask;
+  bool HasClientLeft = false;
+};
+
+struct ask_replied {
+  vm_id From;
+  shard_reply Reply;
+};
+
+/// The link to a relay is down; what it was asked may be lost.
+struct peer_lost {
+  vm_id Peer;
+};
+
 struct timer_fired {};
 
 using relay_event =
     std::variant<request_arrived, attempt_ended, client_left, probe_ended,
                  catalog_arrived, directory_arrived, zones_out_arrived,
-                 peers_counted, timer_fired>;
+                 peers_counted, peers_arrived, ask_arrived, ask_cancelled,
+                 ask_replied, peer_lost, timer_fired>;
 
 // Actions.
 
@@ -113,13 +169,13 @@
 /// Why the relay answers by itself.
 enum class relay_refusal : std::uint8_t {
   none,
-  no_catalog,    ///< none has arrived yet
-  no_route,      ///< none matches
-  no_endpoint,   ///< none can take the request; it was sent to none
-  not_run,       ///< each endpoint that was asked said that it did not run it
-  few_shards,    ///< too few shards can be asked
-  lost,          ///< it may have run; no reply came
-  out_of_time    ///< no reply before the deadline
+  no_catalog,  ///< none has arrived yet
+  no_route,    ///< none matches
+  no_endpoint, ///< none can take the request; it was sent to none
+  not_run,     ///< each endpoint that was asked said that it did not run it
+  few_shards,  ///< too few shards can be asked
+  lost,        ///< it may have run; no reply came
+  out_of_time  ///< no reply before the deadline
 };
 
 /// Ends a request; each gets exactly one, unless its client has left.
@@ -147,6 +203,8 @@
   listed_endpoint Listed;
   std::string HealthPath;
   std::size_t Connections = 1;
+  /// Whether requests are likely: a connection is opened at once.
+  bool IsWarm = false;
 };
 
 /// Nothing further is sent to it once its attempts have ended.
@@ -154,6 +212,22 @@
   endpoint_no Endpoint;
 };
 
+struct send_ask {
+  vm_id To;
+  shard_ask Ask;
+};
+
+struct send_reply {
+  vm_id To;
+  shard_reply Reply;
+};
+
+struct cancel_ask {
+  vm_id To;
+  ask_no Ask;
+  bool HasClientLeft = false;
+};
+
 /// One `timer_fired` is wanted at this time; replaces the one before.
 struct wake_at {
   instant At;
@@ -173,7 +247,9 @@
   std::uint32_t Hedges = 0;
   std::uint32_t Retries = 0;
   std::uint32_t Starved = 0; ///< further attempts that the budget denied
+  std::uint32_t Repeats = 0; ///< slices that another relay was asked for again
   bool ClientLeft = false;
+  bool IsAsk = false; ///< by another relay
 };
 
 /// One attempt that did not end as wanted.
@@ -207,8 +283,8 @@
 
 using relay_action =
     std::variant<send_attempt, cancel_attempt, give_answer, probe_endpoint,
-                 open_endpoint, close_endpoint, wake_at, request_note,
-                 attempt_note, belief_note>;
+                 open_endpoint, close_endpoint, send_ask, send_reply, cancel_ask,
+                 wake_at, request_note, attempt_note, belief_note>;
 using relay_actions = std::vector<relay_action>;
 
 /// The names used in logs.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,6 +17,9 @@
 /// A hedge leaves in time to be answered within the objective.
 constexpr double LatestHedgeShare = 0.45;
 constexpr millis LeastHedgeDelay{4};
+/// A relay that was asked says something by 0.4 of the objective; one that was
+/// not heard by then does not answer in time.
+constexpr double RepeatShare = 0.5;
 /// No request wakes the relay by this name: suspects and late attempts do.
 constexpr query_id Housekeeping{0};
 
@@ -36,7 +39,8 @@
 catalog_version relay::version() const { return Impl->version(); }
 
 relay::impl::impl(relay_settings Given, std::uint64_t Seed)
-    : Settings(std::move(Given)), Endpoints(Settings, Seed) {}
+    : Settings(std::move(Given)), Endpoints(Settings, Seed),
+      Slices({}, Settings.Self, Settings.Zone) {}
 
 void relay::impl::step(const relay_event &Event, instant At,
                        relay_actions &Actions) {
@@ -66,9 +70,9 @@
   Work.Content = Event.Content;
   Work.Table = Table;
   Work.Route = Route;
-  Work.Learnt = &Routes.try_emplace(Route->Host + Route->PathPrefix,
-                                    Route->Objective)
-                     .first->second;
+  Work.Learnt =
+      &Routes.try_emplace(Route->Host + Route->PathPrefix, Route->Objective)
+           .first->second;
   setTimes(Work, Event.Patience);
   if (Work.isGathered()) {
     for (const service_name &Shard : Route->Gather.Shards)
@@ -80,8 +84,7 @@
   } else {
     Work.Parts.emplace_back().Service = &Endpoints.service(pickTarget(Work));
   }
-  for (request_part &Part : Work.Parts)
-    begin(Work, Part);
+  scatter(Work);
   settle(Work);
 }
 
@@ -92,16 +95,17 @@
     Left = std::min(Left, Patience);
   Work.ArrivedAt = Now;
   Work.Deadline = Now + std::max(millis{1}, Left - DeadlineMargin);
-  Work.AnswerBy = std::min(Now + Route.Objective - Settings.ClientTravel,
-                           Work.Deadline);
+  Work.AnswerBy =
+      std::min(Now + Route.Objective - Settings.ClientTravel, Work.Deadline);
   Work.GiveUpAt = Now + Route.Objective * GiveUpShare;
   const millis Latest = Route.Objective * LatestHedgeShare;
   const millis Delay = std::max(LeastHedgeDelay, Work.Learnt->Slow.value());
   Work.HedgeAt = Now + std::min(Delay, Latest);
+  Work.RepeatAt = Now + Route.Objective * RepeatShare;
   Work.Note.RequestId = Work.Content->RequestId;
   Work.Note.Route = Route.Name;
   Work.Note.Objective = Route.Objective;
-  Work.Note.Version = Work.Table->content().Version;
+  Work.Note.Version = version();
   Work.Note.Shards = static_cast<std::uint32_t>(Route.Gather.Shards.size());
 }
 
@@ -144,9 +148,8 @@
   const attempt_verdict Verdict = verdictOf(Work, Event);
   const millis Took = Now - Place.SentAt;
   endpoint_state *Endpoint = Endpoints.find(Place.Endpoint);
-  if (Endpoint &&
-      Endpoint->ended(Event.Attempt, Verdict, Place.Learnt->Median.value(),
-                      Now))
+  if (Endpoint && Endpoint->ended(Event.Attempt, Verdict,
+                                  Place.Learnt->Median.value(), Now))
     Endpoints.suspect(*Endpoint, Now, *Out);
   if (Verdict == attempt_verdict::success)
     observe(*Place.Learnt, Took);
@@ -187,6 +190,7 @@
   if (Table && Event.Catalog->Version <= Table->content().Version)
     return;
   Table = std::make_shared<const route_table>(Event.Catalog);
+  noteSliced();
   Endpoints.install(*Event.Catalog, *Out);
 }
 
@@ -233,6 +237,8 @@
   if (Now >= Work.HedgeAt)
     for (request_part &Part : Work.Parts)
       hedge(Work, Part);
+  if (Now >= Work.RepeatAt)
+    repeatSilent(Work);
   settle(Work);
 }
 
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -22,7 +22,9 @@
 } // namespace
 
 void relay::impl::settle(request_work &Work) {
-  if (Work.isGathered())
+  if (Work.Asker)
+    settleAsked(Work);
+  else if (Work.isGathered())
     settleGather(Work);
   else
     settleSingle(Work);
@@ -31,21 +33,23 @@
 void relay::impl::settleGather(request_work &Work) {
   const bool IsPending =
       std::any_of(Work.Parts.begin(), Work.Parts.end(), [](const auto &Part) {
-        return Part.Phase == part_phase::running ||
-               Part.Phase == part_phase::waiting;
+        return Part.Phase != part_phase::done &&
+               Part.Phase != part_phase::failed;
       });
   const bool IsTime = Now >= Work.AnswerBy && Work.isCoveredEnough();
   if (!IsPending || IsTime) {
     if (Work.isCoveredEnough())
       answerGathered(Work);
     else
-      refuse(Work, Work.hasRun() ? relay_refusal::lost
-                                 : relay_refusal::few_shards);
+      refuse(Work,
+             Work.hasRun() ? relay_refusal::lost : relay_refusal::few_shards);
     return;
   }
   instant Next = Now < Work.AnswerBy ? Work.AnswerBy : Work.Deadline;
   if (Now < Work.HedgeAt)
     Next = std::min(Next, Work.HedgeAt);
+  if (Now < Work.RepeatAt && !Work.Asks.empty())
+    Next = std::min(Next, Work.RepeatAt);
   wakeAt(Work, Next);
 }
 
@@ -68,9 +72,10 @@
     if (Now >= Work.GiveUpAt && Part.Sends == 0)
       refuse(Work, relay_refusal::no_endpoint);
     else
-      wakeAt(Work, std::min(std::max(Work.GiveUpAt, Now + millis{1}),
-                            Work.Deadline));
+      wakeAt(Work,
+             std::min(std::max(Work.GiveUpAt, Now + millis{1}), Work.Deadline));
     return;
+  case part_phase::asked: // never: a single request is no slice
   case part_phase::running:
     wakeAt(Work, Now < Work.HedgeAt ? std::min(Work.HedgeAt, Work.Deadline)
                                     : Work.Deadline);
@@ -84,13 +89,19 @@
   Answer.IsGathered = true;
   std::vector<std::string_view> Bodies;
   for (const request_part &Part : Work.Parts) {
-    if (Part.Phase != part_phase::done)
+    if (Part.Phase != part_phase::done || !Part.Reply)
       continue;
     Bodies.push_back(Part.Reply->Body);
     Answer.Signatures.push_back(Part.Reply->Signature);
   }
-  Answer.Missing =
-      static_cast<std::uint32_t>(Work.Parts.size() - Bodies.size());
+  for (const merged_parts &Merged : Work.Merged) {
+    Bodies.push_back(Merged.Records);
+    Answer.Signatures.insert(Answer.Signatures.end(),
+                             Merged.Signatures.begin(),
+                             Merged.Signatures.end());
+  }
+  Answer.Missing = static_cast<std::uint32_t>(Work.Parts.size() -
+                                              Answer.Signatures.size());
   Answer.Body = greatestRecords(Bodies, Work.Route->Gather.TopRecords);
   give(Work, std::move(Answer));
 }
@@ -124,6 +135,11 @@
 }
 
 void relay::impl::atDeadline(request_work &Work) {
+  if (Work.Asker) {
+    tellAsker(Work, true);
+    forget(Work, false);
+    return;
+  }
   if (Work.isGathered() && Work.isCoveredEnough())
     answerGathered(Work);
   else
@@ -138,7 +154,7 @@
   Work.Note.Took = Now - Work.ArrivedAt;
   Work.Note.Covered = Work.covered();
   Out->push_back(std::move(Answer));
-  Out->push_back(std::move(Work.Note));
+  Out->push_back(Work.Note);
   const bool MayLinger = Work.Route->IsIdempotent && Now < Work.Deadline;
   forget(Work, MayLinger);
 }
@@ -155,6 +171,9 @@
         cancel(Each.Attempt, attempt_verdict::cancelled);
     }
   }
+  cancelAsks(Work, Work.Note.ClientLeft);
+  if (Work.Asker)
+    AskedHere.erase({Work.Asker->From, Work.Asker->Ask});
   Waiting.erase(Work.Request);
   Works.erase(Work.Request);
 }
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -18,7 +18,9 @@
 /// By when a reply to a part that is sent now is wanted. An answer that has
 /// enough shards does not wait for it: an endpoint with too much work would do
 /// what nobody waits for.
-instant relay::impl::wantedBy(const request_work &Work) {
+instant relay::impl::wantedBy(const request_work &Work) const {
+  if (Work.Asker)
+    return Now > Work.ArrivedAt ? Work.AnswerBy : Never;
   const bool MayLeaveOut = Work.isGathered() && Work.isCoveredEnough();
   return MayLeaveOut ? Work.AnswerBy : Never;
 }
@@ -59,10 +61,9 @@
 }
 
 void relay::impl::hedge(request_work &Work, request_part &Part) {
-  const bool MayHedge = Work.Route->IsIdempotent &&
-                        Part.Phase == part_phase::running &&
-                        Part.Running.size() == 1 &&
-                        Part.Runs < Work.Route->MaxAttempts;
+  const bool MayHedge =
+      Work.Route->IsIdempotent && Part.Phase == part_phase::running &&
+      Part.Running.size() == 1 && Part.Runs < Work.Route->MaxAttempts;
   if (!MayHedge || Now >= Work.AnswerBy)
     return;
   service_budget &Budget = Part.Service->Budget;
@@ -97,7 +98,8 @@
     return attempt_verdict::overload;
   const bool IsPlain = isSuccess(Reply.Status) ? !Reply.Signature.empty()
                                                : !isServerError(Reply.Status);
-  const bool IsPartLost = Work && Work->isGathered() && !isSuccess(Reply.Status);
+  const bool IsPartLost =
+      Work && Work->isGathered() && !isSuccess(Reply.Status);
   return IsPlain && !IsPartLost ? attempt_verdict::success
                                 : attempt_verdict::failure;
 }
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -28,6 +28,11 @@
   void on(const directory_arrived &Event);
   void on(const zones_out_arrived &Event);
   void on(const peers_counted &Event);
+  void on(const peers_arrived &Event);
+  void on(const ask_arrived &Event);
+  void on(const ask_cancelled &Event);
+  void on(const ask_replied &Event);
+  void on(const peer_lost &Event);
   void on(const timer_fired &Event);
   void armTimer();
   void wakeAt(request_work &Work, instant At);
@@ -39,7 +44,7 @@
   bool canCover(const request_work &Work) const;
 
   // relay_attempts.cpp: the way of one part
-  static instant wantedBy(const request_work &Work);
+  instant wantedBy(const request_work &Work) const;
   void begin(request_work &Work, request_part &Part);
   bool send(request_work &Work, request_part &Part);
   void hedge(request_work &Work, request_part &Part);
@@ -53,6 +58,20 @@
                    const endpoint_state *Endpoint, attempt_verdict Verdict,
                    const attempt_ended &Event, millis Took);
 
+  // relay_slices.cpp: shards that other relays ask, and what they ask here
+  void scatter(request_work &Work);
+  void noteSliced();
+  vm_id pickPeer(vm_id First, vm_id Second) const;
+  void ask(request_work &Work, const std::vector<std::size_t> &Parts, vm_id To,
+           vm_id Other, bool IsRepeat);
+  void beginHere(request_work &Work, const std::vector<std::size_t> &Parts);
+  void askAgain(request_work &Work, std::size_t Index);
+  void repeatSilent(request_work &Work);
+  void takeSlice(request_work &Work, slice_ask &Ask, const shard_reply &Reply);
+  void cancelAsks(const request_work &Work, bool HasClientLeft);
+  void settleAsked(request_work &Work);
+  void tellAsker(request_work &Work, bool IsFinal);
+
   // relay_answers.cpp: the end of a request
   void settle(request_work &Work);
   void settleGather(request_work &Work);
@@ -82,8 +101,19 @@
   void cancel(attempt_no Attempt, attempt_verdict Verdict);
   void cancelLingering();
 
+  struct ask_place {
+    query_id Request;
+    std::size_t Index = 0;
+  };
+
   relay_settings Settings;
   endpoint_set Endpoints;
+  slice_map Slices;
+  std::unordered_map<ask_no, ask_place> Asks; ///< of this relay, not ended
+  std::map<std::pair<vm_id, ask_no>, query_id> AskedHere;
+  std::map<vm_id, instant> SilentPeers; ///< not asked until then
+  std::uint64_t LastAsk = 0;
+  std::uint64_t LastAsked = 0;
   std::shared_ptr<const route_table> Table;
   bool HasDirectory = false;
   std::map<std::string, route_state> Routes; ///< by host and prefix
@@ -95,7 +125,7 @@
   instant HousekeepingAt = Never;
   std::uint64_t LastAttempt = 0;
   instant StartedAt = Never;
-  instant Now;                   ///< of the step under way
+  instant Now;                  ///< of the step under way
   relay_actions *Out = nullptr; ///< of the step under way
 };
 
--- a/src/relay/request_work.cpp
+++ b/src/relay/request_work.cpp
@@ -21,15 +21,13 @@
 }
 
 bool request_work::hasRun() const {
-  return std::any_of(Parts.begin(), Parts.end(), [](const request_part &Part) {
-    return Part.Runs > 0;
-  });
+  return std::any_of(Parts.begin(), Parts.end(),
+                     [](const request_part &Part) { return Part.Runs > 0; });
 }
 
 bool request_work::wasSent() const {
-  return std::any_of(Parts.begin(), Parts.end(), [](const request_part &Part) {
-    return Part.Sends > 0;
-  });
+  return std::any_of(Parts.begin(), Parts.end(),
+                     [](const request_part &Part) { return Part.Sends > 0; });
 }
 
 } // namespace bulrush::relay
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -5,6 +5,8 @@
 #include "relay/latency_quantile.h"
 #include "relay/route_table.h"
 
+#include <optional>
+
 namespace bulrush::relay {
 
 /// What was learnt of one route; kept over versions of the catalog.
@@ -29,6 +31,7 @@
 enum class part_phase : std::uint8_t {
   waiting, ///< for an endpoint that can take it
   running,
+  asked, ///< of another relay
   done,
   failed
 };
@@ -42,10 +45,36 @@
   std::uint32_t Sends = 0;
   std::uint32_t Runs = 0; ///< sendings that may have run
   bool IsHedgeDenied = false;
-  std::shared_ptr<const endpoint_reply> Reply; ///< done: its result
+  std::shared_ptr<const endpoint_reply> Reply;   ///< done: its result
   std::shared_ptr<const endpoint_reply> Failure; ///< the last failing reply
 };
 
+/// A slice that another relay was asked for.
+struct slice_ask {
+  ask_no Ask;
+  vm_id To;
+  vm_id Other; ///< asked where `To` does not answer; 0: none
+  std::vector<std::size_t> Parts;
+  bool HasReplied = false;
+  bool IsEnded = false;
+};
+
+/// Parts that another relay has merged.
+struct merged_parts {
+  std::vector<std::string> Signatures;
+  std::string Records;
+};
+
+/// Where the work comes from when another relay asked for it.
+struct asked_work {
+  vm_id From;
+  ask_no Ask;
+  std::shared_ptr<const route> Route; ///< of the asker, as far as it said
+  instant CheckAt; ///< the asker hears by then that this relay lives
+  bool HasChecked = false;
+  std::vector<bool> IsTold; ///< by part
+};
+
 struct request_work {
   query_id Request;
   std::shared_ptr<const opaque_request> Content;
@@ -53,12 +82,16 @@
   const route *Route = nullptr;
   route_state *Learnt = nullptr;
   instant ArrivedAt;
-  instant HedgeAt;   ///< parts that still run get a second attempt
-  instant AnswerBy;  ///< a later answer earns less
-  instant GiveUpAt;  ///< a request that was sent to no endpoint is refused
+  instant HedgeAt;  ///< parts that still run get a second attempt
+  instant AnswerBy; ///< a later answer earns less
+  instant GiveUpAt; ///< a request that was sent to no endpoint is refused
   instant Deadline;
   instant WakeAt = Never; ///< the next look at it
   std::vector<request_part> Parts;
+  std::vector<slice_ask> Asks;
+  std::vector<merged_parts> Merged;
+  instant RepeatAt; ///< slices without any reply are asked for again
+  std::optional<asked_work> Asker;
   request_note Note;
 
   bool isGathered() const { return !Route->Gather.Shards.empty(); }
--- a/src/relay/settings.h
+++ b/src/relay/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "bulrushtray/clock.h"
+#include "bulrushtray/ids.h"
 
 #include <cstdint>
 #include <string>
@@ -34,6 +35,7 @@
   millis ClientTravel{12};
   /// How far the platform's list lags behind.
   millis DirectoryLag{800};
+  vm_id Self;       ///< the machine of this daemon
   std::string Zone; ///< of this daemon
 
   bool operator==(const relay_settings &) const = default;
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -26,6 +26,7 @@
   Out.set_incarnation(From.Incarnation.Value);
   Out.set_revision(From.Revision.Value);
   Out.set_catalog_version(From.CatalogVersion);
+  Out.set_machine(From.Machine.Value);
 }
 
 void putBody(const fleet::redirect &From, FleetMessage &To) {
@@ -69,6 +70,57 @@
 
 void putBody(const fleet::applied &From, FleetMessage &To) {
   To.mutable_applied()->set_revision(From.Revision.Value);
+  To.mutable_applied()->set_leaving(From.IsLeaving);
+}
+
+void putBody(const fleet::roster &From, FleetMessage &To) {
+  Roster &Out = *To.mutable_roster();
+  for (const relay::relay_peer &Each : From.Peers) {
+    RelayPeer &Item = *Out.add_peers();
+    Item.set_machine(Each.Vm.Value);
+    Item.set_zone(Each.Zone);
+  }
+}
+
+void putBody(const relay::shard_ask &From, FleetMessage &To) {
+  ShardAsk &Out = *To.mutable_shard_ask();
+  const relay::opaque_request &Content = *From.Content;
+  Out.set_ask(From.Ask.Value);
+  Out.set_request_id(Content.RequestId);
+  Out.set_method(Content.Method);
+  Out.set_host(Content.Host);
+  Out.set_target(Content.Target);
+  Out.set_body(Content.Body);
+  for (const http::header &Each : Content.Headers) {
+    Header &Item = *Out.add_headers();
+    Item.set_name(Each.Name);
+    Item.set_value(Each.Value);
+  }
+  for (const relay::service_name &Each : From.Shards)
+    Out.add_shards(Each.Value);
+  Out.set_route_key(From.RouteKey);
+  Out.set_top_records(From.TopRecords);
+  Out.set_max_attempts(From.MaxAttempts);
+  Out.set_objective_ms(static_cast<float>(From.Objective.Count));
+  Out.set_answer_in_ms(static_cast<float>(From.AnswerIn.Count));
+  Out.set_remaining_ms(static_cast<float>(From.Remaining.Count));
+  Out.set_repeat(From.IsRepeat);
+}
+
+void putBody(const relay::shard_reply &From, FleetMessage &To) {
+  ShardReply &Out = *To.mutable_shard_reply();
+  Out.set_ask(From.Ask.Value);
+  for (const std::uint32_t Each : From.Covered)
+    Out.add_covered(Each);
+  for (const std::string &Each : From.Signatures)
+    Out.add_signatures(Each);
+  Out.set_records(From.Records);
+  Out.set_final(From.IsFinal);
+}
+
+void putBody(const fleet::ask_cancel &From, FleetMessage &To) {
+  To.mutable_cancel_ask()->set_ask(From.Ask.Value);
+  To.mutable_cancel_ask()->set_client_left(From.HasClientLeft);
 }
 
 void putBody(const fleet::known_voters &From, FleetMessage &To) {
@@ -84,7 +136,49 @@
           From.zone(),
           {From.incarnation()},
           {From.revision()},
-          From.catalog_version()};
+          From.catalog_version(),
+          {From.machine()}};
+}
+
+fleet::roster take(const Roster &From) {
+  fleet::roster To;
+  for (const RelayPeer &Each : From.peers())
+    To.Peers.push_back({{Each.machine()}, Each.zone()});
+  return To;
+}
+
+relay::shard_ask take(const ShardAsk &From) {
+  auto Content = std::make_shared<relay::opaque_request>();
+  Content->RequestId = From.request_id();
+  Content->Method = From.method();
+  Content->Host = From.host();
+  Content->Target = From.target();
+  Content->Body = From.body();
+  for (const Header &Each : From.headers())
+    Content->Headers.push_back({Each.name(), Each.value()});
+  relay::shard_ask To;
+  To.Ask = {From.ask()};
+  To.Content = std::move(Content);
+  for (const std::string &Each : From.shards())
+    To.Shards.push_back({Each});
+  To.RouteKey = From.route_key();
+  To.TopRecords = From.top_records();
+  To.MaxAttempts = From.max_attempts();
+  To.Objective = {From.objective_ms()};
+  To.AnswerIn = {From.answer_in_ms()};
+  To.Remaining = {From.remaining_ms()};
+  To.IsRepeat = From.repeat();
+  return To;
+}
+
+relay::shard_reply take(const ShardReply &From) {
+  relay::shard_reply To;
+  To.Ask = {From.ask()};
+  To.Covered = {From.covered().begin(), From.covered().end()};
+  To.Signatures = {From.signatures().begin(), From.signatures().end()};
+  To.Records = From.records();
+  To.IsFinal = From.final();
+  return To;
 }
 
 fleet::fleet_state take(const FleetState &From) {
@@ -140,7 +234,16 @@
     return fleet::leader_beat{{In.leader_beat().revision()},
                               In.leader_beat().peers()};
   case FleetMessage::kApplied:
-    return fleet::applied{{In.applied().revision()}};
+    return fleet::applied{{In.applied().revision()}, In.applied().leaving()};
+  case FleetMessage::kRoster:
+    return take(In.roster());
+  case FleetMessage::kShardAsk:
+    return take(In.shard_ask());
+  case FleetMessage::kShardReply:
+    return take(In.shard_reply());
+  case FleetMessage::kCancelAsk:
+    return fleet::ask_cancel{{In.cancel_ask().ask()},
+                             In.cancel_ask().client_left()};
   case FleetMessage::kKnownVoters:
     return fleet::known_voters{takeVms(In.known_voters().voters())};
   case FleetMessage::kVoter: {
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -14,7 +14,8 @@
 expected<fleet::fleet_message> decodeFleet(std::string_view Bytes);
 
 std::string encode(const control::registry_command &Command);
-expected<control::registry_command> decodeRegistryCommand(std::string_view Bytes);
+expected<control::registry_command>
+decodeRegistryCommand(std::string_view Bytes);
 
 std::string encode(const control::registry_state &State);
 expected<control::registry_state> decodeRegistryState(std::string_view Bytes);
--- a/test/shell/registry_node_test.cpp
+++ b/test/shell/registry_node_test.cpp
@@ -109,8 +109,7 @@
   }
 };
 
-control::put_catalog catalogOf(std::uint64_t Version,
-                               const std::string &Text) {
+control::put_catalog catalogOf(std::uint64_t Version, const std::string &Text) {
   return {Version, control::shareBytes(Text)};
 }
 
@@ -171,8 +170,7 @@
   registry_fixture Registry;
   Registry.run(3000);
   Registry.order(1, catalogOf(1, "one"));
-  const std::uint32_t Lost =
-      Registry.leader() == &Registry.Voters[4] ? 3 : 4;
+  const std::uint32_t Lost = Registry.leader() == &Registry.Voters[4] ? 3 : 4;
   Registry.start(Lost, 3, false, 900);
   Registry.run(2000);
   const auto Group = Registry.leader()->Node->status().Group;
@@ -185,8 +183,7 @@
           "[registry]") {
   registry_fixture Registry;
   Registry.run(3000);
-  const std::uint32_t Gone =
-      Registry.leader() == &Registry.Voters[4] ? 3 : 4;
+  const std::uint32_t Gone = Registry.leader() == &Registry.Voters[4] ? 3 : 4;
   Registry.Voters[Gone].IsUp = false;
   Registry.Voters.emplace_back().Vm = {9};
   Registry.start(5, 3, false, 909);
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -73,7 +73,8 @@
   CHECK(Answer->Signatures.size() == 3);
 }
 
-TEST_CASE("below the least coverage a query waits for its deadline", "[relay]") {
+TEST_CASE("below the least coverage a query waits for its deadline",
+          "[relay]") {
   gather_fixture Relay;
   const query_id Request = Relay.ask("/all/x");
   Relay.reply(Relay.Sent.begin()->first);
@@ -302,8 +303,9 @@
   CHECK(Relay.Sent.size() == 3);
 }
 
-TEST_CASE("a request that nothing can take is refused early enough to come back",
-          "[relay]") {
+TEST_CASE(
+    "a request that nothing can take is refused early enough to come back",
+    "[relay]") {
   relay_fixture Relay;
   Relay.addService("one", 1, 1);
   Relay.addPlainRoute("/one/", "one");
