A part is sent a second time by one relay only

Change: a relay that was asked may send a part again only after its asker has granted it; a slice that was granted is given to no other relay, and one that is given again may send each part once. Tests for both sides without network.

--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -60,6 +60,11 @@
   bool operator==(const roster &) const = default;
 };
 
+/// The asker gives the shards of an ask to no other relay.
+struct repeat_grant {
+  relay::ask_no Ask;
+};
+
 /// The asker needs no further reply.
 struct ask_cancel {
   relay::ask_no Ask;
@@ -74,6 +79,6 @@
 using fleet_message =
     std::variant<subscribe, redirect, fleet_state, endpoint_directory,
                  leader_beat, applied, known_voters, control::message, roster,
-                 relay::shard_ask, relay::shard_reply, ask_cancel>;
+                 relay::shard_ask, relay::shard_reply, ask_cancel, repeat_grant>;
 
 } // namespace bulrush::fleet
--- a/src/fleet/peer_links.cpp
+++ b/src/fleet/peer_links.cpp
@@ -62,6 +62,8 @@
     OnEvent(relay::ask_arrived{From, std::move(*Ask)});
   else if (const auto *Cancel = std::get_if<ask_cancel>(&*Message))
     OnEvent(relay::ask_cancelled{From, Cancel->Ask, Cancel->HasClientLeft});
+  else if (const auto *Grant = std::get_if<repeat_grant>(&*Message))
+    OnEvent(relay::repeat_granted{From, Grant->Ask});
 }
 
 void peer_links::onReply(vm_id From, const std::string &Bytes) {
@@ -100,11 +102,18 @@
   linkTo(Action.To)->send(wire::encode(Action.Ask));
 }
 
-void peer_links::send(const relay::cancel_ask &Action) {
-  const auto Known = Outgoing.find(Action.To);
+void peer_links::sendIfOpen(vm_id Peer, const fleet_message &Message) {
+  const auto Known = Outgoing.find(Peer);
   if (Known != Outgoing.end())
-    Known->second->send(
-        wire::encode(ask_cancel{Action.Ask, Action.HasClientLeft}));
+    Known->second->send(wire::encode(Message));
+}
+
+void peer_links::send(const relay::cancel_ask &Action) {
+  sendIfOpen(Action.To, ask_cancel{Action.Ask, Action.HasClientLeft});
+}
+
+void peer_links::send(const relay::grant_repeat &Action) {
+  sendIfOpen(Action.To, repeat_grant{Action.Ask});
 }
 
 void peer_links::send(const relay::send_reply &Action) {
--- a/src/fleet/peer_links.h
+++ b/src/fleet/peer_links.h
@@ -23,6 +23,7 @@
   expected<void> listen();
   void send(const relay::send_ask &Action);
   void send(const relay::cancel_ask &Action);
+  void send(const relay::grant_repeat &Action);
   void send(const relay::send_reply &Action);
 
 private:
@@ -30,6 +31,7 @@
   void accept(boost::asio::ip::tcp::socket Socket);
   void onAsk(vm_id From, const std::string &Bytes);
   void onReply(vm_id From, const std::string &Bytes);
+  void sendIfOpen(vm_id Peer, const fleet_message &Message);
   std::shared_ptr<frame_link> linkTo(vm_id Peer);
   void onLost(vm_id Peer, const frame_link *Link);
 
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -137,6 +137,7 @@
   void on(const relay::close_endpoint &Action) { Links.close(Action); }
   void on(const relay::send_ask &Action) { Peers.send(Action); }
   void on(const relay::cancel_ask &Action) { Peers.send(Action); }
+  void on(const relay::grant_repeat &Action) { Peers.send(Action); }
   void on(const relay::send_reply &Action) { Peers.send(Action); }
   void on(const relay::request_note &Note) { Log.write(Note, Clock.now()); }
   void on(const relay::attempt_note &Note) { Log.write(Note, Clock.now()); }
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -57,6 +57,9 @@
   std::vector<std::string> Signatures; ///< of the parts that are covered
   std::string Records;                 ///< the greatest of these parts
   bool IsFinal = false;                ///< nothing further comes
+  /// The relay wants to send parts a second time; until the asker grants it,
+  /// the asker may give them to another relay.
+  bool WantsRepeat = false;
 };
 
 // Events.
@@ -132,6 +135,12 @@
   bool HasClientLeft = false;
 };
 
+/// The asker gives the shards of this ask to no other relay.
+struct repeat_granted {
+  vm_id From;
+  ask_no Ask;
+};
+
 struct ask_replied {
   vm_id From;
   shard_reply Reply;
@@ -148,7 +157,7 @@
     std::variant<request_arrived, attempt_ended, client_left, probe_ended,
                  catalog_arrived, directory_arrived, zones_out_arrived,
                  peers_counted, peers_arrived, ask_arrived, ask_cancelled,
-                 ask_replied, peer_lost, timer_fired>;
+                 repeat_granted, ask_replied, peer_lost, timer_fired>;
 
 // Actions.
 
@@ -222,6 +231,11 @@
   shard_reply Reply;
 };
 
+struct grant_repeat {
+  vm_id To;
+  ask_no Ask;
+};
+
 struct cancel_ask {
   vm_id To;
   ask_no Ask;
@@ -284,6 +298,7 @@
 using relay_action =
     std::variant<send_attempt, cancel_attempt, give_answer, probe_endpoint,
                  open_endpoint, close_endpoint, send_ask, send_reply, cancel_ask,
+                 grant_repeat,
                  wake_at, request_note, attempt_note, belief_note>;
 using relay_actions = std::vector<relay_action>;
 
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -76,6 +76,7 @@
              std::min(std::max(Work.GiveUpAt, Now + millis{1}), Work.Deadline));
     return;
   case part_phase::asked: // never: a single request is no slice
+  case part_phase::held:
   case part_phase::running:
     wakeAt(Work, Now < Work.HedgeAt ? std::min(Work.HedgeAt, Work.Deadline)
                                     : Work.Deadline);
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -64,7 +64,7 @@
   const bool MayHedge =
       Work.Route->IsIdempotent && Part.Phase == part_phase::running &&
       Part.Running.size() == 1 && Part.Runs < Work.Route->MaxAttempts;
-  if (!MayHedge || Now >= Work.AnswerBy)
+  if (!MayHedge || Now >= Work.AnswerBy || !mayRepeat(Work))
     return;
   service_budget &Budget = Part.Service->Budget;
   if (!Budget.has(Budget.hedgeReserve())) {
@@ -132,10 +132,14 @@
 void relay::impl::tryAgain(request_work &Work, request_part &Part,
                            bool Arrived) {
   Part.Phase = part_phase::failed;
-  const bool MayRepeat = Work.Route->IsIdempotent || Part.Runs == 0;
-  if (!MayRepeat || Part.Runs >= Work.Route->MaxAttempts ||
+  const bool IsSafe = Work.Route->IsIdempotent || Part.Runs == 0;
+  if (!IsSafe || Part.Runs >= Work.Route->MaxAttempts ||
       Part.Sends >= MaxSends || Now >= Work.Deadline)
     return;
+  if (Part.Runs > 0 && !mayRepeat(Work)) {
+    Part.Phase = part_phase::held;
+    return;
+  }
   if (Arrived && !Part.Service->Budget.has()) {
     ++Work.Note.Starved;
     return;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -31,6 +31,7 @@
   void on(const peers_arrived &Event);
   void on(const ask_arrived &Event);
   void on(const ask_cancelled &Event);
+  void on(const repeat_granted &Event);
   void on(const ask_replied &Event);
   void on(const peer_lost &Event);
   void on(const timer_fired &Event);
@@ -70,6 +71,8 @@
   void takeSlice(request_work &Work, slice_ask &Ask, const shard_reply &Reply);
   void cancelAsks(const request_work &Work, bool HasClientLeft);
   void settleAsked(request_work &Work);
+  bool mayRepeat(request_work &Work);
+  static bool hasNews(const request_work &Work);
   void tellAsker(request_work &Work, bool IsFinal);
 
   // relay_answers.cpp: the end of a request
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -64,7 +64,8 @@
   Ask.Content = Work.Content;
   Ask.RouteKey = Work.Route->Host + Work.Route->PathPrefix;
   Ask.TopRecords = Work.Route->Gather.TopRecords;
-  Ask.MaxAttempts = Work.Route->MaxAttempts;
+  // One sending by the relay that was asked before may have run.
+  Ask.MaxAttempts = Work.Route->MaxAttempts - (IsRepeat ? 1 : 0);
   Ask.Objective = Work.Route->Objective;
   Ask.AnswerIn = std::max(millis{1}, Work.AnswerBy - Now - HopTime);
   Ask.Remaining = Work.Deadline - Now;
@@ -74,7 +75,7 @@
     Work.Parts[Place].Phase = part_phase::asked;
   }
   Asks[Number] = {Work.Request, Work.Asks.size()};
-  Work.Asks.push_back({Number, To, Other, Parts, false, false});
+  Work.Asks.push_back({Number, To, Other, Parts, false, false, false});
   Out->push_back(send_ask{To, std::move(Ask)});
 }
 
@@ -84,10 +85,18 @@
   Old.IsEnded = true;
   Asks.erase(Old.Ask);
   const vm_id To = pickPeer(Old.Other, {});
+  const bool MayAsk = !Old.IsGranted && Work.Route->MaxAttempts > 1;
   std::vector<std::size_t> Missing;
-  for (const std::size_t Place : Old.Parts)
-    if (Work.Parts[Place].Phase == part_phase::asked)
+  for (const std::size_t Place : Old.Parts) {
+    request_part &Part = Work.Parts[Place];
+    if (Part.Phase != part_phase::asked)
+      continue;
+    Part.Phase = part_phase::failed;
+    if (MayAsk)
       Missing.push_back(Place);
+  }
+  if (Missing.empty())
+    return;
   ++Work.Note.Repeats;
   if (To != Settings.Self) {
     ask(Work, Missing, To, {}, true);
@@ -95,10 +104,9 @@
   }
   for (const std::size_t Place : Missing) {
     request_part &Part = Work.Parts[Place];
+    Part.Runs = 1; // by the relay that was asked before
     if (Part.Service->Budget.spend())
       begin(Work, Part);
-    else
-      Part.Phase = part_phase::failed;
   }
 }
 
@@ -145,7 +153,12 @@
     Asks.erase(Found);
   if (!Work)
     return;
-  takeSlice(*Work, Work->Asks[Place.Index], Event.Reply);
+  slice_ask &Ask = Work->Asks[Place.Index];
+  takeSlice(*Work, Ask, Event.Reply);
+  if (Event.Reply.WantsRepeat && !Ask.IsGranted) {
+    Ask.IsGranted = true;
+    Out->push_back(grant_repeat{Ask.To, Ask.Ask});
+  }
   settle(*Work);
 }
 
@@ -206,9 +219,12 @@
   Work.AnswerBy = Now + Ask.AnswerIn;
   Work.RepeatAt = Never;
   Work.Note.IsAsk = true;
-  Work.Asker = asked_work{Event.From, Ask.Ask, Route,
-                          Now + Ask.Objective * CheckShare, false, {}};
-  Work.Asker->IsTold.resize(Ask.Shards.size());
+  asked_work &Asker = Work.Asker.emplace();
+  Asker.From = Event.From;
+  Asker.Ask = Ask.Ask;
+  Asker.Route = Route;
+  Asker.CheckAt = Now + Ask.Objective * CheckShare;
+  Asker.IsTold.resize(Ask.Shards.size());
   for (const service_name &Shard : Ask.Shards)
     Work.Parts.emplace_back().Service = &Endpoints.service(Shard);
   for (request_part &Part : Work.Parts) {
@@ -228,11 +244,40 @@
     forget(*Work, !Event.HasClientLeft);
 }
 
+/// A part is sent a second time by one relay only: the asker must know before
+/// it asks another one.
+bool relay::impl::mayRepeat(request_work &Work) {
+  if (!Work.Asker || Work.Asker->MayRepeat)
+    return true;
+  if (!Work.Asker->WantsRepeat) {
+    Work.Asker->WantsRepeat = true;
+    Work.Asker->HasChecked = true;
+    tellAsker(Work, false);
+  }
+  return false;
+}
+
+void relay::impl::on(const repeat_granted &Event) {
+  const auto Found = AskedHere.find({Event.From, Event.Ask});
+  request_work *Work =
+      Found == AskedHere.end() ? nullptr : find(Found->second);
+  if (!Work)
+    return;
+  Work->Asker->MayRepeat = true;
+  for (request_part &Part : Work->Parts) {
+    if (Part.Phase == part_phase::held)
+      tryAgain(*Work, Part, true);
+    else if (Now >= Work->HedgeAt)
+      hedge(*Work, Part);
+  }
+  settle(*Work);
+}
+
 void relay::impl::settleAsked(request_work &Work) {
   const bool IsPending =
       std::any_of(Work.Parts.begin(), Work.Parts.end(), [](const auto &Part) {
-        return Part.Phase == part_phase::running ||
-               Part.Phase == part_phase::waiting;
+        return Part.Phase != part_phase::done &&
+               Part.Phase != part_phase::failed;
       });
   if (!IsPending) {
     tellAsker(Work, true);
@@ -247,7 +292,7 @@
     Asker.HasChecked = true;
     tellAsker(Work, false);
   }
-  if (Now >= Work.AnswerBy)
+  if (Now >= Work.AnswerBy && hasNews(Work))
     tellAsker(Work, false);
   instant Next = Now < Work.AnswerBy ? Work.AnswerBy : Work.Deadline;
   if (Now < Work.HedgeAt)
@@ -257,6 +302,13 @@
   wakeAt(Work, Next);
 }
 
+bool relay::impl::hasNews(const request_work &Work) {
+  for (std::size_t I = 0; I < Work.Parts.size(); ++I)
+    if (Work.Parts[I].Phase == part_phase::done && !Work.Asker->IsTold[I])
+      return true;
+  return false;
+}
+
 /// Sends what the asker was not told yet; an empty reply only as a sign of life.
 void relay::impl::tellAsker(request_work &Work, bool IsFinal) {
   asked_work &Asker = *Work.Asker;
@@ -273,9 +325,7 @@
     Reply.Signatures.push_back(Part.Reply->Signature);
     Bodies.push_back(Part.Reply->Body);
   }
-  const bool IsLate = Now >= Work.AnswerBy;
-  if (Reply.Covered.empty() && IsLate && !IsFinal)
-    return;
+  Reply.WantsRepeat = Asker.WantsRepeat && !Asker.MayRepeat;
   Reply.Records = greatestRecords(Bodies, Work.Route->Gather.TopRecords);
   Out->push_back(send_reply{Asker.From, std::move(Reply)});
 }
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -32,6 +32,7 @@
   waiting, ///< for an endpoint that can take it
   running,
   asked, ///< of another relay
+  held,  ///< failed; sent again once the asker grants it
   done,
   failed
 };
@@ -56,6 +57,7 @@
   vm_id Other; ///< asked where `To` does not answer; 0: none
   std::vector<std::size_t> Parts;
   bool HasReplied = false;
+  bool IsGranted = false; ///< it may send parts again, so no other relay may
   bool IsEnded = false;
 };
 
@@ -72,6 +74,8 @@
   std::shared_ptr<const route> Route; ///< of the asker, as far as it said
   instant CheckAt; ///< the asker hears by then that this relay lives
   bool HasChecked = false;
+  bool WantsRepeat = false;
+  bool MayRepeat = false; ///< granted by the asker
   std::vector<bool> IsTold; ///< by part
 };
 
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -116,6 +116,11 @@
     Out.add_signatures(Each);
   Out.set_records(From.Records);
   Out.set_final(From.IsFinal);
+  Out.set_wants_repeat(From.WantsRepeat);
+}
+
+void putBody(const fleet::repeat_grant &From, FleetMessage &To) {
+  To.mutable_grant_repeat()->set_ask(From.Ask.Value);
 }
 
 void putBody(const fleet::ask_cancel &From, FleetMessage &To) {
@@ -178,6 +183,7 @@
   To.Signatures = {From.signatures().begin(), From.signatures().end()};
   To.Records = From.records();
   To.IsFinal = From.final();
+  To.WantsRepeat = From.wants_repeat();
   return To;
 }
 
@@ -241,6 +247,8 @@
     return take(In.shard_ask());
   case FleetMessage::kShardReply:
     return take(In.shard_reply());
+  case FleetMessage::kGrantRepeat:
+    return fleet::repeat_grant{{In.grant_repeat().ask()}};
   case FleetMessage::kCancelAsk:
     return fleet::ask_cancel{{In.cancel_ask().ask()},
                              In.cancel_ask().client_left()};
--- /dev/null
+++ b/test/unit/relay_slices_test.cpp
@@ -0,0 +1,227 @@
+#include "relay_fixture.h"
+
+#include <set>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+constexpr std::size_t Shards = 64;
+
+/// Two relays or more of one zone with the same catalog; questions between them
+/// are carried by hand.
+struct slices_fixture : relay_fixture {
+  static relay_settings settingsOf(std::uint32_t Self) {
+    relay_settings Out = relay_fixture::settings();
+    Out.Self = {Self};
+    return Out;
+  }
+
+  explicit slices_fixture(std::uint32_t Self = 1, std::uint32_t Peers = 12)
+      : relay_fixture(settingsOf(Self)) {
+    std::vector<std::string> Names;
+    for (std::size_t I = 0; I < Shards; ++I) {
+      Names.push_back("s" + std::to_string(100 + I));
+      addService(Names.back(), 2);
+    }
+    addRoute("/all/", Names).Gather.LeastShare = 0.95;
+    std::vector<relay_peer> All;
+    for (std::uint32_t I = 1; I <= Peers; ++I)
+      All.push_back({{I}, "near"});
+    step(peers_arrived{All});
+    install(Peers);
+  }
+
+  std::vector<send_ask> asks() const {
+    std::vector<send_ask> Out;
+    for (const relay_action &Each : Actions)
+      if (const auto *Ask = std::get_if<send_ask>(&Each))
+        Out.push_back(*Ask);
+    return Out;
+  }
+
+  shard_reply wholeReply(const send_ask &Ask) const {
+    shard_reply Reply;
+    Reply.Ask = Ask.Ask.Ask;
+    Reply.IsFinal = true;
+    for (std::uint32_t I = 0; I < Ask.Ask.Shards.size(); ++I) {
+      Reply.Covered.push_back(I);
+      Reply.Signatures.push_back(Ask.Ask.Shards[I].Value);
+    }
+    Reply.Records = std::string(16, 'r');
+    return Reply;
+  }
+
+  template <class Action> std::vector<Action> all() const {
+    std::vector<Action> Out;
+    for (const relay_action &Each : Actions)
+      if (const auto *Found = std::get_if<Action>(&Each))
+        Out.push_back(*Found);
+    return Out;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a query over many shards is cut into slices that cover it once",
+          "[slices]") {
+  slices_fixture Relay;
+  Relay.ask("/all/x");
+  std::multiset<std::string> Asked;
+  std::set<std::uint32_t> Peers;
+  for (const send_ask &Each : Relay.asks()) {
+    Peers.insert(Each.To.Value);
+    for (const service_name &Shard : Each.Ask.Shards)
+      Asked.insert(Shard.Value);
+  }
+  CHECK(Peers.size() == Relay.asks().size());
+  CHECK(Relay.asks().size() >= 7);
+  CHECK(Asked.size() + Relay.Sent.size() == Shards);
+  CHECK(std::set<std::string>(Asked.begin(), Asked.end()).size() ==
+        Asked.size());
+}
+
+TEST_CASE("all relays of a zone cut alike", "[slices]") {
+  slice_map A({}, {1}, "near");
+  slice_map B({}, {2}, "near");
+  std::vector<relay_peer> Peers;
+  for (std::uint32_t I = 1; I <= 9; ++I)
+    Peers.push_back({{I}, "near"});
+  A.setPeers(Peers);
+  B.setPeers(Peers);
+  gather_rule Rule;
+  for (std::size_t I = 0; I < Shards; ++I)
+    Rule.Shards.push_back({"s" + std::to_string(I)});
+  REQUIRE(A.slicesOf(Rule).size() == B.slicesOf(Rule).size());
+  for (std::size_t I = 0; I < A.slicesOf(Rule).size(); ++I) {
+    CHECK(A.slicesOf(Rule)[I].First == B.slicesOf(Rule)[I].First);
+    CHECK(A.slicesOf(Rule)[I].First != A.slicesOf(Rule)[I].Second);
+  }
+}
+
+TEST_CASE("a query over few shards is asked by the relay that took it",
+          "[slices]") {
+  relay_fixture Relay(slices_fixture::settingsOf(1));
+  Relay.addService("a", 2);
+  Relay.addRoute("/all/", {"a"});
+  Relay.step(peers_arrived{{{{1}, "near"}, {{2}, "near"}}});
+  Relay.install();
+  Relay.ask("/all/x");
+  CHECK(Relay.count<send_ask>() == 0);
+  CHECK(Relay.Sent.size() == 1);
+}
+
+TEST_CASE("the answer holds the parts of all slices", "[slices]") {
+  slices_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  for (const send_ask &Each : Relay.asks())
+    Relay.step(ask_replied{Each.To, Relay.wholeReply(Each)});
+  Relay.replyAll();
+  const give_answer *Answer = Relay.answerTo(Request);
+  REQUIRE(Answer);
+  CHECK(Answer->Missing == 0);
+  CHECK(Answer->Signatures.size() == Shards);
+  CHECK(Answer->Body.size() == 10 * 16);
+}
+
+TEST_CASE("a relay that is lost is replaced, and sends each part once only",
+          "[slices]") {
+  slices_fixture Relay;
+  Relay.ask("/all/x");
+  const send_ask Lost = Relay.asks().front();
+  const std::size_t Before = Relay.asks().size();
+  Relay.step(peer_lost{Lost.To});
+  REQUIRE(Relay.asks().size() == Before + 1);
+  const send_ask Again = Relay.asks().back();
+  CHECK(Again.To != Lost.To);
+  CHECK(Again.Ask.Shards == Lost.Ask.Shards);
+  CHECK(Again.Ask.IsRepeat);
+  CHECK(Again.Ask.MaxAttempts == 1);
+}
+
+TEST_CASE("a relay that may send parts twice is not replaced", "[slices]") {
+  slices_fixture Relay;
+  Relay.ask("/all/x");
+  const send_ask Ask = Relay.asks().front();
+  shard_reply Reply;
+  Reply.Ask = Ask.Ask.Ask;
+  Reply.WantsRepeat = true;
+  Relay.step(ask_replied{Ask.To, Reply});
+  REQUIRE(Relay.count<grant_repeat>() == 1);
+  const std::size_t Before = Relay.asks().size();
+  Relay.step(peer_lost{Ask.To});
+  CHECK(Relay.asks().size() == Before);
+}
+
+TEST_CASE("a relay that says nothing is replaced and passed over for a while",
+          "[slices]") {
+  slices_fixture Relay;
+  Relay.ask("/all/x");
+  const std::vector<send_ask> First = Relay.asks();
+  for (std::size_t I = 1; I < First.size(); ++I)
+    Relay.step(ask_replied{First[I].To, Relay.wholeReply(First[I])});
+  Relay.wait(51);
+  REQUIRE(Relay.asks().size() == First.size() + 1);
+  CHECK(Relay.asks().back().To != First[0].To);
+  Relay.ask("/all/x");
+  for (std::size_t I = First.size() + 1; I < Relay.asks().size(); ++I)
+    CHECK(Relay.asks()[I].To != First[0].To);
+}
+
+TEST_CASE("a client that leaves ends the questions to other relays", "[slices]") {
+  slices_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  Relay.step(client_left{Request});
+  CHECK(Relay.count<cancel_ask>() == Relay.count<send_ask>());
+}
+
+TEST_CASE("shards that another relay asks for are merged into one reply",
+          "[slices]") {
+  slices_fixture Asker(1);
+  Asker.ask("/all/x");
+  const send_ask Ask = Asker.asks().front();
+  slices_fixture Asked(Ask.To.Value);
+  Asked.step(ask_arrived{{1}, Ask.Ask});
+  REQUIRE(Asked.Sent.size() == Ask.Ask.Shards.size());
+  Asked.replyAll();
+  REQUIRE(Asked.count<send_reply>() == 1);
+  const shard_reply Reply = Asked.all<send_reply>().front().Reply;
+  CHECK(Reply.IsFinal);
+  CHECK(Reply.Signatures.size() == Ask.Ask.Shards.size());
+  CHECK(Reply.Covered.size() == Ask.Ask.Shards.size());
+}
+
+TEST_CASE("no part is sent a second time before the asker grants it",
+          "[slices]") {
+  slices_fixture Asker(1);
+  Asker.ask("/all/x");
+  const send_ask Ask = Asker.asks().front();
+  slices_fixture Asked(Ask.To.Value);
+  Asked.step(ask_arrived{{1}, Ask.Ask});
+  const std::size_t Parts = Asked.Sent.size();
+  Asked.lose(Asked.Sent.begin()->first);
+  Asked.wait(46);
+  CHECK(Asked.count<send_attempt>() == Parts);
+  REQUIRE(Asked.count<send_reply>() == 1);
+  CHECK(Asked.all<send_reply>().front().Reply.WantsRepeat);
+  Asked.step(repeat_granted{{1}, Ask.Ask.Ask});
+  CHECK(Asked.count<send_attempt>() > Parts);
+}
+
+TEST_CASE("a second question sends within the budgets only", "[slices]") {
+  slices_fixture Asker(1);
+  Asker.ask("/all/x");
+  shard_ask Ask = Asker.asks().front().Ask;
+  Ask.IsRepeat = true;
+  Ask.MaxAttempts = 1;
+  relay_settings Settings = slices_fixture::settingsOf(2);
+  Settings.Budget = {0, 0};
+  relay_fixture Asked(Settings);
+  for (const service_name &Each : Ask.Shards)
+    Asked.addService(Each.Value, 2);
+  Asked.install();
+  Asked.step(ask_arrived{{1}, Ask});
+  CHECK(Asked.Sent.empty());
+  REQUIRE(Asked.count<send_reply>() == 1);
+}
