Queries that too few shards have room for are refused at once

Change: a query is refused at its arrival while too few shards have an endpoint with room or in time; an endpoint whose requests are given up gets probes; a part that the only endpoint left has shed is sent to it again 10 ms later; every further arrival is paid for in one place. Load tests without network.

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -215,6 +215,19 @@
   return Best;
 }
 
+bool endpoint_set::canServe(const service_state &Service, millis Typical,
+                            instant By, instant Now) const {
+  const std::size_t Limit = limitOf(Service);
+  return std::any_of(
+      Service.Endpoints.begin(), Service.Endpoints.end(), [&](endpoint_no No) {
+        const endpoint_state &Each = *Endpoints.at(No);
+        if (Each.isBarred(Now) || Each.isDown())
+          return false;
+        return Each.isOpen(Limit, Now) ||
+               Now + Each.expectedLatency(Typical, Now) <= By;
+      });
+}
+
 availability
 endpoint_set::available(const service_state &Service, instant Now,
                         const std::vector<endpoint_no> &Tried) const {
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -49,6 +49,10 @@
   endpoint_state *choose(const service_state &Service,
                          const std::vector<endpoint_no> &Tried, millis Typical,
                          instant By, instant Now);
+  /// Whether a request that comes now can be served: some endpoint has room, or
+  /// is likely to reply by `By` all the same.
+  bool canServe(const service_state &Service, millis Typical, instant By,
+                instant Now) const;
   availability available(const service_state &Service, instant Now,
                          const std::vector<endpoint_no> &Tried = {}) const;
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -131,11 +131,12 @@
 }
 
 bool relay::impl::canCover(const request_work &Work) const {
-  const auto Reachable = std::count_if(
+  const auto Servable = std::count_if(
       Work.Parts.begin(), Work.Parts.end(), [&](const request_part &Part) {
-        return Endpoints.available(*Part.Service, Now) != availability::none;
+        return Endpoints.canServe(*Part.Service, Work.Learnt->Median.value(),
+                                  Work.AnswerBy, Now);
       });
-  return static_cast<std::uint32_t>(Reachable) >= Work.leastCovered();
+  return static_cast<std::uint32_t>(Servable) >= Work.leastCovered();
 }
 
 void relay::impl::on(const attempt_ended &Event) {
@@ -165,7 +166,7 @@
   });
   if (Verdict != attempt_verdict::success)
     noteAttempt(*Work, Part, Endpoint, Verdict, Event, Took);
-  takeReply(*Work, Part, Event);
+  takeReply(*Work, Part, Place.Endpoint, Event);
   settle(*Work);
   retryWaiting();
 }
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -69,8 +69,9 @@
                                   : relay_refusal::no_endpoint);
     return;
   case part_phase::waiting:
-    if (Now >= Work.GiveUpAt && Part.Sends == 0)
-      refuse(Work, relay_refusal::no_endpoint);
+    if (Now >= Work.GiveUpAt && Part.Runs == 0)
+      refuse(Work, Part.Sends > 0 ? relay_refusal::not_run
+                                  : relay_refusal::no_endpoint);
     else
       wakeAt(Work,
              std::min(std::max(Work.GiveUpAt, Now + millis{1}), Work.Deadline));
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -9,6 +9,8 @@
 
 /// Sendings of one part, those included that no endpoint ran.
 constexpr std::uint32_t MaxSends = 4;
+/// Before a part is sent again to the endpoint that has shed it.
+constexpr millis ShedPause{10};
 
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 bool isServerError(unsigned Status) { return Status >= 500; }
@@ -26,31 +28,48 @@
 }
 
 void relay::impl::begin(request_work &Work, request_part &Part) {
-  if (send(Work, Part))
+  const bool IsEarly = Now < Part.NotBefore;
+  if (!IsEarly && send(Work, Part))
     return;
   const availability State =
       Endpoints.available(*Part.Service, Now, Part.Tried);
-  const bool MayWait = State == availability::busy && Now < Work.AnswerBy;
+  const bool IsStarved = Part.Arrivals > 0 && !Part.Service->Budget.has();
+  const bool MayWait = (State == availability::busy || IsEarly || IsStarved) &&
+                       State != availability::none && Now < Work.AnswerBy;
   Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
   if (MayWait)
     Waiting.insert(Work.Request);
+  if (MayWait && IsEarly)
+    wakeAt(Work, Part.NotBefore);
 }
 
 /// Sends the part to the endpoint that is likely to reply first; false when no
-/// endpoint can take it.
-bool relay::impl::send(request_work &Work, request_part &Part) {
+/// endpoint can take it, or when it would be a further arrival and the budget
+/// has too little beside `Reserve`.
+bool relay::impl::send(request_work &Work, request_part &Part,
+                       double Reserve) {
+  service_budget &Budget = Part.Service->Budget;
+  const bool IsFurther = Part.Arrivals > 0;
+  if (IsFurther && !Budget.has(Reserve)) {
+    Work.Note.Starved += Part.IsHedgeDenied ? 0 : 1;
+    Part.IsHedgeDenied = true;
+    return false;
+  }
   endpoint_state *To =
       Endpoints.choose(*Part.Service, Part.Tried, Work.Learnt->Median.value(),
                        wantedBy(Work), Now);
   if (!To)
     return false;
+  if (IsFurther)
+    Budget.spend(Reserve);
+  else
+    Budget.countFirst();
   const attempt_no Attempt{++LastAttempt};
-  if (Part.Sends == 0)
-    Part.Service->Budget.countFirst();
   Part.Phase = part_phase::running;
   Part.Running.push_back({Attempt, To->number(), Now});
   Part.Tried.push_back(To->number());
   ++Part.Sends;
+  ++Part.Arrivals;
   ++Part.Runs;
   To->sent(Attempt, Now);
   const auto Place = static_cast<std::size_t>(&Part - Work.Parts.data());
@@ -61,21 +80,14 @@
 }
 
 void relay::impl::hedge(request_work &Work, request_part &Part) {
-  const bool MayHedge =
-      Work.Route->IsIdempotent && Part.Phase == part_phase::running &&
-      Part.Running.size() == 1 && Part.Runs < Work.Route->MaxAttempts;
+  const bool MayHedge = Work.Route->IsIdempotent &&
+                        Part.Phase == part_phase::running &&
+                        Part.Running.size() == 1 &&
+                        Part.Runs < Work.Route->MaxAttempts;
   if (!MayHedge || Now >= Work.AnswerBy || !mayRepeat(Work))
     return;
-  service_budget &Budget = Part.Service->Budget;
-  if (!Budget.has(Budget.hedgeReserve())) {
-    Work.Note.Starved += Part.IsHedgeDenied ? 0 : 1;
-    Part.IsHedgeDenied = true;
-    return;
-  }
-  if (!send(Work, Part))
-    return;
-  Budget.spend();
-  ++Work.Note.Hedges;
+  if (send(Work, Part, Part.Service->Budget.hedgeReserve()))
+    ++Work.Note.Hedges;
 }
 
 attempt_verdict relay::impl::verdictOf(const request_work *Work,
@@ -105,7 +117,7 @@
 }
 
 void relay::impl::takeReply(request_work &Work, request_part &Part,
-                            const attempt_ended &Event) {
+                            endpoint_no From, const attempt_ended &Event) {
   const attempt_verdict Verdict = verdictOf(&Work, Event);
   if (Part.Phase == part_phase::done)
     return;
@@ -114,23 +126,35 @@
     Part.Reply = Event.Reply;
     return;
   }
-  const bool IsProvedUnrun =
-      Event.End == attempt_end::not_sent ||
-      (Event.Reply && (Event.Reply->IsNotRun || Event.Reply->IsOtherInstance));
+  const bool IsShed = Event.Reply && Event.Reply->IsNotRun;
+  const bool IsProvedUnrun = Event.End == attempt_end::not_sent || IsShed ||
+                             (Event.Reply && Event.Reply->IsOtherInstance);
   if (IsProvedUnrun && Part.Runs > 0)
     --Part.Runs;
+  if (Event.End == attempt_end::not_sent && Part.Arrivals > 0)
+    --Part.Arrivals;
   if (Event.Reply && !IsProvedUnrun &&
       (isServerError(Event.Reply->Status) || Work.isGathered()))
     Part.Failure = Event.Reply;
   if (!Part.Running.empty())
     return;
-  tryAgain(Work, Part, Event.End != attempt_end::not_sent);
+  if (IsShed)
+    waitAfterShed(Part, From);
+  tryAgain(Work, Part);
 }
 
-/// After a failed attempt. `Arrived`: the endpoint got it, so that another
-/// sending counts against the budget.
-void relay::impl::tryAgain(request_work &Work, request_part &Part,
-                           bool Arrived) {
+/// An endpoint that has shed a part may take it a little later, where no other
+/// one can.
+void relay::impl::waitAfterShed(request_part &Part, endpoint_no Endpoint) {
+  if (Endpoints.available(*Part.Service, Now, Part.Tried) !=
+      availability::none)
+    return;
+  std::erase(Part.Tried, Endpoint);
+  Part.NotBefore = Now + ShedPause;
+}
+
+/// After a failed attempt.
+void relay::impl::tryAgain(request_work &Work, request_part &Part) {
   Part.Phase = part_phase::failed;
   const bool IsSafe = Work.Route->IsIdempotent || Part.Runs == 0;
   if (!IsSafe || Part.Runs >= Work.Route->MaxAttempts ||
@@ -140,17 +164,10 @@
     Part.Phase = part_phase::held;
     return;
   }
-  if (Arrived && !Part.Service->Budget.has()) {
-    ++Work.Note.Starved;
-    return;
-  }
-  if (!send(Work, Part)) {
-    begin(Work, Part);
-    return;
-  }
-  if (Arrived)
-    Part.Service->Budget.spend();
-  ++Work.Note.Retries;
+  const std::uint32_t Sends = Part.Sends;
+  begin(Work, Part);
+  if (Part.Sends > Sends)
+    ++Work.Note.Retries;
 }
 
 void relay::impl::observe(route_state &Learnt, millis Took) {
@@ -180,10 +197,15 @@
     return;
   const attempt_place Place = Found->second;
   Attempts.erase(Found);
-  if (endpoint_state *Endpoint = Endpoints.find(Place.Endpoint))
+  endpoint_state *Endpoint = Endpoints.find(Place.Endpoint);
+  if (Endpoint)
     Endpoint->ended(Attempt, Verdict, Place.Learnt->Median.value(), Now);
-  if (Verdict == attempt_verdict::overdue)
+  if (Verdict == attempt_verdict::overdue) {
     observe(*Place.Learnt, Now - Place.SentAt);
+    // It may be dead without a word: a probe tells.
+    if (Endpoint)
+      Endpoints.suspect(*Endpoint, Now, *Out);
+  }
   Out->push_back(cancel_attempt{Attempt, Place.Endpoint});
 }
 
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -47,11 +47,12 @@
   // relay_attempts.cpp: the way of one part
   instant wantedBy(const request_work &Work) const;
   void begin(request_work &Work, request_part &Part);
-  bool send(request_work &Work, request_part &Part);
+  bool send(request_work &Work, request_part &Part, double Reserve = 0);
   void hedge(request_work &Work, request_part &Part);
-  void takeReply(request_work &Work, request_part &Part,
+  void takeReply(request_work &Work, request_part &Part, endpoint_no From,
                  const attempt_ended &Event);
-  void tryAgain(request_work &Work, request_part &Part, bool Arrived);
+  void tryAgain(request_work &Work, request_part &Part);
+  void waitAfterShed(request_part &Part, endpoint_no Endpoint);
   attempt_verdict verdictOf(const request_work *Work,
                             const attempt_ended &Event) const;
   void observe(route_state &Learnt, millis Took);
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -104,9 +104,8 @@
   }
   for (const std::size_t Place : Missing) {
     request_part &Part = Work.Parts[Place];
-    Part.Runs = 1; // by the relay that was asked before
-    if (Part.Service->Budget.spend())
-      begin(Work, Part);
+    Part.Runs = Part.Arrivals = 1; // by the relay that was asked before
+    begin(Work, Part);
   }
 }
 
@@ -228,10 +227,8 @@
   for (const service_name &Shard : Ask.Shards)
     Work.Parts.emplace_back().Service = &Endpoints.service(Shard);
   for (request_part &Part : Work.Parts) {
-    if (Ask.IsRepeat && !Part.Service->Budget.spend())
-      Part.Phase = part_phase::failed;
-    else
-      begin(Work, Part);
+    Part.Arrivals = Ask.IsRepeat ? 1 : 0;
+    begin(Work, Part);
   }
   settle(Work);
 }
@@ -266,7 +263,7 @@
   Work->Asker->MayRepeat = true;
   for (request_part &Part : Work->Parts) {
     if (Part.Phase == part_phase::held)
-      tryAgain(*Work, Part, true);
+      tryAgain(*Work, Part);
     else if (Now >= Work->HedgeAt)
       hedge(*Work, Part);
   }
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -44,7 +44,9 @@
   std::vector<running_attempt> Running;
   std::vector<endpoint_no> Tried;
   std::uint32_t Sends = 0;
-  std::uint32_t Runs = 0; ///< sendings that may have run
+  std::uint32_t Arrivals = 0; ///< sendings that reached an endpoint
+  std::uint32_t Runs = 0;     ///< sendings that may have run
+  instant NotBefore{-1e300};  ///< after endpoints have shed it
   bool IsHedgeDenied = false;
   std::shared_ptr<const endpoint_reply> Reply;   ///< done: its result
   std::shared_ptr<const endpoint_reply> Failure; ///< the last failing reply
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -223,5 +223,6 @@
   Asked.install();
   Asked.step(ask_arrived{{1}, Ask});
   CHECK(Asked.Sent.empty());
-  REQUIRE(Asked.count<send_reply>() == 1);
+  Asked.wait(100);
+  CHECK(Asked.Sent.empty());
 }
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -160,10 +160,29 @@
   Relay.refuse(Relay.Sent.begin()->first);
   REQUIRE(Relay.Sent.size() == 1);
   Relay.refuse(Relay.Sent.begin()->first);
+  Relay.wait(11); // the first that has shed it may take it now
+  REQUIRE(Relay.Sent.size() == 1);
+  Relay.refuse(Relay.Sent.begin()->first);
   REQUIRE(Relay.answerTo(Request));
   CHECK(Relay.answerTo(Request)->Status == 503);
 }
 
+TEST_CASE("a part that the only endpoint left sheds is sent again a little later",
+          "[relay][load]") {
+  gather_fixture Relay;
+  Relay.entry("a-1").IsLeaving = true;
+  Relay.list();
+  const query_id Request = Relay.ask("/all/x");
+  const std::uint64_t Shed = Relay.attemptAt("a-0");
+  Relay.refuse(Shed);
+  CHECK(Relay.attemptAt("a-0") == 0);
+  Relay.wait(11);
+  CHECK(Relay.attemptAt("a-0") != 0);
+  Relay.replyAll();
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Missing == 0);
+}
+
 TEST_CASE("a success without a signature is no success", "[relay]") {
   single_fixture Relay;
   Relay.ask("/one/");
@@ -361,3 +380,68 @@
       Whole += Answer->Missing == 0 ? 1 : 0;
   CHECK(Whole >= 160); // of the 200 that one slot can serve
 }
+
+TEST_CASE("an endpoint that never replies gets probes only", "[relay][load]") {
+  gather_fixture Relay;
+  for (listed_endpoint &Each : Relay.Directory.Endpoints)
+    Each.Zone = "near";
+  Relay.list();
+  // Every second endpoint is dark.
+  const auto IsDark = [&](const send_attempt &Attempt) {
+    return Relay.nameOf(Attempt).back() == '1';
+  };
+  std::size_t Wasted = 0;
+  for (int I = 0; I < 40; ++I) {
+    Relay.ask("/all/x");
+    for (auto Each = Relay.Sent.begin(); Each != Relay.Sent.end();) {
+      const auto [Number, Attempt] = *Each++;
+      if (!IsDark(Attempt))
+        Relay.reply(Number);
+      else if (I > 20)
+        ++Wasted;
+    }
+    Relay.wait(50);
+    for (auto Each = Relay.Sent.begin(); Each != Relay.Sent.end();) {
+      const auto [Number, Attempt] = *Each++;
+      if (!IsDark(Attempt))
+        Relay.reply(Number);
+    }
+    Relay.wait(50);
+  }
+  CHECK(Relay.count<probe_endpoint>() >= 2);
+  CHECK(Wasted <= 2);
+}
+
+TEST_CASE("a query is refused at once while too many shards have no room",
+          "[relay][load]") {
+  relay_fixture Relay;
+  for (const char *Shard : {"a", "b", "c", "d"})
+    Relay.addService(Shard, 1, 2);
+  Relay.addRoute("/all/", {"a", "b", "c", "d"});
+  Relay.install();
+  // Two shards are slow and have one request each in flight.
+  const auto IsSlow = [&](const send_attempt &Attempt) {
+    return Relay.nameOf(Attempt) == "a-0" || Relay.nameOf(Attempt) == "b-0";
+  };
+  for (int I = 0; I < 6; ++I) {
+    Relay.ask("/all/x");
+    for (auto Each = Relay.Sent.begin(); Each != Relay.Sent.end();) {
+      const auto [Number, Attempt] = *Each++;
+      if (!IsSlow(Attempt))
+        Relay.reply(Number);
+    }
+    Relay.wait(300);
+    Relay.replyAll();
+  }
+  Relay.ask("/all/x");
+  for (auto Each = Relay.Sent.begin(); Each != Relay.Sent.end();) {
+    const auto [Number, Attempt] = *Each++;
+    if (!IsSlow(Attempt))
+      Relay.reply(Number);
+  }
+  const std::size_t Before = Relay.count<send_attempt>();
+  const query_id Next = Relay.ask("/all/x");
+  REQUIRE(Relay.answerTo(Next));
+  CHECK(Relay.answerTo(Next)->Status == 503);
+  CHECK(Relay.count<send_attempt>() == Before);
+}
