--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -21,6 +21,13 @@
          Note.Took <= Note.Objective && Note.Retries == 0 && !Note.ClientLeft;
 }
 
+std::string namesOf(const std::vector<relay::service_name> &Names) {
+  std::string Out;
+  for (const relay::service_name &Each : Names)
+    Out += (Out.empty() ? "" : ",") + Each.Value;
+  return Out;
+}
+
 bool isSampled(const std::string &RequestId) {
   return std::hash<std::string>{}(RequestId) % SampleEvery == 0;
 }
@@ -75,7 +82,8 @@
                        {"hedges", Note.Hedges},
                        {"retries", Note.Retries},
                        {"repeats", Note.Repeats},
-                       {"budget_denied", Note.Starved}});
+                       {"budget_denied", Note.Starved},
+                       {"lacking", namesOf(Note.Lacking)}});
 }
 
 /// Shards that another relay asked for.
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -79,6 +79,7 @@
 using fleet_message =
     std::variant<subscribe, redirect, fleet_state, endpoint_directory,
                  leader_beat, applied, known_voters, control::message, roster,
-                 relay::shard_ask, relay::shard_reply, ask_cancel, repeat_grant>;
+                 relay::shard_ask, relay::shard_reply, ask_cancel,
+                 repeat_grant>;
 
 } // namespace bulrush::fleet
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -49,8 +49,7 @@
 }
 
 std::size_t endpoint_set::limitOf(const service_state &Service) const {
-  const double Users =
-      Service.IsSliced ? static_cast<double>(Sharers) : Peers;
+  const double Users = Service.IsSliced ? static_cast<double>(Sharers) : Peers;
   const double Share = Service.MaxConnections * ConnectionShare / Users;
   return std::max<std::size_t>(1, static_cast<std::size_t>(Share));
 }
@@ -218,14 +217,14 @@
 bool endpoint_set::canServe(const service_state &Service, millis Typical,
                             instant By, instant Now) const {
   const std::size_t Limit = limitOf(Service);
-  return std::any_of(
-      Service.Endpoints.begin(), Service.Endpoints.end(), [&](endpoint_no No) {
-        const endpoint_state &Each = *Endpoints.at(No);
-        if (Each.isBarred(Now) || Each.isDown())
-          return false;
-        return Each.isOpen(Limit, Now) ||
-               Now + Each.expectedLatency(Typical, Now) <= By;
-      });
+  return std::any_of(Service.Endpoints.begin(), Service.Endpoints.end(),
+                     [&](endpoint_no No) {
+                       const endpoint_state &Each = *Endpoints.at(No);
+                       if (Each.isBarred(Now) || Each.isDown())
+                         return false;
+                       return Each.isOpen(Limit, Now) ||
+                              Now + Each.expectedLatency(Typical, Now) <= By;
+                     });
 }
 
 availability
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -264,8 +264,13 @@
   std::uint32_t Repeats = 0; ///< slices that another relay was asked for again
   bool ClientLeft = false;
   bool IsAsk = false; ///< by another relay
+  /// Some of the shards that are left out, or for which nothing has room.
+  std::vector<service_name> Lacking;
 };
 
+/// More names would make lines long and say no more.
+inline constexpr std::size_t MaxLacking = 4;
+
 /// One attempt that did not end as wanted.
 struct attempt_note {
   std::string RequestId;
@@ -297,9 +302,9 @@
 
 using relay_action =
     std::variant<send_attempt, cancel_attempt, give_answer, probe_endpoint,
-                 open_endpoint, close_endpoint, send_ask, send_reply, cancel_ask,
-                 grant_repeat,
-                 wake_at, request_note, attempt_note, belief_note>;
+                 open_endpoint, close_endpoint, send_ask, send_reply,
+                 cancel_ask, grant_repeat, wake_at, request_note, attempt_note,
+                 belief_note>;
 using relay_actions = std::vector<relay_action>;
 
 /// The names used in logs.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -130,13 +130,17 @@
   return Picked->Service;
 }
 
-bool relay::impl::canCover(const request_work &Work) const {
-  const auto Servable = std::count_if(
-      Work.Parts.begin(), Work.Parts.end(), [&](const request_part &Part) {
-        return Endpoints.canServe(*Part.Service, Work.Learnt->Median.value(),
-                                  Work.AnswerBy, Now);
-      });
-  return static_cast<std::uint32_t>(Servable) >= Work.leastCovered();
+/// Whether enough shards can be served; notes those that cannot.
+bool relay::impl::canCover(request_work &Work) const {
+  std::uint32_t Servable = 0;
+  for (const request_part &Part : Work.Parts) {
+    if (Endpoints.canServe(*Part.Service, Work.Learnt->Median.value(),
+                           Work.AnswerBy, Now))
+      ++Servable;
+    else if (Work.Note.Lacking.size() < MaxLacking)
+      Work.Note.Lacking.push_back(Part.Service->Name);
+  }
+  return Servable >= Work.leastCovered();
 }
 
 void relay::impl::on(const attempt_ended &Event) {
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -98,12 +98,11 @@
   }
   for (const merged_parts &Merged : Work.Merged) {
     Bodies.push_back(Merged.Records);
-    Answer.Signatures.insert(Answer.Signatures.end(),
-                             Merged.Signatures.begin(),
+    Answer.Signatures.insert(Answer.Signatures.end(), Merged.Signatures.begin(),
                              Merged.Signatures.end());
   }
-  Answer.Missing = static_cast<std::uint32_t>(Work.Parts.size() -
-                                              Answer.Signatures.size());
+  Answer.Missing =
+      static_cast<std::uint32_t>(Work.Parts.size() - Answer.Signatures.size());
   Answer.Body = greatestRecords(Bodies, Work.Route->Gather.TopRecords);
   give(Work, std::move(Answer));
 }
@@ -155,12 +154,23 @@
   Work.Note.Reason = Answer.Reason;
   Work.Note.Took = Now - Work.ArrivedAt;
   Work.Note.Covered = Work.covered();
+  if (Answer.Reason != relay_refusal::few_shards)
+    noteLacking(Work);
   Out->push_back(std::move(Answer));
   Out->push_back(Work.Note);
   const bool MayLinger = Work.Route->IsIdempotent && Now < Work.Deadline;
   forget(Work, MayLinger);
 }
 
+void relay::impl::noteLacking(request_work &Work) {
+  Work.Note.Lacking.clear();
+  if (!Work.isGathered())
+    return;
+  for (const request_part &Part : Work.Parts)
+    if (Part.Phase != part_phase::done && Work.Note.Lacking.size() < MaxLacking)
+      Work.Note.Lacking.push_back(Part.Service->Name);
+}
+
 void relay::impl::forget(request_work &Work, bool Linger) {
   for (const request_part &Part : Work.Parts) {
     for (const running_attempt &Each : Part.Running) {
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -46,8 +46,7 @@
 /// Sends the part to the endpoint that is likely to reply first; false when no
 /// endpoint can take it, or when it would be a further arrival and the budget
 /// has too little beside `Reserve`.
-bool relay::impl::send(request_work &Work, request_part &Part,
-                       double Reserve) {
+bool relay::impl::send(request_work &Work, request_part &Part, double Reserve) {
   service_budget &Budget = Part.Service->Budget;
   const bool IsFurther = Part.Arrivals > 0;
   if (IsFurther && !Budget.has(Reserve)) {
@@ -80,10 +79,9 @@
 }
 
 void relay::impl::hedge(request_work &Work, request_part &Part) {
-  const bool MayHedge = Work.Route->IsIdempotent &&
-                        Part.Phase == part_phase::running &&
-                        Part.Running.size() == 1 &&
-                        Part.Runs < Work.Route->MaxAttempts;
+  const bool MayHedge =
+      Work.Route->IsIdempotent && Part.Phase == part_phase::running &&
+      Part.Running.size() == 1 && Part.Runs < Work.Route->MaxAttempts;
   if (!MayHedge || Now >= Work.AnswerBy || !mayRepeat(Work))
     return;
   if (send(Work, Part, Part.Service->Budget.hedgeReserve()))
@@ -146,8 +144,7 @@
 /// An endpoint that has shed a part may take it a little later, where no other
 /// one can.
 void relay::impl::waitAfterShed(request_part &Part, endpoint_no Endpoint) {
-  if (Endpoints.available(*Part.Service, Now, Part.Tried) !=
-      availability::none)
+  if (Endpoints.available(*Part.Service, Now, Part.Tried) != availability::none)
     return;
   std::erase(Part.Tried, Endpoint);
   Part.NotBefore = Now + ShedPause;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -42,7 +42,7 @@
   request_work *find(query_id Request);
   void setTimes(request_work &Work, millis Patience) const;
   service_name pickTarget(request_work &Work) const;
-  bool canCover(const request_work &Work) const;
+  bool canCover(request_work &Work) const;
 
   // relay_attempts.cpp: the way of one part
   instant wantedBy(const request_work &Work) const;
@@ -86,6 +86,7 @@
   void refuse(request_work &Work, relay_refusal Reason);
   void atDeadline(request_work &Work);
   void give(request_work &Work, give_answer Answer);
+  static void noteLacking(request_work &Work);
   void forget(request_work &Work, bool Linger);
   millis retryAfter(const request_work &Work) const;
   void refuseUnrouted(const request_arrived &Event, unsigned Status,
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -55,9 +55,8 @@
       begin(Work, Work.Parts[Place]);
 }
 
-void relay::impl::ask(request_work &Work,
-                      const std::vector<std::size_t> &Parts, vm_id To,
-                      vm_id Other, bool IsRepeat) {
+void relay::impl::ask(request_work &Work, const std::vector<std::size_t> &Parts,
+                      vm_id To, vm_id Other, bool IsRepeat) {
   const ask_no Number{++LastAsk};
   shard_ask Ask;
   Ask.Ask = Number;
@@ -165,14 +164,13 @@
                             const shard_reply &Reply) {
   Ask.HasReplied = true;
   Ask.IsEnded = Reply.IsFinal;
-  const bool IsSound =
-      Reply.Covered.size() == Reply.Signatures.size() &&
-      std::all_of(Reply.Covered.begin(), Reply.Covered.end(),
-                  [&](std::uint32_t Each) {
-                    return Each < Ask.Parts.size() &&
-                           Work.Parts[Ask.Parts[Each]].Phase !=
-                               part_phase::done;
-                  });
+  const bool IsSound = Reply.Covered.size() == Reply.Signatures.size() &&
+                       std::all_of(Reply.Covered.begin(), Reply.Covered.end(),
+                                   [&](std::uint32_t Each) {
+                                     return Each < Ask.Parts.size() &&
+                                            Work.Parts[Ask.Parts[Each]].Phase !=
+                                                part_phase::done;
+                                   });
   if (IsSound && !Reply.Covered.empty()) {
     for (const std::uint32_t Each : Reply.Covered)
       Work.Parts[Ask.Parts[Each]].Phase = part_phase::done;
@@ -212,8 +210,7 @@
   Work.Request = Number;
   Work.Content = Ask.Content;
   Work.Route = Route.get();
-  Work.Learnt =
-      &Routes.try_emplace(Ask.RouteKey, Ask.Objective).first->second;
+  Work.Learnt = &Routes.try_emplace(Ask.RouteKey, Ask.Objective).first->second;
   setTimes(Work, {});
   Work.AnswerBy = Now + Ask.AnswerIn;
   Work.RepeatAt = Never;
@@ -256,8 +253,7 @@
 
 void relay::impl::on(const repeat_granted &Event) {
   const auto Found = AskedHere.find({Event.From, Event.Ask});
-  request_work *Work =
-      Found == AskedHere.end() ? nullptr : find(Found->second);
+  request_work *Work = Found == AskedHere.end() ? nullptr : find(Found->second);
   if (!Work)
     return;
   Work->Asker->MayRepeat = true;
@@ -306,7 +302,8 @@
   return false;
 }
 
-/// Sends what the asker was not told yet; an empty reply only as a sign of life.
+/// Sends what the asker was not told yet; an empty reply only as a sign of
+/// life.
 void relay::impl::tellAsker(request_work &Work, bool IsFinal) {
   asked_work &Asker = *Work.Asker;
   shard_reply Reply;
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -77,7 +77,7 @@
   instant CheckAt; ///< the asker hears by then that this relay lives
   bool HasChecked = false;
   bool WantsRepeat = false;
-  bool MayRepeat = false; ///< granted by the asker
+  bool MayRepeat = false;   ///< granted by the asker
   std::vector<bool> IsTold; ///< by part
 };
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,7 +1,11 @@
 #include "telemetry/log.h"
 
+#include "telemetry/bounded_output.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/global_logger_storage.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
@@ -10,6 +14,7 @@
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/log/utility/setup/file.hpp>
 #include <iostream>
+#include <unistd.h>
 
 namespace bulrush::telemetry {
 
@@ -21,6 +26,20 @@
 BOOST_LOG_INLINE_GLOBAL_LOGGER_DEFAULT(
     event_logger, boost::log::sources::severity_logger_mt<severity>)
 
+/// Hands formatted lines to standard output.
+class output_backend final
+    : public boost::log::sinks::basic_formatted_sink_backend<
+          char, boost::log::sinks::synchronized_feeding> {
+public:
+  void consume(const boost::log::record_view &, const std::string &Line) {
+    Output.append(Line);
+    Output.flush();
+  }
+
+private:
+  bounded_output Output{STDOUT_FILENO};
+};
+
 std::string_view nameOf(severity Severity) {
   switch (Severity) {
   case severity::debug:
@@ -66,7 +85,12 @@
                    << expr::format_date_time<boost::posix_time::ptime>(
                           "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
                    << " process=" << Settings.Process << ' ' << expr::smessage;
-  if (Settings.File.empty())
+  if (Settings.ToOutput) {
+    using output_sink = boost::log::sinks::synchronous_sink<output_backend>;
+    const auto Sink = boost::make_shared<output_sink>();
+    Sink->set_formatter(Format);
+    boost::log::core::get()->add_sink(Sink);
+  } else if (Settings.File.empty())
     boost::log::add_console_log(std::clog, keywords::format = Format,
                                 keywords::auto_flush = true);
   else
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -26,11 +26,12 @@
       : Key(Key), Value(std::to_string(Value)) {}
 };
 
-/// Where the lines of this process go: standard error, or a file below the data
-/// folder.
+/// Where the lines of this process go: standard error, a file below the data
+/// folder, or standard output without ever waiting for its reader.
 struct log_settings {
-  std::string Process; ///< the value of the key `process` in each line
-  std::string File;    ///< empty: standard error
+  std::string Process;   ///< the value of the key `process` in each line
+  std::string File;      ///< empty: standard error
+  bool ToOutput = false; ///< to standard output, bounded
   severity Least = severity::info;
 };
 
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -169,7 +169,8 @@
     CHECK(Relay.asks()[I].To != First[0].To);
 }
 
-TEST_CASE("a client that leaves ends the questions to other relays", "[slices]") {
+TEST_CASE("a client that leaves ends the questions to other relays",
+          "[slices]") {
   slices_fixture Relay;
   const query_id Request = Relay.ask("/all/x");
   Relay.step(client_left{Request});
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -167,8 +167,9 @@
   CHECK(Relay.answerTo(Request)->Status == 503);
 }
 
-TEST_CASE("a part that the only endpoint left sheds is sent again a little later",
-          "[relay][load]") {
+TEST_CASE(
+    "a part that the only endpoint left sheds is sent again a little later",
+    "[relay][load]") {
   gather_fixture Relay;
   Relay.entry("a-1").IsLeaving = true;
   Relay.list();
--- a/test/unit/telemetry_test.cpp
+++ b/test/unit/telemetry_test.cpp
@@ -1,7 +1,9 @@
+#include "telemetry/bounded_output.h"
 #include "telemetry/log.h"
 #include "telemetry/metrics.h"
 
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
 using namespace bulrush;
 using namespace bulrush::telemetry;
@@ -29,3 +31,31 @@
   CHECK(Metrics.latency("search", "driver").Mean == millis{15});
   CHECK(Metrics.latency("search", "driver").Count == 2);
 }
+
+TEST_CASE("lines to a pipe that nobody reads are dropped and told later") {
+  int Pipe[2] = {};
+  REQUIRE(::pipe(Pipe) == 0);
+  constexpr std::size_t Bound = 4096;
+  bounded_output Output(Pipe[1], Bound);
+  const std::string Line(100, 'x');
+  constexpr int Lines = 5000;
+  for (int I = 0; I < Lines; ++I) {
+    Output.append(Line);
+    Output.flush(); // must not wait
+  }
+  CHECK(Output.dropped() > 0);
+  CHECK(Output.held() <= Bound);
+  std::string Got;
+  char Buffer[65536];
+  for (int I = 0; I < 3; ++I) {
+    const ssize_t Count = ::read(Pipe[0], Buffer, sizeof Buffer);
+    REQUIRE(Count > 0);
+    Got.append(Buffer, static_cast<std::size_t>(Count));
+    Output.append("last");
+    Output.flush();
+  }
+  CHECK(Got.find("event=lines_dropped count=") != std::string::npos);
+  CHECK(Got.find("last") != std::string::npos);
+  ::close(Pipe[0]);
+  ::close(Pipe[1]);
+}
