Hedges by a multiple of the median, longer memory of slowness

Cause: with many slow endpoints the 93% quantile of latencies was that of the slow ones, so hedges left at their latest; a slow endpoint was tried again after 1.5 s by each asker; and the slack of a sliced service was shared by all 64 relays although six ask it. Change: the hedge delay is at most 2.5 medians; slowness fades in 3 s; the slack of a sliced service is shared by twice its askers. Load test: a third of the replies slow.

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -10,6 +10,8 @@
 constexpr double ConnectionShare = 0.9;
 /// What a certain failure adds, in typical latencies.
 constexpr double FailureCost = 6;
+/// Relays that may ask a slice in a moment of change, for each that does.
+constexpr std::size_t TakeoverFactor = 2;
 /// A request in flight for longer than this, in typical latencies, shows that
 /// its endpoint stands still.
 constexpr double StallFactor = 2.5;
@@ -38,7 +40,7 @@
   if (!Known) {
     Known = std::make_unique<service_state>();
     Known->Name = Name;
-    Known->Budget.resize(Settings.Budget, Peers);
+    resizeBudget(*Known);
   }
   return *Known;
 }
@@ -48,6 +50,13 @@
   return Found == Endpoints.end() ? nullptr : Found->second.get();
 }
 
+/// Relays that take over for a while share the slack of a sliced service too.
+void endpoint_set::resizeBudget(service_state &Service) const {
+  const auto Few = static_cast<std::uint32_t>(Sharers * TakeoverFactor);
+  Service.Budget.resize(Settings.Budget,
+                        Service.IsSliced ? std::min(Few, Peers) : Peers);
+}
+
 std::size_t endpoint_set::limitOf(const service_state &Service) const {
   const double Users = Service.IsSliced ? static_cast<double>(Sharers) : Peers;
   const double Share = Service.MaxConnections * ConnectionShare / Users;
@@ -75,6 +84,7 @@
     if (IsSliced == Service->IsSliced && !(IsSliced && IsOtherCount))
       continue;
     Service->IsSliced = IsSliced;
+    resizeBudget(*Service);
     for (const endpoint_no No : Service->Endpoints)
       open(*Endpoints.at(No), Out);
   }
@@ -175,7 +185,7 @@
     return;
   Peers = Count;
   for (auto &[Name, Service] : Services) {
-    Service->Budget.resize(Settings.Budget, Peers);
+    resizeBudget(*Service);
     for (const endpoint_no No : Service->Endpoints)
       open(*Endpoints.at(No), Out);
   }
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -64,6 +64,7 @@
   void on(const probe_ended &Event, instant Now, relay_actions &Out);
 
 private:
+  void resizeBudget(service_state &Service) const;
   std::size_t limitOf(const service_state &Service) const;
   void open(endpoint_state &Endpoint, relay_actions &Out) const;
   void add(const listed_endpoint &Entry, instant AsOf, relay_actions &Out);
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double SlownessWeight = 0.3; ///< of a new sample
-constexpr millis SlownessMemory{1500}; ///< a belief fades to 1/e in this time
+constexpr millis SlownessMemory{3000}; ///< a belief fades to 1/e in this time
 /// What one request in flight adds to the latency to expect, of the typical.
 constexpr double LoadWeight = 0.35;
 constexpr double FailureWeight = 0.2; ///< of a new verdict
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,6 +17,7 @@
 /// A hedge leaves in time to be answered within the objective.
 constexpr double LatestHedgeShare = 0.45;
 constexpr millis LeastHedgeDelay{4};
+constexpr double MedianFactor = 2.5;
 /// A relay that was asked says something by 0.4 of the objective; one that was
 /// not heard by then does not answer in time.
 constexpr double RepeatShare = 0.5;
@@ -88,6 +89,15 @@
   settle(Work);
 }
 
+/// When a reply is later than most. While many endpoints are slow most replies
+/// are late, and a multiple of the median tells.
+millis relay::impl::hedgeDelay(const route_state &Learnt, millis Objective) {
+  const millis Usual =
+      std::min(Learnt.Slow.value(), Learnt.Median.value() * MedianFactor);
+  return std::min(std::max(LeastHedgeDelay, Usual),
+                  Objective * LatestHedgeShare);
+}
+
 void relay::impl::setTimes(request_work &Work, millis Patience) const {
   const route &Route = *Work.Route;
   millis Left = Route.Timeout;
@@ -98,9 +108,7 @@
   Work.AnswerBy =
       std::min(Now + Route.Objective - Settings.ClientTravel, Work.Deadline);
   Work.GiveUpAt = Now + Route.Objective * GiveUpShare;
-  const millis Latest = Route.Objective * LatestHedgeShare;
-  const millis Delay = std::max(LeastHedgeDelay, Work.Learnt->Slow.value());
-  Work.HedgeAt = Now + std::min(Delay, Latest);
+  Work.HedgeAt = Now + hedgeDelay(*Work.Learnt, Route.Objective);
   Work.RepeatAt = Now + Route.Objective * RepeatShare;
   Work.Note.RequestId = Work.Content->RequestId;
   Work.Note.Route = Route.Name;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -40,6 +40,7 @@
   void lookAt(request_work &Work);
   void retryWaiting();
   request_work *find(query_id Request);
+  static millis hedgeDelay(const route_state &Learnt, millis Objective);
   void setTimes(request_work &Work, millis Patience) const;
   service_name pickTarget(request_work &Work) const;
   bool canCover(request_work &Work) const;
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -446,3 +446,22 @@
   CHECK(Relay.answerTo(Next)->Status == 503);
   CHECK(Relay.count<send_attempt>() == Before);
 }
+
+TEST_CASE("hedges leave early although a third of the replies are slow",
+          "[relay][load]") {
+  relay_fixture Relay;
+  Relay.addService("one", 3, 100000);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install();
+  for (int I = 0; I < 300; ++I) {
+    Relay.ask("/one/");
+    Relay.wait(10);
+    const auto [Number, Attempt] = *Relay.Sent.begin();
+    if (I % 3 == 0)
+      Relay.wait(90);
+    Relay.replyAll();
+  }
+  Relay.ask("/one/");
+  Relay.wait(30); // 2.5 times the usual 10 ms, and not the 90 of the slow ones
+  CHECK(Relay.Sent.size() == 2);
+}
