Endpoints of the own zone first, the list read each 1.5 s, fewer lines

Change: an endpoint of another zone counts a quarter dearer; the list is read each 1.5 s; what is listed and gone is logged by the registry only.

--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -117,7 +117,10 @@
 
 void decision_log::write(const relay::belief_note &Note, instant Now) {
   Metrics.add("beliefs", toString(Note.Change));
-  if (!mayWrite(Now))
+  // The registry logs what is listed, once for all relays.
+  const bool IsCommon = Note.Change == relay::belief_change::listed ||
+                        Note.Change == relay::belief_change::gone;
+  if (IsCommon || !mayWrite(Now))
     return;
   telemetry::logEvent(severity::info, "endpoint",
                       {{"endpoint", Note.Instance},
--- a/src/fleet/endpoint_reader.h
+++ b/src/fleet/endpoint_reader.h
@@ -12,7 +12,7 @@
 
 struct reader_settings {
   address Server;
-  millis Interval{1000};   ///< between two readings
+  millis Interval{1500};   ///< between two readings; each page has a price
   millis RetryDelay{350};  ///< after a page that could not be read
   millis PageTimeout{900}; ///< for one page
 };
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -17,6 +17,7 @@
 constexpr double StallFactor = 2.5;
 /// What another zone adds; bytes between zones cost.
 constexpr millis OtherZoneCost{1.5};
+constexpr double OtherZoneFactor = 1.25;
 /// Choices differ by so much, so that daemons do not move together.
 constexpr double Jitter = 0.15;
 
@@ -199,7 +200,7 @@
   if (Waits > Typical * StallFactor)
     Cost += Waits.Count;
   if (Endpoint.listed().Zone != Settings.Zone)
-    Cost += OtherZoneCost.Count;
+    Cost = Cost * OtherZoneFactor + OtherZoneCost.Count;
   const double Share = static_cast<double>(Random() % 1024) / 1024;
   return Cost * (1 + Jitter * Share);
 }
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -465,3 +465,29 @@
   Relay.wait(30); // 2.5 times the usual 10 ms, and not the 90 of the slow ones
   CHECK(Relay.Sent.size() == 2);
 }
+
+TEST_CASE("endpoints of the own zone come first while they are as good",
+          "[relay][load]") {
+  relay_fixture Relay;
+  Relay.addService("one", 2, 100000);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install();
+  std::size_t Near = 0;
+  std::size_t Far = 0;
+  constexpr int Requests = 200;
+  for (int I = 0; I < Requests; ++I) {
+    Relay.ask("/one/");
+    Relay.wait(10);
+    (Relay.attemptAt("one-0") != 0 ? Near : Far) += 1;
+    Relay.replyAll();
+  }
+  CHECK(Near >= Requests * 0.9);
+  // A slow one is left, wherever it is.
+  for (int I = 0; I < 20; ++I) {
+    Relay.ask("/one/");
+    Relay.wait(Relay.attemptAt("one-0") != 0 ? 60 : 10);
+    Relay.replyAll();
+  }
+  Relay.ask("/one/");
+  CHECK(Relay.attemptAt("one-1") != 0);
+}
