--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -301,7 +301,7 @@
   for (const connection_ptr &Connection : Connections) {
     if (!Connection->runs(Exchange))
       continue;
-    const connection_ptr Dropped = Connection;
+    const connection_ptr Dropped = Connection->shared_from_this();
     Dropped->drop();
     remove(Dropped);
     return;
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -198,3 +198,149 @@
   Io.run_for(std::chrono::seconds(5));
   CHECK(Status == http::exchange_status::connect_failed);
 }
+
+namespace {
+
+/// A server that writes fixed bytes after each request, on one connection.
+class scripted_server {
+public:
+  explicit scripted_server(std::vector<std::string> Given)
+      : Answers(std::move(Given)),
+        Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), Port}),
+        Thread([this] { run(); }) {}
+  ~scripted_server() { Thread.join(); }
+
+private:
+  void run() {
+    tcp::socket Socket = Acceptor.accept();
+    std::string Request(4096, ' ');
+    boost::system::error_code Error;
+    for (const std::string &Answer : Answers) {
+      Socket.read_some(boost::asio::buffer(Request), Error);
+      boost::asio::write(Socket, boost::asio::buffer(Answer), Error);
+    }
+    Socket.read_some(boost::asio::buffer(Request), Error);
+  }
+
+  std::vector<std::string> Answers;
+  boost::asio::io_context Io;
+  tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+std::string responseWith(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nEcho: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+http::exchange_result exchange(http::client &Client,
+                               boost::asio::io_context &Io,
+                               const std::string &Id) {
+  http::exchange_result Out;
+  Client.send({"GET", "/", {{"Echo", Id}}, {}},
+              [&](http::exchange_result Result) {
+                Out = std::move(Result);
+                Io.stop();
+              });
+  Io.restart();
+  Io.run_for(std::chrono::seconds(5));
+  return Out;
+}
+
+http::client_settings echoing() {
+  http::client_settings Out;
+  Out.Server = {"127.0.0.1", Port};
+  Out.EchoHeader = "Echo";
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("a response to an earlier request is passed over") {
+  scripted_server Server({responseWith("1", "one") + responseWith("1", "late"),
+                          responseWith("2", "two")});
+  boost::asio::io_context Io;
+  http::client Client(Io, echoing());
+  CHECK(exchange(Client, Io, "1").Response.Body == "one");
+  // Bytes that came after a whole response belong to nobody: the connection is
+  // not used again, and the server takes one only.
+  CHECK(Client.open() == 0);
+  Client.closeIdle();
+}
+
+TEST_CASE("a late response is told by the id that it echoes") {
+  scripted_server Server(
+      {responseWith("1", "one"),
+       responseWith("1", "again") + responseWith("2", "two")});
+  boost::asio::io_context Io;
+  http::client Client(Io, echoing());
+  CHECK(exchange(Client, Io, "1").Response.Body == "one");
+  CHECK(exchange(Client, Io, "2").Response.Body == "two");
+}
+
+TEST_CASE("bytes that are no response are told apart from a lost connection") {
+  scripted_server Server({"garbage that is no response\r\n\r\n"});
+  boost::asio::io_context Io;
+  http::client Client(Io, echoing());
+  CHECK(exchange(Client, Io, "1").Status == http::exchange_status::garbled);
+}
+
+TEST_CASE("an exchange that is given up closes its connection") {
+  fixture F;
+  http::client_settings Settings;
+  Settings.Server = {"127.0.0.1", Port};
+  http::client Client(F.Io, Settings);
+  bool WasCalled = false;
+  const http::exchange_id Id =
+      Client.send({"GET", "/later", {}, {}},
+                  [&](const http::exchange_result &) { WasCalled = true; });
+  F.Io.run_for(std::chrono::milliseconds(50));
+  REQUIRE(Client.open() == 1);
+  Client.cancel(Id);
+  CHECK(Client.open() == 0);
+  F.Io.restart();
+  F.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(!WasCalled);
+}
+
+TEST_CASE("a client that leaves is told to the handler") {
+  class leaving_handler final : public http::handler {
+  public:
+    void handle(http::request Request, http::responder) override {
+      Asked = Request.Token;
+    }
+    void abandon(http::request_token Token) override { Left = Token; }
+    http::request_token Asked = 0;
+    http::request_token Left = 0;
+  };
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  leaving_handler Handler;
+  http::server_settings Settings;
+  Settings.Listen = {"127.0.0.1", Port};
+  Settings.AbandonOnClose = true;
+  http::server Server(Io, Settings, Handler, Metrics);
+  REQUIRE(Server.start());
+  {
+    tcp::socket Socket(Io);
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+    boost::asio::write(Socket, boost::asio::buffer(std::string(
+                                   "GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    Io.run_for(std::chrono::milliseconds(50));
+    REQUIRE(Handler.Asked != 0);
+    CHECK(Handler.Left == 0);
+  }
+  Io.restart();
+  Io.run_for(std::chrono::milliseconds(50));
+  CHECK(Handler.Left == Handler.Asked);
+}
+
+TEST_CASE("before a stop each answer is the last of its connection") {
+  fixture F;
+  F.Server.closeAfterAnswers();
+  const std::string Got =
+      F.talk("GET /one HTTP/1.1\r\nHost: x\r\n\r\n", 100'000);
+  CHECK(Got.find("Connection: close") != std::string::npos);
+  CHECK(Got.find("/one") != std::string::npos);
+}
