--- /dev/null
+++ b/src/fleet/process_watch.cpp
@@ -0,0 +1,68 @@
+#include "fleet/process_watch.h"
+
+#include "fleet/process_start.h"
+#include "telemetry/log.h"
+
+#include <csignal>
+
+namespace bulrush::fleet {
+
+namespace {
+
+using telemetry::severity;
+
+/// Between two looks for a change that no signal told.
+constexpr millis LookInterval{2000};
+
+} // namespace
+
+process_watch::process_watch(boost::asio::io_context &Io,
+                             std::shared_ptr<settings_source> Given,
+                             settings_handler OnSettings, stop_handler OnStop)
+    : Settings(std::move(Given)), OnSettings(std::move(OnSettings)),
+      OnStop(std::move(OnStop)), Signals(Io, SIGTERM, SIGINT, SIGHUP),
+      Timer(Io) {}
+
+void process_watch::start() {
+  Stamp = Settings->stamp();
+  awaitSignal();
+  lookLater();
+}
+
+void process_watch::awaitSignal() {
+  Signals.async_wait([this](boost::system::error_code Error, int Signal) {
+    if (Error)
+      return;
+    if (Signal == SIGHUP)
+      reload();
+    else
+      OnStop();
+    awaitSignal();
+  });
+}
+
+void process_watch::lookLater() {
+  Timer.expires_after(toChrono(LookInterval));
+  Timer.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    if (Settings->stamp() != Stamp)
+      reload();
+    lookLater();
+  });
+}
+
+void process_watch::reload() {
+  Stamp = Settings->stamp();
+  const auto Read = Settings->read();
+  if (!Read) {
+    telemetry::logEvent(severity::error, "settings_refused",
+                        {{"error", Read.error().Message}});
+    return;
+  }
+  telemetry::logEvent(severity::info, "settings_reloaded",
+                      {{"seeds", Read->Seeds.size()}});
+  OnSettings(*Read);
+}
+
+} // namespace bulrush::fleet
--- /dev/null
+++ b/src/fleet/process_watch.h
@@ -0,0 +1,40 @@
+/// Signals and changes of the settings, for a daemon.
+#pragma once
+
+#include "fleet/adapter.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+namespace bulrush::fleet {
+
+/// Reads the settings again on SIGHUP and when they change without one; what
+/// cannot be read is logged and changes nothing. Runs on the thread of its
+/// `io_context`.
+class process_watch {
+public:
+  using settings_handler = std::function<void(const process_settings &)>;
+  using stop_handler = std::function<void()>;
+
+  process_watch(boost::asio::io_context &Io,
+                std::shared_ptr<settings_source> Settings,
+                settings_handler OnSettings, stop_handler OnStop);
+
+  void start();
+
+private:
+  void awaitSignal();
+  void lookLater();
+  void reload();
+
+  std::shared_ptr<settings_source> Settings;
+  settings_handler OnSettings;
+  stop_handler OnStop;
+  boost::asio::signal_set Signals;
+  boost::asio::steady_timer Timer;
+  std::uint64_t Stamp = 0;
+};
+
+} // namespace bulrush::fleet
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -1,16 +1,15 @@
 #include "fleet/registry_daemon.h"
 
-#include "fleet/disk_thread.h"
 #include "fleet/endpoint_reader.h"
 #include "fleet/operator_desk.h"
 #include "fleet/process_start.h"
+#include "fleet/process_watch.h"
 #include "fleet/subscribers.h"
+#include "fleet/voter_folder.h"
 #include "fleet/voter_links.h"
 #include "telemetry/log.h"
 #include "wire/fleet_codec.h"
 
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <unordered_set>
 
 namespace bulrush::fleet {
@@ -32,19 +31,23 @@
 constexpr millis TickInterval{50};
 /// Subscribers are told that the leader lives.
 constexpr millis BeatInterval{400};
-constexpr millis DiskRetry{500};
 /// After SIGTERM, for answers and for the next leader.
 constexpr millis LeaveTime{500};
 constexpr std::size_t SnapshotEvery = 128; ///< entries; each holds a catalog
 constexpr std::size_t KeepEntries = 16;
 
-class registry_process final : public operator_desk_host {
+class registry_process final : public operator_desk_host,
+                               public voter_folder_host {
 public:
   registry_process(const adapter &Adapter, process_settings Given)
       : Adapter(Adapter), Settings(std::move(Given)),
         Self(*machineOf(Settings.Ip)), Desk(*Adapter.Operators, *this, Metrics),
-        Acceptor(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), Ticker(Io),
-        Retry(Io), Leaving(Io),
+        Acceptor(Io),
+        Watch(
+            Io, Adapter.Settings,
+            [this](const process_settings &Read) { onSettings(Read); },
+            [this] { leave(); }),
+        Ticker(Io), Leaving(Io), Folder(Io, Settings.DataFolder, Self, *this),
         Subscribers([this](const node_event &Event) { step(Event); }),
         Links(Io, Settings.FleetPort,
               [this](const std::string &Bytes) { onAnswerFrame(Bytes); }),
@@ -61,8 +64,8 @@
     const auto Started = startServers();
     if (!Started)
       return failStart(Started.error());
-    openFolder();
-    awaitSignal();
+    Folder.open();
+    Watch.start();
     tickLater();
     Io.run();
     telemetry::logEvent(severity::info, "registry_stopped",
@@ -205,51 +208,22 @@
 
   // The data folder.
 
-  void openFolder() {
-    auto Folder = store::openPosixDisk(Settings.DataFolder);
-    if (!Folder) {
-      onDiskError(Folder.error().Message);
-      return;
-    }
-    Disk = std::move(*Folder);
-    store::folder_options Options;
-    Options.Vm = Self;
-    Options.FreshId = drawSeed() | 1;
-    Options.BootHint = unixMillis();
-    Options.HasFileNumbers = false; // not on every platform
-    auto Log = store::durable_log::open(*Disk, Options);
-    if (!Log) {
-      onDiskError(Log.error().Message);
-      return;
-    }
-    for (const store::folder_notice Notice : Log->notices())
-      telemetry::logEvent(severity::info, "folder_notice",
-                          {{"notice", static_cast<int>(Notice)},
-                           {"torn_bytes", Log->tornBytes()}});
-    const control::recovered_state State = Log->state();
-    const std::uint64_t Life = ++FolderLife;
-    Writer = std::make_unique<disk_thread>(
-        std::move(*Log),
-        [this, Life](control::write_id Write) {
-          asio::post(Io, [this, Life, Write] {
-            if (Life == FolderLife && Node)
-              step(control::event(control::persisted{Write}));
-          });
-        },
-        [this, Life](const store::disk_error &Error) {
-          asio::post(Io, [this, Life, Message = Error.Message] {
-            if (Life == FolderLife)
-              onDiskError(Message);
-          });
-        });
-    Node.emplace(nodeSettings(), State, drawSeed());
-    telemetry::logEvent(severity::info, "folder_opened",
-                        {{"voter", State.Self.Value},
-                         {"boot", State.Boot.Value},
-                         {"entries", State.Entries.size()}});
+  void onFolderOpened(control::recovered_state State) override {
+    Node.emplace(nodeSettings(), std::move(State), drawSeed());
     step(control::event(control::tick{}));
   }
 
+  void onPersisted(control::write_id Write) override {
+    step(control::event(control::persisted{Write}));
+  }
+
+  void onFolderClosed() override {
+    if (Node && Node->leads())
+      onLeadership(false);
+    Node.reset();
+    Desk.endAll(call_end::unclear);
+  }
+
   node_settings nodeSettings() const {
     node_settings Out;
     for (const std::string &Seed : Settings.Seeds)
@@ -269,41 +243,6 @@
     return Out;
   }
 
-  /// The process lives on without its vote and tries the disk again.
-  void onDiskError(const std::string &Message) {
-    telemetry::logEvent(severity::error, "disk_failed", {{"error", Message}});
-    Metrics.add("disk_failures");
-    closeFolder();
-    Retry.expires_after(toChrono(DiskRetry));
-    Retry.async_wait([this](error_code Error) {
-      if (!Error)
-        openFolder();
-    });
-  }
-
-  void closeFolder() {
-    ++FolderLife;
-    if (Node && Node->leads())
-      onLeadership(false);
-    Node.reset();
-    Writer.reset();
-    Disk.reset();
-    Desk.endAll(call_end::unclear);
-  }
-
-  void onIdentityLost() {
-    telemetry::logEvent(severity::warning, "identity_lost",
-                        {{"node", Settings.Node}});
-    asio::post(Io, [this] {
-      closeFolder();
-      if (auto Folder = store::openPosixDisk(Settings.DataFolder))
-        if (const auto Retired = store::durable_log::retire(**Folder); !Retired)
-          telemetry::logEvent(severity::error, "disk_failed",
-                              {{"error", Retired.error().Message}});
-      openFolder();
-    });
-  }
-
   // The node.
 
   void step(const node_event &Event) {
@@ -316,10 +255,7 @@
     answerSubscribers();
   }
 
-  void on(control::persist &Action) {
-    if (Writer)
-      Writer->write(std::move(Action));
-  }
+  void on(control::persist &Action) { Folder.write(std::move(Action)); }
   void on(control::send &Action) {
     if (Action.Vm != Self)
       Links.send(Action.Vm, std::move(Action.Message), Clock.now());
@@ -334,7 +270,11 @@
     }
     telemetry::logEvent(severity::info, "voters_changed", {{"members", Text}});
   }
-  void on(control::identity_lost &) { onIdentityLost(); }
+  void on(control::identity_lost &) {
+    telemetry::logEvent(severity::warning, "identity_lost",
+                        {{"node", Settings.Node}});
+    asio::post(Io, [this] { Folder.replace(); });
+  }
   void on(call_ended &Action) { Desk.end(Action.Call, Action.End); }
   void on(state_changed &) {
     const control::registry_state &State = Node->state();
@@ -450,29 +390,9 @@
       Subscribers.beat(Node->state().Revision, Node->fleetSize());
   }
 
-  void awaitSignal() {
-    Signals.async_wait([this](error_code Error, int Signal) {
-      if (Error)
-        return;
-      if (Signal == SIGHUP)
-        reload();
-      else
-        leave();
-      awaitSignal();
-    });
-  }
-
-  void reload() {
-    auto Read = Adapter.Settings->read();
-    if (!Read) {
-      telemetry::logEvent(severity::error, "settings_refused",
-                          {{"error", Read.error().Message}});
-      return;
-    }
-    telemetry::logEvent(severity::info, "settings_reloaded",
-                        {{"seeds", Read->Seeds.size()}});
+  void onSettings(const process_settings &Read) {
     control::machines_known Known;
-    for (const std::string &Seed : Read->Seeds)
+    for (const std::string &Seed : Read.Seeds)
       if (const auto Vm = machineOf(Seed))
         Known.Vms.push_back(*Vm);
     step(control::event(Known));
@@ -487,7 +407,7 @@
     step(control::event(control::transfer_leadership{}));
     Leaving.expires_after(toChrono(LeaveTime));
     Leaving.async_wait([this](error_code) {
-      closeFolder();
+      Folder.close();
       Io.stop();
     });
   }
@@ -503,19 +423,16 @@
   std::optional<http::server> Operators;
   std::optional<http::server> Page;
   asio::ip::tcp::acceptor Acceptor;
-  asio::signal_set Signals;
+  process_watch Watch;
   asio::steady_timer Ticker;
-  asio::steady_timer Retry;
   asio::steady_timer Leaving;
+  voter_folder Folder;
   std::unordered_set<std::shared_ptr<frame_link>> Accepted;
   subscribers Subscribers;
   std::vector<std::pair<std::weak_ptr<frame_link>, subscribe>> Asking;
   voter_links Links;
   endpoint_reader Reader;
-  std::unique_ptr<store::disk> Disk;
-  std::unique_ptr<disk_thread> Writer;
   std::optional<registry_node> Node;
-  std::uint64_t FolderLife = 0;
   std::vector<vm_id> Voters;
   relay::directory LastDirectory;
   std::uint64_t Sequence = 0; ///< of directories in this term
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -4,14 +4,12 @@
 #include "fleet/endpoint_links.h"
 #include "fleet/peer_links.h"
 #include "fleet/process_start.h"
+#include "fleet/process_watch.h"
 #include "fleet/registry_follower.h"
 #include "fleet/voter_links.h"
 #include "relay/relay.h"
 #include "telemetry/log.h"
 
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
-
 namespace bulrush::fleet {
 
 namespace {
@@ -47,7 +45,13 @@
         Peers(Io, Settings.Relay.Self, Settings.FleetPort,
               [this](const relay::relay_event &Event) { step(Event); }),
         Follower(Io, followerSettings(Settings), Clock, *this), Log(Metrics),
-        Waker(Io), Leaving(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP) {
+        Waker(Io), Leaving(Io),
+        Watch(
+            Io, Adapter.Settings,
+            [this](const process_settings &Read) {
+              Follower.addMachines(machinesOf(Read.Seeds));
+            },
+            [this] { leave(); }) {
     Ready.IsReady = [this] { return Relay.isReady() && !IsLeaving; };
   }
 
@@ -58,7 +62,7 @@
     if (!Started)
       return failStart(Started.error());
     Follower.start();
-    awaitSignal();
+    Watch.start();
     Io.run();
     telemetry::logEvent(severity::info, "relay_stopped",
                         {{"node", Settings.Node}});
@@ -205,31 +209,7 @@
     return Read ? machinesOf(Read->Seeds) : std::vector<vm_id>{};
   }
 
-  // Signals.
-
-  void awaitSignal() {
-    Signals.async_wait([this](error_code Error, int Signal) {
-      if (Error)
-        return;
-      if (Signal == SIGHUP)
-        reload();
-      else
-        leave();
-      awaitSignal();
-    });
-  }
-
-  void reload() {
-    const auto Read = Adapter.Settings->read();
-    if (!Read) {
-      telemetry::logEvent(severity::error, "settings_refused",
-                          {{"error", Read.error().Message}});
-      return;
-    }
-    Follower.addMachines(machinesOf(Read->Seeds));
-    telemetry::logEvent(severity::info, "settings_reloaded",
-                        {{"seeds", Read->Seeds.size()}});
-  }
+  // The end.
 
   /// Not ready at once; new connections are served until the platform sends no
   /// more; then each open request gets its answer.
@@ -284,7 +264,7 @@
   std::optional<http::server> Page;
   asio::steady_timer Waker;
   asio::steady_timer Leaving;
-  asio::signal_set Signals;
+  process_watch Watch;
   bool IsLeaving = false;
   instant LeaveBy;
 };
--- /dev/null
+++ b/src/fleet/voter_folder.cpp
@@ -0,0 +1,101 @@
+#include "fleet/voter_folder.h"
+
+#include "fleet/process_start.h"
+#include "telemetry/log.h"
+
+#include <boost/asio/post.hpp>
+
+namespace bulrush::fleet {
+
+namespace {
+
+using telemetry::severity;
+
+constexpr millis RetryDelay{500};
+
+} // namespace
+
+voter_folder::voter_folder(boost::asio::io_context &Io, std::string Path,
+                           vm_id Vm, voter_folder_host &Host)
+    : Io(Io), Path(std::move(Path)), Vm(Vm), Host(Host), Retry(Io) {}
+
+void voter_folder::open() {
+  auto Folder = store::openPosixDisk(Path);
+  if (!Folder) {
+    onFault(Folder.error().Message);
+    return;
+  }
+  Disk = std::move(*Folder);
+  store::folder_options Options;
+  Options.Vm = Vm;
+  Options.FreshId = drawSeed() | 1;
+  Options.BootHint = unixMillis();
+  Options.HasFileNumbers = false; // not on every platform
+  auto Log = store::durable_log::open(*Disk, Options);
+  if (Log)
+    onOpened(std::move(*Log));
+  else
+    onFault(Log.error().Message);
+}
+
+void voter_folder::onOpened(store::durable_log Log) {
+  for (const store::folder_notice Notice : Log.notices())
+    telemetry::logEvent(severity::info, "folder_notice",
+                        {{"notice", static_cast<int>(Notice)},
+                         {"torn_bytes", Log.tornBytes()}});
+  control::recovered_state State = Log.state();
+  telemetry::logEvent(severity::info, "folder_opened",
+                      {{"voter", State.Self.Value},
+                       {"boot", State.Boot.Value},
+                       {"entries", State.Entries.size()}});
+  const std::uint64_t Opened = ++Life;
+  Writer = std::make_unique<disk_thread>(
+      std::move(Log),
+      [this, Opened](control::write_id Write) {
+        boost::asio::post(Io, [this, Opened, Write] {
+          if (Opened == Life)
+            Host.onPersisted(Write);
+        });
+      },
+      [this, Opened](const store::disk_error &Error) {
+        boost::asio::post(Io, [this, Opened, Message = Error.Message] {
+          if (Opened == Life)
+            onFault(Message);
+        });
+      });
+  Host.onFolderOpened(std::move(State));
+}
+
+/// The process lives on without its vote.
+void voter_folder::onFault(const std::string &Message) {
+  telemetry::logEvent(severity::error, "disk_failed", {{"error", Message}});
+  close();
+  Retry.expires_after(toChrono(RetryDelay));
+  Retry.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      open();
+  });
+}
+
+void voter_folder::write(control::persist Write) {
+  if (Writer)
+    Writer->write(std::move(Write));
+}
+
+void voter_folder::close() {
+  ++Life;
+  Host.onFolderClosed();
+  Writer.reset();
+  Disk.reset();
+}
+
+void voter_folder::replace() {
+  close();
+  if (auto Folder = store::openPosixDisk(Path))
+    if (const auto Retired = store::durable_log::retire(**Folder); !Retired)
+      telemetry::logEvent(severity::error, "disk_failed",
+                          {{"error", Retired.error().Message}});
+  open();
+}
+
+} // namespace bulrush::fleet
