--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -40,9 +40,8 @@
                                public voter_folder_host {
 public:
   registry_process(const adapter &Adapter, process_settings Given)
-      : Adapter(Adapter), Settings(std::move(Given)),
-        Self(*machineOf(Settings.Ip)), Desk(*Adapter.Operators, *this, Metrics),
-        Acceptor(Io),
+      : Settings(std::move(Given)), Self(*machineOf(Settings.Ip)),
+        Desk(*Adapter.Operators, *this, Metrics), Acceptor(Io),
         Watch(
             Io, Adapter.Settings,
             [this](const process_settings &Read) { onSettings(Read); },
@@ -412,7 +411,6 @@
     });
   }
 
-  const adapter &Adapter;
   process_settings Settings;
   vm_id Self;
   asio::io_context Io{1};
