A sliced query that may have run is not answered 503

Cause: found in the read-through: hasRun looked at the relay's own sendings only, so a query whose shards other relays had been asked for ended with 503, which promises that it has not run. Change: a query with asks may have run (502 or 504). The list reader uses the one toChrono of the daemons. Conclusion: the entry of a slice counts as a sending.

--- a/src/fleet/endpoint_reader.cpp
+++ b/src/fleet/endpoint_reader.cpp
@@ -1,19 +1,14 @@
 #include "fleet/endpoint_reader.h"
 
+#include "fleet/process_start.h"
 #include "telemetry/log.h"
 
-#include <chrono>
-
 namespace bulrush::fleet {
 
 namespace {
 
 using telemetry::severity;
 
-std::chrono::microseconds toChrono(millis Time) {
-  return std::chrono::microseconds(static_cast<std::int64_t>(Time.Count * 1e3));
-}
-
 http::client_settings clientSettings(const reader_settings &Settings) {
   http::client_settings Out;
   Out.Server = Settings.Server;
--- a/src/relay/request_work.cpp
+++ b/src/relay/request_work.cpp
@@ -21,7 +21,9 @@
 }
 
 bool request_work::hasRun() const {
-  return std::any_of(Parts.begin(), Parts.end(),
+  // Another relay that was asked may have sent its shards.
+  return !Asks.empty() ||
+         std::any_of(Parts.begin(), Parts.end(),
                      [](const request_part &Part) { return Part.Runs > 0; });
 }
 
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -227,3 +227,21 @@
   Asked.wait(100);
   CHECK(Asked.Sent.empty());
 }
+
+TEST_CASE(
+    "a query that other relays were asked for is not said not to have run",
+    "[slices]") {
+  slices_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  for (const send_ask &Each : Relay.asks()) {
+    shard_reply Nothing;
+    Nothing.Ask = Each.Ask.Ask;
+    Nothing.IsFinal = true;
+    Relay.step(ask_replied{Each.To, Nothing});
+  }
+  while (!Relay.Sent.empty())
+    Relay.refuse(Relay.Sent.begin()->first);
+  Relay.wait(800);
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status != 503);
+}
