Answers leave by the round trip to their client and the daemon's share of a core

Cause: an answer that waits for a paused shard left 12 ms before the objective, whoever its client was. A client 1 ms away lost 8 of its 80 ms. Change: the HTTP server tells the connection's round trip as the kernel has measured it and whether a request is its connection's first; the relay takes two round trips for a new connection, one for a kept one, and 0.85 ms of its own work at a whole core.

--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -114,9 +114,10 @@
   void handle(http::request Request, http::responder Respond) override {
     const query_id Id{Request.Token};
     Responders[Id] = std::move(Respond);
+    const relay::client_distance Client{Request.RoundTrip, Request.IsFirst};
     client_request Decoded = Adapter.Requests->decode(std::move(Request));
     step(relay::request_arrived{Id, std::move(Decoded.Content),
-                                Decoded.Patience});
+                                Decoded.Patience, Client});
   }
 
   void abandon(http::request_token Token) override {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -1,6 +1,8 @@
 /// HTTP messages as the rest of the program sees them.
 #pragma once
 
+#include "bulrushtray/clock.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -26,6 +28,8 @@
   std::vector<header> Headers;
   std::string Body;
   request_token Token = 0; ///< set by the server
+  millis RoundTrip{};      ///< of the connection, set by the server; 0: unknown
+  bool IsFirst = false;    ///< of its connection, set by the server
 };
 
 struct response {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <deque>
+#include <netinet/tcp.h>
 #include <optional>
 #include <unordered_set>
 
@@ -24,6 +25,16 @@
 constexpr auto SweepEvery = std::chrono::milliseconds(500);
 constexpr int ListenBacklog = 1024;
 
+/// As the kernel has measured it; 0 when it does not say.
+millis roundTripOf(tcp::socket &Socket) {
+  tcp_info Info{};
+  socklen_t Size = sizeof Info;
+  if (::getsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_INFO, &Info,
+                   &Size) != 0)
+    return {};
+  return {static_cast<double>(Info.tcpi_rtt) / 1000}; // microseconds
+}
+
 } // namespace
 
 class session;
@@ -126,8 +137,11 @@
     Answers.back().Token = ++Owner->LastToken;
     request Request{detail::toString(Message.method_string()),
                     detail::toString(Message.target()),
-                    detail::takeHeaders(Message), std::move(Message.body()),
-                    Owner->LastToken};
+                    detail::takeHeaders(Message),
+                    std::move(Message.body()),
+                    Owner->LastToken,
+                    roundTripOf(Socket),
+                    Number == 0};
     Owner->Handler.handle(std::move(Request),
                           [Weak = weak_from_this(), Number](response Response) {
                             if (const auto Self = Weak.lock())
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -64,11 +64,19 @@
 
 // Events.
 
+/// How far away a client is.
+struct client_distance {
+  millis RoundTrip; ///< 0: unknown
+  /// It opened its connection for this request.
+  bool IsOnNewConnection = false;
+};
+
 /// `Request` must be new in this life of the process.
 struct request_arrived {
   query_id Request;
   std::shared_ptr<const opaque_request> Content;
   millis Patience; ///< the client waits no longer; 0 when it does not say
+  client_distance Client;
 };
 
 /// How an attempt ended.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -11,6 +11,9 @@
 
 /// The client still has so much time when the last answer leaves.
 constexpr millis DeadlineMargin{4};
+/// What a whole core takes before the decisions about a request and after them:
+/// reading it, the last replies, writing the answer.
+constexpr millis OwnWork{0.85};
 /// A request that no endpoint could take is refused after this share of its
 /// objective; held longer, its client could not come back in time.
 constexpr double GiveUpShare = 0.2;
@@ -74,7 +77,7 @@
   Work.Learnt =
       &Routes.try_emplace(Route->Host + Route->PathPrefix, Route->Objective)
            .first->second;
-  setTimes(Work, Event.Patience);
+  setTimes(Work, Event.Patience, Event.Client);
   if (Work.isGathered()) {
     for (const service_name &Shard : Route->Gather.Shards)
       Work.Parts.emplace_back().Service = &Endpoints.service(Shard);
@@ -98,7 +101,17 @@
                   Objective * LatestHedgeShare);
 }
 
-void relay::impl::setTimes(request_work &Work, millis Patience) const {
+/// What a client's clock counts beside the time here. A new connection takes a
+/// round trip to open.
+millis relay::impl::travelOf(client_distance Client) const {
+  if (Client.RoundTrip <= millis{0})
+    return Settings.ClientTravel;
+  const double Trips = Client.IsOnNewConnection ? 2 : 1;
+  return Client.RoundTrip * Trips + OwnWork * (1 / Settings.Cores);
+}
+
+void relay::impl::setTimes(request_work &Work, millis Patience,
+                           client_distance Client) const {
   const route &Route = *Work.Route;
   millis Left = Route.Timeout;
   if (Patience > millis{0})
@@ -106,7 +119,7 @@
   Work.ArrivedAt = Now;
   Work.Deadline = Now + std::max(millis{1}, Left - DeadlineMargin);
   Work.AnswerBy =
-      std::min(Now + Route.Objective - Settings.ClientTravel, Work.Deadline);
+      std::min(Now + Route.Objective - travelOf(Client), Work.Deadline);
   Work.GiveUpAt = Now + Route.Objective * GiveUpShare;
   Work.HedgeAt = Now + hedgeDelay(*Work.Learnt, Route.Objective);
   Work.RepeatAt = Now + Route.Objective * RepeatShare;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -41,7 +41,9 @@
   void retryWaiting();
   request_work *find(query_id Request);
   static millis hedgeDelay(const route_state &Learnt, millis Objective);
-  void setTimes(request_work &Work, millis Patience) const;
+  millis travelOf(client_distance Client) const;
+  void setTimes(request_work &Work, millis Patience,
+                client_distance Client) const;
   service_name pickTarget(request_work &Work) const;
   bool canCover(request_work &Work) const;
 
--- a/src/relay/settings.h
+++ b/src/relay/settings.h
@@ -30,9 +30,11 @@
 struct relay_settings {
   budget_settings Budget;
   cold_settings Cold;
-  /// From the moment when an answer leaves until the client has it, and from
-  /// the client's start of the clock until the request is here.
+  /// From the client's start of the clock until its request is here, and from
+  /// the moment when the answer leaves until the client has it; of a client
+  /// whose distance is not known.
   millis ClientTravel{12};
+  double Cores = 1; ///< that this daemon has; below 1 a share of one
   /// How far the platform's list lags behind.
   millis DirectoryLag{800};
   vm_id Self;       ///< the machine of this daemon
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -95,13 +95,14 @@
                          });
   }
 
-  query_id ask(const std::string &Target, millis Patience = {800}) {
+  query_id ask(const std::string &Target, millis Patience = {800},
+               client_distance Client = {}) {
     auto Content = std::make_shared<opaque_request>();
     Content->RequestId = "id-" + std::to_string(++NextRequest);
     Content->Method = "GET";
     Content->Host = "shop.example";
     Content->Target = Target;
-    step(request_arrived{{NextRequest}, Content, Patience});
+    step(request_arrived{{NextRequest}, Content, Patience, Client});
     return {NextRequest};
   }
 
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -9,7 +9,8 @@
 
 /// Four shards of two endpoints each; three are enough.
 struct gather_fixture : relay_fixture {
-  gather_fixture() {
+  explicit gather_fixture(relay_settings Given = settings())
+      : relay_fixture(std::move(Given)) {
     for (const char *Shard : {"a", "b", "c", "d"})
       addService(Shard, 2);
     addRoute("/all/", {"a", "b", "c", "d"});
@@ -73,6 +74,29 @@
   CHECK(Answer->Signatures.size() == 3);
 }
 
+TEST_CASE("an answer leaves the earlier the further away its client is",
+          "[relay]") {
+  const auto LeavesAfter = [](client_distance Client, double Cores = 0.25) {
+    relay_settings Settings = relay_fixture::settings();
+    Settings.Cores = Cores;
+    gather_fixture Relay(Settings);
+    const query_id Request = Relay.ask("/all/x", {800}, Client);
+    while (Relay.Sent.size() > 1)
+      Relay.reply(Relay.Sent.begin()->first);
+    const instant Start = Relay.Now;
+    while (!Relay.answerTo(Request))
+      Relay.wait(1);
+    return Relay.Now - Start;
+  };
+  // One way there and one back, and the daemon's own work.
+  CHECK(LeavesAfter({{6}, false}) == millis{100 - 6 - 3});
+  // Opening the connection takes a round trip more.
+  CHECK(LeavesAfter({{6}, true}) == millis{100 - 12 - 3});
+  CHECK(LeavesAfter({{40}, true}) == millis{100 - 80 - 3});
+  // A daemon on half as much of a core works twice as long.
+  CHECK(LeavesAfter({{6}, false}, 0.125) == millis{100 - 6 - 6});
+}
+
 TEST_CASE("below the least coverage a query waits for its deadline",
           "[relay]") {
   gather_fixture Relay;
