Requests wait for the catalog of a daemon that starts

Cause: after a loss of power of all machines relays are up 0.2 to 0.9 s before they have their catalog, and answered 503 meanwhile. Change: a request that finds no catalog waits for it, no longer than half of its client's patience and 1.5 s after the start, then it is refused; it is served with what is left of its time. A question that was not even taken after 0.25 s is asked again, and so is one to a machine that another names as the leader. A beat goes to the one that joined. The old test of an immediate refusal is now two: refused at once where the client names no patience or the daemon has found no catalog for long, and after half of the patience.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -194,8 +194,8 @@
         Link->send(wire::encode(redirect{*Leader, Voters}));
         continue;
       }
-      Subscribers.add(Link, Asked, Node->state(), Voters, Clock.now());
-      Subscribers.beat(Node->state().Revision, Node->fleetSize());
+      Subscribers.add(Link, Asked, Node->state(), Voters, Node->fleetSize(),
+                      Clock.now());
     }
   }
 
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -20,6 +20,9 @@
 /// A machine that does not answer is asked anew after so long; one that knows
 /// no leader answers once it does.
 constexpr millis AskLimit{700};
+/// A machine without power takes no connection; the kernel would try again only
+/// after a second.
+constexpr millis ConnectLimit{250};
 /// Between two machines that are asked; they are asked side by side.
 constexpr millis AskInterval{50};
 /// The subscriber's own sign of life.
@@ -65,7 +68,7 @@
   const instant Now = Clock.now();
   std::vector<vm_id> Silent;
   for (const auto &[Machine, Each] : Asked)
-    if (Now - Each.HeardAt > (Machine == Leader ? SilenceLimit : AskLimit))
+    if (Now - Each.HeardAt > limitOf(Machine, Each))
       Silent.push_back(Machine);
   for (const vm_id Machine : Silent)
     onLost(Machine, "silent");
@@ -75,6 +78,13 @@
     tellApplied();
 }
 
+millis registry_follower::limitOf(vm_id Machine,
+                                  const asked_machine &Asked) const {
+  if (Machine == Leader)
+    return SilenceLimit;
+  return Asked.Link->isOpen() ? AskLimit : ConnectLimit;
+}
+
 /// The next machine that is not being asked; 0 when all are.
 vm_id registry_follower::nextMachine() {
   for (std::size_t I = 0; I < Machines.size(); ++I) {
@@ -197,8 +207,14 @@
   addMachines(Redirect.Voters);
   const vm_id Leading = Redirect.Leader;
   onLost(Machine, "not_leading");
-  if (!isFollowing() && Leading.Value != 0 && !Asked.count(Leading))
-    ask(Leading);
+  if (isFollowing() || Leading.Value == 0)
+    return;
+  // An older question may be on its way to a machine that had no power.
+  const auto Known = Asked.find(Leading);
+  if (Known != Asked.end() && Known->second.Link->isOpen())
+    return;
+  onLost(Leading, "asked_anew");
+  ask(Leading);
 }
 
 void registry_follower::announceLeaving() {
--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -58,6 +58,7 @@
   void askNext();
   void ask(vm_id Machine);
   vm_id nextMachine();
+  millis limitOf(vm_id Machine, const asked_machine &Asked) const;
   void onFrame(vm_id Machine, const std::string &Bytes);
   void onLost(vm_id Machine, const char *Why);
   void on(vm_id Machine, const fleet_state &State);
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -61,6 +61,7 @@
     const auto Started = startServers();
     if (!Started)
       return failStart(Started.error());
+    step(relay::timer_fired{}); // the time since the start counts from here
     Follower.start();
     Watch.start();
     Io.run();
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -16,7 +16,8 @@
 
 void subscribers::add(std::shared_ptr<frame_link> Link, const subscribe &Asked,
                       const control::registry_state &State,
-                      const std::vector<vm_id> &Voters, instant Now) {
+                      const std::vector<vm_id> &Voters, std::uint32_t FleetSize,
+                      instant Now) {
   const frame_link *Key = Link.get();
   subscriber &New = All[Key];
   New.Id = {++Last.Value};
@@ -29,7 +30,10 @@
       severity::info, "subscriber_joined",
       {{"node", Asked.Node}, {"revision", Asked.Revision.Value}});
   OnEvent(subscriber_came{New.Id});
+  // Requests may wait there for the catalog and the directory: by then it knows
+  // with how many it shares the endpoints.
   New.Link->send(wire::encode(currentRoster()));
+  New.Link->send(wire::encode(leader_beat{State.Revision, FleetSize}));
   tellState(New, State, Voters);
   tellDirectory(New, Now);
 }
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -21,7 +21,8 @@
   /// Takes a link that asked to be kept up to date.
   void add(std::shared_ptr<frame_link> Link, const subscribe &Asked,
            const control::registry_state &State,
-           const std::vector<vm_id> &Voters, instant Now);
+           const std::vector<vm_id> &Voters, std::uint32_t FleetSize,
+           instant Now);
   void onApplied(const frame_link *Link, const applied &Applied, instant Now);
   /// A link was closed by the other side.
   void onClosed(const frame_link *Link);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -50,7 +50,7 @@
                        relay_actions &Actions) {
   Now = At;
   Out = &Actions;
-  StartedAt = std::min(StartedAt, Now);
+  Starting.noteTime(Now);
   std::visit([this](const auto &Each) { on(Each); }, Event);
   Endpoints.probe(Now, Actions);
   armTimer();
@@ -58,13 +58,24 @@
 }
 
 void relay::impl::on(const request_arrived &Event) {
-  if (!isReady()) {
-    refuseUnrouted(Event, 503, relay_refusal::no_catalog);
+  if (isReady())
+    admit(Event, Now);
+  else if (!Starting.add(Event, Now))
+    refuseUnrouted(Event, Now, 503, relay_refusal::no_catalog);
+}
+
+/// Requests that waited for the catalog, in the order of their arrival.
+void relay::impl::admitStarting() {
+  if (!isReady())
     return;
-  }
+  for (const start_queue::entry &Each : Starting.takeAll())
+    admit(Each.Event, Each.ArrivedAt);
+}
+
+void relay::impl::admit(const request_arrived &Event, instant ArrivedAt) {
   const route *Route = Table->find(Event.Content->Host, Event.Content->Target);
   if (!Route) {
-    refuseUnrouted(Event, 404, relay_refusal::no_route);
+    refuseUnrouted(Event, ArrivedAt, 404, relay_refusal::no_route);
     return;
   }
   auto Owned = std::make_unique<request_work>();
@@ -77,7 +88,7 @@
   Work.Learnt =
       &Routes.try_emplace(Route->Host + Route->PathPrefix, Route->Objective)
            .first->second;
-  setTimes(Work, Event.Patience, Event.Client);
+  setTimes(Work, ArrivedAt, Event.Patience, Event.Client);
   if (Work.isGathered()) {
     for (const service_name &Shard : Route->Gather.Shards)
       Work.Parts.emplace_back().Service = &Endpoints.service(Shard);
@@ -110,16 +121,20 @@
   return Client.RoundTrip * Trips + OwnWork * (1 / Settings.Cores);
 }
 
-void relay::impl::setTimes(request_work &Work, millis Patience,
-                           client_distance Client) const {
+/// A request that has waited past its objective has as long as a new one.
+void relay::impl::setTimes(request_work &Work, instant ArrivedAt,
+                           millis Patience, client_distance Client) const {
   const route &Route = *Work.Route;
   millis Left = Route.Timeout;
   if (Patience > millis{0})
     Left = std::min(Left, Patience);
-  Work.ArrivedAt = Now;
-  Work.Deadline = Now + std::max(millis{1}, Left - DeadlineMargin);
+  Work.ArrivedAt = ArrivedAt;
+  Work.Deadline =
+      std::max(Now + millis{1}, ArrivedAt + (Left - DeadlineMargin));
+  const millis Answered = Route.Objective - travelOf(Client);
+  const instant Wanted = ArrivedAt + Answered;
   Work.AnswerBy =
-      std::min(Now + Route.Objective - travelOf(Client), Work.Deadline);
+      std::min(Wanted > Now ? Wanted : Now + Answered, Work.Deadline);
   Work.GiveUpAt = Now + Route.Objective * GiveUpShare;
   Work.HedgeAt = Now + hedgeDelay(*Work.Learnt, Route.Objective);
   Work.RepeatAt = Now + Route.Objective * RepeatShare;
@@ -198,8 +213,10 @@
 
 void relay::impl::on(const client_left &Event) {
   request_work *Work = find(Event.Request);
-  if (!Work)
+  if (!Work) {
+    Starting.remove(Event.Request);
     return;
+  }
   Work->Note.ClientLeft = true;
   Work->Note.Took = Now - Work->ArrivedAt;
   Work->Note.Covered = Work->covered();
@@ -218,11 +235,13 @@
   Table = std::make_shared<const route_table>(Event.Catalog);
   noteSliced();
   Endpoints.install(*Event.Catalog, *Out);
+  admitStarting();
 }
 
 void relay::impl::on(const directory_arrived &Event) {
   HasDirectory = true;
   Endpoints.install(*Event.Directory, Now - Event.Age, Now, *Out);
+  admitStarting();
   retryWaiting();
 }
 
@@ -239,6 +258,8 @@
   if (Now >= HousekeepingAt)
     HousekeepingAt = Never;
   cancelLingering();
+  for (const start_queue::entry &Each : Starting.takeOverdue(Now))
+    refuseUnrouted(Each.Event, Each.ArrivedAt, 503, relay_refusal::no_catalog);
   while (const auto Next = Wakes.front()) {
     if (Next->At > Now)
       break;
@@ -294,7 +315,7 @@
 }
 
 void relay::impl::armTimer() {
-  instant Next = Endpoints.nextProbe();
+  instant Next = std::min(Endpoints.nextProbe(), Starting.nextOverdue());
   for (const lingering_attempt &Each : Lingering)
     Next = std::min(Next, Each.Until);
   if (Next < HousekeepingAt) {
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -15,8 +15,6 @@
 /// found again.
 constexpr millis BusyRetryAfter{60};
 constexpr millis DownRetryAfter{400};
-/// A daemon that has just started has its catalog by then.
-constexpr millis StartTime{1000};
 constexpr millis LeastRetryAfter{150};
 
 } // namespace
@@ -190,7 +188,8 @@
   Works.erase(Work.Request);
 }
 
-void relay::impl::refuseUnrouted(const request_arrived &Event, unsigned Status,
+void relay::impl::refuseUnrouted(const request_arrived &Event,
+                                 instant ArrivedAt, unsigned Status,
                                  relay_refusal Reason) {
   give_answer Answer;
   Answer.Request = Event.Request;
@@ -198,13 +197,13 @@
   Answer.Status = Status;
   Answer.Reason = Reason;
   if (Status == 503)
-    Answer.RetryAfter =
-        std::max(LeastRetryAfter, StartTime - (Now - StartedAt));
+    Answer.RetryAfter = std::max(LeastRetryAfter, Starting.expectedWait(Now));
   request_note Note;
   Note.RequestId = Event.Content->RequestId;
   Note.Status = Status;
   Note.Reason = Reason;
   Note.Version = version();
+  Note.Took = Now - ArrivedAt;
   Out->push_back(std::move(Answer));
   Out->push_back(std::move(Note));
 }
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -4,6 +4,7 @@
 #include "query/wake_queue.h"
 #include "relay/relay.h"
 #include "relay/request_work.h"
+#include "relay/start_queue.h"
 
 namespace bulrush::relay {
 
@@ -12,7 +13,7 @@
   impl(relay_settings Settings, std::uint64_t Seed);
 
   void step(const relay_event &Event, instant Now, relay_actions &Actions);
-  std::size_t active() const { return Works.size(); }
+  std::size_t active() const { return Works.size() + Starting.size(); }
   bool isReady() const { return Table && HasDirectory; }
   catalog_version version() const {
     return Table ? Table->content().Version : catalog_version{};
@@ -35,6 +36,8 @@
   void on(const ask_replied &Event);
   void on(const peer_lost &Event);
   void on(const timer_fired &Event);
+  void admit(const request_arrived &Event, instant ArrivedAt);
+  void admitStarting();
   void armTimer();
   void wakeAt(request_work &Work, instant At);
   void lookAt(request_work &Work);
@@ -42,7 +45,7 @@
   request_work *find(query_id Request);
   static millis hedgeDelay(const route_state &Learnt, millis Objective);
   millis travelOf(client_distance Client) const;
-  void setTimes(request_work &Work, millis Patience,
+  void setTimes(request_work &Work, instant ArrivedAt, millis Patience,
                 client_distance Client) const;
   service_name pickTarget(request_work &Work) const;
   bool canCover(request_work &Work) const;
@@ -92,8 +95,8 @@
   static void noteLacking(request_work &Work);
   void forget(request_work &Work, bool Linger);
   millis retryAfter(const request_work &Work) const;
-  void refuseUnrouted(const request_arrived &Event, unsigned Status,
-                      relay_refusal Reason);
+  void refuseUnrouted(const request_arrived &Event, instant ArrivedAt,
+                      unsigned Status, relay_refusal Reason);
 
   struct attempt_place {
     query_id Request;
@@ -132,7 +135,7 @@
   query::wake_queue Wakes;
   instant HousekeepingAt = Never;
   std::uint64_t LastAttempt = 0;
-  instant StartedAt = Never;
+  start_queue Starting;
   instant Now;                  ///< of the step under way
   relay_actions *Out = nullptr; ///< of the step under way
 };
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -211,7 +211,7 @@
   Work.Content = Ask.Content;
   Work.Route = Route.get();
   Work.Learnt = &Routes.try_emplace(Ask.RouteKey, Ask.Objective).first->second;
-  setTimes(Work, {}, {});
+  setTimes(Work, Now, {}, {});
   Work.AnswerBy = Now + Ask.AnswerIn;
   Work.RepeatAt = Never;
   Work.Note.IsAsk = true;
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -32,11 +32,65 @@
 TEST_CASE("a daemon without a catalog refuses and says when to come back",
           "[relay]") {
   relay_fixture Relay;
-  const query_id Request = Relay.ask("/all/");
+  const query_id Request = Relay.ask("/all/", {});
   REQUIRE(Relay.answerTo(Request)->Status == 503);
   CHECK(Relay.answerTo(Request)->RetryAfter > millis{0});
 }
 
+TEST_CASE("requests that come while a daemon starts wait for its catalog",
+          "[relay][load]") {
+  relay_fixture Relay;
+  Relay.addService("one", 3);
+  Relay.addPlainRoute("/one/", "one");
+  const query_id First = Relay.ask("/one/", {2000});
+  Relay.wait(300);
+  const query_id Second = Relay.ask("/one/", {2000});
+  CHECK(Relay.answerTo(First) == nullptr);
+  CHECK(Relay.Relay.active() == 2);
+  Relay.install();
+  REQUIRE(Relay.Sent.size() == 2);
+  // The clock of the client has gone on meanwhile.
+  CHECK(Relay.Sent.begin()->second.Remaining < millis{1700});
+  Relay.replyAll();
+  REQUIRE(Relay.answerTo(First));
+  REQUIRE(Relay.answerTo(Second));
+  CHECK(Relay.answerTo(First)->Status == 200);
+  CHECK(Relay.answerTo(Second)->Status == 200);
+}
+
+TEST_CASE("a request waits for a catalog no longer than half its patience",
+          "[relay]") {
+  relay_fixture Relay;
+  const query_id Request = Relay.ask("/one/", {800});
+  Relay.wait(399);
+  CHECK(Relay.answerTo(Request) == nullptr);
+  Relay.wait(1);
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 503);
+  CHECK(Relay.answerTo(Request)->RetryAfter > millis{0});
+}
+
+TEST_CASE("a daemon that finds no catalog for long refuses at once",
+          "[relay]") {
+  relay_fixture Relay;
+  Relay.step(timer_fired{});
+  Relay.wait(1500);
+  const query_id Request = Relay.ask("/one/", {8000});
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 503);
+}
+
+TEST_CASE("a client that leaves does not wait for a catalog", "[relay]") {
+  relay_fixture Relay;
+  Relay.addService("one", 3);
+  Relay.addPlainRoute("/one/", "one");
+  const query_id Request = Relay.ask("/one/", {2000});
+  Relay.step(client_left{Request});
+  CHECK(Relay.Relay.active() == 0);
+  Relay.install();
+  CHECK(Relay.Sent.empty());
+}
+
 TEST_CASE("a path that no route matches is not found", "[relay]") {
   gather_fixture Relay;
   CHECK(Relay.answerTo(Relay.ask("/none/"))->Status == 404);
