An endpoint of the own zone is taken while it replies in good time

Counted (trial): 39% of the parts stayed in their zone, 32% left it although an own endpoint was open, because endpoints differ in speed (0.8, 1.0, 1.3) and the fastest was chosen, 25% had no own endpoint, 4% were hedges. Change: an endpoint of the own zone is as good as any while it is likely to reply within 0.4 of the time that is left, does not stand still and seldom fails; only else the fastest is chosen. With it, a first step for zones without a copy: the slices of a query go to relays of zones that hold at least half of its shards, in turn where the own zone does not, and never to a zone that is out. Tests: near endpoint at 20 ms against a far one at 10 (56 of 300 stayed before, all now); slices of a zone without a copy; a zone out. Next: the quarter of the shards without an own endpoint.

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -15,6 +15,8 @@
 /// A request in flight for longer than this, in typical latencies, shows that
 /// its endpoint stands still.
 constexpr double StallFactor = 2.5;
+/// More failures than this make an endpoint no good choice, wherever it is.
+constexpr double FewFailures = 0.1;
 /// What another zone adds; bytes between zones cost.
 constexpr millis OtherZoneCost{1.5};
 constexpr double OtherZoneFactor = 1.25;
@@ -51,6 +53,21 @@
   return Found == Endpoints.end() ? nullptr : Found->second.get();
 }
 
+std::vector<std::string>
+endpoint_set::zonesOf(const service_name &Service) const {
+  std::vector<std::string> Out;
+  const auto Known = Services.find(Service.Value);
+  if (Known == Services.end())
+    return Out;
+  for (const endpoint_no No : Known->second->Endpoints) {
+    const listed_endpoint &Listed = Endpoints.at(No)->listed();
+    const bool MayWork = !Listed.IsLeaving && !ZonesOut.count(Listed.Zone);
+    if (MayWork && std::find(Out.begin(), Out.end(), Listed.Zone) == Out.end())
+      Out.push_back(Listed.Zone);
+  }
+  return Out;
+}
+
 /// Relays that take over for a while share the slack of a sliced service too.
 void endpoint_set::resizeBudget(service_state &Service) const {
   const auto Few = static_cast<std::uint32_t>(Sharers * TakeoverFactor);
@@ -205,22 +222,36 @@
   return Cost * (1 + Jitter * Share);
 }
 
+/// Whether nothing is gained by another zone, whose bytes cost.
+bool endpoint_set::isGoodEnough(const endpoint_state &Endpoint,
+                                const wanted_reply &Wanted, instant Now) const {
+  return Endpoint.listed().Zone == Settings.Zone &&
+         Endpoint.expectedLatency(Wanted.Typical, Now) <= Wanted.InGoodTime &&
+         Endpoint.oldestWait(Now) <= Wanted.Typical * StallFactor &&
+         Endpoint.expectedFailures(Now) <= FewFailures;
+}
+
 endpoint_state *endpoint_set::choose(const service_state &Service,
                                      const std::vector<endpoint_no> &Tried,
-                                     millis Typical, instant By, instant Now) {
+                                     const wanted_reply &Wanted, instant Now) {
   endpoint_state *Best = nullptr;
   double BestCost = 0;
+  bool IsBestGood = false;
   const std::size_t Limit = limitOf(Service);
   for (const endpoint_no No : Service.Endpoints) {
     endpoint_state &Each = *Endpoints.at(No);
     if (contains(Tried, No) || !Each.isOpen(Limit, Now) ||
-        Now + Each.expectedLatency(Typical, Now) > By)
+        Now + Each.expectedLatency(Wanted.Typical, Now) > Wanted.By)
       continue;
-    const double Cost = cost(Each, Typical, Now);
-    if (Best && Cost >= BestCost)
+    const bool IsGood = isGoodEnough(Each, Wanted, Now);
+    const double Cost = cost(Each, Wanted.Typical, Now);
+    const bool IsBetter =
+        IsGood != IsBestGood ? IsGood : !Best || Cost < BestCost;
+    if (!IsBetter)
       continue;
     Best = &Each;
     BestCost = Cost;
+    IsBestGood = IsGood;
   }
   return Best;
 }
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -28,7 +28,14 @@
   service_budget Budget;
 };
 
-class endpoint_set {
+/// When a reply is wanted.
+struct wanted_reply {
+  millis Typical;     ///< what such a request usually takes
+  millis InGoodTime;  ///< no later reply is as good as an early one
+  instant By = Never; ///< nobody waits for a later one
+};
+
+class endpoint_set final : public endpoint_places {
 public:
   endpoint_set(const relay_settings &Settings, std::uint64_t Seed);
 
@@ -43,12 +50,15 @@
 
   service_state &service(const service_name &Name);
   endpoint_state *find(endpoint_no No);
+  std::vector<std::string> zonesOf(const service_name &Service) const override;
 
-  /// The endpoint that is likely to reply first, not one of `Tried`; null when
-  /// none can take the request or is likely to reply by `By`.
+  /// An endpoint for one request that is not one of `Tried`: of the own zone
+  /// while it is likely to reply in good time, else the one that is likely to
+  /// reply first. Null when none can take the request or is likely to reply by
+  /// `By`.
   endpoint_state *choose(const service_state &Service,
-                         const std::vector<endpoint_no> &Tried, millis Typical,
-                         instant By, instant Now);
+                         const std::vector<endpoint_no> &Tried,
+                         const wanted_reply &Wanted, instant Now);
   /// Whether a request that comes now can be served: some endpoint has room, or
   /// is likely to reply by `By` all the same.
   bool canServe(const service_state &Service, millis Typical, instant By,
@@ -73,6 +83,8 @@
   void remove(endpoint_state &Endpoint, relay_actions &Out);
   void dropRetired();
   double cost(const endpoint_state &Endpoint, millis Typical, instant Now);
+  bool isGoodEnough(const endpoint_state &Endpoint, const wanted_reply &Wanted,
+                    instant Now) const;
 
   relay_settings Settings;
   std::minstd_rand Random;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -241,12 +241,16 @@
 void relay::impl::on(const directory_arrived &Event) {
   HasDirectory = true;
   Endpoints.install(*Event.Directory, Now - Event.Age, Now, *Out);
+  Slices.forgetPlaces();
+  noteSliced();
   admitStarting();
   retryWaiting();
 }
 
 void relay::impl::on(const zones_out_arrived &Event) {
   Endpoints.setZonesOut(Event.Zones, Now);
+  Slices.forgetPlaces();
+  noteSliced();
 }
 
 void relay::impl::on(const peers_counted &Event) {
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -9,6 +9,9 @@
 
 /// Sendings of one part, those included that no endpoint ran.
 constexpr std::uint32_t MaxSends = 4;
+/// A reply within this share of the time that is left comes in good time: there
+/// is still enough for a second attempt.
+constexpr double GoodTimeShare = 0.4;
 /// Before a part is sent again to the endpoint that has shed it.
 constexpr millis ShedPause{10};
 
@@ -27,6 +30,11 @@
   return MayLeaveOut ? Work.AnswerBy : Never;
 }
 
+wanted_reply relay::impl::wantedReply(const request_work &Work) const {
+  return {Work.Learnt->Median.value(), (Work.AnswerBy - Now) * GoodTimeShare,
+          wantedBy(Work)};
+}
+
 void relay::impl::begin(request_work &Work, request_part &Part) {
   const bool IsEarly = Now < Part.NotBefore;
   if (!IsEarly && send(Work, Part))
@@ -55,8 +63,7 @@
     return false;
   }
   endpoint_state *To =
-      Endpoints.choose(*Part.Service, Part.Tried, Work.Learnt->Median.value(),
-                       wantedBy(Work), Now);
+      Endpoints.choose(*Part.Service, Part.Tried, wantedReply(Work), Now);
   if (!To)
     return false;
   if (IsFurther)
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -52,6 +52,7 @@
 
   // relay_attempts.cpp: the way of one part
   instant wantedBy(const request_work &Work) const;
+  wanted_reply wantedReply(const request_work &Work) const;
   void begin(request_work &Work, request_part &Part);
   bool send(request_work &Work, request_part &Part, double Reserve = 0);
   void hedge(request_work &Work, request_part &Part);
@@ -70,8 +71,8 @@
   void scatter(request_work &Work);
   void noteSliced();
   vm_id pickPeer(vm_id First, vm_id Second) const;
-  void ask(request_work &Work, const std::vector<std::size_t> &Parts, vm_id To,
-           vm_id Other, bool IsRepeat);
+  void ask(request_work &Work, const std::vector<std::size_t> &Parts,
+           const ask_target &Target);
   void beginHere(request_work &Work, const std::vector<std::size_t> &Parts);
   void askAgain(request_work &Work, std::size_t Index);
   void repeatSilent(request_work &Work);
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -8,8 +8,11 @@
 
 namespace {
 
-/// Between two relays of a zone, with what they do for a message.
+/// There and back between two relays of a zone, with what they do for the
+/// messages.
 constexpr millis HopTime{4};
+/// The same between two zones of a region.
+constexpr millis FarHopTime{6.5};
 /// The asker hears by then that the relay lives, and what it has.
 constexpr double CheckShare = 0.4;
 /// A relay that did not answer is asked again after so long.
@@ -21,7 +24,8 @@
 
 /// Begins all parts, here or at the relays that ask their slices.
 void relay::impl::scatter(request_work &Work) {
-  const std::vector<slice> &Cut = Slices.slicesOf(Work.Route->Gather);
+  const std::vector<slice> &Cut =
+      Slices.slicesOf(Work.Route->Gather, Endpoints);
   if (Cut.empty()) {
     for (request_part &Part : Work.Parts)
       begin(Work, Part);
@@ -32,8 +36,8 @@
     if (To == Settings.Self)
       beginHere(Work, Each.Shards);
     else
-      ask(Work, Each.Shards, To, To == Each.First ? Each.Second : vm_id{},
-          false);
+      ask(Work, Each.Shards,
+          {To, To == Each.First ? Each.Second : vm_id{}, Each.IsFar, false});
   }
 }
 
@@ -56,7 +60,7 @@
 }
 
 void relay::impl::ask(request_work &Work, const std::vector<std::size_t> &Parts,
-                      vm_id To, vm_id Other, bool IsRepeat) {
+                      const ask_target &Target) {
   const ask_no Number{++LastAsk};
   shard_ask Ask;
   Ask.Ask = Number;
@@ -64,18 +68,19 @@
   Ask.RouteKey = Work.Route->Host + Work.Route->PathPrefix;
   Ask.TopRecords = Work.Route->Gather.TopRecords;
   // One sending by the relay that was asked before may have run.
-  Ask.MaxAttempts = Work.Route->MaxAttempts - (IsRepeat ? 1 : 0);
+  Ask.MaxAttempts = Work.Route->MaxAttempts - (Target.IsRepeat ? 1 : 0);
   Ask.Objective = Work.Route->Objective;
-  Ask.AnswerIn = std::max(millis{1}, Work.AnswerBy - Now - HopTime);
+  const millis Hop = Target.IsFar ? FarHopTime : HopTime;
+  Ask.AnswerIn = std::max(millis{1}, Work.AnswerBy - Now - Hop);
   Ask.Remaining = Work.Deadline - Now;
-  Ask.IsRepeat = IsRepeat;
+  Ask.IsRepeat = Target.IsRepeat;
   for (const std::size_t Place : Parts) {
     Ask.Shards.push_back(Work.Parts[Place].Service->Name);
     Work.Parts[Place].Phase = part_phase::asked;
   }
   Asks[Number] = {Work.Request, Work.Asks.size()};
-  Work.Asks.push_back({Number, To, Other, Parts, false, false, false});
-  Out->push_back(send_ask{To, std::move(Ask)});
+  Work.Asks.push_back({Number, Target, Parts, false, false, false});
+  Out->push_back(send_ask{Target.To, std::move(Ask)});
 }
 
 /// The relay that was asked is lost or silent: another one, or this one.
@@ -83,7 +88,7 @@
   slice_ask &Old = Work.Asks[Index];
   Old.IsEnded = true;
   Asks.erase(Old.Ask);
-  const vm_id To = pickPeer(Old.Other, {});
+  const vm_id To = pickPeer(Old.Target.Other, {});
   const bool MayAsk = !Old.IsGranted && Work.Route->MaxAttempts > 1;
   std::vector<std::size_t> Missing;
   for (const std::size_t Place : Old.Parts) {
@@ -98,7 +103,7 @@
     return;
   ++Work.Note.Repeats;
   if (To != Settings.Self) {
-    ask(Work, Missing, To, {}, true);
+    ask(Work, Missing, {To, {}, Old.Target.IsFar, true});
     return;
   }
   for (const std::size_t Place : Missing) {
@@ -114,8 +119,8 @@
     const slice_ask &Each = Work.Asks[I];
     if (Each.IsEnded || Each.HasReplied)
       continue;
-    SilentPeers[Each.To] = Now + SilenceTime;
-    Out->push_back(cancel_ask{Each.To, Each.Ask, false});
+    SilentPeers[Each.Target.To] = Now + SilenceTime;
+    Out->push_back(cancel_ask{Each.Target.To, Each.Ask, false});
     askAgain(Work, I);
   }
   Work.RepeatAt = Never;
@@ -126,7 +131,7 @@
   std::vector<ask_no> Lost;
   for (const auto &[Number, Place] : Asks) {
     const request_work *Work = find(Place.Request);
-    if (Work && Work->Asks[Place.Index].To == Event.Peer)
+    if (Work && Work->Asks[Place.Index].Target.To == Event.Peer)
       Lost.push_back(Number);
   }
   for (const ask_no Number : Lost) {
@@ -155,7 +160,7 @@
   takeSlice(*Work, Ask, Event.Reply);
   if (Event.Reply.WantsRepeat && !Ask.IsGranted) {
     Ask.IsGranted = true;
-    Out->push_back(grant_repeat{Ask.To, Ask.Ask});
+    Out->push_back(grant_repeat{Ask.Target.To, Ask.Ask});
   }
   settle(*Work);
 }
@@ -187,7 +192,7 @@
   for (const slice_ask &Each : Work.Asks) {
     Asks.erase(Each.Ask);
     if (!Each.IsEnded)
-      Out->push_back(cancel_ask{Each.To, Each.Ask, HasClientLeft});
+      Out->push_back(cancel_ask{Each.Target.To, Each.Ask, HasClientLeft});
   }
 }
 
@@ -336,10 +341,16 @@
   if (!Table)
     return;
   std::set<service_name> Names;
-  for (const route &Route : Table->content().Routes)
-    if (Slices.isSliced(Route.Gather))
-      Names.insert(Route.Gather.Shards.begin(), Route.Gather.Shards.end());
-  Endpoints.setSliced(Names, Slices.sharers(), *Out);
+  std::size_t Sharers = 1;
+  for (const route &Route : Table->content().Routes) {
+    if (!Slices.isSliced(Route.Gather))
+      continue;
+    const auto &Shards = Route.Gather.Shards;
+    if (Names.count(Shards.front()) == 0)
+      Sharers = std::max(Sharers, Slices.sharers(Route.Gather, Endpoints));
+    Names.insert(Shards.begin(), Shards.end());
+  }
+  Endpoints.setSliced(Names, Sharers, *Out);
 }
 
 } // namespace bulrush::relay
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -52,11 +52,18 @@
   std::shared_ptr<const endpoint_reply> Failure; ///< the last failing reply
 };
 
+/// Whom a slice is asked of.
+struct ask_target {
+  vm_id To;
+  vm_id Other;           ///< asked where `To` does not answer; 0: none
+  bool IsFar = false;    ///< in another zone
+  bool IsRepeat = false; ///< another relay was asked before
+};
+
 /// A slice that another relay was asked for.
 struct slice_ask {
   ask_no Ask;
-  vm_id To;
-  vm_id Other; ///< asked where `To` does not answer; 0: none
+  ask_target Target;
   std::vector<std::size_t> Parts;
   bool HasReplied = false;
   bool IsGranted = false; ///< it may send parts again, so no other relay may
--- a/src/relay/slices.h
+++ b/src/relay/slices.h
@@ -1,4 +1,4 @@
-/// Which relay of the own zone asks which shards.
+/// Which relay asks which shards of a query.
 #pragma once
 
 #include "bulrushtray/ids.h"
@@ -18,10 +18,20 @@
   bool operator==(const relay_peer &) const = default;
 };
 
+/// Tells where the endpoints of a service are.
+class endpoint_places {
+public:
+  virtual ~endpoint_places() = default;
+  /// The zones of its endpoints that may get work, each once.
+  virtual std::vector<std::string>
+  zonesOf(const service_name &Service) const = 0;
+};
+
 /// Shards of one query that one relay asks, by their places in the query.
 struct slice {
-  vm_id First;  ///< the relay that asks them
-  vm_id Second; ///< where the first does not answer; 0: none
+  vm_id First;        ///< the relay that asks them
+  vm_id Second;       ///< where the first does not answer; 0: none
+  bool IsFar = false; ///< these relays are in another zone
   std::vector<std::size_t> Shards;
 };
 
@@ -33,29 +43,46 @@
 
 /// Cuts queries into slices. About the square root of the shards are asked by
 /// each of about as many relays, so that a query's time grows with the square
-/// root only. All relays of a zone agree on the slices, so that an endpoint has
-/// connections from few of them.
+/// root only. The relays that ask are in a zone that holds a copy of the index:
+/// the own one, or the others in turn where it holds none, so that only merged
+/// records travel between zones. All relays agree on who asks what, so that an
+/// endpoint has connections from few of them.
 class slice_map {
 public:
   slice_map(slice_settings Settings, vm_id Self, std::string Zone)
       : Settings(Settings), Self(Self), Zone(std::move(Zone)) {}
 
   void setPeers(const std::vector<relay_peer> &Peers);
+  /// Endpoints have come or gone.
+  void forgetPlaces() { Known.clear(); }
   /// Relays of all zones that ask the shards of one slice.
-  std::size_t sharers() const;
+  std::size_t sharers(const gather_rule &Rule,
+                      const endpoint_places &Places) const;
 
   bool isSliced(const gather_rule &Rule) const;
   /// The slices of a query; empty when it is not sliced.
-  const std::vector<slice> &slicesOf(const gather_rule &Rule);
+  const std::vector<slice> &slicesOf(const gather_rule &Rule,
+                                     const endpoint_places &Places);
 
 private:
-  std::vector<slice> cut(const gather_rule &Rule) const;
+  /// The relays of one slice in one zone.
+  struct slice_relays {
+    vm_id First;
+    vm_id Second;
+  };
+
+  /// Zones that hold a copy of the index, ascending.
+  std::vector<std::string> hostsOf(const gather_rule &Rule,
+                                   const endpoint_places &Places) const;
+  std::vector<slice> cut(const gather_rule &Rule,
+                         const endpoint_places &Places) const;
+  static std::vector<slice_relays> assign(const std::vector<vm_id> &Relays,
+                                          std::size_t Slices);
 
   slice_settings Settings;
   vm_id Self;
   std::string Zone;
-  std::vector<vm_id> ZonePeers; ///< ascending, this one included
-  std::size_t Zones = 1;
+  std::map<std::string, std::vector<vm_id>> Relays; ///< by zone, ascending
   std::map<std::vector<service_name>, std::vector<slice>> Known;
 };
 
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -82,24 +82,118 @@
         Asked.size());
 }
 
-TEST_CASE("all relays of a zone cut alike", "[slices]") {
-  slice_map A({}, {1}, "near");
-  slice_map B({}, {2}, "near");
-  std::vector<relay_peer> Peers;
-  for (std::uint32_t I = 1; I <= 9; ++I)
-    Peers.push_back({{I}, "near"});
-  A.setPeers(Peers);
-  B.setPeers(Peers);
+namespace {
+
+/// Each shard has an endpoint in each of these zones.
+class places final : public endpoint_places {
+public:
+  explicit places(std::vector<std::string> Zones) : Zones(std::move(Zones)) {}
+  std::vector<std::string> zonesOf(const service_name &) const override {
+    return Zones;
+  }
+
+private:
+  std::vector<std::string> Zones;
+};
+
+/// Nine relays in each of three zones.
+std::vector<relay_peer> threeZones() {
+  std::vector<relay_peer> Out;
+  for (std::uint32_t I = 1; I <= 27; ++I)
+    Out.push_back({{I}, std::string(1, static_cast<char>('a' + I % 3))});
+  return Out;
+}
+
+gather_rule manyShards() {
   gather_rule Rule;
   for (std::size_t I = 0; I < Shards; ++I)
     Rule.Shards.push_back({"s" + std::to_string(I)});
-  REQUIRE(A.slicesOf(Rule).size() == B.slicesOf(Rule).size());
-  for (std::size_t I = 0; I < A.slicesOf(Rule).size(); ++I) {
-    CHECK(A.slicesOf(Rule)[I].First == B.slicesOf(Rule)[I].First);
-    CHECK(A.slicesOf(Rule)[I].First != A.slicesOf(Rule)[I].Second);
+  return Rule;
+}
+
+/// The slices as a relay of this zone cuts them.
+std::vector<slice> slicesFrom(const std::string &Zone,
+                              const endpoint_places &Places) {
+  std::uint32_t Self = 0;
+  for (const relay_peer &Each : threeZones())
+    if (Each.Zone == Zone)
+      Self = Each.Vm.Value;
+  slice_map Map({}, {Self}, Zone);
+  Map.setPeers(threeZones());
+  return Map.slicesOf(manyShards(), Places);
+}
+
+std::string zoneOf(vm_id Vm) {
+  for (const relay_peer &Each : threeZones())
+    if (Each.Vm == Vm)
+      return Each.Zone;
+  return {};
+}
+
+} // namespace
+
+TEST_CASE("all relays of a zone cut alike", "[slices]") {
+  slice_map A({}, {3}, "a");
+  slice_map B({}, {6}, "a");
+  A.setPeers(threeZones());
+  B.setPeers(threeZones());
+  const places Everywhere({"a", "b", "c"});
+  const gather_rule Rule = manyShards();
+  REQUIRE(A.slicesOf(Rule, Everywhere).size() ==
+          B.slicesOf(Rule, Everywhere).size());
+  for (std::size_t I = 0; I < A.slicesOf(Rule, Everywhere).size(); ++I) {
+    const slice &Each = A.slicesOf(Rule, Everywhere)[I];
+    CHECK(Each.First == B.slicesOf(Rule, Everywhere)[I].First);
+    CHECK(Each.First != Each.Second);
+    CHECK(zoneOf(Each.First) == "a");
+    CHECK(!Each.IsFar);
+  }
+  CHECK(A.sharers(Rule, Everywhere) == 6);
+}
+
+TEST_CASE("a zone without a copy of the index asks relays of those that hold "
+          "one, in turn",
+          "[slices][load]") {
+  const places Two({"a", "b"});
+  const std::vector<slice> Far = slicesFrom("c", Two);
+  REQUIRE(Far.size() == 8);
+  std::map<std::string, std::size_t> Asked;
+  for (const slice &Each : Far) {
+    CHECK(Each.IsFar);
+    CHECK(zoneOf(Each.Second) == zoneOf(Each.First));
+    ++Asked[zoneOf(Each.First)];
+  }
+  CHECK(Asked == std::map<std::string, std::size_t>{{"a", 4}, {"b", 4}});
+  // An endpoint has connections from the same relays, wherever a query came.
+  for (std::size_t I = 0; I < Far.size(); ++I) {
+    const slice Own = slicesFrom(zoneOf(Far[I].First), Two)[I];
+    CHECK(Own.First == Far[I].First);
+    CHECK(Own.Second == Far[I].Second);
+    CHECK(Own.Shards == Far[I].Shards);
   }
 }
 
+TEST_CASE("a zone that is out holds no copy", "[slices]") {
+  slices_fixture Relay(1, 12);
+  std::vector<relay_peer> Peers;
+  for (std::uint32_t I = 1; I <= 12; ++I)
+    Peers.push_back({{I}, I <= 6 ? "near" : "far"});
+  Relay.step(peers_arrived{Peers});
+  const auto FarAsks = [&] {
+    std::size_t Far = 0;
+    for (const send_ask &Each : Relay.asks())
+      Far += Each.To.Value > 6 ? 1 : 0;
+    return Far;
+  };
+  Relay.ask("/all/x");
+  CHECK(FarAsks() == 0);
+  Relay.step(zones_out_arrived{{"near"}});
+  Relay.Actions.clear();
+  Relay.ask("/all/x");
+  CHECK(FarAsks() == Relay.asks().size());
+  CHECK(FarAsks() > 0);
+}
+
 TEST_CASE("a query over few shards is asked by the relay that took it",
           "[slices]") {
   relay_fixture Relay(slices_fixture::settingsOf(1));
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -569,3 +569,23 @@
   Relay.ask("/one/");
   CHECK(Relay.attemptAt("one-1") != 0);
 }
+
+TEST_CASE(
+    "a faster endpoint of another zone waits while the own one replies in "
+    "good time",
+    "[relay][load]") {
+  relay_fixture Relay;
+  Relay.addService("one", 2, 100000);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install();
+  std::size_t Near = 0;
+  constexpr int Requests = 300;
+  for (int I = 0; I < Requests; ++I) {
+    Relay.ask("/one/");
+    const bool IsNear = Relay.attemptAt("one-0") != 0;
+    Near += IsNear ? 1 : 0;
+    Relay.wait(IsNear ? 20 : 10); // of an objective of 100
+    Relay.replyAll();
+  }
+  CHECK(Near >= Requests * 0.95);
+}
