Shards without an own endpoint go to relays of other zones; silent relays are still heard

Now these shards are asked by relays of zones that hold them, in groups of the size of a slice, and only the greatest records travel. Now the first relay's reply still counts, a part that both bring counts once, no third relay is asked, and a relay that stays silent is passed over for 1 s, 2 s, 4 s up to 16 s. With that the log showed 20 to 60 silent relays a second on calm seconds: the sign of life left 6 ms before it was missed. Also mended: after the loss of a second relay this one sent the parts as a third. New line: event=peer (silent, heard). Seen next: relays that have just started are silent at first.

--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -1,5 +1,6 @@
 #include "fleet/decision_log.h"
 
+#include "fleet/voter_links.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
@@ -129,4 +130,16 @@
                        {"cold_ms", Note.Detail.Count}});
 }
 
+void decision_log::write(const relay::peer_note &Note, instant Now) {
+  const bool IsSilent = Note.PassedOverFor > millis{0};
+  Metrics.add("peers", IsSilent ? "silent" : "heard");
+  if (!mayWrite(Now))
+    return;
+  telemetry::logEvent(IsSilent ? severity::warning : severity::info, "peer",
+                      {{"peer", toText(Note.Peer)},
+                       {"id", Note.RequestId},
+                       {"change", IsSilent ? "silent" : "heard"},
+                       {"passed_over_ms", Note.PassedOverFor.Count}});
+}
+
 } // namespace bulrush::fleet
--- a/src/fleet/decision_log.h
+++ b/src/fleet/decision_log.h
@@ -15,6 +15,7 @@
   void write(const relay::request_note &Note, instant Now);
   void write(const relay::attempt_note &Note, instant Now);
   void write(const relay::belief_note &Note, instant Now);
+  void write(const relay::peer_note &Note, instant Now);
 
 private:
   void writeAsk(const relay::request_note &Note, instant Now);
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -148,6 +148,7 @@
   void on(const relay::request_note &Note) { Log.write(Note, Clock.now()); }
   void on(const relay::attempt_note &Note) { Log.write(Note, Clock.now()); }
   void on(const relay::belief_note &Note) { Log.write(Note, Clock.now()); }
+  void on(const relay::peer_note &Note) { Log.write(Note, Clock.now()); }
 
   void on(const relay::give_answer &Answer) {
     const auto Found = Responders.find(Answer.Request);
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -10,8 +10,6 @@
 constexpr double ConnectionShare = 0.9;
 /// What a certain failure adds, in typical latencies.
 constexpr double FailureCost = 6;
-/// Relays that may ask a slice in a moment of change, for each that does.
-constexpr std::size_t TakeoverFactor = 2;
 /// A request in flight for longer than this, in typical latencies, shows that
 /// its endpoint stands still.
 constexpr double StallFactor = 2.5;
@@ -68,9 +66,8 @@
   return Out;
 }
 
-/// Relays that take over for a while share the slack of a sliced service too.
 void endpoint_set::resizeBudget(service_state &Service) const {
-  const auto Few = static_cast<std::uint32_t>(Sharers * TakeoverFactor);
+  const auto Few = static_cast<std::uint32_t>(Sharers);
   Service.Budget.resize(Settings.Budget,
                         Service.IsSliced ? std::min(Few, Peers) : Peers);
 }
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -308,11 +308,18 @@
   millis Detail; ///< how long it stays cold
 };
 
+/// A relay was not heard in time, or is again.
+struct peer_note {
+  vm_id Peer;
+  std::string RequestId; ///< of the query that shows it
+  millis PassedOverFor;  ///< 0: it is asked again
+};
+
 using relay_action =
     std::variant<send_attempt, cancel_attempt, give_answer, probe_endpoint,
                  open_endpoint, close_endpoint, send_ask, send_reply,
                  cancel_ask, grant_repeat, wake_at, request_note, attempt_note,
-                 belief_note>;
+                 belief_note, peer_note>;
 using relay_actions = std::vector<relay_action>;
 
 /// The names used in logs.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -21,7 +21,7 @@
 constexpr double LatestHedgeShare = 0.45;
 constexpr millis LeastHedgeDelay{4};
 constexpr double MedianFactor = 2.5;
-/// A relay that was asked says something by 0.4 of the objective; one that was
+/// A relay that was asked says something by 0.3 of the objective; one that was
 /// not heard by then does not answer in time.
 constexpr double RepeatShare = 0.5;
 /// No request wakes the relay by this name: suspects and late attempts do.
@@ -242,7 +242,6 @@
   HasDirectory = true;
   Endpoints.install(*Event.Directory, Now - Event.Age, Now, *Out);
   Slices.forgetPlaces();
-  noteSliced();
   admitStarting();
   retryWaiting();
 }
@@ -250,7 +249,6 @@
 void relay::impl::on(const zones_out_arrived &Event) {
   Endpoints.setZonesOut(Event.Zones, Now);
   Slices.forgetPlaces();
-  noteSliced();
 }
 
 void relay::impl::on(const peers_counted &Event) {
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -29,11 +29,9 @@
 }
 
 void relay::impl::settleGather(request_work &Work) {
-  const bool IsPending =
-      std::any_of(Work.Parts.begin(), Work.Parts.end(), [](const auto &Part) {
-        return Part.Phase != part_phase::done &&
-               Part.Phase != part_phase::failed;
-      });
+  bool IsPending = false;
+  for (std::size_t I = 0; I < Work.Parts.size() && !IsPending; ++I)
+    IsPending = !Work.isSettled(I);
   const bool IsTime = Now >= Work.AnswerBy && Work.isCoveredEnough();
   if (!IsPending || IsTime) {
     if (Work.isCoveredEnough())
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -56,6 +56,7 @@
 /// has too little beside `Reserve`.
 bool relay::impl::send(request_work &Work, request_part &Part, double Reserve) {
   service_budget &Budget = Part.Service->Budget;
+  Budget.refill(Now);
   const bool IsFurther = Part.Arrivals > 0;
   if (IsFurther && !Budget.has(Reserve)) {
     Work.Note.Starved += Part.IsHedgeDenied ? 0 : 1;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -76,6 +76,10 @@
   void beginHere(request_work &Work, const std::vector<std::size_t> &Parts);
   void askAgain(request_work &Work, std::size_t Index);
   void repeatSilent(request_work &Work);
+  void noteSilent(vm_id Peer, const std::string &RequestId);
+  void noteHeard(vm_id Peer, const std::string &RequestId);
+  static void failUnasked(request_work &Work,
+                          const std::vector<std::size_t> &Parts);
   void takeSlice(request_work &Work, slice_ask &Ask, const shard_reply &Reply);
   void cancelAsks(const request_work &Work, bool HasClientLeft);
   void settleAsked(request_work &Work);
@@ -113,6 +117,11 @@
   void cancel(attempt_no Attempt, attempt_verdict Verdict);
   void cancelLingering();
 
+  /// A relay that was not heard in time.
+  struct peer_silence {
+    instant Until; ///< not asked until then
+    millis PassedOver;
+  };
   struct ask_place {
     query_id Request;
     std::size_t Index = 0;
@@ -123,7 +132,7 @@
   slice_map Slices;
   std::unordered_map<ask_no, ask_place> Asks; ///< of this relay, not ended
   std::map<std::pair<vm_id, ask_no>, query_id> AskedHere;
-  std::map<vm_id, instant> SilentPeers; ///< not asked until then
+  std::map<vm_id, peer_silence> SilentPeers;
   std::uint64_t LastAsk = 0;
   std::uint64_t LastAsked = 0;
   std::shared_ptr<const route_table> Table;
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -14,9 +14,12 @@
 /// The same between two zones of a region.
 constexpr millis FarHopTime{6.5};
 /// The asker hears by then that the relay lives, and what it has.
-constexpr double CheckShare = 0.4;
-/// A relay that did not answer is asked again after so long.
-constexpr millis SilenceTime{1000};
+constexpr double CheckShare = 0.3;
+/// A relay that was not heard in time is asked again after so long, each time
+/// after twice as long as before: a slow machine stays slow for seconds, and
+/// each query that waits for it is late.
+constexpr millis FirstSilence{1000};
+constexpr millis LongestSilence{16'000};
 /// Requests of other relays are numbered apart from those of clients.
 constexpr std::uint64_t AskedNumbers = std::uint64_t{1} << 63;
 
@@ -45,7 +48,8 @@
 vm_id relay::impl::pickPeer(vm_id First, vm_id Second) const {
   for (const vm_id Each : {First, Second}) {
     const auto Silent = SilentPeers.find(Each);
-    const bool IsSilent = Silent != SilentPeers.end() && Now < Silent->second;
+    const bool IsSilent =
+        Silent != SilentPeers.end() && Now < Silent->second.Until;
     if (Each.Value != 0 && !IsSilent)
       return Each;
   }
@@ -79,31 +83,31 @@
     Work.Parts[Place].Phase = part_phase::asked;
   }
   Asks[Number] = {Work.Request, Work.Asks.size()};
-  Work.Asks.push_back({Number, Target, Parts, false, false, false});
+  Work.Asks.push_back({Number, Target, Parts});
   Out->push_back(send_ask{Target.To, std::move(Ask)});
 }
 
-/// The relay that was asked is lost or silent: another one, or this one.
+/// The relay that was asked is lost or silent: another one is asked as well, or
+/// this one asks itself. Three relays would be more than may send a part.
 void relay::impl::askAgain(request_work &Work, std::size_t Index) {
-  slice_ask &Old = Work.Asks[Index];
-  Old.IsEnded = true;
-  Asks.erase(Old.Ask);
-  const vm_id To = pickPeer(Old.Target.Other, {});
-  const bool MayAsk = !Old.IsGranted && Work.Route->MaxAttempts > 1;
+  const ask_target Old = Work.Asks[Index].Target;
+  const bool MayAsk = !Work.Asks[Index].IsGranted &&
+                      !Work.Asks[Index].IsReplaced && !Old.IsRepeat &&
+                      Work.Route->MaxAttempts > 1;
+  const std::vector<std::size_t> Parts = Work.Asks[Index].Parts;
   std::vector<std::size_t> Missing;
-  for (const std::size_t Place : Old.Parts) {
-    request_part &Part = Work.Parts[Place];
-    if (Part.Phase != part_phase::asked)
-      continue;
-    Part.Phase = part_phase::failed;
-    if (MayAsk)
+  for (const std::size_t Place : Parts)
+    if (Work.Parts[Place].Phase == part_phase::asked)
       Missing.push_back(Place);
-  }
-  if (Missing.empty())
+  if (!MayAsk || Missing.empty()) {
+    failUnasked(Work, Parts);
     return;
+  }
+  Work.Asks[Index].IsReplaced = true;
   ++Work.Note.Repeats;
+  const vm_id To = pickPeer(Old.Other, {});
   if (To != Settings.Self) {
-    ask(Work, Missing, {To, {}, Old.Target.IsFar, true});
+    ask(Work, Missing, {To, {}, Old.IsFar, true});
     return;
   }
   for (const std::size_t Place : Missing) {
@@ -113,21 +117,44 @@
   }
 }
 
+/// Nothing more comes for these parts, unless another relay was asked too.
+void relay::impl::failUnasked(request_work &Work,
+                              const std::vector<std::size_t> &Parts) {
+  for (const std::size_t Place : Parts)
+    if (Work.Parts[Place].Phase == part_phase::asked && !Work.isAsked(Place))
+      Work.Parts[Place].Phase = part_phase::failed;
+}
+
+void relay::impl::noteSilent(vm_id Peer, const std::string &RequestId) {
+  const auto [Known, IsNew] = SilentPeers.try_emplace(Peer);
+  peer_silence &Silence = Known->second;
+  if (!IsNew && Now < Silence.Until)
+    return;
+  Silence.PassedOver = IsNew ? FirstSilence : Silence.PassedOver * 2;
+  Silence.PassedOver = std::min(Silence.PassedOver, LongestSilence);
+  Silence.Until = Now + Silence.PassedOver;
+  Out->push_back(peer_note{Peer, RequestId, Silence.PassedOver});
+}
+
+void relay::impl::noteHeard(vm_id Peer, const std::string &RequestId) {
+  if (SilentPeers.erase(Peer) > 0)
+    Out->push_back(peer_note{Peer, RequestId, {}});
+}
+
+/// What the silent ones still reply counts, where it comes first.
 void relay::impl::repeatSilent(request_work &Work) {
+  Work.RepeatAt = Never;
   const std::size_t Count = Work.Asks.size();
   for (std::size_t I = 0; I < Count; ++I) {
-    const slice_ask &Each = Work.Asks[I];
-    if (Each.IsEnded || Each.HasReplied)
+    if (Work.Asks[I].IsEnded || Work.Asks[I].HasReplied)
       continue;
-    SilentPeers[Each.Target.To] = Now + SilenceTime;
-    Out->push_back(cancel_ask{Each.Target.To, Each.Ask, false});
+    noteSilent(Work.Asks[I].Target.To, Work.Content->RequestId);
     askAgain(Work, I);
   }
-  Work.RepeatAt = Never;
 }
 
 void relay::impl::on(const peer_lost &Event) {
-  SilentPeers[Event.Peer] = Now + SilenceTime;
+  noteSilent(Event.Peer, {});
   std::vector<ask_no> Lost;
   for (const auto &[Number, Place] : Asks) {
     const request_work *Work = find(Place.Request);
@@ -135,18 +162,21 @@
       Lost.push_back(Number);
   }
   for (const ask_no Number : Lost) {
-    const auto Place = Asks.find(Number);
-    request_work *Work =
-        Place == Asks.end() ? nullptr : find(Place->second.Request);
+    const auto Found = Asks.find(Number);
+    if (Found == Asks.end())
+      continue;
+    const ask_place Place = Found->second;
+    Asks.erase(Found);
+    request_work *Work = find(Place.Request);
     if (!Work)
       continue;
-    askAgain(*Work, Place->second.Index);
+    Work->Asks[Place.Index].IsEnded = true;
+    askAgain(*Work, Place.Index);
     settle(*Work);
   }
 }
 
 void relay::impl::on(const ask_replied &Event) {
-  SilentPeers.erase(Event.From);
   const auto Found = Asks.find(Event.Reply.Ask);
   if (Found == Asks.end())
     return;
@@ -157,14 +187,18 @@
   if (!Work)
     return;
   slice_ask &Ask = Work->Asks[Place.Index];
+  if (!Ask.IsReplaced)
+    noteHeard(Event.From, Work->Content->RequestId);
   takeSlice(*Work, Ask, Event.Reply);
-  if (Event.Reply.WantsRepeat && !Ask.IsGranted) {
+  if (Event.Reply.WantsRepeat && !Ask.IsGranted && !Ask.IsReplaced) {
     Ask.IsGranted = true;
     Out->push_back(grant_repeat{Ask.Target.To, Ask.Ask});
   }
   settle(*Work);
 }
 
+/// Merged parts cannot be told apart: a reply that holds one that is there
+/// already is of no use.
 void relay::impl::takeSlice(request_work &Work, slice_ask &Ask,
                             const shard_reply &Reply) {
   Ask.HasReplied = true;
@@ -181,11 +215,8 @@
       Work.Parts[Ask.Parts[Each]].Phase = part_phase::done;
     Work.Merged.push_back({Reply.Signatures, Reply.Records});
   }
-  if (!Reply.IsFinal)
-    return;
-  for (const std::size_t Place : Ask.Parts)
-    if (Work.Parts[Place].Phase == part_phase::asked)
-      Work.Parts[Place].Phase = part_phase::failed;
+  if (Reply.IsFinal)
+    failUnasked(Work, Ask.Parts);
 }
 
 void relay::impl::cancelAsks(const request_work &Work, bool HasClientLeft) {
@@ -341,16 +372,10 @@
   if (!Table)
     return;
   std::set<service_name> Names;
-  std::size_t Sharers = 1;
-  for (const route &Route : Table->content().Routes) {
-    if (!Slices.isSliced(Route.Gather))
-      continue;
-    const auto &Shards = Route.Gather.Shards;
-    if (Names.count(Shards.front()) == 0)
-      Sharers = std::max(Sharers, Slices.sharers(Route.Gather, Endpoints));
-    Names.insert(Shards.begin(), Shards.end());
-  }
-  Endpoints.setSliced(Names, Sharers, *Out);
+  for (const route &Route : Table->content().Routes)
+    if (Slices.isSliced(Route.Gather))
+      Names.insert(Route.Gather.Shards.begin(), Route.Gather.Shards.end());
+  Endpoints.setSliced(Names, Slices.sharers(), *Out);
 }
 
 } // namespace bulrush::relay
--- a/src/relay/request_work.cpp
+++ b/src/relay/request_work.cpp
@@ -20,6 +20,19 @@
   return std::max(1U, Whole);
 }
 
+bool request_work::isAsked(std::size_t Place) const {
+  return std::any_of(Asks.begin(), Asks.end(), [&](const slice_ask &Ask) {
+    return !Ask.IsEnded && std::find(Ask.Parts.begin(), Ask.Parts.end(),
+                                     Place) != Ask.Parts.end();
+  });
+}
+
+bool request_work::isSettled(std::size_t Place) const {
+  const part_phase Phase = Parts[Place].Phase;
+  return Phase == part_phase::done ||
+         (Phase == part_phase::failed && !isAsked(Place));
+}
+
 bool request_work::hasRun() const {
   // Another relay that was asked may have sent its shards.
   return !Asks.empty() ||
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -66,7 +66,8 @@
   ask_target Target;
   std::vector<std::size_t> Parts;
   bool HasReplied = false;
-  bool IsGranted = false; ///< it may send parts again, so no other relay may
+  bool IsGranted = false;  ///< it may send parts again, so no other relay may
+  bool IsReplaced = false; ///< another relay was asked for its parts as well
   bool IsEnded = false;
 };
 
@@ -111,6 +112,10 @@
   std::uint32_t covered() const;
   std::uint32_t leastCovered() const;
   bool isCoveredEnough() const { return covered() >= leastCovered(); }
+  /// Whether a relay was asked for the part and may still reply.
+  bool isAsked(std::size_t Place) const;
+  /// Whether nothing more can come for the part.
+  bool isSettled(std::size_t Place) const;
   bool hasRun() const; ///< whether an endpoint may have run it
   bool wasSent() const;
 };
--- a/src/relay/settings.h
+++ b/src/relay/settings.h
@@ -15,6 +15,7 @@
   double Ratio = 0.2;
   /// Further arrivals in one window beside that share; all daemons together.
   double Slack = 54;
+  millis Window{10'000};
 
   bool operator==(const budget_settings &) const = default;
 };
--- a/src/relay/slices.cpp
+++ b/src/relay/slices.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <set>
 #include <xxhash.h>
 
@@ -12,29 +11,179 @@
 
 /// Catalogs whose slices are remembered.
 constexpr std::size_t MaxKnown = 16;
-/// Two relays of each zone ask the shards of a slice, one of them rarely.
-constexpr std::size_t SharersInZone = 2;
-/// A zone that holds this share of the shards holds a copy: while some of its
-/// endpoints are replaced it still does.
-constexpr double CopyShare = 0.5;
+/// Relays of each zone that ask the same shard: for queries of their own zone
+/// and for others, and the relays that take over from these.
+constexpr std::size_t SharersInZone = 3;
 
 std::uint64_t weightOf(vm_id Peer, std::size_t Slice) {
   const std::uint64_t Key[] = {Peer.Value, Slice};
   return XXH3_64bits(Key, sizeof Key);
 }
 
-/// Places of the shards in the order of their names.
-std::vector<std::size_t> byName(const std::vector<service_name> &Shards) {
-  std::vector<std::size_t> Order(Shards.size());
-  std::iota(Order.begin(), Order.end(), 0);
-  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
-    return Shards[A] < Shards[B];
-  });
-  return Order;
+bool contains(const std::vector<std::string> &Set, const std::string &Zone) {
+  return std::find(Set.begin(), Set.end(), Zone) != Set.end();
 }
 
 } // namespace
 
+/// One shard of a query that is cut.
+struct slice_map::shard_place {
+  std::size_t Place = 0;          ///< in the query
+  std::size_t Part = 0;           ///< of the index, alike in all zones
+  std::vector<std::string> Zones; ///< that hold it
+};
+
+/// The relays of one part of the index in one zone.
+struct slice_map::slice_relays {
+  vm_id First;
+  vm_id Second;
+};
+
+/// Cuts one query. The shards in the order of their names form as many parts of
+/// the index as there are slices; in each zone each part has its relays.
+class slice_map::cutter {
+public:
+  cutter(const slice_map &Map, const gather_rule &Rule,
+         const endpoint_places &Places)
+      : Map(Map), Parts(partsOf(Rule.Shards.size())) {
+    for (std::size_t I = 0; I < Rule.Shards.size(); ++I)
+      Shards.push_back({I, 0, Places.zonesOf(Rule.Shards[I])});
+    std::sort(Shards.begin(), Shards.end(),
+              [&](const shard_place &A, const shard_place &B) {
+                return Rule.Shards[A.Place] < Rule.Shards[B.Place];
+              });
+    for (std::size_t I = 0; I < Shards.size(); ++I)
+      Shards[I].Part = I * Parts / Shards.size();
+  }
+
+  std::vector<slice> run() {
+    std::vector<shard_place> Missing;
+    std::vector<shard_place> Own;
+    for (const shard_place &Each : Shards)
+      (hasHost(Each) ? Missing : Own).push_back(Each);
+    cutOwn(Own);
+    cutFar(Missing);
+    return std::move(Out);
+  }
+
+private:
+  /// As many as the square root of the shards, where each zone has the relays.
+  std::size_t partsOf(std::size_t Count) const {
+    auto Root = static_cast<std::size_t>(
+        std::lround(std::sqrt(static_cast<double>(Count))));
+    for (const auto &[Name, Vms] : Map.Relays)
+      Root = std::min(Root, Vms.size());
+    return std::max<std::size_t>(1, Root);
+  }
+
+  /// Whether another zone is to ask this shard.
+  bool hasHost(const shard_place &Shard) const {
+    return !contains(Shard.Zones, Map.Zone) &&
+           std::any_of(Shard.Zones.begin(), Shard.Zones.end(),
+                       [&](const std::string &Each) {
+                         return Map.Relays.count(Each) > 0;
+                       });
+  }
+
+  void cutOwn(const std::vector<shard_place> &Own) {
+    for (const shard_place &Each : Own) {
+      if (Out.empty() || Each.Part != LastPart)
+        add(Map.Zone, Each.Part);
+      LastPart = Each.Part;
+      Out.back().Shards.push_back(Each.Place);
+    }
+  }
+
+  /// Groups of the size of a slice, in turn to the zones that hold them.
+  void cutFar(const std::vector<shard_place> &Missing) {
+    const std::size_t Size = (Shards.size() + Parts - 1) / Parts;
+    const std::size_t Groups = (Missing.size() + Size - 1) / Size;
+    for (std::size_t I = 0; I < Groups; ++I) {
+      const auto Begin =
+          Missing.begin() + difference(I * Missing.size() / Groups);
+      const auto End =
+          Missing.begin() + difference((I + 1) * Missing.size() / Groups);
+      cutGroup({Begin, End}, I);
+    }
+  }
+
+  static std::ptrdiff_t difference(std::size_t Count) {
+    return static_cast<std::ptrdiff_t>(Count);
+  }
+
+  /// Goes to the zone that holds most of the group, the next one in turn among
+  /// equals, and what that does not hold to others.
+  void cutGroup(std::vector<shard_place> Group, std::size_t Turn) {
+    while (!Group.empty()) {
+      const std::string Host = hostOf(Group, Turn);
+      add(Host, Group[Group.size() / 2].Part);
+      std::vector<shard_place> Rest;
+      for (shard_place &Each : Group) {
+        if (contains(Each.Zones, Host))
+          Out.back().Shards.push_back(Each.Place);
+        else
+          Rest.push_back(std::move(Each));
+      }
+      Group = std::move(Rest);
+    }
+  }
+
+  std::string hostOf(const std::vector<shard_place> &Group,
+                     std::size_t Turn) const {
+    std::map<std::string, std::size_t> Held;
+    for (const shard_place &Each : Group)
+      for (const std::string &Name : Each.Zones)
+        if (Map.Relays.count(Name))
+          ++Held[Name];
+    std::size_t Most = 0;
+    for (const auto &[Name, Count] : Held)
+      Most = std::max(Most, Count);
+    std::vector<std::string> Best;
+    for (const auto &[Name, Count] : Held)
+      if (Count == Most)
+        Best.push_back(Name);
+    return Best[Turn % Best.size()];
+  }
+
+  void add(const std::string &Zone, std::size_t Part) {
+    if (!Assigned.count(Zone))
+      Assigned[Zone] = assign(Map.Relays.at(Zone));
+    const slice_relays &Asked = Assigned[Zone][Part];
+    Out.push_back({Asked.First, Asked.Second, Zone != Map.Zone, {}});
+  }
+
+  /// Each part goes to the relay with the greatest weight that asks no other
+  /// part yet.
+  std::vector<slice_relays> assign(const std::vector<vm_id> &Relays) const {
+    std::vector<slice_relays> Found(Parts);
+    std::set<vm_id> Used;
+    for (std::size_t I = 0; I < Parts; ++I) {
+      std::vector<vm_id> Ranked = Relays;
+      std::sort(Ranked.begin(), Ranked.end(), [&](vm_id A, vm_id B) {
+        return weightOf(A, I) > weightOf(B, I);
+      });
+      const auto Free =
+          std::find_if(Ranked.begin(), Ranked.end(),
+                       [&](vm_id Each) { return !Used.count(Each); });
+      Found[I].First = Free == Ranked.end() ? Ranked.front() : *Free;
+      Used.insert(Found[I].First);
+      const auto Other =
+          std::find_if(Ranked.begin(), Ranked.end(),
+                       [&](vm_id Each) { return Each != Found[I].First; });
+      if (Other != Ranked.end())
+        Found[I].Second = *Other;
+    }
+    return Found;
+  }
+
+  const slice_map &Map;
+  std::size_t Parts;
+  std::vector<shard_place> Shards; ///< in the order of their names
+  std::map<std::string, std::vector<slice_relays>> Assigned; ///< by zone
+  std::vector<slice> Out;
+  std::size_t LastPart = 0;
+};
+
 void slice_map::setPeers(const std::vector<relay_peer> &Peers) {
   std::map<std::string, std::vector<vm_id>> New;
   New[Zone].push_back(Self);
@@ -49,26 +198,8 @@
   Relays = std::move(New);
 }
 
-std::vector<std::string>
-slice_map::hostsOf(const gather_rule &Rule,
-                   const endpoint_places &Places) const {
-  std::map<std::string, std::size_t> Held; ///< shards, by zone
-  for (const service_name &Shard : Rule.Shards)
-    for (const std::string &Each : Places.zonesOf(Shard))
-      ++Held[Each];
-  const double Least = CopyShare * static_cast<double>(Rule.Shards.size());
-  std::vector<std::string> Out;
-  for (const auto &[Name, Shards] : Held)
-    if (static_cast<double>(Shards) >= Least && Relays.count(Name))
-      Out.push_back(Name);
-  return Out;
-}
-
-std::size_t slice_map::sharers(const gather_rule &Rule,
-                               const endpoint_places &Places) const {
-  const std::size_t Hosts = hostsOf(Rule, Places).size();
-  return (Hosts == 0 ? std::max<std::size_t>(1, Relays.size()) : Hosts) *
-         SharersInZone;
+std::size_t slice_map::sharers() const {
+  return std::max<std::size_t>(1, Relays.size()) * SharersInZone;
 }
 
 bool slice_map::isSliced(const gather_rule &Rule) const {
@@ -88,61 +219,7 @@
     return Found->second;
   if (Known.size() >= MaxKnown)
     Known.clear();
-  return Known[Rule.Shards] = cut(Rule, Places);
-}
-
-/// Shards go to slices in the order of their names. Where the own zone holds no
-/// copy, its slices go to the zones that do in turn.
-std::vector<slice> slice_map::cut(const gather_rule &Rule,
-                                  const endpoint_places &Places) const {
-  std::vector<std::string> Hosts = hostsOf(Rule, Places);
-  const bool IsHost =
-      std::find(Hosts.begin(), Hosts.end(), Zone) != Hosts.end();
-  if (IsHost || Hosts.empty())
-    Hosts = {Zone};
-  std::size_t Count = static_cast<std::size_t>(
-      std::lround(std::sqrt(static_cast<double>(Rule.Shards.size()))));
-  for (const std::string &Host : Hosts)
-    Count = std::min(Count, Relays.at(Host).size());
-  std::map<std::string, std::vector<slice_relays>> Assigned;
-  for (const std::string &Host : Hosts)
-    Assigned[Host] = assign(Relays.at(Host), Count);
-  std::vector<slice> Out(Count);
-  for (std::size_t I = 0; I < Count; ++I) {
-    const std::string &Host = Hosts[I % Hosts.size()];
-    Out[I].First = Assigned[Host][I].First;
-    Out[I].Second = Assigned[Host][I].Second;
-    Out[I].IsFar = Host != Zone;
-  }
-  const std::vector<std::size_t> Order = byName(Rule.Shards);
-  for (std::size_t I = 0; I < Order.size(); ++I)
-    Out[I * Count / Order.size()].Shards.push_back(Order[I]);
-  return Out;
-}
-
-/// Each slice goes to the relay with the greatest weight that asks no other
-/// slice yet.
-std::vector<slice_map::slice_relays>
-slice_map::assign(const std::vector<vm_id> &Relays, std::size_t Slices) {
-  std::vector<slice_relays> Out(Slices);
-  std::set<vm_id> Used;
-  for (std::size_t I = 0; I < Slices; ++I) {
-    std::vector<vm_id> Ranked = Relays;
-    std::sort(Ranked.begin(), Ranked.end(), [&](vm_id A, vm_id B) {
-      return weightOf(A, I) > weightOf(B, I);
-    });
-    const auto Free =
-        std::find_if(Ranked.begin(), Ranked.end(),
-                     [&](vm_id Each) { return !Used.count(Each); });
-    Out[I].First = Free == Ranked.end() ? Ranked.front() : *Free;
-    Used.insert(Out[I].First);
-    const auto Other =
-        std::find_if(Ranked.begin(), Ranked.end(),
-                     [&](vm_id Each) { return Each != Out[I].First; });
-    if (Other != Ranked.end())
-      Out[I].Second = *Other;
-  }
-  return Out;
+  return Known[Rule.Shards] = cutter(*this, Rule, Places).run();
 }
 
 } // namespace bulrush::relay
--- a/src/relay/slices.h
+++ b/src/relay/slices.h
@@ -43,10 +43,10 @@
 
 /// Cuts queries into slices. About the square root of the shards are asked by
 /// each of about as many relays, so that a query's time grows with the square
-/// root only. The relays that ask are in a zone that holds a copy of the index:
-/// the own one, or the others in turn where it holds none, so that only merged
-/// records travel between zones. All relays agree on who asks what, so that an
-/// endpoint has connections from few of them.
+/// root only. A shard is asked by a relay of a zone that holds an endpoint of
+/// it, the own zone where that does, so that only merged records travel between
+/// zones. All relays agree on who asks what, so that an endpoint has
+/// connections from few of them.
 class slice_map {
 public:
   slice_map(slice_settings Settings, vm_id Self, std::string Zone)
@@ -55,9 +55,8 @@
   void setPeers(const std::vector<relay_peer> &Peers);
   /// Endpoints have come or gone.
   void forgetPlaces() { Known.clear(); }
-  /// Relays of all zones that ask the shards of one slice.
-  std::size_t sharers(const gather_rule &Rule,
-                      const endpoint_places &Places) const;
+  /// Relays of all zones that ask the same shards.
+  std::size_t sharers() const;
 
   bool isSliced(const gather_rule &Rule) const;
   /// The slices of a query; empty when it is not sliced.
@@ -65,19 +64,9 @@
                                      const endpoint_places &Places);
 
 private:
-  /// The relays of one slice in one zone.
-  struct slice_relays {
-    vm_id First;
-    vm_id Second;
-  };
-
-  /// Zones that hold a copy of the index, ascending.
-  std::vector<std::string> hostsOf(const gather_rule &Rule,
-                                   const endpoint_places &Places) const;
-  std::vector<slice> cut(const gather_rule &Rule,
-                         const endpoint_places &Places) const;
-  static std::vector<slice_relays> assign(const std::vector<vm_id> &Relays,
-                                          std::size_t Slices);
+  struct shard_place;
+  struct slice_relays;
+  class cutter;
 
   slice_settings Settings;
   vm_id Self;
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -1,3 +1,4 @@
+#include "relay/service_budget.h"
 #include "relay_fixture.h"
 
 #include <deque>
@@ -388,6 +389,51 @@
   CHECK(Further >= 20);
 }
 
+TEST_CASE("a budget that was spent comes back with the time", "[relay][load]") {
+  service_budget Budget;
+  Budget.resize({0.2, 100, {10'000}}, 4);
+  instant Now{0};
+  std::size_t Spent = 0;
+  const auto SpendAll = [&] {
+    Budget.refill(Now);
+    while (Budget.spend())
+      ++Spent;
+  };
+  SpendAll();
+  const std::size_t First = Spent;
+  CHECK(First >= 6);
+  Now = Now + millis{5000};
+  SpendAll();
+  CHECK(Spent >= First + 4); // without any first attempt
+}
+
+TEST_CASE("a budget stays within its share in each window", "[relay]") {
+  constexpr double Slack = 100;
+  constexpr std::uint32_t Peers = 4;
+  service_budget Budget;
+  Budget.resize({0.2, Slack, {10'000}}, Peers);
+  std::deque<std::pair<instant, bool>> Window; ///< first attempt or further
+  for (int I = 0; I < 40'000; ++I) {
+    const instant Now{static_cast<double>(I)};
+    Budget.refill(Now);
+    // Quiet for a while, then as much as goes.
+    const bool IsStorm = I / 3000 % 2 == 1;
+    if (I % 10 == 0) {
+      Budget.countFirst();
+      Window.push_back({Now, true});
+    }
+    if (IsStorm && Budget.spend())
+      Window.push_back({Now, false});
+    while (Now - Window.front().first > millis{10'000})
+      Window.pop_front();
+    const auto Firsts = std::count_if(Window.begin(), Window.end(),
+                                      [](const auto &E) { return E.second; });
+    const auto Further = static_cast<std::ptrdiff_t>(Window.size()) - Firsts;
+    REQUIRE(static_cast<double>(Further) <=
+            0.2 * static_cast<double>(Firsts) + Slack / Peers);
+  }
+}
+
 TEST_CASE("requests in flight at an endpoint stay within its connections",
           "[relay]") {
   relay_fixture Relay;
