--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -47,6 +47,8 @@
     return relay::attempt_end::lost;
   case http::exchange_status::turned_away:
     return relay::attempt_end::turned_away;
+  case http::exchange_status::forgotten:
+    return relay::attempt_end::forgotten;
   case http::exchange_status::garbled:
     return relay::attempt_end::garbled;
   }
@@ -65,23 +67,44 @@
   return Found == Links.end() ? nullptr : Found->second;
 }
 
+/// Most relays ask few of the endpoints: what a link needs is made on demand.
 void endpoint_links::open(const relay::open_endpoint &Action) {
   link_ptr &Link = Links[Action.Endpoint];
-  if (!Link) {
+  const bool IsNew = !Link;
+  if (IsNew)
     Link = std::make_shared<endpoint_link>();
-    http::client_settings Settings = settingsFor(Action.Listed.Address, *Codec);
-    Settings.MaxConnections = Action.Connections;
-    Link->Client = std::make_unique<http::client>(Io, Settings);
+  Link->Listed = Action.Listed;
+  Link->HealthPath = Action.HealthPath;
+  Link->Connections = Action.Connections;
+  if (Link->Client)
+    Link->Client->setMaxConnections(Action.Connections);
+  if (IsNew && Action.IsWarm && !Action.Listed.IsLeaving)
+    clientOf(*Link).warm(1);
+}
+
+void endpoint_links::warm(const relay::warm_endpoint &Action) {
+  if (const link_ptr Link = find(Action.Endpoint))
+    clientOf(*Link).warm(1);
+}
+
+http::client &endpoint_links::clientOf(endpoint_link &Link) const {
+  if (!Link.Client) {
+    http::client_settings Settings = settingsFor(Link.Listed.Address, *Codec);
+    Settings.MaxConnections = Link.Connections;
+    Link.Client = std::make_unique<http::client>(Io, Settings);
+  }
+  return *Link.Client;
+}
+
+http::client &endpoint_links::proberOf(endpoint_link &Link) const {
+  if (!Link.Prober) {
+    http::client_settings Settings = settingsFor(Link.Listed.Address, *Codec);
     Settings.MaxConnections = 1;
     Settings.ExchangeTimeout = ProbeTimeout;
     Settings.SweepInterval = ProbeSweep;
-    Link->Prober = std::make_unique<http::client>(Io, Settings);
-    if (Action.IsWarm && !Action.Listed.IsLeaving)
-      Link->Client->warm(1);
+    Link.Prober = std::make_unique<http::client>(Io, Settings);
   }
-  Link->Listed = Action.Listed;
-  Link->HealthPath = Action.HealthPath;
-  Link->Client->setMaxConnections(Action.Connections);
+  return *Link.Prober;
 }
 
 void endpoint_links::close(const relay::close_endpoint &Action) {
@@ -89,7 +112,8 @@
   if (!Link)
     return;
   Link->IsClosing = true;
-  Link->Client->closeIdle();
+  if (Link->Client)
+    Link->Client->closeIdle();
   dropIfIdle(Action.Endpoint);
 }
 
@@ -110,13 +134,15 @@
                                nullptr});
     return;
   }
-  Link->Attempts[Action.Attempt] = Link->Client->send(
+  Link->Attempts[Action.Attempt] = clientOf(*Link).send(
       Codec->encode(*Action.Content, Link->Listed.Identity.Instance,
                     Action.Remaining),
       [this, Weak = std::weak_ptr(Link),
        Attempt = Action.Attempt](http::exchange_result Result) {
         ended(Weak, Attempt, std::move(Result));
-      });
+      },
+      Action.WantsFresh ? http::connection_choice::fresh
+                        : http::connection_choice::any);
 }
 
 void endpoint_links::ended(const std::weak_ptr<endpoint_link> &Weak,
@@ -150,23 +176,23 @@
     return;
   }
   // Kept connections may have gone silent with the endpoint.
-  Link->Client->closeIdle();
-  Link->Prober->closeIdle();
+  clientOf(*Link).closeIdle();
+  http::client &Prober = proberOf(*Link);
+  Prober.closeIdle();
   http::request Request;
   Request.Method = "GET";
   Request.Target = Link->HealthPath;
-  Link->Prober->send(
-      std::move(Request),
-      [this, No = Action.Endpoint](const http::exchange_result &Result) {
-        relay::probe_ended Event{No, false, {}, {}};
-        if (Result.Status == http::exchange_status::done) {
-          const endpoint_health Health = Codec->decodeHealth(Result.Response);
-          Event.IsHealthy = Health.IsHealthy;
-          Event.Instance = Health.Instance;
-          Event.ColdFor = Health.ColdFor;
-        }
-        OnEvent(Event);
-      });
+  Prober.send(std::move(Request), [this, No = Action.Endpoint](
+                                      const http::exchange_result &Result) {
+    relay::probe_ended Event{No, false, {}, {}};
+    if (Result.Status == http::exchange_status::done) {
+      const endpoint_health Health = Codec->decodeHealth(Result.Response);
+      Event.IsHealthy = Health.IsHealthy;
+      Event.Instance = Health.Instance;
+      Event.ColdFor = Health.ColdFor;
+    }
+    OnEvent(Event);
+  });
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/endpoint_links.h
+++ b/src/fleet/endpoint_links.h
@@ -21,6 +21,7 @@
                  relay_event_handler OnEvent);
 
   void open(const relay::open_endpoint &Action);
+  void warm(const relay::warm_endpoint &Action);
   void close(const relay::close_endpoint &Action);
   void send(const relay::send_attempt &Action);
   void cancel(const relay::cancel_attempt &Action);
@@ -30,14 +31,17 @@
   struct endpoint_link {
     relay::listed_endpoint Listed;
     std::string HealthPath;
-    std::unique_ptr<http::client> Client;
-    std::unique_ptr<http::client> Prober;
+    std::size_t Connections = 1;
+    std::unique_ptr<http::client> Client; ///< made when it is needed
+    std::unique_ptr<http::client> Prober; ///< made when it is needed
     std::unordered_map<relay::attempt_no, http::exchange_id> Attempts;
     bool IsClosing = false;
   };
   using link_ptr = std::shared_ptr<endpoint_link>;
 
   link_ptr find(relay::endpoint_no No) const;
+  http::client &clientOf(endpoint_link &Link) const;
+  http::client &proberOf(endpoint_link &Link) const;
   void ended(const std::weak_ptr<endpoint_link> &Link,
              relay::attempt_no Attempt, http::exchange_result Result);
   void later(relay::relay_event Event);
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -138,6 +138,7 @@
 
   void on(const relay::send_attempt &Action) { Links.send(Action); }
   void on(const relay::cancel_attempt &Action) { Links.cancel(Action); }
+  void on(const relay::warm_endpoint &Action) { Links.warm(Action); }
   void on(const relay::probe_endpoint &Action) { Links.probe(Action); }
   void on(const relay::open_endpoint &Action) { Links.open(Action); }
   void on(const relay::close_endpoint &Action) { Links.close(Action); }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/detail.h"
+#include "http/idle_limit.h"
 
 #include <algorithm>
 #include <boost/asio/connect.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <charconv>
 #include <deque>
 #include <netinet/tcp.h>
 #include <optional>
@@ -29,12 +31,32 @@
 /// Responses of earlier requests that are passed over before a connection is
 /// given up.
 constexpr unsigned MaxForeign = 3;
+/// A connection that rested for less was in use just before.
+constexpr millis LeastRest{100};
+/// A request on a forgotten connection is lost within a round trip.
+constexpr millis ForgottenWithin{150};
+
+instant now() { return steady_clock_source().now(); }
+
+/// The `timeout` of a Keep-Alive header, in whole seconds; 0 when there is
+/// none.
+millis keptFor(boost::beast::string_view Header) {
+  constexpr char Name[] = "timeout=";
+  const auto At = Header.find(Name);
+  if (At == boost::beast::string_view::npos)
+    return {};
+  const boost::beast::string_view Digits = Header.substr(At + sizeof Name - 1);
+  unsigned Seconds = 0;
+  std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds);
+  return {Seconds * 1000.0};
+}
 
 /// One exchange that waits for a connection or for its response.
 struct exchange {
   exchange_id Id = 0;
   request Request;
   exchange_handler Done;
+  connection_choice Choice = connection_choice::any;
 };
 
 } // namespace
@@ -55,6 +77,7 @@
   exchange_id LastExchange = 0;
   bool IsSweeping = false;
   time_point NoOpenUntil{};
+  idle_limit IdleLimit;
 
   client_state(asio::io_context &Io, client_settings Given)
       : Io(Io), Settings(std::move(Given)), Sweeper(Io) {
@@ -74,6 +97,7 @@
   void sweep();
   void closeOverdue();
   void closeSpare(time_point Now);
+  bool isTooOld(const connection &Connection, connection_choice Choice) const;
   void finishLater(exchange_handler Done, exchange_status Status) {
     asio::post(Io, [Done = std::move(Done), Status] { Done({Status, {}}); });
   }
@@ -98,6 +122,7 @@
   void run(exchange Given) {
     Current = std::move(Given);
     Foreign = 0;
+    Rested = restedFor();
     touch();
     Out = {};
     Out.version(11);
@@ -140,6 +165,11 @@
     close();
   }
   time_point lastUse() const { return LastUse; }
+  millis restedFor() const {
+    const std::chrono::duration<double, std::milli> Quiet =
+        std::chrono::steady_clock::now() - LastUse;
+    return {Quiet.count()};
+  }
 
 private:
   void touch() { LastUse = std::chrono::steady_clock::now(); }
@@ -203,6 +233,11 @@
         readResponse();
       return;
     }
+    if (const auto Client = Owner.lock()) {
+      const millis Kept = keptFor(Message[beast::http::field::keep_alive]);
+      if (Kept > millis{0})
+        Client->IdleLimit.onAnnounced(Kept);
+    }
     MayKeep = Message.keep_alive() && Buffer.size() == 0;
     response Response;
     Response.Status = Message.result_int();
@@ -233,7 +268,14 @@
     return Sent == Out.end() || Sent->value() != Got->value();
   }
 
+  /// Lost at once, on a connection that had rested.
+  bool isForgotten(exchange_status Status) const {
+    return Status == exchange_status::lost && Rested >= LeastRest &&
+           restedFor() <= ForgottenWithin && !(Parser && Parser->got_some());
+  }
+
   void finish(exchange_status Status, response Response) {
+    const bool IsForgotten = isForgotten(Status);
     touch();
     const auto Self = shared_from_this();
     exchange Finished = std::move(*Current);
@@ -242,6 +284,10 @@
       if (Status == exchange_status::lost && IsNew &&
           Client->Connections.size() > 1)
         Status = Client->turnedAway();
+      else if (IsForgotten && !IsNew) {
+        Client->IdleLimit.onForgotten(Rested, now());
+        Status = exchange_status::forgotten;
+      }
       if (Status == exchange_status::done && MayKeep)
         Client->release(Self);
       else
@@ -258,6 +304,7 @@
   wire_request Out;
   std::optional<exchange> Current;
   time_point LastUse;
+  millis Rested; ///< before the exchange under way
   bool MayKeep = true;
   bool IsOpened = false;
   bool IsNew = true;    ///< no exchange has ended on it
@@ -272,6 +319,10 @@
   while (!Idle.empty()) {
     const connection_ptr Chosen = Idle.back();
     Idle.pop_back();
+    if (isTooOld(*Chosen, Exchange.Choice)) {
+      remove(Chosen);
+      continue;
+    }
     if (Chosen->isStale()) {
       remove(Chosen);
       if (!Settings.FailWhenClosed)
@@ -290,6 +341,15 @@
   openOne();
 }
 
+bool detail::client_state::isTooOld(const connection &Connection,
+                                    connection_choice Choice) const {
+  if (Settings.FailWhenClosed)
+    return false;
+  const millis Rested = Connection.restedFor();
+  return Rested > IdleLimit.value(now()) ||
+         (Choice == connection_choice::fresh && Rested > LeastRest);
+}
+
 void detail::client_state::cancel(exchange_id Exchange) {
   const auto Found =
       std::find_if(Waiting.begin(), Waiting.end(),
@@ -406,9 +466,10 @@
     Connection->close();
 }
 
-exchange_id client::send(request Request, exchange_handler Done) {
+exchange_id client::send(request Request, exchange_handler Done,
+                         connection_choice Choice) {
   const exchange_id Id = ++State->LastExchange;
-  State->send({Id, std::move(Request), std::move(Done)});
+  State->send({Id, std::move(Request), std::move(Done), Choice});
   return Id;
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,6 +56,8 @@
   lost, ///< the connection broke after sending began: the server may have run
         ///< it
   turned_away, ///< like `lost`, on a new connection, while others are open
+  forgotten,   ///< like `lost`, at once on a connection that had rested: the
+               ///< server had let go of it
   garbled      ///< what came is no whole response
 };
 
@@ -69,6 +71,12 @@
 
 using exchange_handler = std::function<void(exchange_result)>;
 
+/// Which connections may carry an exchange.
+enum class connection_choice : std::uint8_t {
+  any,
+  fresh ///< a new one, or one that was in use just before
+};
+
 /// Runs on the thread of its `io_context`; handlers are never called from
 /// within `send`.
 class client {
@@ -80,7 +88,8 @@
 
   /// Sends on an idle connection, or opens one while fewer than the bound are
   /// open, or waits for one.
-  exchange_id send(request Request, exchange_handler Done);
+  exchange_id send(request Request, exchange_handler Done,
+                   connection_choice Choice = connection_choice::any);
   /// Gives an exchange up: its handler is not called, and its connection is
   /// closed so that the server may stop work.
   void cancel(exchange_id Exchange);
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -51,6 +51,17 @@
   return Found == Endpoints.end() ? nullptr : Found->second.get();
 }
 
+void endpoint_set::warm(const service_state &Service, relay_actions &Out) {
+  if (Service.MaxConnections == 0)
+    return;
+  for (const endpoint_no No : Service.Endpoints) {
+    endpoint_state &Each = *Endpoints.at(No);
+    const listed_endpoint &Listed = Each.listed();
+    if (Listed.Zone == Settings.Zone && !Listed.IsLeaving && Each.warmOnce())
+      Out.push_back(warm_endpoint{No});
+  }
+}
+
 std::vector<std::string>
 endpoint_set::zonesOf(const service_name &Service) const {
   std::vector<std::string> Out;
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -49,6 +49,8 @@
                  relay_actions &Out);
 
   service_state &service(const service_name &Name);
+  /// Wants connections to the endpoints of the own zone, once for each.
+  void warm(const service_state &Service, relay_actions &Out);
   endpoint_state *find(endpoint_no No);
   std::vector<std::string> zonesOf(const service_name &Service) const override;
 
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -41,7 +41,8 @@
   const flight Flight = Found->second;
   const millis Took = Now - Flight.SentAt;
   InFlight.erase(Found);
-  if (Verdict == attempt_verdict::cancelled)
+  if (Verdict == attempt_verdict::cancelled ||
+      Verdict == attempt_verdict::forgotten)
     return false;
   if (Verdict == attempt_verdict::success)
     Limit.onSuccess(Flight.Level);
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -5,6 +5,7 @@
 #include "relay/flight_limit.h"
 
 #include <map>
+#include <utility>
 
 namespace bulrush::relay {
 
@@ -27,6 +28,7 @@
   overload,    ///< it replied that it did not run the request
   unreachable, ///< no connection, or the connection broke
   overdue,     ///< given up while it was at work
+  forgotten,   ///< it had let go of the connection; it may be well
   cancelled    ///< not its fault
 };
 
@@ -50,6 +52,9 @@
   /// The endpoint itself says how long it stays cold.
   void learnCold(millis Left, instant Now) { ColdUntil = Now + Left; }
 
+  /// True the first time.
+  bool warmOnce() { return !std::exchange(IsWarmed, true); }
+
   void sent(attempt_no Attempt, instant Now);
   /// Takes the end of an attempt that usually takes `Typical`; returns whether
   /// trust was lost by it.
@@ -95,6 +100,7 @@
   endpoint_trust Trust = endpoint_trust::trusted;
   bool IsGone = false;
   bool IsZoneOut = false;
+  bool IsWarmed = false;
   instant ColdUntil{-1e300};
   struct flight {
     instant SentAt;
--- a/src/relay/events.cpp
+++ b/src/relay/events.cpp
@@ -36,6 +36,8 @@
     return "unreachable";
   case attempt_verdict::overdue:
     return "overdue";
+  case attempt_verdict::forgotten:
+    return "forgotten";
   case attempt_verdict::cancelled:
     return "cancelled";
   }
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -85,6 +85,7 @@
   not_sent,    ///< no connection; nothing was sent
   lost,        ///< the connection broke after sending began; it may have run
   turned_away, ///< like `lost`; the endpoint accepts no further connection now
+  forgotten,   ///< like `lost`; the endpoint had let go of a kept connection
   garbled      ///< the reply is no whole message; it ran
 };
 
@@ -175,6 +176,9 @@
   endpoint_no Endpoint;
   std::shared_ptr<const opaque_request> Content;
   millis Remaining; ///< until the client's deadline
+  /// Not on a connection that has rested: the request cannot be repeated, or
+  /// was lost on such a one.
+  bool WantsFresh = false;
 };
 
 /// Give the attempt up at once, so that its endpoint stops work on it.
@@ -209,6 +213,11 @@
   millis RetryAfter;                   ///< of a refusal; 0 for none
 };
 
+/// Requests are likely: a connection is wanted.
+struct warm_endpoint {
+  endpoint_no Endpoint;
+};
+
 /// Ends with one `probe_ended`.
 struct probe_endpoint {
   endpoint_no Endpoint;
@@ -316,10 +325,10 @@
 };
 
 using relay_action =
-    std::variant<send_attempt, cancel_attempt, give_answer, probe_endpoint,
-                 open_endpoint, close_endpoint, send_ask, send_reply,
-                 cancel_ask, grant_repeat, wake_at, request_note, attempt_note,
-                 belief_note, peer_note>;
+    std::variant<send_attempt, cancel_attempt, give_answer, warm_endpoint,
+                 probe_endpoint, open_endpoint, close_endpoint, send_ask,
+                 send_reply, cancel_ask, grant_repeat, wake_at, request_note,
+                 attempt_note, belief_note, peer_note>;
 using relay_actions = std::vector<relay_action>;
 
 /// The names used in logs.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -235,6 +235,7 @@
   Table = std::make_shared<const route_table>(Event.Catalog);
   noteSliced();
   Endpoints.install(*Event.Catalog, *Out);
+  warmSlices();
   admitStarting();
 }
 
@@ -242,6 +243,7 @@
   HasDirectory = true;
   Endpoints.install(*Event.Directory, Now - Event.Age, Now, *Out);
   Slices.forgetPlaces();
+  warmSlices();
   admitStarting();
   retryWaiting();
 }
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -81,8 +81,9 @@
   To->sent(Attempt, Now);
   const auto Place = static_cast<std::size_t>(&Part - Work.Parts.data());
   Attempts[Attempt] = {Work.Request, Place, To->number(), Now, Work.Learnt};
-  Out->push_back(
-      send_attempt{Attempt, To->number(), Work.Content, Work.Deadline - Now});
+  Out->push_back(send_attempt{Attempt, To->number(), Work.Content,
+                              Work.Deadline - Now,
+                              !Work.Route->IsIdempotent || Part.WasForgotten});
   return true;
 }
 
@@ -105,6 +106,8 @@
     return attempt_verdict::failure;
   case attempt_end::turned_away:
     return attempt_verdict::overload;
+  case attempt_end::forgotten:
+    return attempt_verdict::forgotten;
   case attempt_end::not_sent:
   case attempt_end::lost:
     return attempt_verdict::unreachable;
@@ -146,6 +149,10 @@
     return;
   if (IsShed)
     waitAfterShed(Part, From);
+  if (Event.End == attempt_end::forgotten) {
+    Part.WasForgotten = true;
+    std::erase(Part.Tried, From);
+  }
   tryAgain(Work, Part);
 }
 
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -70,6 +70,7 @@
   // relay_slices.cpp: shards that other relays ask, and what they ask here
   void scatter(request_work &Work);
   void noteSliced();
+  void warmSlices();
   vm_id pickPeer(vm_id First, vm_id Second) const;
   void ask(request_work &Work, const std::vector<std::size_t> &Parts,
            const ask_target &Target);
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -365,6 +365,7 @@
 void relay::impl::on(const peers_arrived &Event) {
   Slices.setPeers(Event.Peers);
   noteSliced();
+  warmSlices();
 }
 
 /// Shards of sliced queries are asked by few relays.
@@ -378,4 +379,21 @@
   Endpoints.setSliced(Names, Slices.sharers(), *Out);
 }
 
+/// Opens connections to the endpoints that this relay will ask first: others
+/// wait for it no longer than for one that runs for long.
+void relay::impl::warmSlices() {
+  if (!isReady())
+    return;
+  std::set<service_name> Done;
+  for (const route &Route : Table->content().Routes) {
+    const auto &Shards = Route.Gather.Shards;
+    if (!Slices.isSliced(Route.Gather) || !Done.insert(Shards.front()).second)
+      continue;
+    for (const slice &Each : Slices.slicesOf(Route.Gather, Endpoints))
+      if (Each.First == Settings.Self)
+        for (const std::size_t Place : Each.Shards)
+          Endpoints.warm(Endpoints.service(Shards[Place]), *Out);
+  }
+}
+
 } // namespace bulrush::relay
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1,4 +1,5 @@
 #include "http/client.h"
+#include "http/idle_limit.h"
 #include "http/server.h"
 #include "telemetry/metrics.h"
 
@@ -344,3 +345,117 @@
   CHECK(Got.find("Connection: close") != std::string::npos);
   CHECK(Got.find("/one") != std::string::npos);
 }
+
+TEST_CASE("a connection rests for less than its server announces") {
+  http::idle_limit Limit;
+  const instant Now{1000};
+  CHECK(Limit.value(Now) > millis{2000});
+  Limit.onAnnounced({15'000});
+  CHECK(Limit.value(Now) == millis{14'000});
+  Limit.onAnnounced({1000});
+  CHECK(Limit.value(Now) == millis{500});
+}
+
+TEST_CASE("a forgotten connection makes others rest for less, for a while") {
+  http::idle_limit Limit;
+  Limit.onAnnounced({15'000});
+  Limit.onForgotten({300}, {1000});
+  CHECK(Limit.value({1000}) < millis{300});
+  const millis Before = Limit.value({1000});
+  Limit.onForgotten({200}, {2000});
+  CHECK(Limit.value({2000}) < Before);
+  Limit.onForgotten({5000}, {3000});
+  CHECK(Limit.value({3000}) < Before);
+  CHECK(Limit.value({30'000}) == millis{14'000});
+}
+
+namespace {
+
+/// Answers each request and drops each connection that has rested for too long
+/// as soon as it is used again.
+class forgetful_server {
+public:
+  forgetful_server()
+      : Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), Port}) {
+    accept();
+  }
+
+  boost::asio::io_context Io;
+  int Connections = 0;
+
+private:
+  struct client_connection {
+    explicit client_connection(tcp::socket Given) : Socket(std::move(Given)) {}
+    tcp::socket Socket;
+    std::string Bytes = std::string(4096, ' ');
+    std::chrono::steady_clock::time_point LastUse =
+        std::chrono::steady_clock::now();
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](auto Error, tcp::socket Socket) {
+      if (Error)
+        return;
+      ++Connections;
+      read(std::make_shared<client_connection>(std::move(Socket)));
+      accept();
+    });
+  }
+
+  void read(std::shared_ptr<client_connection> Each) {
+    Each->Socket.async_read_some(
+        boost::asio::buffer(Each->Bytes), [this, Each](auto Error, auto) {
+          const auto Now = std::chrono::steady_clock::now();
+          if (Error || Now - Each->LastUse > std::chrono::milliseconds(150))
+            return; // closes
+          Each->LastUse = Now;
+          boost::asio::write(Each->Socket,
+                             boost::asio::buffer(responseWith("1", "ok")));
+          read(Each);
+        });
+  }
+
+  tcp::acceptor Acceptor;
+};
+
+} // namespace
+
+TEST_CASE("a request on a forgotten connection is told so, and the next one "
+          "takes a new connection") {
+  forgetful_server Server;
+  http::client Client(Server.Io, echoing());
+  CHECK(exchange(Client, Server.Io, "1").Status == http::exchange_status::done);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK(exchange(Client, Server.Io, "1").Status ==
+        http::exchange_status::forgotten);
+  CHECK(exchange(Client, Server.Io, "1").Status == http::exchange_status::done);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK(exchange(Client, Server.Io, "1").Status == http::exchange_status::done);
+  CHECK(Server.Connections == 3);
+}
+
+TEST_CASE("an exchange that wants a fresh connection takes no rested one") {
+  fixture F;
+  http::client_settings Settings;
+  Settings.Server = {"127.0.0.1", Port};
+  http::client Client(F.Io, Settings);
+  const auto Send = [&](http::connection_choice Choice) {
+    bool IsDone = false;
+    Client.send(
+        {"GET", "/x", {}, {}},
+        [&](const http::exchange_result &Result) {
+          IsDone = Result.Status == http::exchange_status::done;
+          F.Io.stop();
+        },
+        Choice);
+    F.Io.restart();
+    F.Io.run_for(std::chrono::seconds(5));
+    return IsDone;
+  };
+  REQUIRE(Send(http::connection_choice::any));
+  REQUIRE(Send(http::connection_choice::fresh)); // it was in use just before
+  CHECK(Client.open() == 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  REQUIRE(Send(http::connection_choice::fresh));
+  CHECK(Client.open() == 1);
+}
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -480,3 +480,27 @@
   REQUIRE(Relay.answerTo(Request));
   CHECK(Relay.answerTo(Request)->Status != 503);
 }
+
+TEST_CASE("a relay opens connections to what it will be asked for",
+          "[slices][load]") {
+  slices_fixture Relay(1, 12);
+  std::set<std::string> Warmed;
+  for (const warm_endpoint &Each : Relay.all<warm_endpoint>())
+    CHECK(Warmed.insert(Relay.Names.at(Each.Endpoint.Value)).second);
+  // One slice of eight, an endpoint of each shard is in the own zone; with 12
+  // relays and eight slices this one may have none.
+  slice_map Map({}, {1}, "near");
+  std::set<std::string> Expected;
+  std::vector<relay_peer> Peers;
+  for (std::uint32_t I = 1; I <= 12; ++I)
+    Peers.push_back({{I}, "near"});
+  Map.setPeers(Peers);
+  const gather_rule &Rule = Relay.Catalog.Routes[0].Gather;
+  for (const slice &Each : Map.slicesOf(Rule, places({"near", "far"})))
+    if (Each.First == vm_id{1})
+      for (const std::size_t Place : Each.Shards)
+        Expected.insert(Rule.Shards[Place].Value + "-0");
+  CHECK(Warmed == Expected);
+  Relay.list();
+  CHECK(Relay.all<warm_endpoint>().size() == Expected.size());
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -635,3 +635,31 @@
   }
   CHECK(Near >= Requests * 0.95);
 }
+
+TEST_CASE("an endpoint that had let go of a connection is not suspected",
+          "[relay][load]") {
+  single_fixture Relay;
+  const query_id Request = Relay.ask("/one/");
+  const auto First = *Relay.Sent.begin();
+  CHECK(!First.second.WantsFresh);
+  Relay.Sent.clear();
+  Relay.step(attempt_ended{{First.first}, attempt_end::forgotten, nullptr});
+  CHECK(Relay.count<probe_endpoint>() == 0);
+  REQUIRE(Relay.Sent.size() == 1);
+  CHECK(Relay.Sent.begin()->second.WantsFresh);
+  Relay.replyAll();
+  CHECK(Relay.answerTo(Request)->Status == 200);
+}
+
+TEST_CASE("a request that cannot be repeated takes no rested connection",
+          "[relay]") {
+  single_fixture Relay(false);
+  const query_id Request = Relay.ask("/one/");
+  CHECK(Relay.Sent.begin()->second.WantsFresh);
+  const std::uint64_t Attempt = Relay.Sent.begin()->first;
+  Relay.Sent.clear();
+  Relay.step(attempt_ended{{Attempt}, attempt_end::forgotten, nullptr});
+  CHECK(Relay.Sent.empty());
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 502);
+}
