Bursts wait at relays, not at endpoints; parts wait while a late answer helps

Relays that were asked before they had a directory answered at once that they have nothing. Change: the flight limit of an endpoint begins with its slots (it grew from four); questions of other relays wait until the directory is there, like clients' requests; parts of a query wait for room or budget for as long as a late answer can still be given, with pauses of 10 to 160 ms after a shed and 50 ms without budget, and at most twelve sendings; waiting requests are looked at eight at a time. The test of the bound on connections gives its endpoint nine slots now, so that the connections bind there as before. Tests: a burst of 20 queries on two slots, shards that shed for 300 ms, a budget that comes back, a relay asked while it starts.

--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -35,7 +35,7 @@
 class endpoint_state {
 public:
   endpoint_state(endpoint_no No, listed_endpoint Listed)
-      : Number(No), Listed(std::move(Listed)) {}
+      : Number(No), Listed(std::move(Listed)), Limit(this->Listed.Slots) {}
 
   endpoint_no number() const { return Number; }
   const listed_endpoint &listed() const { return Listed; }
--- a/src/relay/flight_limit.h
+++ b/src/relay/flight_limit.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 
 namespace bulrush::relay {
 
@@ -12,6 +13,11 @@
 /// one is shed or late; one decrease for all requests of the same moment.
 class flight_limit {
 public:
+  /// Begins with as many as the endpoint runs at a time: several daemons ask
+  /// it, and what it sheds costs more than what waits here.
+  explicit flight_limit(std::uint32_t Slots)
+      : Limit(std::max(First, static_cast<double>(Slots))) {}
+
   std::size_t limit() const { return static_cast<std::size_t>(Limit); }
 
   /// A request that was sent with `Level` in flight ended in time.
@@ -28,12 +34,12 @@
   }
 
 private:
-  static constexpr double First = 4;
+  static constexpr double First = 2;
   static constexpr double Most = 32;
   static constexpr double KeptShare = 0.6;
   static constexpr millis CutInterval{100};
 
-  double Limit = First;
+  double Limit;
   instant CutAt{-1e300};
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -24,6 +24,8 @@
 /// A relay that was asked says something by 0.3 of the objective; one that was
 /// not heard by then does not answer in time.
 constexpr double RepeatShare = 0.5;
+/// Waiting requests that are looked at when an endpoint may have room.
+constexpr std::size_t MaxRetried = 8;
 /// No request wakes the relay by this name: suspects and late attempts do.
 constexpr query_id Housekeeping{0};
 
@@ -64,10 +66,12 @@
     refuseUnrouted(Event, Now, 503, relay_refusal::no_catalog);
 }
 
-/// Requests that waited for the catalog, in the order of their arrival.
+/// What waited for the catalog and the directory, in the order of its arrival.
 void relay::impl::admitStarting() {
   if (!isReady())
     return;
+  for (const start_queue::ask_entry &Each : Starting.takeAsks())
+    admit(Each.Event, Each.ArrivedAt);
   for (const start_queue::entry &Each : Starting.takeAll())
     admit(Each.Event, Each.ArrivedAt);
 }
@@ -293,9 +297,14 @@
   settle(Work);
 }
 
+/// The requests that have waited for longest come first; the others stay.
 void relay::impl::retryWaiting() {
-  const std::set<query_id> Looked = std::exchange(Waiting, {});
+  std::vector<query_id> Looked;
+  for (const query_id Request : Waiting)
+    if (Looked.size() < MaxRetried)
+      Looked.push_back(Request);
   for (const query_id Request : Looked) {
+    Waiting.erase(Request);
     request_work *Work = find(Request);
     if (!Work)
       continue;
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -7,13 +7,23 @@
 
 namespace {
 
-/// Sendings of one part, those included that no endpoint ran.
+/// Sendings of a request to one service, those included that no endpoint ran:
+/// its client may come back in time.
 constexpr std::uint32_t MaxSends = 4;
+/// The same of one shard; the other shards are there already.
+constexpr std::uint32_t MaxShardSends = 12;
 /// A reply within this share of the time that is left comes in good time: there
 /// is still enough for a second attempt.
 constexpr double GoodTimeShare = 0.4;
-/// Before a part is sent again to the endpoint that has shed it.
-constexpr millis ShedPause{10};
+/// Before a part is sent again to the endpoint that has shed it; twice as long
+/// each time.
+constexpr millis FirstShedPause{10};
+constexpr millis LongestShedPause{160};
+/// Before a part that the budget has stopped is tried again.
+constexpr millis StarvedPause{50};
+/// A part waits while it could still be run before the deadline, in typical
+/// latencies.
+constexpr double RunTimes = 2;
 
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 bool isServerError(unsigned Status) { return Status >= 500; }
@@ -43,14 +53,26 @@
       Endpoints.available(*Part.Service, Now, Part.Tried);
   const bool IsStarved = Part.Arrivals > 0 && !Part.Service->Budget.has();
   const bool MayWait = (State == availability::busy || IsEarly || IsStarved) &&
-                       State != availability::none && Now < Work.AnswerBy;
+                       State != availability::none && Now < waitsUntil(Work);
   Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
-  if (MayWait)
-    Waiting.insert(Work.Request);
-  if (MayWait && IsEarly)
+  if (!MayWait)
+    return;
+  Waiting.insert(Work.Request);
+  if (IsStarved)
+    Part.NotBefore = std::max(Part.NotBefore, Now + StarvedPause);
+  if (Now < Part.NotBefore)
     wakeAt(Work, Part.NotBefore);
 }
 
+/// How long a part waits for room or budget. Where too few shards are there the
+/// answer is late in any case, and a late one is better than none.
+instant relay::impl::waitsUntil(const request_work &Work) const {
+  if (!Work.isGathered())
+    return Work.AnswerBy;
+  const millis Run = Work.Learnt->Median.value() * RunTimes;
+  return std::max(Work.AnswerBy, Work.Deadline - Run);
+}
+
 /// Sends the part to the endpoint that is likely to reply first; false when no
 /// endpoint can take it, or when it would be a further arrival and the budget
 /// has too little beside `Reserve`.
@@ -162,15 +184,19 @@
   if (Endpoints.available(*Part.Service, Now, Part.Tried) != availability::none)
     return;
   std::erase(Part.Tried, Endpoint);
-  Part.NotBefore = Now + ShedPause;
+  Part.ShedPause =
+      Part.ShedPause > millis{0} ? Part.ShedPause * 2 : FirstShedPause;
+  Part.ShedPause = std::min(Part.ShedPause, LongestShedPause);
+  Part.NotBefore = Now + Part.ShedPause;
 }
 
 /// After a failed attempt.
 void relay::impl::tryAgain(request_work &Work, request_part &Part) {
   Part.Phase = part_phase::failed;
   const bool IsSafe = Work.Route->IsIdempotent || Part.Runs == 0;
-  if (!IsSafe || Part.Runs >= Work.Route->MaxAttempts ||
-      Part.Sends >= MaxSends || Now >= Work.Deadline)
+  const std::uint32_t Most = Work.isGathered() ? MaxShardSends : MaxSends;
+  if (!IsSafe || Part.Runs >= Work.Route->MaxAttempts || Part.Sends >= Most ||
+      Now >= Work.Deadline)
     return;
   if (Part.Runs > 0 && !mayRepeat(Work)) {
     Part.Phase = part_phase::held;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -37,6 +37,7 @@
   void on(const peer_lost &Event);
   void on(const timer_fired &Event);
   void admit(const request_arrived &Event, instant ArrivedAt);
+  void admit(const ask_arrived &Event, instant ArrivedAt);
   void admitStarting();
   void armTimer();
   void wakeAt(request_work &Work, instant At);
@@ -51,6 +52,7 @@
   bool canCover(request_work &Work) const;
 
   // relay_attempts.cpp: the way of one part
+  instant waitsUntil(const request_work &Work) const;
   instant wantedBy(const request_work &Work) const;
   wanted_reply wantedReply(const request_work &Work) const;
   void begin(request_work &Work, request_part &Part);
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -230,6 +230,13 @@
 // What other relays ask.
 
 void relay::impl::on(const ask_arrived &Event) {
+  if (isReady())
+    admit(Event, Now);
+  else
+    Starting.add(Event, Now);
+}
+
+void relay::impl::admit(const ask_arrived &Event, instant ArrivedAt) {
   const shard_ask &Ask = Event.Ask;
   const query_id Number{AskedNumbers | ++LastAsked};
   auto Owned = std::make_unique<request_work>();
@@ -247,8 +254,8 @@
   Work.Content = Ask.Content;
   Work.Route = Route.get();
   Work.Learnt = &Routes.try_emplace(Ask.RouteKey, Ask.Objective).first->second;
-  setTimes(Work, Now, {}, {});
-  Work.AnswerBy = Now + Ask.AnswerIn;
+  setTimes(Work, ArrivedAt, {}, {});
+  Work.AnswerBy = ArrivedAt + Ask.AnswerIn;
   Work.RepeatAt = Never;
   Work.Note.IsAsk = true;
   asked_work &Asker = Work.Asker.emplace();
@@ -268,8 +275,10 @@
 
 void relay::impl::on(const ask_cancelled &Event) {
   const auto Found = AskedHere.find({Event.From, Event.Ask});
-  if (Found == AskedHere.end())
+  if (Found == AskedHere.end()) {
+    Starting.remove(Event.From, Event.Ask);
     return;
+  }
   if (request_work *Work = find(Found->second))
     forget(*Work, !Event.HasClientLeft);
 }
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -47,6 +47,7 @@
   std::uint32_t Arrivals = 0; ///< sendings that reached an endpoint
   std::uint32_t Runs = 0;     ///< sendings that may have run
   instant NotBefore{-1e300};  ///< after endpoints have shed it
+  millis ShedPause;           ///< the last one
   bool IsHedgeDenied = false;
   bool WasForgotten = false; ///< an attempt was lost on a kept connection
   std::shared_ptr<const endpoint_reply> Reply;   ///< done: its result
--- a/src/relay/start_queue.h
+++ b/src/relay/start_queue.h
@@ -1,8 +1,9 @@
-/// Requests that come before a daemon has learnt its catalog and directory.
+/// What comes before a daemon has learnt its catalog and directory.
 #pragma once
 
 #include "relay/events.h"
 
+#include <utility>
 #include <vector>
 
 namespace bulrush::relay {
@@ -17,6 +18,11 @@
     instant ArrivedAt;
     instant Until;
   };
+  /// Shards that another relay has asked for.
+  struct ask_entry {
+    ask_arrived Event;
+    instant ArrivedAt;
+  };
 
   /// A daemon that has just started has its catalog by then.
   static constexpr millis StartTime{1500};
@@ -32,6 +38,17 @@
     Entries.push_back({Event, Now, Until});
     return true;
   }
+  /// The asker gives it to another relay where it hears nothing.
+  void add(const ask_arrived &Event, instant Now) {
+    if (Asks.size() < MaxEntries)
+      Asks.push_back({Event, Now});
+  }
+  void remove(vm_id From, ask_no Ask) {
+    std::erase_if(Asks, [&](const ask_entry &Each) {
+      return Each.Event.From == From && Each.Event.Ask.Ask == Ask;
+    });
+  }
+  std::vector<ask_entry> takeAsks() { return std::exchange(Asks, {}); }
   /// Drops the request of a client that has left; false when it is not here.
   bool remove(query_id Request) {
     return std::erase_if(Entries, [&](const entry &Each) {
@@ -73,7 +90,8 @@
   }
 
   instant StartedAt = Never;
-  std::vector<entry> Entries; ///< in the order of their arrival
+  std::vector<entry> Entries;  ///< in the order of their arrival
+  std::vector<ask_entry> Asks; ///< in the order of their arrival
 };
 
 } // namespace bulrush::relay
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -504,3 +504,36 @@
   Relay.list();
   CHECK(Relay.all<warm_endpoint>().size() == Expected.size());
 }
+
+TEST_CASE("what another relay asks of one that is starting waits for its "
+          "directory",
+          "[slices][load]") {
+  slices_fixture Asker(1);
+  Asker.ask("/all/x");
+  const send_ask Ask = Asker.asks().front();
+  relay_fixture Asked(slices_fixture::settingsOf(Ask.To.Value));
+  Asked.Catalog = Asker.Catalog;
+  Asked.Directory = Asker.Directory;
+  Asked.step(ask_arrived{{1}, Ask.Ask});
+  CHECK(Asked.count<send_reply>() == 0);
+  Asked.Now = Asked.Now + millis{20};
+  Asked.install();
+  REQUIRE(Asked.Sent.size() == Ask.Ask.Shards.size());
+  CHECK(Asked.Sent.begin()->second.Remaining <= Ask.Ask.Remaining - millis{20});
+  Asked.replyAll();
+  CHECK(Asked.count<send_reply>() == 1);
+}
+
+TEST_CASE("a question that is withdrawn does not wait for a directory",
+          "[slices]") {
+  slices_fixture Asker(1);
+  Asker.ask("/all/x");
+  const send_ask Ask = Asker.asks().front();
+  relay_fixture Asked(slices_fixture::settingsOf(Ask.To.Value));
+  Asked.Catalog = Asker.Catalog;
+  Asked.Directory = Asker.Directory;
+  Asked.step(ask_arrived{{1}, Ask.Ask});
+  Asked.step(ask_cancelled{{1}, Ask.Ask.Ask, true});
+  Asked.install();
+  CHECK(Asked.Sent.empty());
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -438,6 +438,7 @@
           "[relay]") {
   relay_fixture Relay;
   Relay.addService("one", 1, 20);
+  Relay.entry("one-0").Slots = 9; // so that its connections bind
   Relay.addPlainRoute("/one/", "one");
   Relay.install(6);
   for (int I = 0; I < 9; ++I)
@@ -447,6 +448,20 @@
   CHECK(Relay.Sent.size() == 3);
 }
 
+TEST_CASE("a burst waits here rather than at an endpoint that would shed it",
+          "[relay][load]") {
+  gather_fixture Relay;
+  for (int I = 0; I < 20; ++I)
+    Relay.ask("/all/x");
+  // Each shard has two endpoints of two slots.
+  CHECK(Relay.Sent.size() == 4 * 2 * 2);
+  for (int Rounds = 0; Rounds < 30; ++Rounds) {
+    Relay.replyAll();
+    Relay.wait(1);
+  }
+  CHECK(Relay.count<give_answer>() == 20);
+}
+
 TEST_CASE(
     "a request that nothing can take is refused early enough to come back",
     "[relay]") {
@@ -663,3 +678,50 @@
   REQUIRE(Relay.answerTo(Request));
   CHECK(Relay.answerTo(Request)->Status == 502);
 }
+
+TEST_CASE("a query whose shards have no room for longer than the objective is "
+          "answered late",
+          "[relay][load]") {
+  gather_fixture Relay;
+  const query_id Request = Relay.ask("/all/x");
+  // Two of four shards shed all that they get for 300 ms; three are wanted.
+  const instant Start = Relay.Now;
+  while (Relay.answerTo(Request) == nullptr &&
+         Relay.Now < Start + millis{800}) {
+    const bool IsFull = Relay.Now - Start < millis{300};
+    while (!Relay.Sent.empty()) {
+      const auto [Number, Attempt] = *Relay.Sent.begin();
+      const char Shard = Relay.nameOf(Attempt).front();
+      if (IsFull && (Shard == 'a' || Shard == 'b'))
+        Relay.refuse(Number);
+      else
+        Relay.reply(Number);
+    }
+    Relay.wait(5);
+  }
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 200);
+  CHECK(Relay.Now - Start < millis{600});
+  // A shard that has no room is not asked over and over.
+  CHECK(Relay.count<send_attempt>() <= 4 + 2 * 12);
+}
+
+TEST_CASE("a part that a budget has stopped is sent once there is budget again",
+          "[relay][load]") {
+  relay_settings Settings = relay_fixture::settings();
+  Settings.Budget = {0, 4, {1000}}; // one at the start, then 1.4 a second
+  gather_fixture Relay(Settings);
+  Relay.Catalog.Routes[0].Timeout = {3000};
+  Relay.install();
+  const query_id Request = Relay.ask("/all/x", {3000});
+  while (!Relay.Sent.empty())
+    Relay.refuse(Relay.Sent.begin()->first);
+  CHECK(Relay.count<send_attempt>() == 4 + 4);
+  CHECK(Relay.answerTo(Request) == nullptr);
+  for (int I = 0; I < 30 && !Relay.answerTo(Request); ++I) {
+    Relay.wait(100);
+    Relay.replyAll();
+  }
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 200);
+}
