Latencies as histograms by route and stage, gauges of queues, beliefs and the registry

Change: the text exposition format with types; histograms of clients' requests by route, of slices, and of the stages queue, connect, endpoint and gather; gauges are set when somebody reads. A request's line tells queued_ms and gathering_ms.

--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -57,7 +57,8 @@
     return;
   }
   Metrics.add("requests", std::to_string(Note.Status));
-  Metrics.observe("request_ms", Note.Route, Note.Took);
+  Metrics.observe("request", Note.Route, Note.Took);
+  observeStages(Note);
   if (Note.Hedges > 0)
     Metrics.add("hedges", Note.Route, Note.Hedges);
   if (Note.Retries > 0)
@@ -78,6 +79,8 @@
                        {"client_left", Note.ClientLeft},
                        {"took_ms", Note.Took.Count},
                        {"objective_ms", Note.Objective.Count},
+                       {"queued_ms", Note.Queued.Count},
+                       {"gathering_ms", Note.Gathering.Count},
                        {"covered", Note.Covered},
                        {"shards", Note.Shards},
                        {"hedges", Note.Hedges},
@@ -87,10 +90,18 @@
                        {"lacking", namesOf(Note.Lacking)}});
 }
 
+void decision_log::observeStages(const relay::request_note &Note) {
+  if (Note.Reason == relay::relay_refusal::none)
+    Metrics.observe("stage", "queue", Note.Queued);
+  if (Note.Gathering > millis{0})
+    Metrics.observe("stage", "gather", Note.Gathering);
+}
+
 /// Shards that another relay asked for.
 void decision_log::writeAsk(const relay::request_note &Note, instant Now) {
   Metrics.add("asks", Note.Covered < Note.Shards ? "partial" : "whole");
-  Metrics.observe("ask_ms", "", Note.Took);
+  Metrics.observe("ask", "", Note.Took);
+  observeStages(Note);
   if (Note.Covered >= Note.Shards || !mayWrite(Now))
     return;
   telemetry::logEvent(severity::warning, "ask",
--- a/src/fleet/decision_log.h
+++ b/src/fleet/decision_log.h
@@ -18,6 +18,7 @@
   void write(const relay::peer_note &Note, instant Now);
 
 private:
+  void observeStages(const relay::request_note &Note);
   void writeAsk(const relay::request_note &Note, instant Now);
   bool mayWrite(instant Now);
 
--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -59,8 +59,10 @@
 
 endpoint_links::endpoint_links(boost::asio::io_context &Io,
                                std::shared_ptr<const request_codec> Codec,
+                               telemetry::metrics &Metrics,
                                relay_event_handler OnEvent)
-    : Io(Io), Codec(std::move(Codec)), OnEvent(std::move(OnEvent)) {}
+    : Io(Io), Codec(std::move(Codec)), Metrics(Metrics),
+      OnEvent(std::move(OnEvent)) {}
 
 endpoint_links::link_ptr endpoint_links::find(relay::endpoint_no No) const {
   const auto Found = Links.find(No);
@@ -151,6 +153,10 @@
   if (const auto Link = Weak.lock())
     Link->Attempts.erase(Attempt);
   relay::attempt_ended Event{Attempt, endOf(Result.Status), nullptr};
+  if (Result.Connecting > millis{0})
+    Metrics.observe("stage", "connect", Result.Connecting);
+  if (Event.End == relay::attempt_end::replied)
+    Metrics.observe("stage", "endpoint", Result.Served);
   if (Event.End == relay::attempt_end::replied)
     Event.Reply = std::make_shared<const relay::endpoint_reply>(
         Codec->decode(std::move(Result.Response)));
--- a/src/fleet/endpoint_links.h
+++ b/src/fleet/endpoint_links.h
@@ -3,6 +3,7 @@
 
 #include "fleet/adapter.h"
 #include "http/client.h"
+#include "telemetry/metrics.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -18,7 +19,7 @@
 public:
   endpoint_links(boost::asio::io_context &Io,
                  std::shared_ptr<const request_codec> Codec,
-                 relay_event_handler OnEvent);
+                 telemetry::metrics &Metrics, relay_event_handler OnEvent);
 
   void open(const relay::open_endpoint &Action);
   void warm(const relay::warm_endpoint &Action);
@@ -49,6 +50,7 @@
 
   boost::asio::io_context &Io;
   std::shared_ptr<const request_codec> Codec;
+  telemetry::metrics &Metrics;
   relay_event_handler OnEvent;
   std::unordered_map<relay::endpoint_no, link_ptr> Links;
 };
--- a/src/fleet/metrics_page.h
+++ b/src/fleet/metrics_page.h
@@ -8,17 +8,21 @@
 
 class metrics_page final : public http::handler {
 public:
-  explicit metrics_page(telemetry::metrics &Metrics) : Metrics(Metrics) {}
+  /// `Refresh` sets the gauges before each reading.
+  metrics_page(telemetry::metrics &Metrics, std::function<void()> Refresh)
+      : Metrics(Metrics), Refresh(std::move(Refresh)) {}
 
   void handle(http::request, http::responder Respond) override {
+    Refresh();
     http::response Out;
-    Out.ContentType = "text/plain";
+    Out.ContentType = "text/plain; version=0.0.4";
     Out.Body = Metrics.text();
     Respond(std::move(Out));
   }
 
 private:
   telemetry::metrics &Metrics;
+  std::function<void()> Refresh;
 };
 
 } // namespace bulrush::fleet
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -312,6 +312,7 @@
   void onDirectory(std::vector<relay::listed_endpoint> Found, instant Began) {
     if (!Node || !Node->leads())
       return;
+    DirectoryReadAt = Began;
     relay::directory Directory;
     Directory.Endpoints = std::move(Found);
     const bool IsSame = Sequence > 0 && isSame(Directory, LastDirectory);
@@ -366,6 +367,26 @@
     return Node->state();
   }
 
+  void setGauges() {
+    const auto Set = [this](const char *Name, auto Value) {
+      Metrics.set(Name, "", static_cast<double>(Value));
+    };
+    Set("registry_has_folder", Node ? 1 : 0);
+    Set("registry_subscribers", Subscribers.count());
+    Set("registry_endpoints", LastDirectory.Endpoints.size());
+    Set("registry_list_age_ms", (Clock.now() - DirectoryReadAt).Count);
+    if (!Node)
+      return;
+    const control::replica_status Status = Node->status();
+    Set("registry_term", Status.Term.Value);
+    Set("registry_log_index", Status.LastIndex.Value);
+    Set("registry_voters", Status.Group.voterCount());
+    Set("registry_members", Status.Group.Members.size());
+    Set("registry_catalog_version", Node->state().CatalogVersion);
+    Set("registry_zones_out", Node->state().ZonesOut.size());
+    Set("registry_fleet_size", Node->fleetSize());
+  }
+
   // Time and signals.
 
   void tickLater() {
@@ -419,7 +440,7 @@
   asio::io_context Io{1};
   boot_clock_source Clock;
   telemetry::metrics Metrics;
-  metrics_page MetricsPage{Metrics};
+  metrics_page MetricsPage{Metrics, [this] { setGauges(); }};
   operator_desk Desk;
   std::optional<http::server> Operators;
   std::optional<http::server> Page;
@@ -436,6 +457,7 @@
   std::optional<registry_node> Node;
   std::vector<vm_id> Voters;
   relay::directory LastDirectory;
+  instant DirectoryReadAt;
   std::uint64_t Sequence = 0; ///< of directories in this term
   instant BeatAt{-1e300};
   bool IsLeaving = false;
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -164,6 +164,7 @@
     Host.take(*Roster);
   if (Machine != Leader)
     return;
+  HeardAt = Known->second.HeardAt;
   if (auto *Directory = std::get_if<endpoint_directory>(&*Message))
     Host.take(std::move(*Directory));
   else if (const auto *Beat = std::get_if<leader_beat>(&*Message))
--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -43,6 +43,10 @@
   void start();
   void stop();
   void addMachines(const std::vector<vm_id> &Machines);
+  /// What is acted on.
+  bulrush::revision revision() const { return Revision; }
+  /// Since the registry's leader said something.
+  millis silentFor() const { return Clock.now() - HeardAt; }
   /// This daemon stops soon: it is followed on, and no relay asks it anything.
   void announceLeaving();
 
@@ -80,7 +84,8 @@
   instant ToldAt{-1e300};
   std::set<vm_id> Machines;
   vm_id LastTried;
-  revision Revision;
+  bulrush::revision Revision;
+  instant HeardAt; ///< the leader
   std::uint64_t CatalogVersion = 0;
 };
 
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -40,7 +40,7 @@
   relay_process(const adapter &Adapter, process_settings Given)
       : Adapter(Adapter), Settings(std::move(Given)),
         Relay(Settings.Relay, drawSeed()),
-        Links(Io, Adapter.Requests,
+        Links(Io, Adapter.Requests, Metrics,
               [this](const relay::relay_event &Event) { step(Event); }),
         Peers(Io, Settings.Relay.Self, Settings.FleetPort,
               [this](const relay::relay_event &Event) { step(Event); }),
@@ -213,6 +213,24 @@
     return Read ? machinesOf(Read->Seeds) : std::vector<vm_id>{};
   }
 
+  void setGauges() {
+    const relay::relay_gauges Now = Relay.gauges(Clock.now());
+    const auto Set = [this](const char *Name, auto Value) {
+      Metrics.set(Name, "", static_cast<double>(Value));
+    };
+    Set("requests_active", Now.Requests);
+    Set("requests_waiting", Now.Waiting);
+    Set("attempts_in_flight", Now.InFlight);
+    Set("endpoints", Now.Endpoints);
+    Set("endpoints_cold", Now.Cold);
+    Set("endpoints_suspected", Now.Suspects);
+    Set("peers_silent", Now.SilentPeers);
+    Set("catalog_version", Relay.version().Value);
+    Set("revision", Follower.revision().Value);
+    Set("registry_silent_ms", Follower.silentFor().Count);
+    Set("stopping", IsLeaving ? 1 : 0);
+  }
+
   // The end.
 
   /// Not ready at once; new connections are served until the platform sends no
@@ -255,7 +273,7 @@
   asio::io_context Io{1};
   boot_clock_source Clock;
   telemetry::metrics Metrics;
-  metrics_page MetricsPage{Metrics};
+  metrics_page MetricsPage{Metrics, [this] { setGauges(); }};
   readiness Ready;
   relay::relay Relay;
   endpoint_links Links;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -57,6 +57,8 @@
   request Request;
   exchange_handler Done;
   connection_choice Choice = connection_choice::any;
+  instant AskedAt;
+  instant SentAt;
 };
 
 } // namespace
@@ -99,7 +101,9 @@
   void closeSpare(time_point Now);
   bool isTooOld(const connection &Connection, connection_choice Choice) const;
   void finishLater(exchange_handler Done, exchange_status Status) {
-    asio::post(Io, [Done = std::move(Done), Status] { Done({Status, {}}); });
+    asio::post(Io, [Done = std::move(Done), Status] {
+      Done({Status, {}, {}, {}});
+    });
   }
 };
 
@@ -121,6 +125,7 @@
 
   void run(exchange Given) {
     Current = std::move(Given);
+    Current->SentAt = now();
     Foreign = 0;
     Rested = restedFor();
     touch();
@@ -294,7 +299,9 @@
         Client->remove(Self);
     }
     IsNew = false;
-    Finished.Done({Status, std::move(Response)});
+    Finished.Done({Status, std::move(Response),
+                   Finished.SentAt - Finished.AskedAt,
+                   now() - Finished.SentAt});
   }
 
   std::weak_ptr<detail::client_state> Owner;
@@ -469,7 +476,7 @@
 exchange_id client::send(request Request, exchange_handler Done,
                          connection_choice Choice) {
   const exchange_id Id = ++State->LastExchange;
-  State->send({Id, std::move(Request), std::move(Done), Choice});
+  State->send({Id, std::move(Request), std::move(Done), Choice, now(), {}});
   return Id;
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -67,6 +67,8 @@
 struct exchange_result {
   exchange_status Status = exchange_status::lost;
   response Response;
+  millis Connecting{}; ///< it waited so long for a connection
+  millis Served{};     ///< from the request's first byte to the response's end
 };
 
 using exchange_handler = std::function<void(exchange_result)>;
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -77,6 +77,15 @@
   return Out;
 }
 
+void endpoint_set::count(std::size_t &Listed, std::size_t &Cold,
+                         std::size_t &Suspected, instant Now) const {
+  Suspected = Suspects.size();
+  for (const auto &[No, Each] : Endpoints) {
+    Listed += Each->isGone() ? 0 : 1;
+    Cold += !Each->isGone() && Each->isCold(Now) ? 1 : 0;
+  }
+}
+
 void endpoint_set::resizeBudget(service_state &Service) const {
   const auto Few = static_cast<std::uint32_t>(Sharers);
   Service.Budget.resize(Settings.Budget,
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -52,6 +52,9 @@
   /// Wants connections to the endpoints of the own zone, once for each.
   void warm(const service_state &Service, relay_actions &Out);
   endpoint_state *find(endpoint_no No);
+  /// How many are listed, and of these cold, and suspects.
+  void count(std::size_t &Listed, std::size_t &Cold, std::size_t &Suspected,
+             instant Now) const;
   std::vector<std::string> zonesOf(const service_name &Service) const override;
 
   /// An endpoint for one request that is not one of `Tried`: of the own zone
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -273,6 +273,8 @@
   catalog_version Version;
   millis Took;
   millis Objective;
+  millis Queued;            ///< the longest that a part waited to be sent
+  millis Gathering;         ///< from the first part to the answer
   std::uint32_t Shards = 0; ///< that were asked for
   std::uint32_t Covered = 0;
   std::uint32_t Hedges = 0;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -43,6 +43,7 @@
 std::size_t relay::active() const { return Impl->active(); }
 bool relay::isReady() const { return Impl->isReady(); }
 catalog_version relay::version() const { return Impl->version(); }
+relay_gauges relay::gauges(instant Now) const { return Impl->gauges(Now); }
 
 relay::impl::impl(relay_settings Given, std::uint64_t Seed)
     : Settings(std::move(Given)), Endpoints(Settings, Seed),
@@ -327,6 +328,17 @@
   Wakes.push({At, Work.Request});
 }
 
+relay_gauges relay::impl::gauges(instant At) const {
+  relay_gauges Out;
+  Out.Requests = active();
+  Out.Waiting = Waiting.size();
+  Out.InFlight = Attempts.size();
+  Endpoints.count(Out.Endpoints, Out.Cold, Out.Suspects, At);
+  for (const auto &[Peer, Silence] : SilentPeers)
+    Out.SilentPeers += At < Silence.Until ? 1 : 0;
+  return Out;
+}
+
 void relay::impl::armTimer() {
   instant Next = std::min(Endpoints.nextProbe(), Starting.nextOverdue());
   for (const lingering_attempt &Each : Lingering)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -9,6 +9,17 @@
 
 namespace bulrush::relay {
 
+/// What a daemon holds at a moment.
+struct relay_gauges {
+  std::size_t Requests = 0; ///< without an answer yet
+  std::size_t Waiting = 0;  ///< of these, with a part that nothing can take
+  std::size_t InFlight = 0; ///< attempts
+  std::size_t Endpoints = 0;
+  std::size_t Cold = 0;
+  std::size_t Suspects = 0;
+  std::size_t SilentPeers = 0;
+};
+
 /// The decisions of one daemon; deterministic. Example:
 ///
 ///     relay Relay(Settings, Seed);
@@ -30,6 +41,7 @@
   /// Whether a catalog and a directory are known.
   bool isReady() const;
   catalog_version version() const;
+  relay_gauges gauges(instant Now) const;
 
 private:
   class impl;
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -148,6 +148,7 @@
   Answer.Content = Work.Content;
   Work.Note.Status = Answer.Status;
   Work.Note.Reason = Answer.Reason;
+  noteStages(Work);
   Work.Note.Took = Now - Work.ArrivedAt;
   Work.Note.Covered = Work.covered();
   if (Answer.Reason != relay_refusal::few_shards)
@@ -158,6 +159,11 @@
   forget(Work, MayLinger);
 }
 
+void relay::impl::noteStages(request_work &Work) const {
+  if (Work.isGathered() && Work.FirstPartAt < Now)
+    Work.Note.Gathering = Now - Work.FirstPartAt;
+}
+
 void relay::impl::noteLacking(request_work &Work) {
   Work.Note.Lacking.clear();
   if (!Work.isGathered())
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -93,6 +93,8 @@
     Budget.spend(Reserve);
   else
     Budget.countFirst();
+  if (Part.Sends == 0)
+    Work.Note.Queued = std::max(Work.Note.Queued, Now - Work.ArrivedAt);
   const attempt_no Attempt{++LastAttempt};
   Part.Phase = part_phase::running;
   Part.Running.push_back({Attempt, To->number(), Now});
@@ -155,6 +157,7 @@
   if (Verdict == attempt_verdict::success) {
     Part.Phase = part_phase::done;
     Part.Reply = Event.Reply;
+    Work.FirstPartAt = std::min(Work.FirstPartAt, Now);
     return;
   }
   const bool IsShed = Event.Reply && Event.Reply->IsNotRun;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -15,6 +15,7 @@
   void step(const relay_event &Event, instant Now, relay_actions &Actions);
   std::size_t active() const { return Works.size() + Starting.size(); }
   bool isReady() const { return Table && HasDirectory; }
+  relay_gauges gauges(instant At) const;
   catalog_version version() const {
     return Table ? Table->content().Version : catalog_version{};
   }
@@ -100,6 +101,7 @@
   void refuse(request_work &Work, relay_refusal Reason);
   void atDeadline(request_work &Work);
   void give(request_work &Work, give_answer Answer);
+  void noteStages(request_work &Work) const;
   static void noteLacking(request_work &Work);
   void forget(request_work &Work, bool Linger);
   millis retryAfter(const request_work &Work) const;
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -214,6 +214,7 @@
     for (const std::uint32_t Each : Reply.Covered)
       Work.Parts[Ask.Parts[Each]].Phase = part_phase::done;
     Work.Merged.push_back({Reply.Signatures, Reply.Records});
+    Work.FirstPartAt = std::min(Work.FirstPartAt, Now);
   }
   if (Reply.IsFinal)
     failUnasked(Work, Ask.Parts);
@@ -319,6 +320,7 @@
       });
   if (!IsPending) {
     tellAsker(Work, true);
+    noteStages(Work);
     Work.Note.Took = Now - Work.ArrivedAt;
     Work.Note.Covered = Work.covered();
     Out->push_back(Work.Note);
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -103,6 +103,7 @@
   instant GiveUpAt; ///< a request that was sent to no endpoint is refused
   instant Deadline;
   instant WakeAt = Never; ///< the next look at it
+  instant FirstPartAt = Never;
   std::vector<request_part> Parts;
   std::vector<slice_ask> Asks;
   std::vector<merged_parts> Merged;
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -1,5 +1,7 @@
 #include "telemetry/metrics.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
@@ -20,11 +22,28 @@
 using quantile_accumulator =
     acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
 
+/// Upper bounds of the histograms' buckets, in milliseconds.
+constexpr std::array BucketBounds{1,   2,   5,   10,   20,   50,
+                                  100, 200, 500, 1000, 2000, 5000};
+
 struct latency_series {
+  std::array<std::uint64_t, BucketBounds.size()> Buckets{}; ///< each by itself
+  double Sum = 0;
   mean_accumulator Mean;
   quantile_accumulator Median{acc::quantile_probability = 0.5};
   quantile_accumulator P99{acc::quantile_probability = 0.99};
 
+  void add(millis Latency) {
+    const auto Bucket = std::lower_bound(BucketBounds.begin(),
+                                         BucketBounds.end(), Latency.Count);
+    if (Bucket != BucketBounds.end())
+      ++Buckets[static_cast<std::size_t>(Bucket - BucketBounds.begin())];
+    Sum += Latency.Count;
+    Mean(Latency.Count);
+    Median(Latency.Count);
+    P99(Latency.Count);
+  }
+
   latency_summary summary() const {
     return {acc::count(Mean),
             {acc::mean(Mean)},
@@ -71,11 +90,46 @@
   return Map[{std::string(Name), std::string(Label)}];
 }
 
-std::string nameOf(const series_key &Key, std::string_view Suffix = {}) {
-  std::string Out = "bulrush_" + Key.Name + std::string(Suffix);
+/// `bulrush_NAME SUFFIX{label="LABEL",le="LE"}`; empty labels are left out.
+std::string nameOf(const series_key &Key, std::string_view Suffix = {},
+                   std::string_view Le = {}) {
+  std::string Labels;
   if (!Key.Label.empty())
-    Out += "{label=\"" + Key.Label + "\"}";
-  return Out;
+    Labels = "label=\"" + Key.Label + '"';
+  if (!Le.empty())
+    Labels += std::string(Labels.empty() ? "" : ",") + "le=\"" +
+              std::string(Le) + '"';
+  const std::string Name = "bulrush_" + Key.Name + std::string(Suffix);
+  return Labels.empty() ? Name : Name + '{' + Labels + '}';
+}
+
+/// Writes the line that names a metric's type, once for all its series.
+class type_lines {
+public:
+  explicit type_lines(std::ostream &Out) : Out(Out) {}
+  void write(const std::string &Name, const char *Type) {
+    if (Name != Last)
+      Out << "# TYPE " << Name << ' ' << Type << '\n';
+    Last = Name;
+  }
+
+private:
+  std::ostream &Out;
+  std::string Last;
+};
+
+void writeHistogram(std::ostream &Out, const series_key &Key,
+                    const latency_series &Series) {
+  std::uint64_t Count = 0;
+  for (std::size_t I = 0; I < BucketBounds.size(); ++I) {
+    Count += Series.Buckets[I];
+    Out << nameOf(Key, "_ms_bucket", std::to_string(BucketBounds[I])) << ' '
+        << Count << '\n';
+  }
+  const std::uint64_t All = acc::count(Series.Mean);
+  Out << nameOf(Key, "_ms_bucket", "+Inf") << ' ' << All << '\n';
+  Out << nameOf(Key, "_ms_sum") << ' ' << Series.Sum << '\n';
+  Out << nameOf(Key, "_ms_count") << ' ' << All << '\n';
 }
 
 } // namespace
@@ -104,10 +158,7 @@
 void metrics::observe(std::string_view Name, std::string_view Label,
                       millis Latency) {
   const std::lock_guard Lock(State->Mutex);
-  latency_series &Series = entryOf(State->Latencies, Name, Label);
-  Series.Mean(Latency.Count);
-  Series.Median(Latency.Count);
-  Series.P99(Latency.Count);
+  entryOf(State->Latencies, Name, Label).add(Latency);
 }
 
 std::uint64_t metrics::count(std::string_view Name,
@@ -128,16 +179,18 @@
 std::string metrics::text() const {
   const std::lock_guard Lock(State->Mutex);
   std::ostringstream Out;
-  for (const auto &[Key, Value] : State->Counters)
+  type_lines Types(Out);
+  for (const auto &[Key, Value] : State->Counters) {
+    Types.write(nameOf({Key.Name, {}}, "_total"), "counter");
     Out << nameOf(Key, "_total") << ' ' << Value << '\n';
-  for (const auto &[Key, Value] : State->Gauges)
+  }
+  for (const auto &[Key, Value] : State->Gauges) {
+    Types.write(nameOf({Key.Name, {}}), "gauge");
     Out << nameOf(Key) << ' ' << Value << '\n';
+  }
   for (const auto &[Key, Series] : State->Latencies) {
-    const latency_summary Summary = Series.summary();
-    Out << nameOf(Key, "_ms_count") << ' ' << Summary.Count << '\n';
-    Out << nameOf(Key, "_ms_mean") << ' ' << Summary.Mean.Count << '\n';
-    Out << nameOf(Key, "_ms_p50") << ' ' << Summary.Median.Count << '\n';
-    Out << nameOf(Key, "_ms_p99") << ' ' << Summary.P99.Count << '\n';
+    Types.write(nameOf({Key.Name, {}}, "_ms"), "histogram");
+    writeHistogram(Out, Key, Series);
   }
   return Out.str();
 }
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -43,7 +43,8 @@
   latency_summary latency(std::string_view Name,
                           std::string_view Label = {}) const;
 
-  /// One line `name{label="x"} value` for each figure, sorted.
+  /// The text exposition format: one line `name{label="x"} value` for each
+  /// figure, sorted; latencies as histograms in milliseconds.
   std::string text() const;
 
 private:
--- a/test/unit/telemetry_test.cpp
+++ b/test/unit/telemetry_test.cpp
@@ -32,6 +32,36 @@
   CHECK(Metrics.latency("search", "driver").Count == 2);
 }
 
+TEST_CASE("a latency series is told as a histogram") {
+  metrics Metrics;
+  for (const double Each : {0.5, 3.0, 3.5, 70.0, 9000.0})
+    Metrics.observe("request", "search", millis{Each});
+  const std::string Text = Metrics.text();
+  const auto Has = [&](const std::string &Line) {
+    return Text.find(Line + '\n') != std::string::npos;
+  };
+  CHECK(Has("# TYPE bulrush_request_ms histogram"));
+  CHECK(Has("bulrush_request_ms_bucket{label=\"search\",le=\"1\"} 1"));
+  CHECK(Has("bulrush_request_ms_bucket{label=\"search\",le=\"5\"} 3"));
+  CHECK(Has("bulrush_request_ms_bucket{label=\"search\",le=\"100\"} 4"));
+  CHECK(Has("bulrush_request_ms_bucket{label=\"search\",le=\"5000\"} 4"));
+  CHECK(Has("bulrush_request_ms_bucket{label=\"search\",le=\"+Inf\"} 5"));
+  CHECK(Has("bulrush_request_ms_sum{label=\"search\"} 9077"));
+  CHECK(Has("bulrush_request_ms_count{label=\"search\"} 5"));
+}
+
+TEST_CASE("each metric names its type once") {
+  metrics Metrics;
+  Metrics.add("requests", "200");
+  Metrics.add("requests", "503");
+  Metrics.set("in_flight", "", 3);
+  const std::string Text = Metrics.text();
+  CHECK(Text.find("# TYPE bulrush_requests_total counter\n") ==
+        Text.rfind("# TYPE bulrush_requests_total counter\n"));
+  CHECK(Text.find("# TYPE bulrush_in_flight gauge\nbulrush_in_flight 3\n") !=
+        std::string::npos);
+}
+
 TEST_CASE("lines to a pipe that nobody reads are dropped and told later") {
   int Pipe[2] = {};
   REQUIRE(::pipe(Pipe) == 0);
