A slice whose zone falls silent is asked by the relay that took the query

A slice of shards without an own endpoint goes to another zone, and the relay that takes over was in that zone too: both were dead, and nobody was asked a third time. Change: where a relay of another zone says nothing, the relay that took the query sends the parts itself.

--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -74,6 +74,7 @@
   void scatter(request_work &Work);
   void noteSliced();
   void warmSlices();
+  static vm_id otherOf(const slice &Slice, vm_id To);
   vm_id pickPeer(vm_id First, vm_id Second) const;
   void ask(request_work &Work, const std::vector<std::size_t> &Parts,
            const ask_target &Target);
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -39,11 +39,16 @@
     if (To == Settings.Self)
       beginHere(Work, Each.Shards);
     else
-      ask(Work, Each.Shards,
-          {To, To == Each.First ? Each.Second : vm_id{}, Each.IsFar, false});
+      ask(Work, Each.Shards, {To, otherOf(Each, To), Each.IsFar, false});
   }
 }
 
+/// Whom to ask where `To` says nothing; 0: this relay itself. All relays of
+/// another zone may be lost together.
+vm_id relay::impl::otherOf(const slice &Slice, vm_id To) {
+  return Slice.IsFar || To != Slice.First ? vm_id{} : Slice.Second;
+}
+
 /// This relay itself where neither is known to answer.
 vm_id relay::impl::pickPeer(vm_id First, vm_id Second) const {
   for (const vm_id Each : {First, Second}) {
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -537,3 +537,35 @@
   Asked.install();
   CHECK(Asked.Sent.empty());
 }
+
+TEST_CASE("a slice in a zone that falls silent is asked by this relay itself",
+          "[slices][load]") {
+  slices_fixture Relay(1, 24);
+  std::vector<relay_peer> Peers;
+  for (std::uint32_t I = 1; I <= 24; ++I)
+    Peers.push_back({{I}, I <= 12 ? "near" : "far"});
+  Relay.step(peers_arrived{Peers});
+  // One shard in four has its endpoints in the other zone only.
+  for (listed_endpoint &Each : Relay.Directory.Endpoints)
+    if (Each.Service.Value.back() % 4 == 0)
+      Each.Zone = "far";
+  Relay.list();
+  const query_id Request = Relay.ask("/all/x");
+  std::set<std::string> Lost;
+  for (const send_ask &Each : Relay.asks()) {
+    if (Each.To.Value > 12)
+      for (const service_name &Shard : Each.Ask.Shards)
+        Lost.insert(Shard.Value);
+    else
+      Relay.step(ask_replied{Each.To, Relay.wholeReply(Each)});
+  }
+  REQUIRE(Lost.size() > 10);
+  Relay.replyAll();
+  const std::size_t Asks = Relay.asks().size();
+  Relay.wait(51);
+  CHECK(Relay.asks().size() == Asks);
+  CHECK(Relay.Sent.size() == Lost.size());
+  Relay.replyAll();
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Missing == 0);
+}
