The catalog and the directory travel as changes

Change: the leader decodes a catalog once (catalog_feed) and sends typed changes: services and routes that are new, changed or gone, on the version that the relay holds, whole only to one that holds another; the same for the directory, on the order it holds. Encoded once for all that need the same. A relay that misses a change asks for the whole (`registry_lost reason=catalog_gap` or `directory_gap`). Zones that are out are told before the catalog, so that requests that wait for it do not go there.

--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "control/replica_messages.h"
+#include "relay/catalog_change.h"
 #include "relay/events.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -30,14 +32,15 @@
 struct fleet_state {
   revision Revision;
   std::uint64_t CatalogVersion = 0;
-  std::string Catalog; ///< empty: as the receiver holds it
+  std::optional<relay::catalog_change>
+      Catalog; ///< none: as the receiver holds it
   std::vector<std::string> ZonesOut;
   std::vector<vm_id> Voters;
 };
 
-/// The platform's list, read `Age` ago.
+/// The platform's list, read `Age` ago, or what has changed in it.
 struct endpoint_directory {
-  relay::directory Directory;
+  relay::directory_change Change;
   millis Age;
 };
 
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -49,7 +49,8 @@
             [this](const process_settings &Read) { onSettings(Read); },
             [this] { leave(); }),
         Ticker(Io), Leaving(Io), Folder(Io, Settings.DataFolder, Self, *this),
-        Subscribers([this](const node_event &Event) { step(Event); }),
+        Feed(Adapter.Catalogs),
+        Subscribers(Feed, [this](const node_event &Event) { step(Event); }),
         Links(Io, Settings.FleetPort,
               [this](const std::string &Bytes) { onAnswerFrame(Bytes); }),
         Reader(Io, readerSettings(Settings), Adapter.Endpoints, Clock,
@@ -287,6 +288,7 @@
                         {{"revision", State.Revision.Value},
                          {"catalog_version", State.CatalogVersion},
                          {"zones_out", State.ZonesOut.size()}});
+    Feed.update(State);
     Subscribers.tellState(State, Voters);
   }
   void on(leadership_changed &Action) { onLeadership(Action.Leads); }
@@ -300,6 +302,7 @@
     Metrics.set("registry_leads", "", Leads ? 1 : 0);
     if (Leads) {
       Sequence = 0;
+      Feed.update(Node->state());
       Reader.start();
       return;
     }
@@ -315,32 +318,24 @@
     DirectoryReadAt = Began;
     relay::directory Directory;
     Directory.Endpoints = std::move(Found);
-    const bool IsSame = Sequence > 0 && isSame(Directory, LastDirectory);
+    Directory.Order = {Node->status().Term.Value, Sequence + 1};
     Metrics.add("endpoint_list_readings");
-    if (IsSame) {
+    relay::directory_change Change =
+        Sequence == 0 ? wholeOf(Directory)
+                      : changeBetween(LastDirectory, Directory);
+    if (!Change.isWhole() && Change.Endpoints.empty() && Change.Gone.empty()) {
       LastDirectory.Endpoints = std::move(Directory.Endpoints);
       return;
     }
-    Directory.Order = {Node->status().Term.Value, ++Sequence};
-    telemetry::logEvent(
-        severity::info, "endpoints_changed",
-        {{"sequence", Sequence}, {"endpoints", Directory.Endpoints.size()}});
+    ++Sequence;
+    telemetry::logEvent(severity::info, "endpoints_changed",
+                        {{"sequence", Sequence},
+                         {"endpoints", Directory.Endpoints.size()},
+                         {"changed", Change.Endpoints.size()},
+                         {"gone", Change.Gone.size()}});
     LastDirectory = Directory;
-    Subscribers.setDirectory(std::move(Directory), Began, Clock.now());
-  }
-
-  /// How long an endpoint stays cold shrinks by itself.
-  static bool isSame(const relay::directory &A, const relay::directory &B) {
-    const auto IsAlike = [](const relay::listed_endpoint &X,
-                            const relay::listed_endpoint &Y) {
-      relay::listed_endpoint Copy = X;
-      const bool CooledDown = Y.ColdFor > millis{0} && X.ColdFor <= Y.ColdFor;
-      if (CooledDown)
-        Copy.ColdFor = Y.ColdFor;
-      return Copy == Y;
-    };
-    return std::equal(A.Endpoints.begin(), A.Endpoints.end(),
-                      B.Endpoints.begin(), B.Endpoints.end(), IsAlike);
+    Subscribers.setDirectory(std::move(Directory), std::move(Change), Began,
+                             Clock.now());
   }
 
   // Operators.
@@ -450,6 +445,7 @@
   asio::steady_timer Leaving;
   voter_folder Folder;
   std::unordered_set<std::shared_ptr<frame_link>> Accepted;
+  catalog_feed Feed;
   subscribers Subscribers;
   std::vector<std::pair<std::weak_ptr<frame_link>, subscribe>> Asking;
   voter_links Links;
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -166,7 +166,7 @@
     return;
   HeardAt = Known->second.HeardAt;
   if (auto *Directory = std::get_if<endpoint_directory>(&*Message))
-    Host.take(std::move(*Directory));
+    on(Machine, std::move(*Directory));
   else if (const auto *Beat = std::get_if<leader_beat>(&*Message))
     Host.takeFleetSize(Beat->Peers);
 }
@@ -179,13 +179,26 @@
   if (Machine != Leader)
     follow(Machine, State);
   addMachines(State.Voters);
-  if (!Host.take(State))
+  if (!Host.take(State)) {
+    CatalogVersion = 0; // the whole is wanted
+    onLost(Machine, "catalog_gap");
     return;
+  }
   Revision = State.Revision;
   CatalogVersion = std::max(CatalogVersion, State.CatalogVersion);
   tellApplied();
 }
 
+void registry_follower::on(vm_id Machine, endpoint_directory Message) {
+  const relay::directory_change &Change = Message.Change;
+  if (!Change.isWhole() && Change.Base != Directory) {
+    onLost(Machine, "directory_gap");
+    return;
+  }
+  Directory = Change.Order;
+  Host.take(std::move(Message));
+}
+
 /// The first that leads is followed; all others are let go.
 void registry_follower::follow(vm_id Machine, const fleet_state &State) {
   telemetry::logEvent(severity::info, "registry_found",
--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -67,6 +67,7 @@
   void onLost(vm_id Machine, const char *Why);
   void on(vm_id Machine, const fleet_state &State);
   void on(vm_id Machine, const redirect &Redirect);
+  void on(vm_id Machine, endpoint_directory Directory);
   void follow(vm_id Machine, const fleet_state &State);
   void tellApplied();
   bool isFollowing() const { return Leader.Value != 0; }
@@ -87,6 +88,7 @@
   bulrush::revision Revision;
   instant HeardAt; ///< the leader
   std::uint64_t CatalogVersion = 0;
+  relay::directory_order Directory; ///< that the host holds
 };
 
 } // namespace bulrush::fleet
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -172,21 +172,11 @@
   // The registry.
 
   bool take(const fleet_state &State) override {
-    if (!State.Catalog.empty()) {
-      auto Catalog = Adapter.Catalogs->decode(State.Catalog);
-      if (!Catalog) {
-        telemetry::logEvent(severity::error, "catalog_refused",
-                            {{"error", Catalog.error().Message}});
-        return false;
-      }
-      Clients->setBounds(Catalog->Limits.MaxHeaderBytes,
-                         Catalog->Limits.MaxBodyBytes,
-                         Catalog->Limits.IdleTimeout);
-      step(relay::catalog_arrived{
-          std::make_shared<const relay::catalog>(std::move(*Catalog))});
-    }
+    // A request that waits for the catalog must not go to a zone that is out.
     step(relay::zones_out_arrived{
         {State.ZonesOut.begin(), State.ZonesOut.end()}});
+    if (State.Catalog && !take(*State.Catalog))
+      return false;
     telemetry::logEvent(severity::info, "state_in_force",
                         {{"revision", State.Revision.Value},
                          {"catalog_version", Relay.version().Value},
@@ -194,10 +184,23 @@
     return true;
   }
 
+  bool take(const relay::catalog_change &Change) {
+    auto Next = relay::applied(*Catalog, Change);
+    if (!Next)
+      return false;
+    Catalog = std::make_shared<const relay::catalog>(std::move(*Next));
+    Clients->setBounds(Catalog->Limits.MaxHeaderBytes,
+                       Catalog->Limits.MaxBodyBytes,
+                       Catalog->Limits.IdleTimeout);
+    step(relay::catalog_arrived{Catalog});
+    return true;
+  }
+
   void take(endpoint_directory Directory) override {
-    step(relay::directory_arrived{std::make_shared<const relay::directory>(
-                                      std::move(Directory.Directory)),
-                                  Directory.Age});
+    step(relay::directory_arrived{
+        std::make_shared<const relay::directory_change>(
+            std::move(Directory.Change)),
+        Directory.Age});
   }
 
   void takeFleetSize(std::uint32_t Count) override {
@@ -279,6 +282,8 @@
   endpoint_links Links;
   peer_links Peers;
   registry_follower Follower;
+  std::shared_ptr<const relay::catalog> Catalog =
+      std::make_shared<const relay::catalog>();
   decision_log Log;
   std::unordered_map<query_id, http::responder> Responders;
   std::optional<http::server> Clients;
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -11,6 +11,8 @@
 
 /// A subscriber says something at least every `BeatInterval` of its own.
 constexpr millis SilenceLimit{1500};
+/// The encoded directory serves all that ask within this time.
+constexpr millis ReuseTime{50};
 
 } // namespace
 
@@ -93,31 +95,46 @@
 void subscribers::tellState(subscriber &Subscriber,
                             const control::registry_state &State,
                             const std::vector<vm_id> &Voters) {
-  fleet_state Message;
-  Message.Revision = State.Revision;
-  Message.CatalogVersion = State.CatalogVersion;
-  if (Subscriber.CatalogVersion < State.CatalogVersion)
-    Message.Catalog = *State.Catalog;
+  if (Encoded.Revision != State.Revision || Encoded.Voters != Voters)
+    Encoded = {State.Revision, Voters, {}};
+  std::string &Bytes = Encoded.Bytes[Subscriber.CatalogVersion];
+  if (Bytes.empty()) {
+    fleet_state Message;
+    Message.Revision = State.Revision;
+    Message.CatalogVersion = State.CatalogVersion;
+    Message.Catalog = Feed.changeSince(Subscriber.CatalogVersion);
+    Message.ZonesOut = {State.ZonesOut.begin(), State.ZonesOut.end()};
+    Message.Voters = Voters;
+    Bytes = wire::encode(Message);
+  }
   Subscriber.CatalogVersion =
       std::max(Subscriber.CatalogVersion, State.CatalogVersion);
-  Message.ZonesOut = {State.ZonesOut.begin(), State.ZonesOut.end()};
-  Message.Voters = Voters;
-  Subscriber.Link->send(wire::encode(Message));
+  Subscriber.Link->send(Bytes);
 }
 
-void subscribers::setDirectory(relay::directory New, instant ReadAt,
+void subscribers::setDirectory(relay::directory New,
+                               relay::directory_change Change, instant ReadAt,
                                instant Now) {
   Directory = std::move(New);
   DirectoryReadAt = ReadAt;
+  WholeDirectoryAt = instant{-1e300};
+  const std::string Bytes =
+      wire::encode(endpoint_directory{std::move(Change), Now - ReadAt});
   for (auto &[Key, Each] : All)
-    tellDirectory(Each, Now);
+    Each.Link->send(Bytes);
 }
 
+/// The age that it tells is too low by `ReuseTime` at most, so that cold
+/// endpoints are left alone for a little longer.
 void subscribers::tellDirectory(subscriber &Subscriber, instant Now) {
   if (Directory.Order.Term == 0)
     return;
-  Subscriber.Link->send(
-      wire::encode(endpoint_directory{Directory, Now - DirectoryReadAt}));
+  if (Now - WholeDirectoryAt > ReuseTime) {
+    WholeDirectory = wire::encode(
+        endpoint_directory{wholeOf(Directory), Now - DirectoryReadAt});
+    WholeDirectoryAt = Now;
+  }
+  Subscriber.Link->send(WholeDirectory);
 }
 
 void subscribers::beat(revision Revision, std::uint32_t FleetSize) {
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -1,6 +1,7 @@
 /// The daemons that are kept up to date by this leader.
 #pragma once
 
+#include "fleet/catalog_feed.h"
 #include "fleet/frame_link.h"
 #include "fleet/messages.h"
 #include "fleet/registry_node.h"
@@ -16,7 +17,9 @@
   /// Told with each subscriber that acts on a revision or has gone.
   using event_handler = std::function<void(const node_event &)>;
 
-  explicit subscribers(event_handler OnEvent) : OnEvent(std::move(OnEvent)) {}
+  /// `Feed` must outlive this.
+  subscribers(const catalog_feed &Feed, event_handler OnEvent)
+      : Feed(Feed), OnEvent(std::move(OnEvent)) {}
 
   /// Takes a link that asked to be kept up to date.
   void add(std::shared_ptr<frame_link> Link, const subscribe &Asked,
@@ -29,7 +32,9 @@
 
   void tellState(const control::registry_state &State,
                  const std::vector<vm_id> &Voters);
-  void setDirectory(relay::directory Directory, instant ReadAt, instant Now);
+  /// `Change` leads from the directory before to this one.
+  void setDirectory(relay::directory Directory, relay::directory_change Change,
+                    instant ReadAt, instant Now);
   void beat(revision Revision, std::uint32_t FleetSize);
   /// Tells who takes part where that has changed.
   void tellRoster();
@@ -51,13 +56,24 @@
 
   roster currentRoster() const;
 
-  static void tellState(subscriber &Subscriber,
-                        const control::registry_state &State,
-                        const std::vector<vm_id> &Voters);
+  void tellState(subscriber &Subscriber, const control::registry_state &State,
+                 const std::vector<vm_id> &Voters);
   void tellDirectory(subscriber &Subscriber, instant Now);
   void drop(const frame_link *Link, const char *Why);
 
+  /// The state as relays are told it, by the catalog that they hold: many ask
+  /// for the same at once.
+  struct encoded_state {
+    revision Revision;
+    std::vector<vm_id> Voters;
+    std::map<std::uint64_t, std::string> Bytes;
+  };
+
+  const catalog_feed &Feed;
   event_handler OnEvent;
+  encoded_state Encoded;
+  std::string WholeDirectory; ///< encoded
+  instant WholeDirectoryAt{-1e300};
   std::map<const frame_link *, subscriber> All;
   subscriber_id Last;
   relay::directory Directory;
--- a/src/relay/catalog.h
+++ b/src/relay/catalog.h
@@ -77,6 +77,7 @@
   client_limits Limits;
 
   const service *find(const service_name &Name) const;
+  bool operator==(const catalog &) const = default;
 };
 
 } // namespace bulrush::relay
--- /dev/null
+++ b/src/relay/directory_change.cpp
@@ -0,0 +1,50 @@
+#include "relay/directory_change.h"
+
+#include <map>
+
+namespace bulrush::relay {
+
+namespace {
+
+using endpoint_map = std::map<endpoint_identity, const listed_endpoint *>;
+
+endpoint_map byIdentity(const std::vector<listed_endpoint> &Endpoints) {
+  endpoint_map Out;
+  for (const listed_endpoint &Each : Endpoints)
+    Out[Each.Identity] = &Each;
+  return Out;
+}
+
+bool isSame(const listed_endpoint &Old, const listed_endpoint &New) {
+  listed_endpoint Copy = New;
+  const bool HasCooledOn =
+      Old.ColdFor > millis{0} && New.ColdFor <= Old.ColdFor;
+  if (HasCooledOn)
+    Copy.ColdFor = Old.ColdFor;
+  return Copy == Old;
+}
+
+} // namespace
+
+directory_change wholeOf(const directory &Directory) {
+  return {{}, Directory.Order, Directory.Endpoints, {}};
+}
+
+directory_change changeBetween(const directory &Old, const directory &New) {
+  directory_change Out;
+  Out.Base = Old.Order;
+  Out.Order = New.Order;
+  const endpoint_map Before = byIdentity(Old.Endpoints);
+  const endpoint_map After = byIdentity(New.Endpoints);
+  for (const auto &[Identity, Entry] : After) {
+    const auto Known = Before.find(Identity);
+    if (Known == Before.end() || !isSame(*Known->second, *Entry))
+      Out.Endpoints.push_back(*Entry);
+  }
+  for (const auto &[Identity, Entry] : Before)
+    if (!After.count(Identity))
+      Out.Gone.push_back(Identity);
+  return Out;
+}
+
+} // namespace bulrush::relay
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -140,26 +140,42 @@
   }
 }
 
-void endpoint_set::install(const directory &Directory, instant AsOf,
+void endpoint_set::install(const directory_change &Change, instant AsOf,
                            instant Now, relay_actions &Out) {
-  if (Directory.Order < Order)
+  const bool IsNext =
+      Change.isWhole() ? !(Change.Order < Order) : Change.Base == Order;
+  if (!IsNext)
     return;
-  Order = Directory.Order;
-  std::set<endpoint_no> Named;
-  for (const listed_endpoint &Entry : Directory.Endpoints) {
+  Order = Change.Order;
+  for (const listed_endpoint &Entry : Change.Endpoints) {
     const auto Known = ByIdentity.find(Entry.Identity);
     if (Known == ByIdentity.end())
       add(Entry, AsOf, Out);
     else
       refresh(*Endpoints.at(Known->second), Entry, AsOf, Now, Out);
-    Named.insert(ByIdentity.at(Entry.Identity));
   }
-  for (auto &[No, Endpoint] : Endpoints)
-    if (!Named.count(No) && !Endpoint->isGone())
-      remove(*Endpoint, Out);
+  for (const endpoint_identity &Identity :
+       Change.isWhole() ? identitiesBeside(Change.Endpoints) : Change.Gone) {
+    const auto Known = ByIdentity.find(Identity);
+    if (Known != ByIdentity.end())
+      remove(*Endpoints.at(Known->second), Out);
+  }
   dropRetired();
 }
 
+/// Endpoints that are known and not among these.
+std::vector<endpoint_identity> endpoint_set::identitiesBeside(
+    const std::vector<listed_endpoint> &Named) const {
+  std::set<endpoint_identity> Kept;
+  for (const listed_endpoint &Each : Named)
+    Kept.insert(Each.Identity);
+  std::vector<endpoint_identity> Out;
+  for (const auto &[Identity, No] : ByIdentity)
+    if (!Kept.count(Identity))
+      Out.push_back(Identity);
+  return Out;
+}
+
 void endpoint_set::add(const listed_endpoint &Entry, instant AsOf,
                        relay_actions &Out) {
   const endpoint_no No{++LastNumber};
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -40,7 +40,7 @@
   endpoint_set(const relay_settings &Settings, std::uint64_t Seed);
 
   void install(const catalog &Catalog, relay_actions &Out);
-  void install(const directory &Directory, instant AsOf, instant Now,
+  void install(const directory_change &Change, instant AsOf, instant Now,
                relay_actions &Out);
   void setZonesOut(const std::set<std::string> &Zones, instant Now);
   void setPeers(std::uint32_t Count, relay_actions &Out);
@@ -86,6 +86,8 @@
   static void refresh(endpoint_state &Endpoint, const listed_endpoint &Entry,
                       instant AsOf, instant Now, relay_actions &Out);
   void remove(endpoint_state &Endpoint, relay_actions &Out);
+  std::vector<endpoint_identity>
+  identitiesBeside(const std::vector<listed_endpoint> &Named) const;
   void dropRetired();
   double cost(const endpoint_state &Endpoint, millis Typical, instant Now);
   bool isGoodEnough(const endpoint_state &Endpoint, const wanted_reply &Wanted,
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/message.h"
+#include "relay/directory_change.h"
 #include "relay/endpoint_state.h"
 #include "relay/settings.h"
 #include "relay/slices.h"
@@ -112,9 +113,10 @@
   std::shared_ptr<const catalog> Catalog;
 };
 
-/// The platform's list, read `Age` ago.
+/// The platform's list, read `Age` ago, or what has changed in it. A change to
+/// another directory than the one held is ignored.
 struct directory_arrived {
-  std::shared_ptr<const directory> Directory;
+  std::shared_ptr<const directory_change> Change;
   millis Age;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -246,7 +246,7 @@
 
 void relay::impl::on(const directory_arrived &Event) {
   HasDirectory = true;
-  Endpoints.install(*Event.Directory, Now - Event.Age, Now, *Out);
+  Endpoints.install(*Event.Change, Now - Event.Age, Now, *Out);
   Slices.forgetPlaces();
   warmSlices();
   admitStarting();
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -34,11 +34,61 @@
   putVms(From.Voters, *To.mutable_redirect()->mutable_voters());
 }
 
+void put(const relay::service &From, Service &To) {
+  To.set_name(From.Name.Value);
+  To.set_health_path(From.HealthPath);
+  To.set_max_connections(From.MaxConnections);
+  To.set_cold_rate(From.ColdRate);
+  To.set_cold_for_ms(From.ColdFor.Count);
+}
+
+void put(const relay::route &From, Route &To) {
+  To.set_name(From.Name);
+  To.set_host(From.Host);
+  To.set_path_prefix(From.PathPrefix);
+  To.set_idempotent(From.IsIdempotent);
+  To.set_timeout_ms(From.Timeout.Count);
+  To.set_objective_ms(From.Objective.Count);
+  To.set_rank(From.Rank);
+  To.set_max_attempts(From.MaxAttempts);
+  for (const relay::weighted_service &Each : From.Targets) {
+    WeightedService &Target = *To.add_targets();
+    Target.set_service(Each.Service.Value);
+    Target.set_weight(Each.Weight);
+  }
+  for (const relay::service_name &Each : From.Gather.Shards)
+    To.add_shards(Each.Value);
+  To.set_top_records(From.Gather.TopRecords);
+  To.set_least_share(From.Gather.LeastShare);
+}
+
+void put(const relay::catalog_change &From, CatalogChange &To) {
+  To.set_base(From.Base.Value);
+  To.set_version(From.Version.Value);
+  for (const relay::service &Each : From.Services)
+    put(Each, *To.add_services());
+  for (const relay::service_name &Each : From.ServicesGone)
+    To.add_services_gone(Each.Value);
+  for (const relay::route &Each : From.Routes)
+    put(Each, *To.add_routes());
+  for (const relay::route_key &Each : From.RoutesGone) {
+    RouteKey &Key = *To.add_routes_gone();
+    Key.set_host(Each.Host);
+    Key.set_path_prefix(Each.PathPrefix);
+  }
+  ClientLimits &Limits = *To.mutable_limits();
+  Limits.set_max_header_bytes(From.Limits.MaxHeaderBytes);
+  Limits.set_max_body_bytes(From.Limits.MaxBodyBytes);
+  Limits.set_header_timeout_ms(From.Limits.HeaderTimeout.Count);
+  Limits.set_idle_timeout_ms(From.Limits.IdleTimeout.Count);
+}
+
 void putBody(const fleet::fleet_state &From, FleetMessage &To) {
   FleetState &Out = *To.mutable_state();
   Out.set_revision(From.Revision.Value);
   Out.set_catalog_version(From.CatalogVersion);
-  Out.set_catalog(From.Catalog);
+  if (From.Catalog)
+    put(*From.Catalog, *Out.mutable_catalog());
   for (const std::string &Zone : From.ZonesOut)
     Out.add_zones_out(Zone);
   putVms(From.Voters, *Out.mutable_voters());
@@ -46,10 +96,17 @@
 
 void putBody(const fleet::endpoint_directory &From, FleetMessage &To) {
   Directory &Out = *To.mutable_directory();
-  Out.set_term(From.Directory.Order.Term);
-  Out.set_sequence(From.Directory.Order.Sequence);
+  Out.set_term(From.Change.Order.Term);
+  Out.set_sequence(From.Change.Order.Sequence);
+  Out.set_base_term(From.Change.Base.Term);
+  Out.set_base_sequence(From.Change.Base.Sequence);
   Out.set_age_ms(From.Age.Count);
-  for (const relay::listed_endpoint &Each : From.Directory.Endpoints) {
+  for (const relay::endpoint_identity &Each : From.Change.Gone) {
+    EndpointIdentity &Item = *Out.add_gone();
+    Item.set_instance(Each.Instance);
+    Item.set_born(Each.Born);
+  }
+  for (const relay::listed_endpoint &Each : From.Change.Endpoints) {
     ListedEndpoint &Item = *Out.add_endpoints();
     Item.set_instance(Each.Identity.Instance);
     Item.set_born(Each.Identity.Born);
@@ -187,11 +244,58 @@
   return To;
 }
 
+relay::service take(const Service &From) {
+  return {{From.name()},
+          From.health_path(),
+          From.max_connections(),
+          From.cold_rate(),
+          {From.cold_for_ms()}};
+}
+
+relay::route take(const Route &From) {
+  relay::route To;
+  To.Name = From.name();
+  To.Host = From.host();
+  To.PathPrefix = From.path_prefix();
+  To.IsIdempotent = From.idempotent();
+  To.Timeout = {From.timeout_ms()};
+  To.Objective = {From.objective_ms()};
+  To.Rank = From.rank();
+  To.MaxAttempts = From.max_attempts();
+  for (const WeightedService &Each : From.targets())
+    To.Targets.push_back({{Each.service()}, Each.weight()});
+  for (const std::string &Each : From.shards())
+    To.Gather.Shards.push_back({Each});
+  To.Gather.TopRecords = From.top_records();
+  To.Gather.LeastShare = From.least_share();
+  return To;
+}
+
+relay::catalog_change take(const CatalogChange &From) {
+  relay::catalog_change To;
+  To.Base = {From.base()};
+  To.Version = {From.version()};
+  for (const Service &Each : From.services())
+    To.Services.push_back(take(Each));
+  for (const std::string &Each : From.services_gone())
+    To.ServicesGone.push_back({Each});
+  for (const Route &Each : From.routes())
+    To.Routes.push_back(take(Each));
+  for (const RouteKey &Each : From.routes_gone())
+    To.RoutesGone.push_back({Each.host(), Each.path_prefix()});
+  To.Limits = {From.limits().max_header_bytes(),
+               From.limits().max_body_bytes(),
+               {From.limits().header_timeout_ms()},
+               {From.limits().idle_timeout_ms()}};
+  return To;
+}
+
 fleet::fleet_state take(const FleetState &From) {
   fleet::fleet_state To;
   To.Revision = {From.revision()};
   To.CatalogVersion = From.catalog_version();
-  To.Catalog = From.catalog();
+  if (From.has_catalog())
+    To.Catalog = take(From.catalog());
   To.ZonesOut = {From.zones_out().begin(), From.zones_out().end()};
   To.Voters = takeVms(From.voters());
   return To;
@@ -199,10 +303,13 @@
 
 fleet::endpoint_directory take(const Directory &From) {
   fleet::endpoint_directory To;
-  To.Directory.Order = {From.term(), From.sequence()};
+  To.Change.Order = {From.term(), From.sequence()};
+  To.Change.Base = {From.base_term(), From.base_sequence()};
   To.Age = {From.age_ms()};
+  for (const EndpointIdentity &Item : From.gone())
+    To.Change.Gone.push_back({Item.instance(), Item.born()});
   for (const ListedEndpoint &Item : From.endpoints()) {
-    relay::listed_endpoint &Each = To.Directory.Endpoints.emplace_back();
+    relay::listed_endpoint &Each = To.Change.Endpoints.emplace_back();
     Each.Identity = {Item.instance(), Item.born()};
     Each.Service = {Item.service()};
     Each.Address = {Item.host(), static_cast<std::uint16_t>(Item.port())};
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -86,7 +86,8 @@
   }
   void list() {
     Directory.Order = {1, Directory.Order.Sequence + 1};
-    step(directory_arrived{std::make_shared<const directory>(Directory), {}});
+    step(directory_arrived{
+        std::make_shared<const directory_change>(wholeOf(Directory)), {}});
   }
   listed_endpoint &entry(const std::string &Instance) {
     return *std::find_if(Directory.Endpoints.begin(), Directory.Endpoints.end(),
--- /dev/null
+++ b/test/shell/fleet_codec_test.cpp
@@ -0,0 +1,77 @@
+#include "wire/fleet_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bulrush;
+using namespace bulrush::fleet;
+
+namespace {
+
+template <class Message> Message thereAndBack(const Message &Sent) {
+  auto Got = wire::decodeFleet(wire::encode(Sent));
+  REQUIRE(Got);
+  const auto *Found = std::get_if<Message>(&*Got);
+  REQUIRE(Found);
+  return *Found;
+}
+
+} // namespace
+
+TEST_CASE("a change of the catalog arrives whole", "[wire]") {
+  relay::catalog_change Change;
+  Change.Base = {6};
+  Change.Version = {7};
+  Change.Services = {{{"a"}, "/health", 26, 1.5, {3000}}};
+  Change.ServicesGone = {{"b"}};
+  relay::route Plain;
+  Plain.Name = "r1";
+  Plain.Host = "shop.example";
+  Plain.PathPrefix = "/x/";
+  Plain.IsIdempotent = true;
+  Plain.Timeout = {800};
+  Plain.Objective = {120};
+  Plain.Rank = 2;
+  Plain.MaxAttempts = 2;
+  Plain.Targets = {{{"a"}, 3}, {{"c"}, 1}};
+  relay::route Gathered = Plain;
+  Gathered.PathPrefix = "/y/";
+  Gathered.Targets.clear();
+  Gathered.Gather = {{{"a"}, {"c"}}, 20, 0.89};
+  Change.Routes = {Plain, Gathered};
+  Change.RoutesGone = {{"shop.example", "/z/"}};
+  Change.Limits = {1, 2, {3}, {4}};
+  fleet_state State;
+  State.Revision = {9};
+  State.CatalogVersion = 7;
+  State.Catalog = Change;
+  State.ZonesOut = {"linz"};
+  State.Voters = {{1}, {2}};
+  const fleet_state Got = thereAndBack(State);
+  CHECK(Got.Revision == State.Revision);
+  CHECK(Got.ZonesOut == State.ZonesOut);
+  CHECK(Got.Voters == State.Voters);
+  REQUIRE(Got.Catalog);
+  CHECK(*Got.Catalog == Change);
+  State.Catalog.reset();
+  CHECK(!thereAndBack(State).Catalog);
+}
+
+TEST_CASE("a change of the directory arrives whole", "[wire]") {
+  endpoint_directory Sent;
+  Sent.Age = {120};
+  Sent.Change.Base = {3, 4};
+  Sent.Change.Order = {3, 5};
+  relay::listed_endpoint Each;
+  Each.Identity = {"i-1", 77};
+  Each.Service = {"a"};
+  Each.Address = {"10.0.0.1", 8080};
+  Each.Zone = "linz";
+  Each.Slots = 2;
+  Each.IsLeaving = true;
+  Each.ColdFor = {1500};
+  Sent.Change.Endpoints = {Each};
+  Sent.Change.Gone = {{"i-2", 78}};
+  const endpoint_directory Got = thereAndBack(Sent);
+  CHECK(Got.Age == Sent.Age);
+  CHECK(Got.Change == Sent.Change);
+}
--- /dev/null
+++ b/test/unit/relay_change_test.cpp
@@ -0,0 +1,140 @@
+#include "relay/catalog_change.h"
+#include "relay/directory_change.h"
+#include "relay_fixture.h"
+
+#include <random>
+#include <set>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+/// A catalog drawn by lot; neighbours share most of their content.
+catalog drawCatalog(std::minstd_rand &Random, std::uint64_t Version) {
+  catalog Out;
+  Out.Version = {Version};
+  for (int I = 0; I < 20; ++I) {
+    if (Random() % 8 == 0)
+      continue;
+    service Service;
+    Service.Name = {"s" + std::to_string(I)};
+    Service.MaxConnections = Random() % 10 == 0 ? 7 : 50;
+    Out.Services.push_back(Service);
+    route Route;
+    Route.Host = "host";
+    Route.PathPrefix = "/" + std::to_string(I) + "/";
+    Route.Timeout = {Random() % 10 == 0 ? 100.0 : 800.0};
+    Route.Targets = {{Service.Name, 1}};
+    Out.Routes.push_back(Route);
+  }
+  Out.Limits.MaxBodyBytes = Random() % 2 == 0 ? 1000 : 2000;
+  return Out;
+}
+
+catalog sorted(catalog Catalog) {
+  std::sort(Catalog.Services.begin(), Catalog.Services.end(),
+            [](const auto &A, const auto &B) { return A.Name < B.Name; });
+  std::sort(
+      Catalog.Routes.begin(), Catalog.Routes.end(),
+      [](const auto &A, const auto &B) { return A.PathPrefix < B.PathPrefix; });
+  return Catalog;
+}
+
+} // namespace
+
+TEST_CASE("a catalog and a change make the next catalog", "[change]") {
+  std::minstd_rand Random(11);
+  catalog Held;
+  for (std::uint64_t Version = 1; Version < 200; ++Version) {
+    const catalog Next = drawCatalog(Random, Version);
+    const auto Made = applied(Held, changeBetween(Held, Next));
+    REQUIRE(Made);
+    REQUIRE(sorted(*Made) == sorted(Next));
+    Held = *Made;
+  }
+}
+
+TEST_CASE("a change of one route holds nothing else", "[change]") {
+  std::minstd_rand Random(3);
+  const catalog Old = drawCatalog(Random, 4);
+  catalog New = Old;
+  New.Version = {5};
+  New.Routes.front().Timeout = {1};
+  const catalog_change Change = changeBetween(Old, New);
+  CHECK(Change.Routes.size() == 1);
+  CHECK(Change.Services.empty());
+  CHECK(Change.RoutesGone.empty());
+}
+
+TEST_CASE("a change to another version is not applied", "[change]") {
+  std::minstd_rand Random(5);
+  const catalog One = drawCatalog(Random, 1);
+  const catalog Two = drawCatalog(Random, 2);
+  const catalog Three = drawCatalog(Random, 3);
+  CHECK(!applied(One, changeBetween(Two, Three)));
+  const auto Whole = applied(One, wholeOf(Three));
+  REQUIRE(Whole);
+  CHECK(*Whole == Three);
+}
+
+namespace {
+
+/// Which instances of service "one" a relay knows.
+std::set<std::string> openAt(relay_fixture &Relay) {
+  std::set<std::string> Out;
+  for (const relay_action &Each : Relay.Actions) {
+    if (const auto *Open = std::get_if<open_endpoint>(&Each))
+      Out.insert(Open->Listed.Identity.Instance);
+    if (const auto *Close = std::get_if<close_endpoint>(&Each))
+      Out.erase(Relay.Names.at(Close->Endpoint.Value));
+  }
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("what comes and goes in a directory is all that a change holds",
+          "[change]") {
+  relay_fixture Relay;
+  Relay.addService("one", 5);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install();
+  const directory Old = Relay.Directory;
+  directory New = Old;
+  New.Order.Sequence += 1;
+  New.Endpoints.erase(New.Endpoints.begin());
+  New.Endpoints.front().IsLeaving = true;
+  listed_endpoint Added = New.Endpoints.back();
+  Added.Identity.Instance = "one-9";
+  New.Endpoints.push_back(Added);
+  const directory_change Change = changeBetween(Old, New);
+  CHECK(Change.Endpoints.size() == 2);
+  REQUIRE(Change.Gone.size() == 1);
+  CHECK(Change.Gone.front().Instance == "one-0");
+  Relay.step(
+      directory_arrived{std::make_shared<const directory_change>(Change), {}});
+  CHECK(openAt(Relay) ==
+        std::set<std::string>{"one-1", "one-2", "one-3", "one-4", "one-9"});
+  // A change to a directory that is not held changes nothing.
+  directory_change Other = Change;
+  Other.Gone = {{"one-2", 1}};
+  Relay.step(
+      directory_arrived{std::make_shared<const directory_change>(Other), {}});
+  CHECK(openAt(Relay).count("one-2") == 1);
+}
+
+TEST_CASE("an endpoint that cools down is no change, one that turns cold is",
+          "[change]") {
+  relay_fixture Relay;
+  Relay.addService("one", 1);
+  directory Old = Relay.Directory;
+  Old.Endpoints[0].ColdFor = {2000};
+  directory New = Old;
+  New.Endpoints[0].ColdFor = {1500};
+  CHECK(changeBetween(Old, New).Endpoints.empty());
+  New.Endpoints[0].ColdFor = {2500};
+  CHECK(changeBetween(Old, New).Endpoints.size() == 1);
+  Old.Endpoints[0].ColdFor = {};
+  CHECK(changeBetween(Old, New).Endpoints.size() == 1);
+}
