Who takes part is told as changes

Change: a subscriber gets the relays that were told last, then what joined and left. Test: a change and its base make the next; a relay of another zone counts as joined. What is left at 300 is what joining relays are told whole.

--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -5,6 +5,7 @@
 #include "relay/catalog_change.h"
 #include "relay/events.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -56,13 +57,22 @@
   bool IsLeaving = false; ///< it stops soon and is asked nothing new
 };
 
-/// The relays that take part.
+/// The relays that take part, or what has changed among them.
 struct roster {
-  std::vector<relay::relay_peer> Peers;
+  bool IsWhole = false;
+  std::vector<relay::relay_peer> Joined; ///< or of another zone now
+  std::vector<vm_id> Left;
 
   bool operator==(const roster &) const = default;
 };
 
+/// The zones of the relays that take part.
+using relay_zones = std::map<vm_id, std::string>;
+
+roster wholeOf(const relay_zones &Relays);
+roster changeBetween(const relay_zones &Old, const relay_zones &New);
+void applyRoster(const roster &Roster, relay_zones &Relays);
+
 /// The asker gives the shards of an ask to no other relay.
 struct repeat_grant {
   relay::ask_no Ask;
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -160,8 +160,11 @@
   else if (const auto *Elsewhere = std::get_if<redirect>(&*Message))
     on(Machine, *Elsewhere);
   // The roster comes first, so that the catalog finds it.
-  if (const auto *Roster = std::get_if<roster>(&*Message))
-    Host.take(*Roster);
+  const auto *Roster = std::get_if<roster>(&*Message);
+  if (Roster && (Roster->IsWhole || Machine == Leader)) {
+    applyRoster(*Roster, Relays);
+    Host.take(Relays);
+  }
   if (Machine != Leader)
     return;
   HeardAt = Known->second.HeardAt;
--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -29,7 +29,7 @@
   virtual bool take(const fleet_state &State) = 0;
   virtual void take(endpoint_directory Directory) = 0;
   virtual void takeFleetSize(std::uint32_t Count) = 0;
-  virtual void take(const roster &Roster) = 0;
+  virtual void take(const relay_zones &Relays) = 0;
   /// Seeds as the settings name them now.
   virtual std::vector<vm_id> seeds() = 0;
 };
@@ -89,6 +89,7 @@
   instant HeardAt; ///< the leader
   std::uint64_t CatalogVersion = 0;
   relay::directory_order Directory; ///< that the host holds
+  relay_zones Relays;
 };
 
 } // namespace bulrush::fleet
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -207,8 +207,11 @@
     step(relay::peers_counted{Count});
   }
 
-  void take(const roster &Roster) override {
-    step(relay::peers_arrived{Roster.Peers});
+  void take(const relay_zones &Relays) override {
+    relay::peers_arrived Event;
+    for (const auto &[Vm, Zone] : Relays)
+      Event.Peers.push_back({Vm, Zone});
+    step(Event);
   }
 
   std::vector<vm_id> seeds() override {
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -34,7 +34,7 @@
   OnEvent(subscriber_came{New.Id});
   // Requests may wait there for the catalog and the directory: by then it knows
   // with how many it shares the endpoints.
-  New.Link->send(wire::encode(currentRoster()));
+  New.Link->send(wire::encode(wholeOf(ToldRelays)));
   New.Link->send(wire::encode(leader_beat{State.Revision, FleetSize}));
   tellState(New, State, Voters);
   tellDirectory(New, Now);
@@ -50,26 +50,22 @@
   OnEvent(subscriber_applied{Found->second.Id, Applied.Revision});
 }
 
-roster subscribers::currentRoster() const {
-  roster Out;
+relay_zones subscribers::currentRelays() const {
+  relay_zones Out;
   for (const auto &[Key, Each] : All)
     if (!Each.IsLeaving)
-      Out.Peers.push_back(Each.Peer);
-  std::sort(Out.Peers.begin(), Out.Peers.end(),
-            [](const relay::relay_peer &A, const relay::relay_peer &B) {
-              return A.Vm < B.Vm;
-            });
+      Out[Each.Peer.Vm] = Each.Peer.Zone;
   return Out;
 }
 
 void subscribers::tellRoster() {
-  roster Current = currentRoster();
-  if (Current == ToldRoster)
+  relay_zones Current = currentRelays();
+  if (Current == ToldRelays)
     return;
-  const std::string Bytes = wire::encode(Current);
+  const std::string Bytes = wire::encode(changeBetween(ToldRelays, Current));
   for (auto &[Key, Each] : All)
     Each.Link->send(Bytes);
-  ToldRoster = std::move(Current);
+  ToldRelays = std::move(Current);
 }
 
 void subscribers::onClosed(const frame_link *Link) { drop(Link, "closed"); }
@@ -155,6 +151,7 @@
 void subscribers::clear() {
   while (!All.empty())
     drop(All.begin()->first, "not_leading");
+  ToldRelays = {};
   Directory = {};
 }
 
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -54,7 +54,7 @@
     instant HeardAt;
   };
 
-  roster currentRoster() const;
+  relay_zones currentRelays() const;
 
   void tellState(subscriber &Subscriber, const control::registry_state &State,
                  const std::vector<vm_id> &Voters);
@@ -78,7 +78,7 @@
   subscriber_id Last;
   relay::directory Directory;
   instant DirectoryReadAt;
-  roster ToldRoster;
+  relay_zones ToldRelays;
 };
 
 } // namespace bulrush::fleet
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -132,8 +132,10 @@
 
 void putBody(const fleet::roster &From, FleetMessage &To) {
   Roster &Out = *To.mutable_roster();
-  for (const relay::relay_peer &Each : From.Peers) {
-    RelayPeer &Item = *Out.add_peers();
+  Out.set_whole(From.IsWhole);
+  putVms(From.Left, *Out.mutable_left());
+  for (const relay::relay_peer &Each : From.Joined) {
+    RelayPeer &Item = *Out.add_joined();
     Item.set_machine(Each.Vm.Value);
     Item.set_zone(Each.Zone);
   }
@@ -204,8 +206,10 @@
 
 fleet::roster take(const Roster &From) {
   fleet::roster To;
-  for (const RelayPeer &Each : From.peers())
-    To.Peers.push_back({{Each.machine()}, Each.zone()});
+  To.IsWhole = From.whole();
+  To.Left = takeVms(From.left());
+  for (const RelayPeer &Each : From.joined())
+    To.Joined.push_back({{Each.machine()}, Each.zone()});
   return To;
 }
 
--- a/test/shell/fleet_codec_test.cpp
+++ b/test/shell/fleet_codec_test.cpp
@@ -75,3 +75,18 @@
   CHECK(Got.Age == Sent.Age);
   CHECK(Got.Change == Sent.Change);
 }
+
+TEST_CASE("who takes part arrives as a change", "[wire]") {
+  const relay_zones Old{{{1}, "a"}, {{2}, "a"}, {{3}, "b"}};
+  const relay_zones New{{{2}, "a"}, {{3}, "c"}, {{4}, "b"}};
+  relay_zones Held;
+  applyRoster(thereAndBack(wholeOf(Old)), Held);
+  CHECK(Held == Old);
+  const roster Change = thereAndBack(changeBetween(Old, New));
+  CHECK(Change.Left == std::vector<vm_id>{{1}});
+  CHECK(Change.Joined.size() == 2);
+  applyRoster(Change, Held);
+  CHECK(Held == New);
+  applyRoster(wholeOf({}), Held);
+  CHECK(Held.empty());
+}
