--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -129,8 +129,9 @@
 
 void decision_log::write(const relay::belief_note &Note, instant Now) {
   Metrics.add("beliefs", toString(Note.Change));
-  // The registry logs what is listed, once for all relays.
+  // The registry logs what the list says, once for all relays.
   const bool IsCommon = Note.Change == relay::belief_change::listed ||
+                        Note.Change == relay::belief_change::leaving ||
                         Note.Change == relay::belief_change::gone;
   if (IsCommon || !mayWrite(Now))
     return;
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -35,6 +35,8 @@
 constexpr millis BeatInterval{400};
 /// After SIGTERM, for answers and for the next leader.
 constexpr millis LeaveTime{500};
+/// Of one reading of the list; `endpoints_changed` counts all.
+constexpr std::size_t MaxListLines = 1000;
 constexpr std::size_t SnapshotEvery = 128; ///< entries; each holds a catalog
 constexpr std::size_t KeepEntries = 16;
 
@@ -333,11 +335,33 @@
                          {"endpoints", Directory.Endpoints.size()},
                          {"changed", Change.Endpoints.size()},
                          {"gone", Change.Gone.size()}});
+    logChange(Change);
     LastDirectory = Directory;
     Subscribers.setDirectory(std::move(Directory), std::move(Change), Began,
                              Clock.now());
   }
 
+  /// For all relays; one that restarts reads the same list.
+  static void logChange(const relay::directory_change &Change) {
+    std::size_t Lines = 0;
+    for (const relay::listed_endpoint &Each : Change.Endpoints) {
+      if (++Lines > MaxListLines)
+        break;
+      telemetry::logEvent(severity::info, "endpoint_listed",
+                          {{"endpoint", Each.Identity.Instance},
+                           {"service", Each.Service.Value},
+                           {"zone", Each.Zone},
+                           {"leaving", Each.IsLeaving},
+                           {"cold_ms", Each.ColdFor.Count}});
+    }
+    for (const relay::endpoint_identity &Each : Change.Gone) {
+      if (++Lines > MaxListLines)
+        break;
+      telemetry::logEvent(severity::info, "endpoint_gone",
+                          {{"endpoint", Each.Instance}});
+    }
+  }
+
   // Operators.
 
   void order(call_id Call, control::registry_command Command) override {
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -359,8 +359,10 @@
   }
   if (IsHealthy)
     Suspects.erase(Event.Endpoint);
-  Out.push_back(note(*Endpoint, IsHealthy ? belief_change::probe_succeeded
-                                          : belief_change::probe_failed));
+  if (IsHealthy)
+    Out.push_back(note(*Endpoint, belief_change::probe_succeeded));
+  else if (Endpoint->failedProbes() == 1) // the others change nothing
+    Out.push_back(note(*Endpoint, belief_change::probe_failed));
 }
 
 } // namespace bulrush::relay
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -89,6 +89,7 @@
   void probeEnded(bool IsHealthy, instant Now);
   /// Gets probes only, until one succeeds.
   void suspect(instant Now);
+  std::uint32_t failedProbes() const { return FailedProbes; }
   /// Whether a probe has failed since it became a suspect.
   bool isDown() const {
     return Trust == endpoint_trust::suspect && FailedProbes > 0;
--- /dev/null
+++ b/test/soak/processes.py
@@ -0,0 +1,92 @@
+"""The real programs as processes on loopback addresses, and the faults that come from outside of them."""
+
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import time
+
+CONTROL, FRONT, READY, FLEET, LIST = 19106, 19104, 19108, 19380, 19102
+ZONES = ["a", "b", "c"]
+GRACE_S = 6
+
+
+class Process:
+    def __init__(self, fleet, program, number):
+        self.fleet, self.program, self.number = fleet, program, number
+        self.zone = ZONES[number % len(ZONES)]
+        self.ip = f"127.{fleet.net}.{1 if program == 'registry' else 2}.{number + 1}"
+        self.name = f"{program}-{number + 1}"
+        self.folder = fleet.folder / self.name
+        self.child = None
+        self.disturbed_at = time.monotonic()  # last fault or start
+        self.stopping_since = None
+        self.crashed_at = float("-inf")
+        self.log = open(fleet.folder / f"{self.name}.log", "ab")
+
+    def start(self, first=False):
+        listen = {"control": f"{self.ip}:{CONTROL}"} if self.program == "registry" else {
+            "front": f"{self.ip}:{FRONT}", "ready": f"{self.ip}:{READY}"}
+        (self.folder / "data").mkdir(parents=True, exist_ok=True)
+        settings = {"node": self.name, "ip": self.ip, "zone": self.zone, "listen": listen, "portRange": [FLEET, FLEET + 9],
+                    "seeds": [f"{each.ip}:{CONTROL}" for each in self.fleet.registries[:3]], "bootstrap": first,
+                    "dataDir": str(self.folder / "data") if self.program == "registry" else None,
+                    "faultTolerance": {"machines": (len(self.fleet.registries) - 1) // 2},
+                    "bounds": {"graceS": GRACE_S, "retryRatio": 0.2, "retrySlack": 200, "retryWindowS": 10},
+                    "cloud": {"address": f"{self.fleet.host}:{LIST}", "maxLagMs": 300}}
+        path = self.folder / "boot.json"
+        path.write_text(json.dumps(settings))
+        self.child = subprocess.Popen([self.fleet.build / f"bulrush-{self.program}"], stdout=self.log, stderr=self.log,
+                                      env={**os.environ, "BULRUSHTRAY_BOOT": str(path)})
+        self.disturbed_at = time.monotonic()
+        self.stopping_since = None
+
+    def is_running(self):
+        return self.child is not None and self.child.poll() is None
+
+    def signal(self, number):
+        if self.is_running():
+            self.child.send_signal(number)
+        self.disturbed_at = time.monotonic()
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        if self.child:
+            self.child.wait()
+
+    def wipe(self):
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+
+    def crashed_lately(self):
+        return time.monotonic() - self.crashed_at < 1.0
+
+    def calm_for(self):
+        return time.monotonic() - self.disturbed_at
+
+
+class Fleet:
+    def __init__(self, build, folder, net, registries, relays):
+        self.build, self.folder = pathlib.Path(build), pathlib.Path(folder)
+        self.net, self.host = net, f"127.{net}.0.1"
+        self.registries, self.relays = [], []
+        self.registries = [Process(self, "registry", n) for n in range(registries)]
+        self.relays = [Process(self, "relay", n) for n in range(relays)]
+
+    def all(self):
+        return self.registries + self.relays
+
+    def start(self):
+        for each in self.all():
+            each.start(first=True)
+
+    def stop(self):
+        for each in self.all():
+            if each.is_running():
+                each.child.kill()
+                each.child.wait()
+            each.log.close()
+
+    def core_calm_for(self):
+        return min(each.calm_for() for each in self.registries)
--- /dev/null
+++ b/test/soak/soak.py
@@ -0,0 +1,320 @@
+"""Fault soak: the real registry and relay programs on loopback, faults from outside in series and overlapping, promises
+checked from what callers and endpoints see. `tools/soak --seed N --minutes M [--processes P]`."""
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from callers import Client, Operator, call, watch_readiness, LEAST, TOP
+from checks import Checks
+from processes import LIST, READY, ZONES, Fleet
+from stand_ins import Endpoint, List, seeded
+
+SHARDS, FIRST_PORT = 6, 19200
+CLIENTS = 12
+RECOVER_S = 12.0
+LAST_REQUESTS = 40
+SERVED_SHARE = 0.9
+ENDPOINT_FAULTS = ["slow", "hang", "error", "shed", "reset", "cut", "extra"]
+
+
+class World:
+    def __init__(self, seed, build, folder, net, registries, relays):
+        self.random = seeded(seed)
+        self.began = time.monotonic()
+        self.is_over = False
+        self.fleet = Fleet(build, folder, net, registries, relays)
+        self.endpoints, self.gone = [], []
+        self.runs, self.arrivals, self.counts = {}, [], collections.Counter()
+        self.configs, self.sent_versions, self.acked = {}, {}, []
+        self.zones_out, self.ready = {}, {}
+        self.checks = Checks(self)
+        self.list = List(self, self.fleet.host, LIST)
+        self.last_port = FIRST_PORT
+
+    def count(self, what):
+        self.counts[what] += 1
+
+    def acked_before(self, at):
+        return max([version for acked_at, version in self.acked if acked_at <= at], default=0)
+
+    def configuration(self, version):
+        """Which shards there are, and who serves single requests, differs from version to version."""
+        index = self.random.choice(["old", "new"])
+        shards = [f"{index}{n}" for n in range(SHARDS if index == "old" else SHARDS + 2)]
+        common = {"host": "shop.example", "timeoutMs": 1800, "sloMs": 150, "maxAttempts": 2}
+        return {"version": version, "routes": [
+            {**common, "name": "all", "pathPrefix": "/all/", "type": "idempotent", "gather": shards, "topK": TOP,
+             "minVersion": LEAST},
+            {**common, "name": "one", "pathPrefix": "/one/", "type": "idempotent",
+             "backend": self.random.choice(["left", "right"])},
+            {**common, "name": "book", "pathPrefix": "/book/", "type": "non_idempotent", "backend": "book"}],
+            "backends": [{"name": name, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False,
+                          "warmupS": 2.0, "warmupPerS": 0.0} for name in self.services()],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
+
+    @staticmethod
+    def services():
+        return ([f"old{n}" for n in range(SHARDS)] + [f"new{n}" for n in range(SHARDS + 2)] + ["left", "right", "book"])
+
+    async def add_endpoint(self, service, zone, cold_s=0.0, port=None):
+        if port is None:
+            self.last_port += 1
+            port = self.last_port
+        endpoint = await Endpoint(self, service, zone, self.fleet.host, port, cold_s).start()
+        self.endpoints.append(endpoint)
+
+    async def remove_endpoint(self, endpoint):
+        self.endpoints.remove(endpoint)
+        self.gone.append(endpoint)
+        await endpoint.stop()
+
+    async def start(self):
+        for service in self.services():
+            for zone in self.random.sample(ZONES, 2) if service != "book" else ZONES:
+                await self.add_endpoint(service, zone)
+        await self.list.start()
+        self.fleet.start()
+
+
+class Faults:
+    """One fault after the other; each runs on its own, so that they overlap."""
+
+    def __init__(self, world):
+        self.world, self.random = world, world.random
+        self.tasks = set()
+        self.registries_down = 0
+        self.log = collections.Counter()
+
+    async def run(self):
+        kinds = [self.freeze_relay, self.kill_relay, self.stop_relay, self.freeze_registry, self.kill_registry,
+                 self.wipe_registry, self.kill_core, self.break_endpoint, self.break_endpoint, self.replace_endpoint,
+                 self.drain_endpoint, self.hang_up]
+        while not self.world.is_over:
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            kind = self.random.choice(kinds)
+            task = asyncio.get_running_loop().create_task(kind())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def told(self, text):
+        self.log[text.split(" ")[0]] += 1
+
+    def relay(self):
+        calm = [each for each in self.world.fleet.relays if each.is_running() and not each.stopping_since]
+        return self.random.choice(calm) if len(calm) > 1 else None
+
+    def registry(self):
+        """Only as many at a time as the fleet must bear."""
+        bearable = (len(self.world.fleet.registries) - 1) // 2
+        running = [each for each in self.world.fleet.registries if each.is_running()]
+        if self.registries_down >= bearable or len(running) < len(self.world.fleet.registries):
+            return None
+        return self.random.choice(running)
+
+    async def freeze(self, process, seconds):
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.signal(signal.SIGCONT)
+
+    async def freeze_relay(self):
+        if relay := self.relay():
+            self.told("freeze_relay")
+            await self.freeze(relay, self.random.uniform(0.3, 6.0))
+
+    async def kill_relay(self):
+        if relay := self.relay():
+            self.told("kill_relay")
+            relay.kill()
+            relay.crashed_at = time.monotonic()
+            await asyncio.sleep(self.random.uniform(0.05, 2.0))
+            relay.start()
+
+    async def stop_relay(self):
+        relay = self.relay()
+        if not relay:
+            return
+        self.told("stop_relay")
+        relay.stopping_since = time.monotonic()
+        relay.signal(signal.SIGTERM)
+        await asyncio.sleep(6.0)
+        if relay.is_running():
+            self.world.checks.fail("planned_stop", f"{relay.name} still runs 6 s after SIGTERM")
+            relay.kill()
+        relay.start()
+
+    async def with_registry(self, act):
+        if registry := self.registry():
+            self.registries_down += 1
+            try:
+                await act(registry)
+                await asyncio.sleep(4.0)  # it catches up
+            finally:
+                self.registries_down -= 1
+
+    async def freeze_registry(self):
+        async def act(registry):
+            self.told("freeze_registry")
+            await self.freeze(registry, self.random.uniform(0.3, 5.0))
+        await self.with_registry(act)
+
+    async def kill_registry(self):
+        async def act(registry):
+            self.told("kill_registry")
+            registry.kill()
+            await asyncio.sleep(self.random.uniform(0.05, 2.0))
+            registry.start()
+        await self.with_registry(act)
+
+    async def wipe_registry(self):
+        async def act(registry):
+            self.told("wipe_registry")
+            registry.kill()
+            registry.wipe()
+            registry.start()
+            await asyncio.sleep(3.0)
+        await self.with_registry(act)
+
+    async def kill_core(self):
+        if self.registries_down or self.random.random() < 0.5:
+            return
+        self.told("kill_core")
+        self.registries_down += len(self.world.fleet.registries)
+        for each in self.world.fleet.registries:
+            each.kill()
+        await asyncio.sleep(self.random.uniform(0.05, 1.0))
+        for each in self.world.fleet.registries:
+            each.start()
+        await asyncio.sleep(4.0)
+        self.registries_down -= len(self.world.fleet.registries)
+
+    async def break_endpoint(self):
+        endpoint = self.random.choice(self.world.endpoints)
+        endpoint.fault = (self.random.choice(ENDPOINT_FAULTS), time.monotonic() + self.random.uniform(0.5, 5.0))
+        self.told(f"endpoint_{endpoint.fault[0]}")
+
+    async def hang_up(self):
+        """An endpoint forgets its idle connections."""
+        self.told("hang_up")
+        for writer in list(self.random.choice(self.world.endpoints).connections):
+            writer.transport.abort()
+
+    async def replace_endpoint(self):
+        """It crashes; after a while its address belongs to another service, and another endpoint starts cold."""
+        self.told("replace_endpoint")
+        old = self.random.choice(self.world.endpoints)
+        await self.world.remove_endpoint(old)
+        await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        await self.world.add_endpoint(old.service, old.zone, cold_s=2.0)
+        await asyncio.sleep(2.0)
+        await self.world.add_endpoint(self.random.choice(self.world.services()), old.zone, cold_s=2.0, port=old.port)
+
+    async def drain_endpoint(self):
+        siblings = collections.Counter(each.service for each in self.world.endpoints if not each.leaving_at)
+        spare = [each for each in self.world.endpoints if siblings[each.service] > 2 and not each.leaving_at]
+        if not spare:
+            return
+        self.told("drain_endpoint")
+        endpoint = self.random.choice(spare)
+        endpoint.leaving_at = time.monotonic()
+        await asyncio.sleep(5.0)
+        if endpoint in self.world.endpoints:
+            await self.world.remove_endpoint(endpoint)
+
+
+async def until(what, seconds, check):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if await check():
+            return
+        await asyncio.sleep(0.2)
+    raise SystemExit(f"soak: {what} not within {seconds} s")
+
+
+async def every_relay_ready(world):
+    answers = [await call(each.ip, READY, "GET", "/ready") for each in world.fleet.relays]
+    return all(answer is not None and answer.status == 200 for answer in answers)
+
+
+async def look_often(world):
+    while not world.is_over:
+        await asyncio.sleep(1.0)
+        world.checks.look_at_arrivals()
+
+
+async def play(world, seconds):
+    await world.start()
+    operator = Operator(world)
+    if not await operator.put(15.0):
+        raise SystemExit("soak: the first configuration was not accepted within 15 s")
+    await until("every relay is ready", 10, lambda: every_relay_ready(world))
+    loop = asyncio.get_running_loop()
+    faults = Faults(world)
+    clients = [Client(world, n) for n in range(CLIENTS)]
+    tasks = [loop.create_task(each) for each in
+             [*(client.run() for client in clients), operator.run(), watch_readiness(world), look_often(world)]]
+    storm = loop.create_task(faults.run())
+    await asyncio.sleep(seconds)
+    storm.cancel()
+    if faults.tasks:
+        await asyncio.wait(faults.tasks, timeout=15)
+    await asyncio.sleep(RECOVER_S)
+    before = world.counts.copy()
+    await asyncio.sleep(3.0)
+    last = world.counts - before
+    served, all_of_them = last["200"], sum(last.values())
+    if all_of_them < LAST_REQUESTS or served < SERVED_SHARE * all_of_them:
+        world.checks.fail("recovery", f"{served} of {all_of_them} requests served once all faults were over: {dict(last)}")
+    world.is_over = True
+    await asyncio.wait(tasks, timeout=8)
+    for task in tasks:
+        task.cancel()
+        if task.done() and not task.cancelled() and task.exception():
+            raise task.exception()
+    world.checks.finish()
+    return faults.log
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--minutes", type=float, default=1.0)
+    parser.add_argument("--processes", type=int, default=8, help="registries and relays together, 6 at least")
+    parser.add_argument("--net", type=int, default=100, help="runs side by side need different ones: 127.NET.x.y is used")
+    parser.add_argument("--build", default="build/release", help="the folder of the programs")
+    parser.add_argument("--keep", help="a folder for the programs' logs; else they are gone when nothing was broken")
+    arguments = parser.parse_args()
+    registries = 3 if arguments.processes < 10 else 5
+    folder = arguments.keep or tempfile.mkdtemp(prefix="bulrush-soak-")
+    pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+    world = World(arguments.seed, arguments.build, folder, arguments.net, registries,
+                  max(3, arguments.processes - registries))
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, lambda: sys.exit("soak: interrupted"))
+        log = await play(world, arguments.minutes * 60)
+        loop.set_exception_handler(lambda *_: None)  # connections that are open at the end
+        return log
+
+    try:
+        faults = asyncio.run(run())
+    finally:
+        world.fleet.stop()
+    broken = collections.Counter(promise for promise, _ in world.checks.failures)
+    print(f"soak seed={arguments.seed} requests={sum(world.counts.values())} statuses={dict(world.counts)} "
+          f"changes={len(world.acked)} faults={sum(faults.values())} {dict(faults)}")
+    print(f"soak seed={arguments.seed}: {'broken ' + str(dict(broken)) + ', logs in ' + folder if broken else 'all promises kept'}")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/test/soak/stand_ins.py
@@ -0,0 +1,187 @@
+"""What stands around the programs in the soak: endpoints that misbehave as told, and the platform's list. Both keep a
+record of what they saw, which the checks read."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import time
+
+RECORD_BYTES = 16
+RECORDS = 3
+SLOTS, QUEUE = 4, 12
+PAGE = 7
+LIST_LAG_S = 0.3
+CLOSE_IDLE_S = 15
+
+
+@dataclasses.dataclass
+class Run:
+    """One request that an endpoint began to work on."""
+    service: str
+    stamp: str
+    body: bytes
+    at: float
+    target: str
+
+
+class Endpoint:
+    """One life of an endpoint at an address; a new life has a new id."""
+
+    def __init__(self, world, service, zone, host, port, cold_s=0.0):
+        self.world, self.service, self.zone, self.host, self.port = world, service, zone, host, port
+        self.instance = f"i-{world.random.getrandbits(40):010x}"
+        self.born = int(time.time() * 1000)
+        self.cold_until = time.monotonic() + cold_s
+        self.leaving_at = None
+        self.fault = None  # (kind, until)
+        self.cold_arrivals = []
+        self.at_work = 0
+        self.server = None
+        self.connections = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.host, self.port, backlog=200)
+        return self
+
+    async def stop(self):
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    def is_cold(self):
+        return time.monotonic() < self.cold_until
+
+    def entry(self):
+        left = max(0.0, self.cold_until - time.monotonic())
+        return {"id": self.instance, "backend": self.service, "address": f"{self.host}:{self.port}", "zone": self.zone,
+                "version": "v1", "capacity": SLOTS, "state": "draining" if self.leaving_at else "ready",
+                "warmupLeftMs": int(left * 1000), "born": self.born}
+
+    def active_fault(self):
+        return self.fault[0] if self.fault and time.monotonic() < self.fault[1] else None
+
+    async def serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while True:
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), CLOSE_IDLE_S)
+                lines = head.decode("latin1").split("\r\n")
+                method, target, _ = lines[0].split(" ", 2)
+                headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines[1:] if line)}
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                if not await self.answer(writer, method, target, headers, body):
+                    break
+        except (asyncio.IncompleteReadError, asyncio.TimeoutError, ConnectionError, OSError):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.transport.abort() if self.active_fault() == "reset" else writer.close()
+
+    async def answer(self, writer, method, target, headers, body):
+        """Returns whether the connection is kept."""
+        if target == "/health":
+            return await self.answer_health(writer)
+        request = headers.get("x-bulrushtray-request-id", "")
+        if headers.get("x-bulrushtray-expect-instance", self.instance) != self.instance:
+            return await self.write(writer, 421, request, b"", "", not_run=True)
+        self.note_arrival(request, target)
+        fault = self.active_fault()
+        if fault == "shed" or self.at_work >= SLOTS + QUEUE:
+            return await self.write(writer, 503, request, b"", "", not_run=True)
+        if fault == "hang":
+            await asyncio.sleep(max(0.0, self.fault[1] - time.monotonic()))
+            return False
+        return await self.run(writer, request, target, fault)
+
+    async def run(self, writer, request, target, fault):
+        stamp = f"s-{self.world.random.getrandbits(48):012x}"
+        records = b"".join(self.world.random.randbytes(RECORD_BYTES) for _ in range(RECORDS))
+        self.world.runs.setdefault(request, []).append(Run(self.service, stamp, records, time.monotonic(), target))
+        self.at_work += 1
+        try:
+            await asyncio.sleep(self.world.random.uniform(0.002, 0.012) * (15 if fault == "slow" else 1))
+        finally:
+            self.at_work -= 1
+        if fault == "error":
+            return await self.write(writer, 500, request, b"", stamp)
+        if fault == "reset":
+            return False
+        if fault == "cut":
+            writer.write(self.head(200, request, len(records), stamp) + records[:20])
+            await writer.drain()
+            return False
+        kept = await self.write(writer, 200, request, records, stamp)
+        if fault == "extra":
+            return await self.write(writer, 200, request, b"0123456789abcdef", "s-extra")
+        return kept
+
+    def note_arrival(self, request, target):
+        now = time.monotonic()
+        self.world.arrivals.append((now, self, request, target))
+        if self.is_cold():
+            self.cold_arrivals.append(now)
+
+    async def answer_health(self, writer):
+        left = int(max(0.0, self.cold_until - time.monotonic()) * 1000)
+        ok = not self.leaving_at
+        writer.write((f"HTTP/1.1 {200 if ok else 503} X\r\nContent-Length: 0\r\nX-Bulrushtray-Instance-Id: {self.instance}\r\n"
+                      f"X-Bulrushtray-Warmup-Ms: {left}\r\n\r\n").encode())
+        await writer.drain()
+        return True
+
+    @staticmethod
+    def head(status, request, length, stamp, not_run=False):
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {length}", f"Keep-Alive: timeout={CLOSE_IDLE_S}"]
+        if request:
+            lines.append(f"X-Bulrushtray-Request-Id: {request}")
+        if stamp:
+            lines.append(f"X-Bulrushtray-Stamp: {stamp}")
+        if not_run:
+            lines.append("X-Bulrushtray-Not-Executed: 1")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    async def write(self, writer, status, request, body, stamp, not_run=False):
+        writer.write(self.head(status, request, len(body), stamp, not_run) + body)
+        await writer.drain()
+        return True
+
+
+class List:
+    """The platform's list, some time behind."""
+
+    def __init__(self, world, host, port):
+        self.world, self.host, self.port = world, host, port
+        self.history = []
+
+    async def start(self):
+        await asyncio.start_server(self.serve, self.host, self.port, backlog=100)
+        asyncio.get_running_loop().create_task(self.remember())
+
+    async def remember(self):
+        while True:
+            self.history.append((time.monotonic(), [each.entry() for each in self.world.endpoints]))
+            self.history = self.history[-100:]
+            await asyncio.sleep(0.05)
+
+    def shown(self):
+        old = [entries for at, entries in self.history if at <= time.monotonic() - LIST_LAG_S]
+        return old[-1] if old else []
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+                token = head.split(" ")[1].partition("pageToken=")[2]
+                start = int(token or 0)
+                entries = self.shown()
+                following = str(start + PAGE) if start + PAGE < len(entries) else None
+                body = json.dumps({"instances": entries[start:start + PAGE], "nextToken": following}).encode()
+                writer.write(f"HTTP/1.1 200 X\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            writer.close()
+
+
+def seeded(seed):
+    return random.Random(seed)
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -725,3 +725,20 @@
   REQUIRE(Relay.answerTo(Request));
   CHECK(Relay.answerTo(Request)->Status == 200);
 }
+
+TEST_CASE("an endpoint that stays down is told once", "[relay]") {
+  single_fixture Relay;
+  Relay.ask("/one/");
+  const auto [Number, Attempt] = *Relay.Sent.begin();
+  Relay.lose(Number);
+  for (int I = 0; I < 5; ++I) {
+    Relay.step(probe_ended{Attempt.Endpoint, false, {}, {}});
+    Relay.wait(1001);
+  }
+  std::size_t Told = 0;
+  for (const relay_action &Each : Relay.Actions)
+    if (const auto *Note = std::get_if<belief_note>(&Each))
+      Told += Note->Change == belief_change::probe_failed ? 1 : 0;
+  CHECK(Told == 1);
+  CHECK(Relay.count<probe_endpoint>() == 6);
+}
