--- a/src/relay/events.cpp
+++ b/src/relay/events.cpp
@@ -56,8 +56,6 @@
     return "probe_failed";
   case belief_change::probe_succeeded:
     return "probe_succeeded";
-  case belief_change::trusted:
-    return "trusted";
   case belief_change::cold:
     return "cold";
   case belief_change::leaving:
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -309,7 +309,6 @@
   suspected,
   probe_failed,
   probe_succeeded,
-  trusted,
   cold,
   leaving
 };
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -70,7 +70,8 @@
                    const endpoint_state *Endpoint, attempt_verdict Verdict,
                    const attempt_ended &Event, millis Took);
 
-  // relay_slices.cpp: shards that other relays ask, and what they ask here
+  // relay_slices.cpp: shards that other relays ask; relay_asked.cpp: what they
+  // ask here
   void scatter(request_work &Work);
   void noteSliced();
   void warmSlices();
--- a/src/relay/request_work.cpp
+++ b/src/relay/request_work.cpp
@@ -40,9 +40,4 @@
                      [](const request_part &Part) { return Part.Runs > 0; });
 }
 
-bool request_work::wasSent() const {
-  return std::any_of(Parts.begin(), Parts.end(),
-                     [](const request_part &Part) { return Part.Sends > 0; });
-}
-
 } // namespace bulrush::relay
--- a/src/relay/request_work.h
+++ b/src/relay/request_work.h
@@ -120,7 +120,6 @@
   /// Whether nothing more can come for the part.
   bool isSettled(std::size_t Place) const;
   bool hasRun() const; ///< whether an endpoint may have run it
-  bool wasSent() const;
 };
 
 } // namespace bulrush::relay
--- a/src/relay/settings.h
+++ b/src/relay/settings.h
@@ -20,24 +20,13 @@
   bool operator==(const budget_settings &) const = default;
 };
 
-struct cold_settings {
-  /// Requests in one second that a cold endpoint survives, beside its rate; all
-  /// daemons together.
-  double Slack = 5;
-
-  bool operator==(const cold_settings &) const = default;
-};
-
 struct relay_settings {
   budget_settings Budget;
-  cold_settings Cold;
   /// From the client's start of the clock until its request is here, and from
   /// the moment when the answer leaves until the client has it; of a client
   /// whose distance is not known.
   millis ClientTravel{12};
   double Cores = 1; ///< that this daemon has; below 1 a share of one
-  /// How far the platform's list lags behind.
-  millis DirectoryLag{800};
   vm_id Self;       ///< the machine of this daemon
   std::string Zone; ///< of this daemon
 
