--- a/bench/load/generator.cpp
+++ b/bench/load/generator.cpp
@@ -50,7 +50,8 @@
 
 checked_answer unanswered(http::exchange_status Status) {
   checked_answer Answer;
-  const bool Sent = Status == http::exchange_status::lost;
+  const bool Sent = Status != http::exchange_status::connect_failed &&
+                    Status != http::exchange_status::not_sent;
   Answer.Outcome = Sent ? outcome::unknown : outcome::not_run;
   Answer.Reason = Sent ? "connection_lost" : "no_entry";
   return Answer;
