HTTP server: connections close in order

Cause: the server closed a socket right after its last bytes were handed to the kernel. Bytes of the client that had not been read then turn the close into a reset, which discards the answer on its way (413 answers, requests that cross a close, clients that send late). Also: of several pipelined requests only the next one was answered after closeAfterResponses; connections in the listen backlog were reset by stopAccepting; closeIdle cut a request that was arriving; a client that had asked for a close and left was not noticed, so its request went on; an accept loop without free descriptors spun; preconnect looped while a rejected connection delays new ones. Change: sending is shut down, input is discarded until the client closes or 1 s has passed, then the socket is closed. A stopping relay waits for its connections to end, not only for its requests. The test program of the stand-in endpoints has a port of its own (shared with shell's links before).

--- a/bench/test/endpoint_server_test.cpp
+++ b/bench/test/endpoint_server_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint16_t Port = 19'181;
+constexpr std::uint16_t Port = 19'281;
 
 endpoint testEndpoint() {
   endpoint Endpoint;
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -258,7 +258,8 @@
 
   /// Reports not ready at once, but accepts new connections for `DrainTime`,
   /// until the platform sends no more. Then stops once all open requests are
-  /// answered or the grace period ends.
+  /// answered and their clients have received the answers, or the grace period
+  /// ends.
   void shutDown() {
     if (IsStopping)
       return;
@@ -274,13 +275,13 @@
       if (Error)
         return;
       Clients->stopAccepting();
-      Clients->closeIdle();
       stopWhenIdle();
     });
   }
 
   void stopWhenIdle() {
-    const bool IsDone = Clients->inFlightRequests() == 0 && Relay.active() == 0;
+    Clients->closeIdle();
+    const bool IsDone = Clients->connectionCount() == 0 && Relay.active() == 0;
     if (IsDone || Clock.now() >= ShutdownDeadline) {
       Io.stop();
       return;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -91,7 +91,8 @@
 
   void send(exchange Exchange);
   void cancel(exchange_id Exchange);
-  void openConnection();
+  /// Returns false if no connection may be opened now.
+  bool openConnection();
   exchange_status onConnectionRejected();
   void release(const connection_ptr &Connection);
   void remove(const connection_ptr &Connection);
@@ -386,18 +387,19 @@
   return exchange_status::connection_rejected;
 }
 
-void detail::client_state::openConnection() {
+bool detail::client_state::openConnection() {
   if (Connections.size() >= Settings.MaxConnections)
-    return;
+    return false;
   const bool HasOpenConnection = !Connections.empty();
   if (HasOpenConnection &&
       std::chrono::steady_clock::now() < ConnectBackoffUntil)
-    return;
+    return false;
   const auto Connection = std::make_shared<connection>(shared_from_this());
   Connections.insert(Connection);
   Connection->open();
   if (!IsSweeping)
     scheduleSweep();
+  return true;
 }
 
 void detail::client_state::release(const connection_ptr &Connection) {
@@ -497,9 +499,8 @@
 }
 
 void client::preconnect(std::size_t Count) {
-  while (State->Connections.size() < Count &&
-         State->Connections.size() < State->Settings.MaxConnections)
-    State->openConnection();
+  while (State->Connections.size() < Count && State->openConnection()) {
+  }
 }
 
 void client::closeIdle() {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,7 +3,9 @@
 #include "http/detail.h"
 #include "telemetry/metrics.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <deque>
@@ -23,7 +25,12 @@
 using wire_response = beast::http::response<beast::http::string_body>;
 
 constexpr auto SweepInterval = std::chrono::milliseconds(500);
+/// Pause after an accept that failed, such as for want of descriptors.
+constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
 constexpr int ListenBacklog = 1024;
+/// How long a connection whose last response was sent waits for the client to
+/// close it.
+constexpr millis CloseTimeout{1000};
 
 /// The smoothed round-trip time measured by the kernel; 0 if unavailable.
 millis roundTripTime(tcp::socket &Socket) {
@@ -46,6 +53,7 @@
   telemetry::metrics &Metrics;
   tcp::acceptor Acceptor;
   asio::steady_timer SweepTimer;
+  asio::steady_timer AcceptTimer;
   std::unordered_set<std::shared_ptr<session>> Sessions;
   std::size_t InFlightRequests = 0;
   request_token LastToken = 0;
@@ -54,7 +62,7 @@
   server_state(asio::io_context &Io, server_settings Settings, handler &Handler,
                telemetry::metrics &Metrics)
       : Io(Io), Settings(std::move(Settings)), Handler(Handler),
-        Metrics(Metrics), Acceptor(Io), SweepTimer(Io) {}
+        Metrics(Metrics), Acceptor(Io), SweepTimer(Io), AcceptTimer(Io) {}
 };
 
 /// One connection of a client.
@@ -85,13 +93,41 @@
 
   bool isOverdue(const server_settings &Settings) const {
     const auto SinceActivity = std::chrono::steady_clock::now() - LastActivity;
+    if (IsSendingFinished)
+      return SinceActivity > detail::toChrono(CloseTimeout);
     if (IsWriting)
       return SinceActivity > detail::toChrono(Settings.WriteTimeout);
     return Pending.empty() &&
            SinceActivity > detail::toChrono(Settings.IdleTimeout);
   }
 
-  bool isIdle() const { return Pending.empty() && !IsWriting; }
+  bool isIdle() const {
+    return Pending.empty() && !IsWriting && !IsSendingFinished;
+  }
+
+  /// Whether bytes of a further request have arrived.
+  bool hasInput() const {
+    error_code Ignored;
+    const bool IsPartlyRead = IsReading && Parser && Parser->got_some();
+    return IsPartlyRead || Buffer.size() > 0 || Socket.available(Ignored) > 0;
+  }
+
+  /// Closes the connection in order: the client first receives what was sent.
+  /// Closing at once would reset the connection if unread bytes of the client
+  /// had arrived, and the reset discards a response on its way.
+  void finish() {
+    if (IsClosed || IsSendingFinished)
+      return;
+    IsReadFinished = true;
+    IsSendingFinished = true;
+    LastActivity = std::chrono::steady_clock::now();
+    error_code Error;
+    Socket.shutdown(tcp::socket::shutdown_send, Error);
+    if (Error)
+      close();
+    else
+      discardInput();
+  }
 
 private:
   /// A request's response, queued in the order of the requests.
@@ -126,6 +162,10 @@
     const auto Owner = Server.lock();
     if (!Owner || IsClosed)
       return;
+    if (IsReadFinished) { // arrived after the last request that is answered
+      onInputDiscarded(Error);
+      return;
+    }
     LastActivity = std::chrono::steady_clock::now();
     if (Error) {
       onReadError(*Owner, Error);
@@ -148,7 +188,46 @@
                             if (const auto Self = Weak.lock())
                               Self->setResponse(Number, std::move(Response));
                           });
-    readNext();
+    if (IsReadFinished)
+      discardInput();
+    else
+      readNext();
+  }
+
+  /// Reads and drops what arrives after the last request, to notice when the
+  /// client closes the connection.
+  void discardInput() {
+    if (IsReading || IsClosed)
+      return;
+    IsReading = true;
+    Socket.async_read_some(
+        asio::buffer(Discarded),
+        [Self = shared_from_this()](error_code Error, std::size_t) {
+          Self->IsReading = false;
+          Self->onInputDiscarded(Error);
+        });
+  }
+
+  void onInputDiscarded(error_code Error) {
+    if (IsClosed)
+      return;
+    const bool IsParsed =
+        Error.category() ==
+        beast::http::make_error_code(beast::http::error::end_of_stream)
+            .category();
+    const bool IsEnd = Error && (!IsParsed || isEndOfStream(Error));
+    if (!IsEnd) {
+      discardInput();
+      return;
+    }
+    const auto Owner = Server.lock();
+    if (IsSendingFinished || (Owner && Owner->Settings.CancelOnDisconnect))
+      close();
+  }
+
+  static bool isEndOfStream(error_code Error) {
+    using beast::http::error;
+    return Error == error::end_of_stream || Error == error::partial_message;
   }
 
   void onReadError(detail::server_state &Owner, error_code Error) {
@@ -156,8 +235,7 @@
     const bool IsParseError =
         Error.category() ==
         beast::http::make_error_code(error::end_of_stream).category();
-    if (!IsParseError || Error == error::end_of_stream ||
-        Error == error::partial_message) {
+    if (!IsParseError || isEndOfStream(Error)) {
       if (Owner.Settings.CancelOnDisconnect)
         close();
       else
@@ -210,8 +288,10 @@
     LastActivity = std::chrono::steady_clock::now();
     response_slot &Slot = Pending.front();
     const auto Owner = Server.lock();
-    if (Owner && Owner->ClosesAfterResponses)
+    if (Owner && Owner->ClosesAfterResponses && Pending.size() == 1)
       Slot.KeepAlive = false;
+    if (!Slot.KeepAlive)
+      IsReadFinished = true;
     WireResponse = {};
     WireResponse.version(Slot.Version);
     WireResponse.result(Slot.Response->Status);
@@ -239,10 +319,14 @@
     if (const auto Owner = Server.lock())
       --Owner->InFlightRequests;
     const bool IsLast = IsReadFinished && Pending.empty();
-    if (Error || !KeepAlive || IsLast) {
+    if (Error) {
       close();
       return;
     }
+    if (!KeepAlive || IsLast) {
+      finish();
+      return;
+    }
     writeNext();
     if (!IsReading)
       readNext();
@@ -256,9 +340,11 @@
   std::deque<response_slot> Pending;
   std::uint64_t NextNumber = 0;
   std::chrono::steady_clock::time_point LastActivity;
+  std::array<char, 512> Discarded;
   bool IsReading = false;
-  bool IsReadFinished = false;
+  bool IsReadFinished = false; ///< no further request is handled
   bool IsWriting = false;
+  bool IsSendingFinished = false; ///< waits for the client to close
   bool IsClosed = false;
 };
 
@@ -266,20 +352,33 @@
 
 void acceptNext(const std::shared_ptr<detail::server_state> &State);
 
+void startSession(const std::shared_ptr<detail::server_state> &State,
+                  tcp::socket Socket) {
+  if (State->Sessions.size() >= State->Settings.MaxConnections) {
+    State->Metrics.add("http_refused", "too_many_connections");
+    return;
+  }
+  error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  auto Session = std::make_shared<session>(std::move(Socket), State);
+  State->Sessions.insert(Session);
+  Session->start();
+}
+
 void onAccepted(const std::shared_ptr<detail::server_state> &State,
                 error_code Error, tcp::socket Socket) {
   if (Error == asio::error::operation_aborted)
     return;
-  const bool IsFull = State->Sessions.size() >= State->Settings.MaxConnections;
-  if (IsFull)
-    State->Metrics.add("http_refused", "too_many_connections");
-  if (!Error && !IsFull) {
-    error_code Ignored;
-    Socket.set_option(tcp::no_delay(true), Ignored);
-    auto Session = std::make_shared<session>(std::move(Socket), State);
-    State->Sessions.insert(Session);
-    Session->start();
+  if (Error) {
+    State->Metrics.add("accept_failed", Error.message());
+    State->AcceptTimer.expires_after(AcceptRetryDelay);
+    State->AcceptTimer.async_wait([State](error_code Cancelled) {
+      if (!Cancelled)
+        acceptNext(State);
+    });
+    return;
   }
+  startSession(State, std::move(Socket));
   acceptNext(State);
 }
 
@@ -302,8 +401,12 @@
       if (Session->isOverdue(State->Settings))
         Overdue.push_back(Session);
     for (const auto &Session : Overdue) {
-      State->Metrics.add("http_closed", "timeout");
-      Session->close();
+      if (Session->isIdle()) {
+        State->Metrics.add("http_closed", "timeout");
+        Session->finish();
+      } else {
+        Session->close();
+      }
     }
     scheduleSweep(State);
   });
@@ -319,6 +422,7 @@
 server::~server() {
   error_code Ignored;
   State->Acceptor.close(Ignored);
+  State->AcceptTimer.cancel();
   State->SweepTimer.cancel();
   const auto Sessions = State->Sessions;
   for (const auto &Session : Sessions)
@@ -348,6 +452,16 @@
 }
 
 void server::stopAccepting() {
+  if (!State->Acceptor.is_open())
+    return;
+  // Connections that the kernel has established would be reset.
+  error_code Error;
+  State->Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    tcp::socket Socket = State->Acceptor.accept(Error);
+    if (!Error)
+      startSession(State, std::move(Socket));
+  }
   error_code Ignored;
   State->Acceptor.close(Ignored);
 }
@@ -355,10 +469,16 @@
 void server::closeAfterResponses() { State->ClosesAfterResponses = true; }
 
 void server::closeIdle() {
-  const auto Sessions = State->Sessions;
-  for (const auto &Session : Sessions)
-    if (Session->isIdle())
-      Session->close();
+  // Posted, so that reads that have ended are handled first.
+  asio::post(State->Io, [Weak = std::weak_ptr(State)] {
+    const auto State = Weak.lock();
+    if (!State)
+      return;
+    const auto Sessions = State->Sessions;
+    for (const auto &Session : Sessions)
+      if (Session->isIdle() && !Session->hasInput())
+        Session->finish();
+  });
 }
 
 void server::setLimits(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes,
@@ -370,4 +490,6 @@
 
 std::size_t server::inFlightRequests() const { return State->InFlightRequests; }
 
+std::size_t server::connectionCount() const { return State->Sessions.size(); }
+
 } // namespace bulrush::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -66,17 +66,23 @@
 
   /// Binds and listens. Error messages include the address.
   expected<void> start();
-  /// Stops accepting connections; open ones continue to be served.
+  /// Stops accepting connections; those that are established, even if not yet
+  /// accepted, continue to be served.
   void stopAccepting();
-  /// From now on closes each connection after its next response.
+  /// From now on closes each connection after the response to the last request
+  /// that was received on it.
   void closeAfterResponses();
-  /// Closes the connections that have no unanswered request.
+  /// Soon closes the connections that have no unanswered request and no bytes
+  /// of a further one.
   void closeIdle();
   /// Changes limits. A read in progress keeps the old size limits.
   void setLimits(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes,
                  millis IdleTimeout);
   /// Number of requests whose response has not been written completely.
   std::size_t inFlightRequests() const;
+  /// Number of open connections, including those that wait for the client to
+  /// close them.
+  std::size_t connectionCount() const;
 
 private:
   std::shared_ptr<detail::server_state> State;
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace bulrush;
@@ -471,3 +472,182 @@
   REQUIRE(Send(http::connection_choice::fresh));
   CHECK(Client.connectionCount() == 1);
 }
+
+namespace {
+
+/// A client socket that reads until its connection ends; `WasReset` tells how.
+struct raw_client {
+  explicit raw_client(boost::asio::io_context &Io) : Socket(Io) {
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+    read();
+  }
+  void send(const std::string &Bytes) {
+    boost::asio::write(Socket, boost::asio::buffer(Bytes));
+  }
+  void read() {
+    Socket.async_read_some(
+        boost::asio::buffer(Chunk), [this](auto Error, std::size_t Count) {
+          Received.append(Chunk.data(), Count);
+          HasEnded = static_cast<bool>(Error);
+          WasReset = Error && Error != boost::asio::error::eof;
+          if (!Error)
+            read();
+        });
+  }
+
+  tcp::socket Socket;
+  std::array<char, 4096> Chunk{};
+  std::string Received;
+  bool HasEnded = false;
+  bool WasReset = false;
+};
+
+void runFor(boost::asio::io_context &Io, int Milliseconds) {
+  Io.restart();
+  Io.run_for(std::chrono::milliseconds(Milliseconds));
+}
+
+const std::string KeepAliveRequest = "GET /now HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string HeldRequest = "GET /later HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("bytes sent after the last request do not destroy its response") {
+  fixture F;
+  raw_client Client(F.Io);
+  Client.send("GET /later HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  runFor(F.Io, 30);
+  Client.send("unread bytes");
+  F.Handler.HeldResponse();
+  Client.send("more unread bytes");
+  runFor(F.Io, 50);
+  CHECK(Client.Received.find("/later") != std::string::npos);
+  CHECK(Client.HasEnded);
+  CHECK(!Client.WasReset);
+}
+
+TEST_CASE(
+    "a connection whose client does not close it is closed after a while") {
+  fixture F;
+  raw_client Client(F.Io);
+  Client.send("GET /now HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  runFor(F.Io, 50);
+  CHECK(F.Server.connectionCount() == 1);
+  runFor(F.Io, 2000);
+  CHECK(F.Server.connectionCount() == 0);
+}
+
+TEST_CASE("after closeAfterResponses every pipelined request is answered") {
+  fixture F;
+  raw_client Client(F.Io);
+  Client.send(HeldRequest + KeepAliveRequest);
+  runFor(F.Io, 30);
+  F.Server.closeAfterResponses();
+  F.Handler.HeldResponse();
+  runFor(F.Io, 50);
+  CHECK(Client.Received.find("/later") != std::string::npos);
+  CHECK(Client.Received.find("/now") != std::string::npos);
+  CHECK(Client.HasEnded);
+}
+
+TEST_CASE("connections that are established but not accepted are served after "
+          "stopAccepting") {
+  fixture F;
+  raw_client Client(F.Io); // the server has not run since
+  Client.send(KeepAliveRequest);
+  F.Server.closeAfterResponses();
+  F.Server.stopAccepting();
+  F.Server.closeIdle();
+  runFor(F.Io, 50);
+  CHECK(Client.Received.find("/now") != std::string::npos);
+  CHECK(!Client.WasReset);
+}
+
+TEST_CASE("closeIdle leaves a connection on which a request is arriving") {
+  fixture F;
+  raw_client Client(F.Io);
+  Client.send("GET /now HTTP/1.1\r\n");
+  runFor(F.Io, 30);
+  F.Server.closeAfterResponses();
+  F.Server.closeIdle();
+  Client.send("Host: x\r\n\r\n");
+  runFor(F.Io, 50);
+  CHECK(Client.Received.find("/now") != std::string::npos);
+}
+
+TEST_CASE("a client that leaves after asking for a close is noticed") {
+  class disconnect_handler final : public http::handler {
+  public:
+    void handle(http::request, http::responder) override {}
+    void onClientDisconnected(http::request_token) override { ++Disconnects; }
+    int Disconnects = 0;
+  };
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  disconnect_handler Handler;
+  http::server_settings Settings;
+  Settings.Listen = {"127.0.0.1", Port};
+  Settings.CancelOnDisconnect = true;
+  http::server Server(Io, Settings, Handler, Metrics);
+  REQUIRE(Server.start());
+  {
+    raw_client Client(Io);
+    Client.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    runFor(Io, 30);
+    CHECK(Handler.Disconnects == 0);
+    Client.Socket.close();
+    runFor(Io, 30);
+  }
+  CHECK(Handler.Disconnects == 1);
+}
+
+TEST_CASE("preconnect ends while a rejected connection delays new ones") {
+  boost::asio::io_context Io;
+  tcp::acceptor Acceptor(Io,
+                         {boost::asio::ip::make_address("127.0.0.1"), Port});
+  std::vector<tcp::socket> Accepted;
+  std::function<void()> AcceptNext = [&] {
+    Acceptor.async_accept([&](auto Error, tcp::socket Socket) {
+      if (Error)
+        return;
+      Accepted.push_back(std::move(Socket));
+      AcceptNext();
+    });
+  };
+  AcceptNext();
+  http::client_settings Settings;
+  Settings.Server = {"127.0.0.1", Port};
+  Settings.MaxConnections = 4;
+  Settings.ConnectBackoff = {10'000};
+  http::client Client(Io, Settings);
+  Client.preconnect(2);
+  runFor(Io, 30);
+  REQUIRE(Accepted.size() == 2);
+  http::exchange_status Status = http::exchange_status::done;
+  Client.send({"GET", "/", {}, {}},
+              [&](const http::exchange_result &R) { Status = R.Status; });
+  runFor(Io, 30);
+  Accepted.clear();
+  runFor(Io, 30);
+  REQUIRE(Status == http::exchange_status::connection_rejected);
+  Client.preconnect(4); // looped without end
+  CHECK(Client.connectionCount() <= 1);
+}
+
+TEST_CASE("a server without free descriptors pauses between accepts") {
+  fixture F;
+  raw_client Client(F.Io);
+  rlimit Old{};
+  ::getrlimit(RLIMIT_NOFILE, &Old);
+  rlimit Low = Old;
+  Low.rlim_cur = 3;
+  ::setrlimit(RLIMIT_NOFILE, &Low);
+  runFor(F.Io, 250);
+  ::setrlimit(RLIMIT_NOFILE, &Old);
+  const auto Failed = F.Metrics.count("accept_failed", "Too many open files");
+  CHECK(Failed >= 1);
+  CHECK(Failed <= 4);
+  Client.send(KeepAliveRequest);
+  runFor(F.Io, 250);
+  CHECK(Client.Received.find("/now") != std::string::npos);
+}
