--- a/bench/endpoint/endpoint_server.cpp
+++ b/bench/endpoint/endpoint_server.cpp
@@ -14,6 +14,9 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
+
+/// Pause after an accept that failed.
+constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
 using boost::system::error_code;
 using http_request = http::request<http::string_body>;
 
@@ -155,6 +158,7 @@
   endpoint_model Model;
   tcp::acceptor Acceptor;
   asio::steady_timer Timer;
+  asio::steady_timer AcceptTimer;
   instant TimerDue = Never;
   std::unordered_map<connection_id, std::shared_ptr<session>> Sessions;
   std::unordered_map<exchange_id, pending_reply> PendingReplies;
@@ -163,7 +167,8 @@
   impl(asio::io_context &Io, endpoint Endpoint,
        const endpoint_behaviour &Behaviour, std::uint64_t Seed)
       : Io(Io), Endpoint(std::move(Endpoint)),
-        Model(Behaviour, Seed, Clock.now()), Acceptor(Io), Timer(Io) {}
+        Model(Behaviour, Seed, Clock.now()), Acceptor(Io), Timer(Io),
+        AcceptTimer(Io) {}
 
   expected<void> start() {
     error_code Error;
@@ -195,7 +200,19 @@
         return;
       if (!Error)
         onAccepted(std::move(Socket));
-      accept();
+      if (Error)
+        acceptLater();
+      else
+        accept();
+    });
+  }
+
+  /// Pauses after a failure, such as for want of descriptors.
+  void acceptLater() {
+    AcceptTimer.expires_after(AcceptRetryDelay);
+    AcceptTimer.async_wait([this](error_code Error) {
+      if (!Error)
+        accept();
     });
   }
 
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -28,6 +28,8 @@
 using error_code = boost::system::error_code;
 
 constexpr auto TickInterval = std::chrono::milliseconds(20);
+/// Time for handing over the leadership after a stop request.
+constexpr millis TransferTime{500};
 
 control::replica_options
 replicaOptions(const settings::control_settings &Settings) {
@@ -295,19 +297,20 @@
 }
 
 /// After a stop request the process exits once no HTTP request is in flight,
-/// but not within the first 500 ms, so that the leadership can be transferred.
-/// At `StopBound` it exits in any case.
+/// but not within `TransferTime`. At `StopBound` it exits in any case.
 void control_daemon::state::tick() {
   Actors->send({control::event(control::tick{}),
                 control::control_event(control::control_tick{wallNow()})});
-  const bool MayExit =
-      IsStopping && (Clock.now() >= StopRequestedAt + Settings.StopBound ||
-                     (Clock.now() >= StopRequestedAt + millis{500} &&
-                      Server->inFlightRequests() == 0));
-  if (MayExit) {
+  const bool IsIdle = Server->inFlightRequests() == 0;
+  const millis Stopping = Clock.now() - StopRequestedAt;
+  if (IsStopping && IsIdle && Stopping >= TransferTime) {
     stop(exit_status::stopped, "asked");
     return;
   }
+  if (IsStopping && Stopping >= Settings.StopBound) {
+    stop(exit_status::bound_reached, "requests are open at the stop bound");
+    return;
+  }
   TickTimer.expires_after(TickInterval);
   TickTimer.async_wait([this](error_code Error) {
     if (!Error)
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -80,14 +80,21 @@
 }
 
 void control_node::proposeVoters() {
-  for (auto &[Vm, Change] : PendingVoterChanges) {
-    if (Change.Proposal.Value != 0 || Now < Change.NextAttempt)
-      continue;
-    Change.Proposal = nextProposal();
-    if (Change.Add)
-      stepLog(control::add_member{Change.Proposal, Vm});
+  std::vector<vm_id> Due;
+  for (const auto &[Vm, Change] : PendingVoterChanges)
+    if (Change.Proposal.Value == 0 && Now >= Change.NextAttempt)
+      Due.push_back(Vm);
+  for (const vm_id Vm : Due) {
+    // A proposal may end the leadership, which clears the changes.
+    const auto Found = PendingVoterChanges.find(Vm);
+    if (Found == PendingVoterChanges.end())
+      return;
+    const control::proposal_id Proposal = nextProposal();
+    Found->second.Proposal = Proposal;
+    if (Found->second.Add)
+      stepLog(control::add_member{Proposal, Vm});
     else
-      stepLog(control::remove_member{Change.Proposal, Vm});
+      stepLog(control::remove_member{Proposal, Vm});
   }
 }
 
--- a/src/fleet/frame_link.cpp
+++ b/src/fleet/frame_link.cpp
@@ -11,23 +11,6 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
-expected<void> listenOn(asio::ip::tcp::acceptor &Acceptor,
-                        const asio::ip::tcp::endpoint &Address) {
-  error_code Error;
-  Acceptor.open(Address.protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Address, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return bulrush::fail("cannot listen on " + Address.address().to_string() +
-                         ':' + std::to_string(Address.port()) + ": " +
-                         Error.message());
-  return {};
-}
-
 frame_link::frame_link(socket Given, frame_bounds Bounds)
     : Socket(std::move(Given)), Bounds(Bounds) {}
 
--- a/src/fleet/frame_link.h
+++ b/src/fleet/frame_link.h
@@ -14,10 +14,6 @@
 
 namespace bulrush::fleet {
 
-/// Opens, binds and listens on `Address`, which the error message contains.
-expected<void> listenOn(boost::asio::ip::tcp::acceptor &Acceptor,
-                        const boost::asio::ip::tcp::endpoint &Address);
-
 /// Limits of one link.
 struct frame_bounds {
   std::size_t MaxFrameBytes = 16 << 20; ///< a larger frame closes the link
--- a/src/fleet/peer_links.cpp
+++ b/src/fleet/peer_links.cpp
@@ -13,23 +13,12 @@
 peer_links::peer_links(asio::io_context &Io, vm_id Self, std::uint16_t Port,
                        event_handler OnEvent)
     : Io(Io), Self(Self), Port(Port), OnEvent(std::move(OnEvent)),
-      Acceptor(Io) {}
+      Acceptor(Io, [this](asio::ip::tcp::socket Socket) {
+        accept(std::move(Socket));
+      }) {}
 
 expected<void> peer_links::listen() {
-  auto Listening = listenOn(Acceptor, tcpEndpoint(Self, Port));
-  if (Listening)
-    acceptNext();
-  return Listening;
-}
-
-void peer_links::acceptNext() {
-  Acceptor.async_accept([this](error_code Error, asio::ip::tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
-      return;
-    if (!Error)
-      accept(std::move(Socket));
-    acceptNext();
-  });
+  return Acceptor.listen(tcpEndpoint(Self, Port));
 }
 
 void peer_links::accept(asio::ip::tcp::socket Socket) {
--- a/src/fleet/peer_links.h
+++ b/src/fleet/peer_links.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/adapter.h"
+#include "fleet/frame_acceptor.h"
 #include "fleet/frame_link.h"
 #include "fleet/messages.h"
 
@@ -27,7 +28,6 @@
   void send(const relay::send_shard_reply &Action);
 
 private:
-  void acceptNext();
   void accept(boost::asio::ip::tcp::socket Socket);
   void onRequestFrame(vm_id From, const std::string &Bytes);
   void onReplyFrame(vm_id From, const std::string &Bytes);
@@ -40,7 +40,7 @@
   vm_id Self;
   std::uint16_t Port;
   event_handler OnEvent;
-  boost::asio::ip::tcp::acceptor Acceptor;
+  frame_acceptor Acceptor;
   std::map<vm_id, std::shared_ptr<frame_link>> Outgoing;
   std::map<vm_id, std::shared_ptr<frame_link>>
       Incoming; ///< latest link from each peer
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -1,6 +1,7 @@
 #include "fleet/registry_daemon.h"
 
 #include "fleet/endpoint_reader.h"
+#include "fleet/frame_acceptor.h"
 #include "fleet/operator_handler.h"
 #include "fleet/process_start.h"
 #include "fleet/process_watch.h"
@@ -51,7 +52,11 @@
 public:
   registry_process(const adapter &Adapter, process_settings Given)
       : Settings(std::move(Given)), Self(*vmFromIp(Settings.Ip)),
-        OperatorHandler(*Adapter.Operators, *this, Metrics), Acceptor(Io),
+        OperatorHandler(*Adapter.Operators, *this, Metrics),
+        Acceptor(Io,
+                 [this](asio::ip::tcp::socket Socket) {
+                   accept(std::move(Socket));
+                 }),
         Watch(
             Io, Adapter.Settings,
             [this](const process_settings &Read) { onSettings(Read); },
@@ -107,25 +112,7 @@
       if (auto Other = MetricsServer->start(); !Other)
         return Other;
     }
-    return listenFleet();
-  }
-
-  expected<void> listenFleet() {
-    auto Listening = listenOn(Acceptor, tcpEndpoint(Self, Settings.FleetPort));
-    if (Listening)
-      acceptNext();
-    return Listening;
-  }
-
-  void acceptNext() {
-    Acceptor.async_accept(
-        [this](error_code Error, asio::ip::tcp::socket Socket) {
-          if (Error == asio::error::operation_aborted)
-            return;
-          if (!Error)
-            accept(std::move(Socket));
-          acceptNext();
-        });
+    return Acceptor.listen(tcpEndpoint(Self, Settings.FleetPort));
   }
 
   void accept(asio::ip::tcp::socket Socket) {
@@ -482,7 +469,7 @@
   operator_handler OperatorHandler;
   std::optional<http::server> Operators;
   std::optional<http::server> MetricsServer;
-  asio::ip::tcp::acceptor Acceptor;
+  frame_acceptor Acceptor;
   process_watch Watch;
   asio::steady_timer Ticker;
   asio::steady_timer ShutdownTimer;
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -31,8 +31,9 @@
 void registry_node::on(const control::event &Event) {
   recordJoinRequest(Event);
   if (const auto *Written = std::get_if<control::persisted>(&Event))
-    if (Written->Write >= LastWrite)
-      WriteStartedAt = Never;
+    std::erase_if(PendingWrites, [&](const auto &Each) {
+      return Each.first <= Written->Write;
+    });
   stepLog(Event);
   if (!std::holds_alternative<control::tick>(Event))
     return;
@@ -67,7 +68,10 @@
 /// before the entry is on its own disk, so a leader with a slow disk delays all
 /// commands.
 void registry_node::stepDownOnSlowDisk() {
-  if (!IsLeader || Now - WriteStartedAt < Settings.SlowWriteThreshold) {
+  const bool IsSlow =
+      !PendingWrites.empty() &&
+      Now - PendingWrites.begin()->second >= Settings.SlowWriteThreshold;
+  if (!IsLeader || !IsSlow) {
     HasSteppedDown = false;
     return;
   }
@@ -158,9 +162,7 @@
 }
 
 void registry_node::on(control::persist &Action) {
-  LastWrite = Action.Write;
-  if (WriteStartedAt == Never)
-    WriteStartedAt = Now;
+  PendingWrites[Action.Write] = Now;
   Out->push_back(std::move(Action));
 }
 
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -162,9 +162,8 @@
   std::vector<pending_read> Reads;
   std::map<subscriber_id, revision>
       Subscribers; ///< applied revision of each subscriber
-  control::write_id LastWrite;
-  instant WriteStartedAt = Never; ///< since when disk writes have been pending
-                                  ///< without interruption; `Never`: none is
+  std::map<control::write_id, instant>
+      PendingWrites; ///< disk writes that have not ended, and their start
   bool HasSteppedDown = false;
   instant SmallerSince = Never; ///< since when fewer daemons than the
                                 ///< replicated fleet size are subscribed
--- a/src/query/admission_throttle.cpp
+++ b/src/query/admission_throttle.cpp
@@ -33,4 +33,13 @@
   Succeeded += 1;
 }
 
+void admission_throttle::onQueryAbandoned(const throttle_settings &Settings,
+                                          instant AdmittedAt, instant Now) {
+  if (!Settings.Enabled)
+    return;
+  decay(Settings, Now);
+  const double HalfLives = (Now - AdmittedAt) / Settings.HalfLife;
+  Arrived = std::max(0.0, Arrived - std::exp2(-HalfLives));
+}
+
 } // namespace bulrush::query
--- a/src/query/admission_throttle.h
+++ b/src/query/admission_throttle.h
@@ -23,6 +23,11 @@
   void onQueryEnded(const throttle_settings &Settings, instant Now,
                     bool FailedByLoad);
 
+  /// Forgets a query that was admitted at `AdmittedAt` and whose caller left:
+  /// its outcome is not known.
+  void onQueryAbandoned(const throttle_settings &Settings, instant AdmittedAt,
+                        instant Now);
+
 private:
   void decay(const throttle_settings &Settings, instant Now);
 
--- a/src/query/router.cpp
+++ b/src/query/router.cpp
@@ -208,7 +208,7 @@
   answer Answer;
   Answer.Outcome = outcome::unknown;
   Answer.Reason = refusal::cancelled;
-  throttleOf(*Query).onQueryEnded(Settings.Throttle, Now, false);
+  throttleOf(*Query).onQueryAbandoned(Settings.Throttle, Query->Arrived, Now);
   cancelPending(*Query);
   recordQuery(*Query, Answer);
   removeQuery(*Query);
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -349,7 +349,7 @@
 void endpoint_set::sendDueProbes(instant Now, relay_actions &Out) {
   for (const endpoint_no No : Suspects) {
     endpoint_state &Each = *Endpoints.at(No);
-    if (Each.isExcluded(Now) || !Each.isProbeDue(Now))
+    if (!Each.isProbeDue(Now))
       continue;
     Each.onProbeSent(Now);
     Out.push_back(probe_endpoint{No});
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -76,10 +76,6 @@
   return Oldest;
 }
 
-bool endpoint_state::isExcluded(instant Now) const {
-  return IsRemoved || IsZoneOut || Listed.IsLeaving || isCold(Now);
-}
-
 bool endpoint_state::canAccept(std::size_t MaxInFlight, instant Now) const {
   if (isExcluded(Now) || Health == health_status::suspect)
     return false;
@@ -118,10 +114,16 @@
 }
 
 bool endpoint_state::isProbeDue(instant Now) const {
-  return Health == health_status::suspect && !IsRemoved && !IsProbing &&
+  return Health == health_status::suspect && !isExcluded(Now) && !IsProbing &&
          Now >= ProbeAt;
 }
 
+instant endpoint_state::nextProbe() const {
+  if (Health != health_status::suspect || isWithdrawn())
+    return Never;
+  return std::max(ProbeAt, ColdUntil);
+}
+
 void endpoint_state::onProbeSent(instant) {
   IsProbing = true;
   ProbeAt = Never;
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -73,7 +73,7 @@
   bool canAccept(std::size_t MaxInFlight, instant Now) const;
   /// Whether the endpoint is removed, leaving, cold or in a zone that is out
   /// of service; ignores load and health.
-  bool isExcluded(instant Now) const;
+  bool isExcluded(instant Now) const { return isWithdrawn() || isCold(Now); }
 
   /// Counts as congestion: the client was answered while a request was still in
   /// flight.
@@ -91,7 +91,9 @@
 
   // Health probes while suspect.
   bool isProbeDue(instant Now) const;
-  instant nextProbe() const { return ProbeAt; }
+  /// When the next probe may be sent; `Never` if none is scheduled or only a
+  /// change of the directory or of the zones out can permit one.
+  instant nextProbe() const;
   void onProbeSent(instant Now);
   void onProbeEnded(bool IsHealthy, instant Now);
   /// Stops requests and schedules probes until one succeeds.
@@ -103,6 +105,11 @@
   }
 
 private:
+  /// Whether the endpoint is removed, leaving or in a zone out of service.
+  bool isWithdrawn() const {
+    return IsRemoved || IsZoneOut || Listed.IsLeaving;
+  }
+
   endpoint_no Number;
   listed_endpoint Listed;
   health_status Health = health_status::healthy;
--- a/test/shell/registry_node_test.cpp
+++ b/test/shell/registry_node_test.cpp
@@ -18,6 +18,8 @@
     std::optional<registry_node> Node;
     bool IsUp = true;
     bool IsDiskStuck = false;
+    millis DiskDelay; ///< of each write; writes overlap
+    std::deque<std::pair<instant, control::write_id>> Writes;
     std::vector<call_ended> EndedCalls;
   };
 
@@ -67,7 +69,9 @@
     Voter.Node->step(Event, Now, Actions);
     for (node_action &Action : Actions) {
       if (auto *Write = std::get_if<control::persist>(&Action)) {
-        if (!Voter.IsDiskStuck)
+        if (Voter.DiskDelay > millis{0})
+          Voter.Writes.push_back({Now + Voter.DiskDelay, Write->Write});
+        else if (!Voter.IsDiskStuck)
           step(Voter, control::event(control::persisted{Write->Write}));
       } else if (auto *Send = std::get_if<control::send>(&Action)) {
         InFlight.push_back({Now + Delay, std::move(*Send)});
@@ -80,12 +84,22 @@
   void run(double Ms, double Tick = 10) {
     for (double Done = 0; Done < Ms; Done += Tick) {
       Now = Now + millis{Tick};
+      for (voter &Each : Voters)
+        endWrites(Each);
       for (voter &Each : Voters)
         step(Each, control::event(control::tick{}));
       deliver();
     }
   }
 
+  void endWrites(voter &Voter) {
+    while (!Voter.Writes.empty() && Voter.Writes.front().first <= Now) {
+      const control::write_id Write = Voter.Writes.front().second;
+      Voter.Writes.pop_front();
+      step(Voter, control::event(control::persisted{Write}));
+    }
+  }
+
   void deliver() {
     const auto IsDue = [&] {
       return !InFlight.empty() && InFlight.front().DeliverAt <= Now;
@@ -309,3 +323,19 @@
   REQUIRE(Leader.EndedCalls.size() == 1);
   CHECK(Leader.EndedCalls[0].End == call_end::unclear);
 }
+
+TEST_CASE("a leader whose short disk writes overlap keeps its leadership",
+          "[registry]") {
+  registry_fixture Registry;
+  Registry.run(3000);
+  auto *Leader = Registry.leader();
+  REQUIRE(Leader);
+  Leader->DiskDelay = {50};
+  // A command each 30 ms: some write is pending all the time.
+  for (std::uint64_t Version = 1; Version <= 60; ++Version) {
+    Registry.step(*Leader,
+                  command_received{{Version}, makeCatalog(Version, "x")});
+    Registry.run(30);
+    REQUIRE(Registry.leader() == Leader);
+  }
+}
--- a/test/unit/admission_throttle_test.cpp
+++ b/test/unit/admission_throttle_test.cpp
@@ -68,3 +68,26 @@
     Throttle.onQueryEnded(Settings, {1000}, true);
   }
 }
+
+TEST_CASE("a query whose caller leaves counts neither as a success nor as a "
+          "failure",
+          "[router]") {
+  const throttle_settings Settings;
+  admission_throttle WithLeavers;
+  admission_throttle Without;
+  for (int Query = 0; Query < 200; ++Query) {
+    const instant Now{1000.0 + Query * 10};
+    for (admission_throttle *Each : {&WithLeavers, &Without}) {
+      Each->admit(Settings, Now, 0.999);
+      Each->onQueryEnded(Settings, Now, Query % 2 == 0);
+    }
+    WithLeavers.admit(Settings, Now, 0.999);
+    WithLeavers.onQueryAbandoned(Settings, Now, Now);
+  }
+  // The share refused decides at which draw a query is admitted.
+  for (const double Draw : {0.0, 0.1, 0.2, 0.3, 0.4, 0.5}) {
+    admission_throttle A = WithLeavers;
+    admission_throttle B = Without;
+    CHECK(A.admit(Settings, {3000}, Draw) == B.admit(Settings, {3000}, Draw));
+  }
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -751,3 +751,23 @@
   CHECK(Logged == 1);
   CHECK(Relay.count<probe_endpoint>() == 6);
 }
+
+TEST_CASE("a suspect that may not be probed schedules no timer", "[relay]") {
+  single_fixture Relay;
+  const query_id Request = Relay.sendRequest("/one/");
+  const std::uint64_t Attempt = Relay.Sent.begin()->first;
+  const std::string Instance = Relay.instanceOf(Relay.Sent.begin()->second);
+  Relay.breakConnection(Attempt);
+  Relay.listedEntry(Instance).IsLeaving = true;
+  Relay.publishDirectory();
+  for (const auto &[Number, Name] : Relay.Names)
+    if (Name == Instance)
+      Relay.step(probe_ended{{Number}, false, {}, {}});
+  Relay.replyAll();
+  REQUIRE(Relay.answerTo(Request));
+  Relay.advance(1000); // the deadline of the request has passed
+  const std::size_t Before = Relay.count<set_timer>();
+  for (int Step = 0; Step < 20; ++Step)
+    Relay.step(timer_fired{});
+  CHECK(Relay.count<set_timer>() == Before);
+}
