Endpoints that say they leave or want a pause; idle connections announced; endless bytes bounded

Cause: `Server-Leaving: 1` and a searcher's `Retry-After` were not read, so a relay went on sending to both. Interim 1xx responses of an endpoint were taken for its answer. 503, 429, 408 of an endpoint that does not state "not run" were forwarded, though to clients these statuses promise it. Change: - leaving: kept per incarnation for life, across directories, catalogs and an unlisting; no requests, hedges, probes, preconnects; attempts that wait for a connection are withdrawn and go elsewhere; shard requests and replies carry the announcements, so that requester and queried relay both know. - Retry-After of 503 and 429: no request of any kind until it is over, at most 60 s, then one at a time until one succeeds. What cannot be served in time is refused at once with the earliest return plus a random half; what can be served within its objective waits. Invalid values are logged. - responses announce `Keep-Alive: timeout` of 0.8 of the idle timeout. - 1xx are skipped, three at most; an endpoint's reply is bounded to 2 MB; heads by the library's 8 KB.

--- a/src/fleet/adapter.h
+++ b/src/fleet/adapter.h
@@ -67,6 +67,8 @@
   bool IsHealthy = false;
   std::string Instance;
   millis ColdFor;
+  bool IsLeaving = false; ///< the endpoint states that it stops soon
+  millis RetryAfter;      ///< time for which it wants no requests; 0: none
 };
 
 /// Translates requests and responses between HTTP and the relay's types, for
--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -145,7 +145,9 @@
                       {{"endpoint", LogEvent.Instance},
                        {"service", LogEvent.Service.Value},
                        {"change", toString(LogEvent.Change)},
-                       {"cold_ms", LogEvent.ColdFor.Count}});
+                       {"cold_ms", LogEvent.ColdFor.Count},
+                       {"pause_ms", LogEvent.PauseFor.Count},
+                       {"last_of_service", LogEvent.IsLastOfService}});
 }
 
 void decision_log::write(const relay::peer_log_event &LogEvent, instant Now) {
--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -34,6 +34,7 @@
   Out.ConnectBackoff = ConnectBackoff;
   Out.ExchangeTimeout = ExchangeTimeout;
   Out.EchoHeader = Codec.echoHeader();
+  Out.MaxBodyBytes = MaxReplyBytes;
   return Out;
 }
 
@@ -42,6 +43,7 @@
   case http::exchange_status::done:
     return relay::attempt_end::replied;
   case http::exchange_status::connect_failed:
+    return relay::attempt_end::connect_failed;
   case http::exchange_status::not_sent:
     return relay::attempt_end::not_sent;
   case http::exchange_status::lost:
@@ -121,6 +123,12 @@
   eraseIfDrained(Action.Endpoint);
 }
 
+void endpoint_links::withdraw(const relay::withdraw_attempts &Action) {
+  const link_ptr Link = find(Action.Endpoint);
+  if (Link && Link->Client)
+    Link->Client->withdraw();
+}
+
 void endpoint_links::eraseIfDrained(relay::endpoint_no No) {
   const link_ptr Link = find(No);
   if (Link && Link->IsClosing && Link->Attempts.empty())
@@ -180,7 +188,9 @@
 void endpoint_links::probe(const relay::probe_endpoint &Action) {
   const link_ptr Link = find(Action.Endpoint);
   if (!Link) {
-    postEvent(relay::probe_ended{Action.Endpoint, false, {}, {}});
+    relay::probe_ended Event;
+    Event.Endpoint = Action.Endpoint;
+    postEvent(Event);
     return;
   }
   // Idle connections may have become unresponsive together with the endpoint.
@@ -192,12 +202,15 @@
   Request.Target = Link->HealthPath;
   Prober.send(std::move(Request), [this, No = Action.Endpoint](
                                       const http::exchange_result &Result) {
-    relay::probe_ended Event{No, false, {}, {}};
+    relay::probe_ended Event;
+    Event.Endpoint = No;
     if (Result.Status == http::exchange_status::done) {
       const endpoint_health Health = Codec->decodeHealth(Result.Response);
       Event.IsHealthy = Health.IsHealthy;
       Event.Instance = Health.Instance;
       Event.ColdFor = Health.ColdFor;
+      Event.IsLeaving = Health.IsLeaving;
+      Event.RetryAfter = Health.RetryAfter;
     }
     OnEvent(Event);
   });
--- a/src/fleet/endpoint_links.h
+++ b/src/fleet/endpoint_links.h
@@ -11,6 +11,9 @@
 
 namespace bulrush::fleet {
 
+/// Longest body of an endpoint's reply, in bytes.
+inline constexpr std::size_t MaxReplyBytes = 2 << 20;
+
 using relay_event_handler = std::function<void(relay::relay_event)>;
 
 /// Executes the relay's actions on endpoints. Runs on the thread of its
@@ -27,6 +30,7 @@
   void send(const relay::send_attempt &Action);
   void cancel(const relay::cancel_attempt &Action);
   void probe(const relay::probe_endpoint &Action);
+  void withdraw(const relay::withdraw_attempts &Action);
 
 private:
   struct endpoint_link {
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -150,6 +150,9 @@
   void on(const relay::probe_endpoint &Action) { EndpointLinks.probe(Action); }
   void on(const relay::open_endpoint &Action) { EndpointLinks.open(Action); }
   void on(const relay::close_endpoint &Action) { EndpointLinks.close(Action); }
+  void on(const relay::withdraw_attempts &Action) {
+    EndpointLinks.withdraw(Action);
+  }
   void on(const relay::send_shard_request &Action) { PeerLinks.send(Action); }
   void on(const relay::cancel_shard_request &Action) { PeerLinks.send(Action); }
   void on(const relay::grant_retry &Action) { PeerLinks.send(Action); }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -28,9 +28,9 @@
 using wire_request = beast::http::request<beast::http::string_body>;
 using time_point = std::chrono::steady_clock::time_point;
 
-/// Responses to earlier requests skipped in one exchange before the connection
-/// is closed.
-constexpr unsigned MaxMismatched = 3;
+/// Interim responses and responses to earlier requests skipped in one exchange
+/// before the connection is closed.
+constexpr unsigned MaxSkipped = 3;
 /// A connection idle for less than this counts as recently used.
 constexpr millis RecentUseLimit{100};
 /// A request on a stale connection is lost within about one round trip.
@@ -128,7 +128,7 @@
   void run(exchange Given) {
     Current = std::move(Given);
     Current->SentAt = now();
-    Mismatched = 0;
+    Skipped = 0;
     IdleBefore = sinceLastUse();
     touch();
     WireRequest = {};
@@ -233,8 +233,9 @@
       return;
     }
     auto Message = Parser->release();
-    if (isMismatched(Message)) {
-      if (++Mismatched > MaxMismatched || !Message.keep_alive())
+    const bool IsInterim = Message.result_int() < 200;
+    if (IsInterim || isMismatched(Message)) {
+      if (++Skipped > MaxSkipped || !Message.keep_alive())
         finish(exchange_status::lost, {});
       else
         readResponse();
@@ -320,8 +321,8 @@
   millis IdleBefore; ///< idle time before the current exchange
   bool IsReusable = true;
   bool IsConnected = false;
-  bool IsNew = true;       ///< no exchange has ended on it yet
-  unsigned Mismatched = 0; ///< skipped in this exchange
+  bool IsNew = true;    ///< no exchange has ended on it yet
+  unsigned Skipped = 0; ///< skipped in this exchange
 };
 
 void detail::client_state::send(exchange Exchange) {
@@ -492,6 +493,12 @@
 
 void client::cancel(exchange_id Exchange) { State->cancel(Exchange); }
 
+void client::withdraw() {
+  for (exchange &Each : std::exchange(State->Waiting, {}))
+    State->postResult(std::move(Each.Done), exchange_status::not_sent);
+  closeIdle();
+}
+
 void client::setMaxConnections(std::size_t Count) {
   State->Settings.MaxConnections = Count;
   while (State->Connections.size() > Count && !State->Idle.empty())
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -54,7 +54,8 @@
 enum class exchange_status {
   done,           ///< a response was received
   connect_failed, ///< no connection; nothing was sent
-  not_sent,       ///< the queue for a connection was full; nothing was sent
+  not_sent,       ///< the queue for a connection was full, or the exchange was
+                  ///< withdrawn; nothing was sent
   lost, ///< the connection broke after sending began; the server may have run
         ///< the request
   connection_rejected, ///< like `lost`, on a new connection while others are
@@ -98,6 +99,9 @@
   /// Cancels an exchange: its handler is not called, and its connection is
   /// closed so that the server can stop working on the request.
   void cancel(exchange_id Exchange);
+  /// Ends the exchanges that wait for a connection as `not_sent` and closes all
+  /// idle connections.
+  void withdraw();
   /// Changes `MaxConnections` and closes idle connections in excess of it.
   void setMaxConnections(std::size_t Count);
   /// Opens connections until `Count` are open, at most `MaxConnections`.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -28,6 +28,8 @@
 /// Pause after an accept that failed, such as for want of descriptors.
 constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
 constexpr int ListenBacklog = 1024;
+/// Share of the idle timeout that clients are told.
+constexpr double AnnouncedIdleShare = 0.8;
 /// How long a connection whose last response was sent waits for the client to
 /// close it.
 constexpr millis CloseTimeout{1000};
@@ -300,6 +302,8 @@
                        Slot.Response->ContentType);
     detail::addHeaders(WireResponse, Slot.Response->Headers);
     WireResponse.keep_alive(Slot.KeepAlive);
+    if (Owner && Slot.KeepAlive)
+      announceIdleTimeout(Owner->Settings.IdleTimeout);
     WireResponse.body() = std::move(Slot.Response->Body);
     WireResponse.prepare_payload();
     beast::http::async_write(
@@ -309,6 +313,16 @@
         });
   }
 
+  /// Tells the client how long it may keep the connection idle: less than the
+  /// timeout itself, so that its next request does not cross the close.
+  void announceIdleTimeout(millis Timeout) {
+    const auto Seconds =
+        static_cast<long>(Timeout.Count * AnnouncedIdleShare / 1000);
+    if (Seconds > 0)
+      WireResponse.set(beast::http::field::keep_alive,
+                       "timeout=" + std::to_string(Seconds));
+  }
+
   void onWritten(error_code Error) {
     IsWriting = false;
     if (IsClosed)
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -23,6 +23,10 @@
 /// Random increase of the cost, at most this share, so that relays do not all
 /// switch to the same endpoint.
 constexpr double CostJitter = 0.15;
+/// Longest pause that an endpoint can ask for.
+constexpr millis MaxPause{60'000};
+/// How long an announcement of an unlisted endpoint is remembered.
+constexpr millis AnnouncementMemory{600'000};
 
 bool contains(const std::vector<endpoint_no> &Set, endpoint_no No) {
   return std::find(Set.begin(), Set.end(), No) != Set.end();
@@ -31,8 +35,12 @@
 endpoint_log_event makeLogEvent(const endpoint_state &Endpoint,
                                 endpoint_state_change Change,
                                 millis ColdFor = {}) {
-  return {Endpoint.listed().Identity.Instance, Endpoint.listed().Service,
-          Change, ColdFor};
+  endpoint_log_event Out;
+  Out.Instance = Endpoint.listed().Identity.Instance;
+  Out.Service = Endpoint.listed().Service;
+  Out.Change = Change;
+  Out.ColdFor = ColdFor;
+  return Out;
 }
 
 } // namespace
@@ -62,7 +70,7 @@
   for (const endpoint_no No : Service.Endpoints) {
     endpoint_state &Each = *Endpoints.at(No);
     const listed_endpoint &Listed = Each.listed();
-    if (Listed.Zone == Settings.Zone && !Listed.IsLeaving &&
+    if (Listed.Zone == Settings.Zone && !Each.isLeaving() &&
         Each.markPreconnected())
       Out.push_back(preconnect_endpoint{No});
   }
@@ -75,8 +83,9 @@
   if (Known == Services.end())
     return Out;
   for (const endpoint_no No : Known->second->Endpoints) {
-    const listed_endpoint &Listed = Endpoints.at(No)->listed();
-    const bool IsUsable = !Listed.IsLeaving && !ZonesOut.count(Listed.Zone);
+    const endpoint_state &Each = *Endpoints.at(No);
+    const listed_endpoint &Listed = Each.listed();
+    const bool IsUsable = !Each.isLeaving() && !ZonesOut.count(Listed.Zone);
     if (IsUsable && std::find(Out.begin(), Out.end(), Listed.Zone) == Out.end())
       Out.push_back(Listed.Zone);
   }
@@ -191,6 +200,8 @@
   auto State = std::make_unique<endpoint_state>(No, Entry);
   State->update(Entry, AsOf);
   State->setZoneOut(ZonesOut.count(Entry.Zone) > 0);
+  if (LeavingSince.count(Entry.Identity))
+    State->announceLeaving();
   service(Entry.Service).Endpoints.push_back(No);
   ByIdentity[Entry.Identity] = No;
   Out.push_back(
@@ -205,8 +216,10 @@
   const bool WasLeaving = Endpoint.listed().IsLeaving;
   const bool WasCold = Endpoint.isCold(Now);
   Endpoint.update(Entry, AsOf);
-  if (Entry.IsLeaving && !WasLeaving)
+  if (Entry.IsLeaving && !WasLeaving) {
     Out.push_back(makeLogEvent(Endpoint, endpoint_state_change::leaving));
+    Out.push_back(withdraw_attempts{Endpoint.number()});
+  }
   if (Endpoint.isCold(Now) && !WasCold)
     Out.push_back(
         makeLogEvent(Endpoint, endpoint_state_change::cold, Entry.ColdFor));
@@ -314,6 +327,10 @@
   return std::any_of(
       Service.Endpoints.begin(), Service.Endpoints.end(), [&](endpoint_no No) {
         const endpoint_state &Each = *Endpoints.at(No);
+        const instant PauseEnd = Each.pauseEnd(Now);
+        if (PauseEnd < Never)
+          return PauseEnd + Each.expectedLatency(TypicalLatency, Now) <=
+                 LatestAt;
         if (Each.isExcluded(Now) || Each.isDown())
           return false;
         return Each.canAccept(Limit, Now) ||
@@ -346,6 +363,82 @@
   Out.push_back(makeLogEvent(Endpoint, endpoint_state_change::suspected));
 }
 
+bool endpoint_set::announceLeaving(const endpoint_identity &Identity,
+                                   instant Now, relay_actions &Out) {
+  if (!LeavingSince.emplace(Identity, Now).second)
+    return false;
+  forgetOldAnnouncements(Now);
+  const auto Known = ByIdentity.find(Identity);
+  if (Known == ByIdentity.end())
+    return true;
+  endpoint_state &Endpoint = *Endpoints.at(Known->second);
+  Endpoint.announceLeaving();
+  auto LogEvent =
+      makeLogEvent(Endpoint, endpoint_state_change::announced_leaving);
+  LogEvent.IsLastOfService = isLastOfService(Endpoint, Now);
+  Out.push_back(std::move(LogEvent));
+  Out.push_back(withdraw_attempts{Endpoint.number()});
+  return true;
+}
+
+void endpoint_set::forgetOldAnnouncements(instant Now) {
+  std::erase_if(LeavingSince, [&](const auto &Each) {
+    return !ByIdentity.count(Each.first) &&
+           Now - Each.second > AnnouncementMemory;
+  });
+}
+
+bool endpoint_set::isLastOfService(const endpoint_state &Endpoint,
+                                   instant Now) const {
+  const auto &Known = Services.at(Endpoint.listed().Service.Value)->Endpoints;
+  return std::none_of(Known.begin(), Known.end(), [&](endpoint_no No) {
+    return No != Endpoint.number() && !Endpoints.at(No)->isExcluded(Now);
+  });
+}
+
+std::vector<endpoint_identity>
+endpoint_set::announcedLeaving(const std::vector<service_name> &Names) const {
+  std::vector<endpoint_identity> Out;
+  if (LeavingSince.empty())
+    return Out;
+  for (const service_name &Name : Names)
+    for (const endpoint_no No : Services.at(Name.Value)->Endpoints)
+      if (Endpoints.at(No)->hasAnnouncedLeaving())
+        Out.push_back(Endpoints.at(No)->listed().Identity);
+  return Out;
+}
+
+void endpoint_set::pause(endpoint_state &Endpoint, millis Time, instant Now,
+                         relay_actions &Out) {
+  const millis Bounded = std::min(Time, MaxPause);
+  Endpoint.pauseUntil(Now + Bounded);
+  auto LogEvent = makeLogEvent(Endpoint, endpoint_state_change::paused);
+  LogEvent.PauseFor = Bounded;
+  LogEvent.IsLastOfService = isLastOfService(Endpoint, Now);
+  Out.push_back(std::move(LogEvent));
+  Out.push_back(withdraw_attempts{Endpoint.number()});
+}
+
+instant
+endpoint_set::nextPauseEnd(const service_state &Service, instant Now,
+                           const std::vector<endpoint_no> &Tried) const {
+  instant Next = Never;
+  for (const endpoint_no No : Service.Endpoints)
+    if (!contains(Tried, No))
+      Next = std::min(Next, Endpoints.at(No)->pauseEnd(Now));
+  return Next;
+}
+
+void endpoint_set::reportInvalidRetryAfter(const endpoint_state &Endpoint,
+                                           relay_actions &Out) {
+  Out.push_back(
+      makeLogEvent(Endpoint, endpoint_state_change::invalid_retry_after));
+}
+
+millis endpoint_set::drawTime(millis Max) {
+  return Max * (static_cast<double>(Random() % 1024) / 1024);
+}
+
 void endpoint_set::sendDueProbes(instant Now, relay_actions &Out) {
   for (const endpoint_no No : Suspects) {
     endpoint_state &Each = *Endpoints.at(No);
@@ -372,6 +465,10 @@
   const bool IsSame = Event.Instance.empty() || Event.Instance == Expected;
   const bool IsHealthy = Event.IsHealthy && IsSame;
   Endpoint->onProbeEnded(IsHealthy, Now);
+  if (IsSame && Event.IsLeaving)
+    announceLeaving(Endpoint->listed().Identity, Now, Out);
+  if (IsSame && Event.RetryAfter > millis{0})
+    pause(*Endpoint, Event.RetryAfter, Now, Out);
   if (IsHealthy && Event.ColdFor > millis{0}) {
     Endpoint->setColdFor(Event.ColdFor, Now);
     Out.push_back(
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -88,6 +88,28 @@
   availability available(const service_state &Service, instant Now,
                          const std::vector<endpoint_no> &Tried = {}) const;
 
+  /// Stops sending requests to an endpoint that announced that it stops soon.
+  /// Remembered for the incarnation, even while the directory does not list it.
+  /// Returns whether this was new.
+  bool announceLeaving(const endpoint_identity &Identity, instant Now,
+                       relay_actions &Out);
+  /// Listed endpoints of these services that announced that they stop soon.
+  std::vector<endpoint_identity>
+  announcedLeaving(const std::vector<service_name> &Services) const;
+  /// Sends no requests to the endpoint for the time that it asked for, at most
+  /// 60 s.
+  void pause(endpoint_state &Endpoint, millis Time, instant Now,
+             relay_actions &Out);
+  /// When the first endpoint not in `Tried` ends a pause; `Never` if none is
+  /// excluded by a pause alone.
+  instant nextPauseEnd(const service_state &Service, instant Now,
+                       const std::vector<endpoint_no> &Tried = {}) const;
+  /// Logs that the endpoint stated a retry delay that is not a number.
+  static void reportInvalidRetryAfter(const endpoint_state &Endpoint,
+                                      relay_actions &Out);
+  /// A random time from 0 to `Max`.
+  millis drawTime(millis Max);
+
   /// Emits the health probes that are due.
   void sendDueProbes(instant Now, relay_actions &Out);
   /// When the next probe is due; `Never` if none is scheduled.
@@ -106,6 +128,8 @@
   static void refresh(endpoint_state &Endpoint, const listed_endpoint &Entry,
                       instant AsOf, instant Now, relay_actions &Out);
   void remove(endpoint_state &Endpoint, relay_actions &Out);
+  bool isLastOfService(const endpoint_state &Endpoint, instant Now) const;
+  void forgetOldAnnouncements(instant Now);
   /// Known endpoints that are missing from `Listed`.
   std::vector<endpoint_identity>
   identitiesNotIn(const std::vector<listed_endpoint> &Listed) const;
@@ -126,6 +150,8 @@
   std::unordered_map<endpoint_no, std::unique_ptr<endpoint_state>> Endpoints;
   std::map<endpoint_identity, endpoint_no> ByIdentity;
   std::set<endpoint_no> Suspects;
+  /// Endpoints that announced that they stop soon, and when.
+  std::map<endpoint_identity, instant> LeavingSince;
   directory_version Version;
   std::uint32_t LastEndpointNo = 0;
 };
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -121,7 +121,19 @@
 instant endpoint_state::nextProbe() const {
   if (Health != health_status::suspect || isWithdrawn())
     return Never;
-  return std::max(ProbeAt, ColdUntil);
+  return std::max({ProbeAt, ColdUntil, PausedUntil});
+}
+
+void endpoint_state::pauseUntil(instant Until) {
+  PausedUntil = std::max(PausedUntil, Until);
+  if (Health == health_status::healthy)
+    Health = health_status::probation;
+}
+
+instant endpoint_state::pauseEnd(instant Now) const {
+  const bool IsOnlyPaused =
+      isPaused(Now) && !isWithdrawn() && !isDown() && ColdUntil <= PausedUntil;
+  return IsOnlyPaused ? PausedUntil : Never;
 }
 
 void endpoint_state::onProbeSent(instant) {
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -71,9 +71,26 @@
 
   /// Whether a request may be sent now, given at most `MaxInFlight` at a time.
   bool canAccept(std::size_t MaxInFlight, instant Now) const;
-  /// Whether the endpoint is removed, leaving, cold or in a zone that is out
-  /// of service; ignores load and health.
-  bool isExcluded(instant Now) const { return isWithdrawn() || isCold(Now); }
+  /// Whether the endpoint is removed, leaving, cold, paused or in a zone that
+  /// is out of service; ignores load and health.
+  bool isExcluded(instant Now) const {
+    return isWithdrawn() || isCold(Now) || isPaused(Now);
+  }
+
+  /// Records that the endpoint itself announced that it stops soon. Holds for
+  /// the rest of its life, whatever the directory lists.
+  void announceLeaving() { HasAnnouncedLeaving = true; }
+  bool hasAnnouncedLeaving() const { return HasAnnouncedLeaving; }
+  /// Whether the directory or the endpoint itself says that it stops soon.
+  bool isLeaving() const { return Listed.IsLeaving || HasAnnouncedLeaving; }
+
+  /// Records that the endpoint asked for no requests until `Until`. Afterwards
+  /// it gets one request at a time until one succeeds.
+  void pauseUntil(instant Until);
+  bool isPaused(instant Now) const { return Now < PausedUntil; }
+  /// When the endpoint accepts requests again if nothing but a pause excludes
+  /// it; `Never` otherwise.
+  instant pauseEnd(instant Now) const;
 
   /// Counts as congestion: the client was answered while a request was still in
   /// flight.
@@ -106,9 +123,7 @@
 
 private:
   /// Whether the endpoint is removed, leaving or in a zone out of service.
-  bool isWithdrawn() const {
-    return IsRemoved || IsZoneOut || Listed.IsLeaving;
-  }
+  bool isWithdrawn() const { return IsRemoved || IsZoneOut || isLeaving(); }
 
   endpoint_no Number;
   listed_endpoint Listed;
@@ -116,7 +131,9 @@
   bool IsRemoved = false;
   bool IsZoneOut = false;
   bool IsPreconnected = false;
+  bool HasAnnouncedLeaving = false;
   instant ColdUntil{-1e300};
+  instant PausedUntil{-1e300};
   struct in_flight_attempt {
     instant SentAt;
     std::size_t Concurrency = 1; ///< requests in flight, this one included
--- a/src/relay/events.cpp
+++ b/src/relay/events.cpp
@@ -60,6 +60,12 @@
     return "cold";
   case endpoint_state_change::leaving:
     return "leaving";
+  case endpoint_state_change::announced_leaving:
+    return "announced_leaving";
+  case endpoint_state_change::paused:
+    return "paused";
+  case endpoint_state_change::invalid_retry_after:
+    return "invalid_retry_after";
   }
   return "listed";
 }
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -32,6 +32,10 @@
   /// The endpoint states that it did not execute the request.
   bool IsNotRun = false;
   bool IsOtherInstance = false; ///< another instance now uses this address
+  bool IsLeaving = false;       ///< the endpoint states that it stops soon
+  /// Time for which the endpoint wants no requests; 0 if it states none.
+  millis RetryAfter;
+  bool HasInvalidRetryAfter = false; ///< it states a time that is not a number
 };
 
 /// A request of one relay to another; unique until the sender restarts.
@@ -53,6 +57,8 @@
   /// The shards were requested from another relay before, so every attempt
   /// counts against the retry budget.
   bool IsRetry = false;
+  /// Endpoints of the shards that announced to the requester that they stop.
+  std::vector<endpoint_identity> Leaving;
 };
 
 /// The results of a shard request since the previous reply to it.
@@ -65,6 +71,8 @@
   /// The relay wants to send second attempts. Until the requester grants this,
   /// the requester may request the shards from another relay.
   bool WantsRetry = false;
+  /// Endpoints of the shards that announced to this relay that they stop.
+  std::vector<endpoint_identity> Leaving;
 };
 
 // Events.
@@ -87,8 +95,10 @@
 
 /// How an attempt ended.
 enum class attempt_end : std::uint8_t {
-  replied,  ///< a complete reply was received
-  not_sent, ///< no connection was available; nothing was sent
+  replied,        ///< a complete reply was received
+  connect_failed, ///< no connection could be opened; nothing was sent
+  not_sent, ///< withdrawn, or too many waited for a connection; nothing was
+            ///< sent
   lost,     ///< the connection failed after sending began; the request may have
             ///< been executed
   connection_rejected, ///< like `lost`; the endpoint closed a new connection,
@@ -115,8 +125,10 @@
 struct probe_ended {
   endpoint_no Endpoint;
   bool IsHealthy = false;
-  std::string Instance; ///< empty if not reported
-  millis ColdFor;       ///< remaining cold time
+  std::string Instance;   ///< empty if not reported
+  millis ColdFor;         ///< remaining cold time
+  bool IsLeaving = false; ///< the endpoint states that it stops soon
+  millis RetryAfter;      ///< time for which it wants no requests; 0: none
 };
 
 /// The current catalog; ignored unless its version is newer than the last one.
@@ -261,6 +273,13 @@
   endpoint_no Endpoint;
 };
 
+/// The endpoint gets no requests for a while or for good: ends the attempts
+/// that wait for a connection to it as `not_sent` and closes its idle
+/// connections.
+struct withdraw_attempts {
+  endpoint_no Endpoint;
+};
+
 /// Sends a shard request to another relay.
 struct send_shard_request {
   vm_id To;
@@ -338,7 +357,10 @@
   probe_failed,
   probe_succeeded,
   cold,
-  leaving
+  leaving,           ///< according to the directory
+  announced_leaving, ///< according to the endpoint itself
+  paused,            ///< it wants no requests for a while
+  invalid_retry_after
 };
 
 /// A change of the state of an endpoint, for the log.
@@ -346,7 +368,10 @@
   std::string Instance;
   service_name Service;
   endpoint_state_change Change = endpoint_state_change::listed;
-  millis ColdFor; ///< remaining cold time; 0 if it does not apply
+  millis ColdFor;  ///< remaining cold time; 0 if it does not apply
+  millis PauseFor; ///< time without requests; 0 if it does not apply
+  /// No other endpoint of the service can get requests.
+  bool IsLastOfService = false;
 };
 
 /// Another relay was lost, did not reply in time, or replies again; for the
@@ -361,9 +386,10 @@
 using relay_action =
     std::variant<send_attempt, cancel_attempt, send_answer, preconnect_endpoint,
                  probe_endpoint, open_endpoint, close_endpoint,
-                 send_shard_request, send_shard_reply, cancel_shard_request,
-                 grant_retry, set_timer, request_log_event, attempt_log_event,
-                 endpoint_log_event, peer_log_event>;
+                 withdraw_attempts, send_shard_request, send_shard_reply,
+                 cancel_shard_request, grant_retry, set_timer,
+                 request_log_event, attempt_log_event, endpoint_log_event,
+                 peer_log_event>;
 using relay_actions = std::vector<relay_action>;
 
 /// Return the names used in logs.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -215,6 +215,8 @@
   if (Endpoint && Endpoint->onEnded(Event.Attempt, Verdict,
                                     Context.RouteState->Median.value(), Now))
     Endpoints.markSuspect(*Endpoint, Now, *Out);
+  if (Endpoint && Event.Reply)
+    applyStatements(*Endpoint, *Event.Reply);
   if (Verdict == attempt_verdict::success)
     recordLatency(*Context.RouteState, Elapsed);
   if (!Request) {
@@ -249,6 +251,8 @@
 
 void relay::impl::on(const probe_ended &Event) {
   Endpoints.on(Event, Now, *Out);
+  if (Event.IsLeaving)
+    Slices.clearCache();
   retryWaiting();
 }
 
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -16,9 +16,19 @@
 /// likely to be free, and when an unavailable one is likely to be back.
 constexpr millis BusyRetryAfter{60};
 constexpr millis DownRetryAfter{400};
+/// Random part of the retry delay after a pause: a share of the pause, at least
+/// `MinReturnSpread`.
+constexpr double ReturnSpread = 0.5;
+constexpr millis MinReturnSpread{100};
 /// Minimum retry delay for a request refused during startup.
 constexpr millis MinRetryAfter{150};
 
+/// Whether this status tells clients that a request was not and never will be
+/// run.
+bool promisesNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 } // namespace
 
 /// Answers the request if it is complete, else schedules its next wake-up.
@@ -69,7 +79,10 @@
                                      : relay_refusal::no_endpoint);
     return;
   case part_phase::waiting:
-    if (Now >= Request.GiveUpAt && Part.PossibleRuns == 0)
+    if (const instant PauseEnd = pauseEndInTime(Request, Part);
+        PauseEnd < Never)
+      scheduleWake(Request, PauseEnd);
+    else if (Now >= Request.GiveUpAt && Part.PossibleRuns == 0)
       refuse(Request, Part.Sends > 0 ? relay_refusal::not_run
                                      : relay_refusal::no_endpoint);
     else
@@ -109,8 +122,15 @@
   sendAnswer(Request, std::move(Answer));
 }
 
+/// Forwards the reply of an endpoint, unless its status would promise the
+/// client that the request was not run although the endpoint does not state
+/// that.
 void relay::impl::forwardReply(request_state &Request,
                                std::shared_ptr<const endpoint_reply> Reply) {
+  if (promisesNotRun(Reply->Status) && !Reply->IsNotRun) {
+    refuse(Request, relay_refusal::lost);
+    return;
+  }
   send_answer Answer;
   Answer.Status = Reply->Status;
   Answer.Reply = std::move(Reply);
@@ -130,7 +150,14 @@
   sendAnswer(Request, std::move(Answer));
 }
 
-millis relay::impl::retryAfter(const request_state &Request) const {
+/// Delay after which a refused client should retry. If endpoints asked for a
+/// pause it ends after the pause plus a random time, so that clients do not all
+/// return at the same moment.
+millis relay::impl::retryAfter(const request_state &Request) {
+  const millis Pause = pauseOf(Request);
+  if (Pause > millis{0})
+    return Pause +
+           Endpoints.drawTime(std::max(MinReturnSpread, Pause * ReturnSpread));
   const bool IsBusy = std::any_of(
       Request.Parts.begin(), Request.Parts.end(),
       [&](const request_part &Part) {
@@ -139,6 +166,21 @@
   return IsBusy && !Request.isGathered() ? BusyRetryAfter : DownRetryAfter;
 }
 
+/// Time until so many services have an endpoint again that the request can be
+/// answered; 0 if not pauses alone are the obstacle.
+millis relay::impl::pauseOf(const request_state &Request) const {
+  std::vector<instant> Returns;
+  for (const request_part &Part : Request.Parts) {
+    const bool IsOpen =
+        Endpoints.available(*Part.Service, Now) != availability::none;
+    Returns.push_back(IsOpen ? Now
+                             : Endpoints.nextPauseEnd(*Part.Service, Now));
+  }
+  std::sort(Returns.begin(), Returns.end());
+  const instant Return = Returns[Request.requiredParts() - 1];
+  return Return < Never ? Return - Now : millis{0};
+}
+
 /// Ends the request at its deadline: answers if enough shards have replied,
 /// else refuses. A shard request of another relay gets its final reply.
 void relay::impl::handleDeadline(request_state &Request) {
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -59,9 +59,13 @@
       Endpoints.available(*Part.Service, Now, Part.Tried);
   const bool IsOverBudget =
       Part.Deliveries > 0 && !Part.Service->Budget.canSpend();
+  const instant PauseEnd =
+      State == availability::none ? pauseEndInTime(Request, Part) : Never;
+  const bool HasEndpoint =
+      State != availability::none &&
+      (State == availability::busy || IsEarly || IsOverBudget);
   const bool MayWait =
-      (State == availability::busy || IsEarly || IsOverBudget) &&
-      State != availability::none && Now < waitLimit(Request);
+      (HasEndpoint && Now < waitLimit(Request)) || PauseEnd < Never;
   Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
   if (!MayWait)
     return;
@@ -70,6 +74,42 @@
     Part.NotBefore = std::max(Part.NotBefore, Now + BudgetRetryDelay);
   if (Now < Part.NotBefore)
     scheduleWake(Request, Part.NotBefore);
+  if (PauseEnd < Never)
+    scheduleWake(Request, PauseEnd);
+}
+
+/// When the first endpoint that only a pause excludes accepts requests again;
+/// `Never` if that is too late for the part.
+instant relay::impl::pauseEndInTime(const request_state &Request,
+                                    const request_part &Part) const {
+  const instant PauseEnd =
+      Endpoints.nextPauseEnd(*Part.Service, Now, Part.Tried);
+  const instant LatestReply =
+      Request.isGathered() ? Request.Deadline : Request.SoftDeadline;
+  const bool IsInTime =
+      PauseEnd + Request.RouteState->Median.value() <= LatestReply;
+  return PauseEnd < Never && IsInTime ? PauseEnd : Never;
+}
+
+/// Applies what an endpoint says of itself in a reply: that it stops soon, or
+/// that it wants no requests for a while.
+void relay::impl::applyStatements(endpoint_state &Endpoint,
+                                  const endpoint_reply &Reply) {
+  if (Reply.IsOtherInstance)
+    return;
+  if (Reply.IsLeaving)
+    announceLeaving({Endpoint.listed().Identity});
+  if (Reply.HasInvalidRetryAfter)
+    endpoint_set::reportInvalidRetryAfter(Endpoint, *Out);
+  if (Reply.RetryAfter > millis{0})
+    Endpoints.pause(Endpoint, Reply.RetryAfter, Now, *Out);
+}
+
+void relay::impl::announceLeaving(
+    const std::vector<endpoint_identity> &Leaving) {
+  for (const endpoint_identity &Each : Leaving)
+    if (Endpoints.announceLeaving(Each, Now, *Out))
+      Slices.clearCache();
 }
 
 /// Time until which a part may wait for capacity or retry budget. Parts of a
@@ -151,6 +191,8 @@
   case attempt_end::stale_connection:
     return attempt_verdict::stale_connection;
   case attempt_end::not_sent:
+    return attempt_verdict::cancelled;
+  case attempt_end::connect_failed:
   case attempt_end::lost:
     return attempt_verdict::unreachable;
   }
@@ -179,11 +221,13 @@
     return;
   }
   const bool IsShed = Event.Reply && Event.Reply->IsNotRun;
-  const bool IsKnownNotRun = Event.End == attempt_end::not_sent || IsShed ||
-                             (Event.Reply && Event.Reply->IsOtherInstance);
+  const bool IsUnsent = Event.End == attempt_end::not_sent ||
+                        Event.End == attempt_end::connect_failed;
+  const bool IsKnownNotRun =
+      IsUnsent || IsShed || (Event.Reply && Event.Reply->IsOtherInstance);
   if (IsKnownNotRun && Part.PossibleRuns > 0)
     --Part.PossibleRuns;
-  if (Event.End == attempt_end::not_sent && Part.Deliveries > 0)
+  if (IsUnsent && Part.Deliveries > 0)
     --Part.Deliveries;
   if (Event.Reply && !IsKnownNotRun &&
       (isServerError(Event.Reply->Status) || Request.isGathered()))
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -65,6 +65,10 @@
                    const attempt_ended &Event);
   void retryPart(request_state &Request, request_part &Part);
   void backOffAfterShed(request_part &Part, endpoint_no Endpoint);
+  void applyStatements(endpoint_state &Endpoint, const endpoint_reply &Reply);
+  void announceLeaving(const std::vector<endpoint_identity> &Endpoints);
+  instant pauseEndInTime(const request_state &Request,
+                         const request_part &Part) const;
   attempt_verdict verdictOf(const request_state *Request,
                             const attempt_ended &Event) const;
   void recordLatency(route_state &RouteState, millis Elapsed);
@@ -112,7 +116,8 @@
   void recordGatherTime(request_state &Request) const;
   static void recordMissingShards(request_state &Request);
   void removeRequest(request_state &Request, bool Linger);
-  millis retryAfter(const request_state &Request) const;
+  millis retryAfter(const request_state &Request);
+  millis pauseOf(const request_state &Request) const;
   void refuseUnadmitted(const request_arrived &Event, instant ArrivedAt,
                         unsigned Status, relay_refusal Reason);
 
--- a/src/relay/relay_peer_requests.cpp
+++ b/src/relay/relay_peer_requests.cpp
@@ -26,6 +26,7 @@
 
 void relay::impl::admit(const shard_request_arrived &Event, instant ArrivedAt) {
   const shard_request &ShardRequest = Event.Request;
+  announceLeaving(ShardRequest.Leaving);
   const query_id Id{PeerRequestBit | ++LastPeerRequest};
   auto Owned = std::make_unique<request_state>();
   request_state &Request = *Owned;
@@ -162,6 +163,7 @@
     Reply.Signatures.push_back(Part.Reply->Signature);
     Bodies.push_back(Part.Reply->Body);
   }
+  Reply.Leaving = Endpoints.announcedLeaving(Request.Route->Gather.Shards);
   Reply.WantsRetry = Requester.WantsRetry && !Requester.MayRetry;
   Reply.Records = greatestRecords(Bodies, Request.Route->Gather.TopRecords);
   Out->push_back(send_shard_reply{Requester.From, std::move(Reply)});
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -92,6 +92,7 @@
     ShardRequest.Shards.push_back(Request.Parts[PartIndex].Service->Name);
     Request.Parts[PartIndex].Phase = part_phase::delegated;
   }
+  ShardRequest.Leaving = Endpoints.announcedLeaving(ShardRequest.Shards);
   OpenShardRequests[Id] = {Request.Id, Request.SliceRequests.size()};
   Request.SliceRequests.push_back({Id, Target, Parts});
   Out->push_back(send_shard_request{Target.To, std::move(ShardRequest)});
@@ -194,6 +195,7 @@
 }
 
 void relay::impl::on(const shard_reply_arrived &Event) {
+  announceLeaving(Event.Reply.Leaving);
   const auto Found = OpenShardRequests.find(Event.Reply.ShardRequest);
   if (Found == OpenShardRequests.end())
     return;
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -7,6 +7,24 @@
 
 namespace {
 
+void identitiesToProto(
+    const std::vector<relay::endpoint_identity> &From,
+    google::protobuf::RepeatedPtrField<EndpointIdentity> &To) {
+  for (const relay::endpoint_identity &Each : From) {
+    EndpointIdentity &Item = *To.Add();
+    Item.set_instance(Each.Instance);
+    Item.set_born(Each.StartTimeMs);
+  }
+}
+
+std::vector<relay::endpoint_identity> identitiesFromProto(
+    const google::protobuf::RepeatedPtrField<EndpointIdentity> &From) {
+  std::vector<relay::endpoint_identity> To;
+  for (const EndpointIdentity &Item : From)
+    To.push_back({Item.instance(), Item.born()});
+  return To;
+}
+
 template <class Vms, class Field> void vmsToProto(const Vms &From, Field &To) {
   for (const vm_id Vm : From)
     To.Add(Vm.Value);
@@ -101,11 +119,7 @@
   Out.set_base_term(From.Change.Base.Term);
   Out.set_base_sequence(From.Change.Base.Sequence);
   Out.set_age_ms(From.Age.Count);
-  for (const relay::endpoint_identity &Each : From.Change.Removed) {
-    EndpointIdentity &Item = *Out.add_gone();
-    Item.set_instance(Each.Instance);
-    Item.set_born(Each.StartTimeMs);
-  }
+  identitiesToProto(From.Change.Removed, *Out.mutable_gone());
   for (const relay::listed_endpoint &Each : From.Change.Endpoints) {
     ListedEndpoint &Item = *Out.add_endpoints();
     Item.set_instance(Each.Identity.Instance);
@@ -164,6 +178,7 @@
   Out.set_answer_in_ms(static_cast<float>(From.SoftTimeout.Count));
   Out.set_remaining_ms(static_cast<float>(From.Remaining.Count));
   Out.set_repeat(From.IsRetry);
+  identitiesToProto(From.Leaving, *Out.mutable_leaving());
 }
 
 void bodyToProto(const relay::shard_reply &From, FleetMessage &To) {
@@ -176,6 +191,7 @@
   Out.set_records(From.Records);
   Out.set_final(From.IsFinal);
   Out.set_wants_repeat(From.WantsRetry);
+  identitiesToProto(From.Leaving, *Out.mutable_leaving());
 }
 
 void bodyToProto(const fleet::retry_grant &From, FleetMessage &To) {
@@ -234,6 +250,7 @@
   To.SoftTimeout = {From.answer_in_ms()};
   To.Remaining = {From.remaining_ms()};
   To.IsRetry = From.repeat();
+  To.Leaving = identitiesFromProto(From.leaving());
   return To;
 }
 
@@ -245,6 +262,7 @@
   To.Records = From.records();
   To.IsFinal = From.final();
   To.WantsRetry = From.wants_repeat();
+  To.Leaving = identitiesFromProto(From.leaving());
   return To;
 }
 
@@ -310,8 +328,7 @@
   To.Change.Version = {From.term(), From.sequence()};
   To.Change.Base = {From.base_term(), From.base_sequence()};
   To.Age = {From.age_ms()};
-  for (const EndpointIdentity &Item : From.gone())
-    To.Change.Removed.push_back({Item.instance(), Item.born()});
+  To.Change.Removed = identitiesFromProto(From.gone());
   for (const ListedEndpoint &Item : From.endpoints()) {
     relay::listed_endpoint &Each = To.Change.Endpoints.emplace_back();
     Each.Identity = {Item.instance(), Item.born()};
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -173,7 +173,6 @@
         }));
   }
 
-private:
   void end(std::uint64_t Attempt, attempt_end End,
            const endpoint_reply &Reply) {
     REQUIRE(Sent.erase(Attempt) == 1);
@@ -183,6 +182,7 @@
     step(Event);
   }
 
+private:
   void record(const relay_action &Action) {
     if (const auto *Send = std::get_if<send_attempt>(&Action))
       Sent[Send->Attempt.Value] = *Send;
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/endpoint_links.h"
 #include "http/client.h"
 #include "http/idle_limit.h"
 #include "http/server.h"
@@ -5,6 +6,7 @@
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <map>
 #include <sys/resource.h>
 #include <thread>
 
@@ -651,3 +653,126 @@
   runFor(F.Io, 250);
   CHECK(Client.Received.find("/now") != std::string::npos);
 }
+
+TEST_CASE("clients are told to keep connections idle for less than the server "
+          "does") {
+  http::server_settings Settings;
+  Settings.IdleTimeout = {15'000};
+  fixture F(Settings);
+  raw_client Client(F.Io);
+  Client.send(KeepAliveRequest);
+  runFor(F.Io, 50);
+  CHECK(Client.Received.find("Keep-Alive: timeout=12\r\n") !=
+        std::string::npos);
+}
+
+TEST_CASE("withdraw ends the exchanges that wait for a connection") {
+  fixture F;
+  http::client_settings Settings;
+  Settings.Server = {"127.0.0.1", Port};
+  Settings.MaxConnections = 1;
+  http::client Client(F.Io, Settings);
+  std::map<std::string, http::exchange_status> Ended;
+  for (const char *Target : {"/later", "/waits"})
+    Client.send({"GET", Target, {}, {}},
+                [&, Target](const http::exchange_result &Result) {
+                  Ended[Target] = Result.Status;
+                });
+  runFor(F.Io, 50);
+  Client.withdraw();
+  runFor(F.Io, 50);
+  CHECK(Ended.size() == 1);
+  CHECK(Ended["/waits"] == http::exchange_status::not_sent);
+  F.Handler.HeldResponse();
+  runFor(F.Io, 50);
+  CHECK(Ended["/later"] == http::exchange_status::done);
+}
+
+namespace {
+
+/// Accepts connections and sends each of them `Head` and then `Filler` again
+/// and again until the client closes it.
+class endless_server {
+public:
+  endless_server(boost::asio::io_context &Io, std::string Head,
+                 std::string Filler)
+      : Head(std::move(Head)), Filler(std::move(Filler)),
+        Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), Port}) {
+    accept();
+  }
+
+  std::size_t SentBytes = 0;
+  std::size_t Open = 0;
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](auto Error, tcp::socket Socket) {
+      if (Error)
+        return;
+      ++Open;
+      write(std::make_shared<tcp::socket>(std::move(Socket)), Head);
+      accept();
+    });
+  }
+  void write(std::shared_ptr<tcp::socket> Socket, const std::string &Bytes) {
+    boost::asio::async_write(*Socket, boost::asio::buffer(Bytes),
+                             [this, Socket](auto Error, std::size_t Count) {
+                               SentBytes += Count;
+                               if (Error)
+                                 --Open;
+                               else
+                                 write(Socket, Filler);
+                             });
+  }
+
+  std::string Head;
+  std::string Filler;
+  tcp::acceptor Acceptor;
+};
+
+/// Peak memory of this process in bytes.
+std::size_t peakMemory() {
+  rusage Usage{};
+  ::getrusage(RUSAGE_SELF, &Usage);
+  return static_cast<std::size_t>(Usage.ru_maxrss) * 1024;
+}
+
+} // namespace
+
+TEST_CASE("bytes that are no answer and never end are bounded") {
+  const auto Case = GENERATE(
+      // in a head: one header line without end, lines without end, no head
+      std::pair<std::string, std::string>("HTTP/1.1 200 OK\r\nX: ", "x"),
+      std::pair<std::string, std::string>("HTTP/1.1 200 OK\r\n", "X: 1\r\n"),
+      std::pair<std::string, std::string>("", std::string(1, '\0')),
+      // in a body: without length, and in chunks
+      std::pair<std::string, std::string>("HTTP/1.1 200 OK\r\n\r\n", "x"),
+      std::pair<std::string, std::string>(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "1\r\nx\r\n"),
+      // responses to other requests
+      std::pair<std::string, std::string>(
+          "", "HTTP/1.1 200 OK\r\nEcho: other\r\nContent-Length: 0\r\n\r\n"),
+      std::pair<std::string, std::string>("", "HTTP/1.1 100 Continue\r\n\r\n"));
+  boost::asio::io_context Io;
+  std::string Filler;
+  while (Filler.size() < 16'384)
+    Filler += Case.second;
+  endless_server Server(Io, Case.first + Filler, Filler);
+  http::client_settings Settings = echoSettings();
+  Settings.MaxConnections = 10;
+  Settings.MaxBodyBytes = fleet::MaxReplyBytes;
+  http::client Client(Io, Settings);
+  const std::size_t Before = peakMemory();
+  int Failed = 0;
+  for (int I = 0; I < 10; ++I)
+    Client.send({"GET", "/", {{"Echo", std::to_string(I)}}, {}},
+                [&](const http::exchange_result &Result) {
+                  CHECK(Result.Status != http::exchange_status::done);
+                  ++Failed;
+                });
+  runFor(Io, 1500);
+  CHECK(Failed == 10);
+  CHECK(Server.Open == 0);
+  CHECK(peakMemory() - Before < std::size_t{32} << 20);
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -289,7 +289,7 @@
     Relay.sendRequest("/one/");
   for (const auto &[Other, Each] : Relay.Sent)
     CHECK(Each.Endpoint != Attempt.Endpoint);
-  Relay.step(probe_ended{Attempt.Endpoint, true, {}, {}});
+  Relay.step(probe_ended{Attempt.Endpoint, true, {}, {}, false, {}});
   for (int I = 0; I < 9; ++I)
     Relay.sendRequest("/one/");
   CHECK(Relay.attemptAt(Relay.instanceOf(Attempt)) != 0);
@@ -301,7 +301,7 @@
   Relay.sendRequest("/one/");
   const auto [Number, Attempt] = *Relay.Sent.begin();
   Relay.breakConnection(Number);
-  Relay.step(probe_ended{Attempt.Endpoint, true, {}, {3000}});
+  Relay.step(probe_ended{Attempt.Endpoint, true, {}, {3000}, false, {}});
   for (int I = 0; I < 9; ++I)
     Relay.sendRequest("/one/");
   CHECK(Relay.attemptAt(Relay.instanceOf(Attempt)) == 0);
@@ -741,7 +741,7 @@
   const auto [Number, Attempt] = *Relay.Sent.begin();
   Relay.breakConnection(Number);
   for (int I = 0; I < 5; ++I) {
-    Relay.step(probe_ended{Attempt.Endpoint, false, {}, {}});
+    Relay.step(probe_ended{Attempt.Endpoint, false, {}, {}, false, {}});
     Relay.advance(1001);
   }
   std::size_t Logged = 0;
@@ -762,7 +762,7 @@
   Relay.publishDirectory();
   for (const auto &[Number, Name] : Relay.Names)
     if (Name == Instance)
-      Relay.step(probe_ended{{Number}, false, {}, {}});
+      Relay.step(probe_ended{{Number}, false, {}, {}, false, {}});
   Relay.replyAll();
   REQUIRE(Relay.answerTo(Request));
   Relay.advance(1000); // the deadline of the request has passed
