Hedges come in time and keep budget for the last moment

Change: a denied hedge is tried again while its reply would be in time; a hedge leaves time for its reply, counted from the soft deadline and not from the objective; an idle endpoint that was slow a while ago counts as usual for a hedge; early hedges leave 0.4 of the bucket for those at the last useful moment (3 medians before the soft deadline).

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -295,6 +295,17 @@
          Endpoint.expectedFailureRate(Now) <= MaxPreferredFailureRate;
 }
 
+/// Whether a reply is expected by `LatestAt`.
+bool endpoint_set::isInTime(const endpoint_state &Endpoint,
+                            const reply_timing &Timing, instant Now) {
+  const bool IsIdle = Endpoint.inFlight() == 0;
+  const millis Expected =
+      Timing.IgnoresPastSlowness && IsIdle
+          ? Timing.TypicalLatency
+          : Endpoint.expectedLatency(Timing.TypicalLatency, Now);
+  return Now + Expected <= Timing.LatestAt;
+}
+
 endpoint_state *endpoint_set::choose(const service_state &Service,
                                      const std::vector<endpoint_no> &Tried,
                                      const reply_timing &Timing, instant Now) {
@@ -305,8 +316,7 @@
   for (const endpoint_no No : Service.Endpoints) {
     endpoint_state &Each = *Endpoints.at(No);
     if (contains(Tried, No) || !Each.canAccept(Limit, Now) ||
-        Now + Each.expectedLatency(Timing.TypicalLatency, Now) >
-            Timing.LatestAt)
+        !isInTime(Each, Timing, Now))
       continue;
     const bool IsPreferred = isPreferred(Each, Timing, Now);
     const double Cost = cost(Each, Timing.TypicalLatency, Now);
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -35,6 +35,9 @@
   /// A local endpoint that is expected to reply within this is preferred.
   millis PreferredLatency;
   instant LatestAt = Never; ///< a later reply would go unused
+  /// An endpoint that was slow a while ago may be tried again: a short pause of
+  /// it is over by now.
+  bool IgnoresPastSlowness = false;
 };
 
 class endpoint_set final : public zone_lookup {
@@ -135,6 +138,8 @@
   identitiesNotIn(const std::vector<listed_endpoint> &Listed) const;
   /// Erases removed endpoints that have no request in flight.
   void eraseRemoved();
+  static bool isInTime(const endpoint_state &Endpoint,
+                       const reply_timing &Timing, instant Now);
   double cost(const endpoint_state &Endpoint, millis TypicalLatency,
               instant Now);
   bool isPreferred(const endpoint_state &Endpoint, const reply_timing &Timing,
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -18,12 +18,16 @@
 /// Share of the objective after which a request that no endpoint could accept
 /// is refused. Waiting longer would leave the client no time to retry.
 constexpr double GiveUpShare = 0.2;
-/// Upper bound of the hedge delay, as a share of the objective, so that the
-/// hedge can still be answered within the objective.
-constexpr double MaxHedgeDelayShare = 0.45;
 constexpr millis MinHedgeDelay{4};
-/// Upper bound of the hedge delay, as a multiple of the median latency.
-constexpr double HedgeMedianFactor = 2.5;
+/// Bounds of the hedge delay, as multiples of the median latency.
+constexpr double MinHedgeMedianFactor = 1.25;
+constexpr double MaxHedgeMedianFactor = 2;
+/// Time that a hedge leaves for its reply, as a multiple of the median latency.
+constexpr double HedgeReplyFactor = 2;
+/// Delay before a hedge that no endpoint or no budget permitted is tried again:
+/// a multiple of the median latency, at least `MinHedgeRetryInterval`.
+constexpr double HedgeRetryFactor = 0.25;
+constexpr millis MinHedgeRetryInterval{3};
 /// Share of the objective after which a slice without any reply is requested
 /// from another relay. A working relay sends its first reply by 0.3 of the
 /// objective (`FirstReplyShare`). One that has not replied by this time is
@@ -118,15 +122,37 @@
   settle(Request);
 }
 
-/// Delay after which an attempt counts as slow and is hedged. While many
-/// endpoints are slow, the tail quantile rises with them, so a multiple of the
-/// median bounds it.
-millis relay::impl::hedgeDelay(const route_state &RouteState,
-                               millis Objective) {
-  const millis TypicalMax = std::min(
-      RouteState.Tail.value(), RouteState.Median.value() * HedgeMedianFactor);
-  return std::min(std::max(MinHedgeDelay, TypicalMax),
-                  Objective * MaxHedgeDelayShare);
+/// When the attempts that are sent now count as slow and are hedged: at the
+/// tail quantile of the latency, but early enough for the reply to a hedge.
+/// Multiples of the median bound the delay: if latencies hardly differ, the
+/// quantile is no sign of slowness, and while many endpoints are slow, it rises
+/// with them.
+instant relay::impl::hedgeTime(const request_state &Request) const {
+  const route_state &RouteState = *Request.RouteState;
+  const millis Median = RouteState.Median.value();
+  const millis Latest = Request.SoftDeadline - Now - Median * HedgeReplyFactor;
+  const millis Tail =
+      std::clamp(RouteState.Tail.value(), Median * MinHedgeMedianFactor,
+                 Median * MaxHedgeMedianFactor);
+  return Now + std::max(MinHedgeDelay, std::min(Tail, Latest));
+}
+
+/// Hedges the running parts. If a hedge was not possible, it is tried again
+/// soon, while a reply could still be in time.
+void relay::impl::sendHedges(request_state &Request) {
+  bool IsPending = false;
+  for (request_part &Part : Request.Parts) {
+    sendHedge(Request, Part);
+    IsPending |= mayHedge(Request, Part);
+  }
+  // Without a grant of the requester nothing can be sent; it calls again.
+  if (!IsPending || (Request.Requester && !Request.Requester->MayRetry))
+    return;
+  const millis Median = Request.RouteState->Median.value();
+  const instant Next =
+      Now + std::max(MinHedgeRetryInterval, Median * HedgeRetryFactor);
+  if (Next + Median < Request.SoftDeadline)
+    Request.HedgeAt = Next;
 }
 
 /// Time that the client measures beyond the time spent in the routing of this
@@ -156,7 +182,7 @@
   Request.SoftDeadline = std::min(
       ObjectiveAt > Now ? ObjectiveAt : Now + TimeToAnswer, Request.Deadline);
   Request.GiveUpAt = Now + Route.Objective * GiveUpShare;
-  Request.HedgeAt = Now + hedgeDelay(*Request.RouteState, Route.Objective);
+  Request.HedgeAt = hedgeTime(Request);
   Request.SliceRetryAt = Now + Route.Objective * SliceRetryShare;
   Request.LogEvent.RequestId = Request.Content->RequestId;
   Request.LogEvent.Route = Route.Name;
@@ -315,8 +341,7 @@
     if (Part.Phase == part_phase::waiting)
       startPart(Request, Part);
   if (Now >= Request.HedgeAt)
-    for (request_part &Part : Request.Parts)
-      sendHedge(Request, Part);
+    sendHedges(Request);
   if (Now >= Request.SliceRetryAt)
     retryUnansweredSlices(Request);
   settle(Request);
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -23,6 +23,8 @@
 constexpr millis MaxShedBackoff{160};
 /// Delay before a part that the retry budget denied is retried.
 constexpr millis BudgetRetryDelay{50};
+/// A hedge is urgent once this many median latencies are left for its reply.
+constexpr double UrgentHedgeFactor = 3;
 /// A part of a query stops waiting this many median latencies before the
 /// deadline.
 constexpr double RunTimeFactor = 2;
@@ -53,7 +55,7 @@
 /// Sends the part, or lets it wait or fail if it cannot be sent now.
 void relay::impl::startPart(request_state &Request, request_part &Part) {
   const bool IsEarly = Now < Part.NotBefore;
-  if (!IsEarly && sendPart(Request, Part))
+  if (!IsEarly && sendPart(Request, Part, replyTiming(Request)))
     return;
   const availability State =
       Endpoints.available(*Part.Service, Now, Part.Tried);
@@ -126,7 +128,7 @@
 /// can accept it, or if an attempt has already reached an endpoint and the
 /// retry budget holds less than one token above `Reserve`.
 bool relay::impl::sendPart(request_state &Request, request_part &Part,
-                           double Reserve) {
+                           const reply_timing &Timing, double Reserve) {
   service_budget &Budget = Part.Service->Budget;
   Budget.refill(Now);
   const bool IsExtraAttempt = Part.Deliveries > 0;
@@ -135,8 +137,7 @@
     Part.IsBudgetDenied = true;
     return false;
   }
-  endpoint_state *To =
-      Endpoints.choose(*Part.Service, Part.Tried, replyTiming(Request), Now);
+  endpoint_state *To = Endpoints.choose(*Part.Service, Part.Tried, Timing, Now);
   if (!To)
     return false;
   if (IsExtraAttempt)
@@ -166,16 +167,27 @@
 /// Sends a second attempt for a running part if the route, the budget and, for
 /// a shard request, the requester permit it.
 void relay::impl::sendHedge(request_state &Request, request_part &Part) {
-  const bool MayHedge = Request.Route->IsIdempotent &&
-                        Part.Phase == part_phase::running &&
-                        Part.Running.size() == 1 &&
-                        Part.PossibleRuns < Request.Route->MaxAttempts;
-  if (!MayHedge || Now >= Request.SoftDeadline || !mayRetry(Request))
+  if (!mayHedge(Request, Part) || !mayRetry(Request))
     return;
-  if (sendPart(Request, Part, Part.Service->Budget.hedgeReserve()))
+  reply_timing Timing = replyTiming(Request);
+  Timing.IgnoresPastSlowness = true;
+  const millis TimeLeft = Request.SoftDeadline - Now;
+  const bool IsUrgent =
+      TimeLeft <= Request.RouteState->Median.value() * UrgentHedgeFactor;
+  if (sendPart(Request, Part, Timing,
+               Part.Service->Budget.hedgeReserve(IsUrgent)))
     ++Request.LogEvent.Hedges;
 }
 
+/// Whether the route permits a hedge of the part now.
+bool relay::impl::mayHedge(const request_state &Request,
+                           const request_part &Part) const {
+  return Request.Route->IsIdempotent && Part.Phase == part_phase::running &&
+         Part.Running.size() == 1 &&
+         Part.PossibleRuns < Request.Route->MaxAttempts &&
+         Now < Request.SoftDeadline;
+}
+
 /// Classifies the end of an attempt for endpoint health and retries. A 2xx
 /// reply needs a signature to be a success; another status below 500 is a
 /// success unless the request is a query over shards.
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -47,7 +47,8 @@
   void handleWake(request_state &Request);
   void retryWaiting();
   request_state *find(query_id Id);
-  static millis hedgeDelay(const route_state &RouteState, millis Objective);
+  instant hedgeTime(const request_state &Request) const;
+  void sendHedges(request_state &Request);
   millis networkDelay(client_path Client) const;
   void setDeadlines(request_state &Request, instant ArrivedAt,
                     millis ClientTimeout, client_path Client) const;
@@ -59,8 +60,10 @@
   instant replyNeededBy(const request_state &Request) const;
   reply_timing replyTiming(const request_state &Request) const;
   void startPart(request_state &Request, request_part &Part);
-  bool sendPart(request_state &Request, request_part &Part, double Reserve = 0);
+  bool sendPart(request_state &Request, request_part &Part,
+                const reply_timing &Timing, double Reserve = 0);
   void sendHedge(request_state &Request, request_part &Part);
+  bool mayHedge(const request_state &Request, const request_part &Part) const;
   void handleReply(request_state &Request, request_part &Part, endpoint_no From,
                    const attempt_ended &Event);
   void retryPart(request_state &Request, request_part &Part);
--- a/src/relay/relay_peer_requests.cpp
+++ b/src/relay/relay_peer_requests.cpp
@@ -47,6 +47,7 @@
            .first->second;
   setDeadlines(Request, ArrivedAt, {}, {});
   Request.SoftDeadline = ArrivedAt + ShardRequest.SoftTimeout;
+  Request.HedgeAt = hedgeTime(Request);
   Request.SliceRetryAt = Never;
   Request.LogEvent.IsFromPeer = true;
   requester_state &Requester = Request.Requester.emplace();
@@ -98,9 +99,9 @@
   for (request_part &Part : Request->Parts) {
     if (Part.Phase == part_phase::awaiting_grant)
       retryPart(*Request, Part);
-    else if (Now >= Request->HedgeAt)
-      sendHedge(*Request, Part);
   }
+  if (Now >= Request->HedgeAt)
+    sendHedges(*Request);
   settle(*Request);
 }
 
--- a/src/relay/request_state.h
+++ b/src/relay/request_state.h
@@ -15,7 +15,7 @@
       : Median(0.5, Objective * 0.15), Tail(TailQuantile, Objective * 0.3) {}
 
   /// Latency quantile after which a hedge is sent.
-  static constexpr double TailQuantile = 0.93;
+  static constexpr double TailQuantile = 0.85;
 
   latency_quantile Median;
   latency_quantile Tail;
--- a/src/relay/service_budget.h
+++ b/src/relay/service_budget.h
@@ -50,8 +50,13 @@
     return true;
   }
 
-  /// Tokens that hedges leave for retries of failed attempts.
-  double hedgeReserve() const { return Capacity * RetryReserveShare; }
+  /// Tokens that hedges leave for others. An urgent hedge is sent at the last
+  /// time at which its reply is still useful and leaves tokens for retries of
+  /// failed attempts. An early one, whose part may well end without it, leaves
+  /// tokens for urgent hedges too.
+  double hedgeReserve(bool IsUrgent) const {
+    return Capacity * (IsUrgent ? RetryReserveShare : UrgentReserveShare);
+  }
 
 private:
   /// Margin because relays briefly disagree on how many they are.
@@ -62,8 +67,9 @@
   /// A restarted relay may have spent tokens before the restart, so the bucket
   /// starts partly filled.
   static constexpr double InitialFillShare = 0.5;
-  /// Share of the capacity that hedges leave for retries.
-  static constexpr double RetryReserveShare = 0.25;
+  /// Shares of the capacity that urgent and early hedges leave.
+  static constexpr double RetryReserveShare = 0.1;
+  static constexpr double UrgentReserveShare = 0.4;
 
   double Capacity = 0;
   double Rate = 0;  ///< tokens per millisecond
