Slices follow the number of shards, not the smallest zone

Cause: slice_planner limited the slices of every query to the number of relays in the smallest zone. Change: the number of partitions is the square root of the shards, the same in all zones. A zone keeps 1.5 slices per relay and leaves the others to zones that hold their endpoints and have room; slices for one relay are joined; in a zone with fewer relays than partitions the less loaded of the pair takes the slice.

--- a/src/relay/slice_planner.cpp
+++ b/src/relay/slice_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <set>
 #include <xxhash.h>
 
@@ -15,6 +16,10 @@
 /// own zone, one for queries from other zones, and a backup of these.
 constexpr std::size_t RelaysPerShardInZone = 3;
 
+/// Slices of one query that the relays of the local zone take, per relay,
+/// before further slices leave the zone: traffic between zones is costly.
+constexpr double LocalSlicesPerRelay = 1.5;
+
 /// Weight of a relay for a partition in rendezvous hashing.
 std::uint64_t rendezvousWeight(vm_id Peer, std::size_t Partition) {
   const std::uint64_t Key[] = {Peer.Value, Partition};
@@ -61,32 +66,61 @@
   std::vector<slice> build() {
     std::vector<planned_shard> Remote;
     std::vector<planned_shard> Local;
-    for (const planned_shard &Each : Shards)
-      (needsOtherZone(Each) ? Remote : Local).push_back(Each);
+    const std::vector<bool> IsOffloaded = offloadedPartitions();
+    for (const planned_shard &Each : Shards) {
+      const bool IsRemote =
+          needsOtherZone(Each) ||
+          (IsOffloaded[Each.Partition] && hasEndpointElsewhere(Each));
+      (IsRemote ? Remote : Local).push_back(Each);
+    }
     addLocalSlices(Local);
     addRemoteSlices(Remote);
+    joinSlicesOfSameRelay();
     return std::move(Out);
   }
 
 private:
-  /// Square root of the number of shards, limited by the number of relays in
-  /// the smallest zone; at least 1.
-  std::size_t partitionCountFor(std::size_t Count) const {
-    auto Root = static_cast<std::size_t>(
-        std::lround(std::sqrt(static_cast<double>(Count))));
-    for (const auto &[Name, Vms] : Planner.RelaysByZone)
-      Root = std::min(Root, Vms.size());
-    return std::max<std::size_t>(1, Root);
+  /// Square root of the number of shards, at least 1. Does not depend on the
+  /// relays, so that all zones use the same partitions and a zone that loses
+  /// its relays does not change the slices of the others.
+  static std::size_t partitionCountFor(std::size_t Count) {
+    const auto Root = std::lround(std::sqrt(static_cast<double>(Count)));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(Root));
+  }
+
+  /// The partitions that are too many for the relays of the local zone: the
+  /// last ones in rendezvous order. Relays of other zones query them, so that a
+  /// small zone does not query all shards with a few relays.
+  std::vector<bool> offloadedPartitions() const {
+    std::vector<bool> Offloaded(PartitionCount, false);
+    const auto Relays =
+        static_cast<double>(Planner.RelaysByZone.at(Planner.Zone).size());
+    const auto Kept = static_cast<std::size_t>(Relays * LocalSlicesPerRelay);
+    std::vector<std::size_t> Ranked(PartitionCount);
+    std::iota(Ranked.begin(), Ranked.end(), std::size_t{0});
+    const std::uint64_t ZoneKey =
+        XXH3_64bits(Planner.Zone.data(), Planner.Zone.size());
+    std::sort(Ranked.begin(), Ranked.end(), [&](std::size_t A, std::size_t B) {
+      return rendezvousWeight({static_cast<std::uint32_t>(ZoneKey)}, A) >
+             rendezvousWeight({static_cast<std::uint32_t>(ZoneKey)}, B);
+    });
+    for (std::size_t I = Kept; I < PartitionCount; ++I)
+      Offloaded[Ranked[I]] = true;
+    return Offloaded;
+  }
+
+  /// Whether another zone has both a relay and an endpoint of the shard.
+  bool hasEndpointElsewhere(const planned_shard &Shard) const {
+    return std::any_of(
+        Shard.Zones.begin(), Shard.Zones.end(), [&](const std::string &Each) {
+          return Each != Planner.Zone && Planner.RelaysByZone.count(Each) > 0;
+        });
   }
 
   /// Whether the shard has endpoints only in other zones, and one of these has
   /// a relay.
   bool needsOtherZone(const planned_shard &Shard) const {
-    return !contains(Shard.Zones, Planner.Zone) &&
-           std::any_of(Shard.Zones.begin(), Shard.Zones.end(),
-                       [&](const std::string &Each) {
-                         return Planner.RelaysByZone.count(Each) > 0;
-                       });
+    return !contains(Shard.Zones, Planner.Zone) && hasEndpointElsewhere(Shard);
   }
 
   void addLocalSlices(const std::vector<planned_shard> &Local) {
@@ -135,34 +169,83 @@
     }
   }
 
-  /// The zone that has endpoints of most shards of the group.
+  /// The other zone that has endpoints of most shards of the group. A zone all
+  /// of whose relays have a slice of this query counts for less.
   std::string hostingZone(const std::vector<planned_shard> &Group,
                           std::size_t Rotation) const {
     std::map<std::string, std::size_t> ShardCounts;
     for (const planned_shard &Each : Group)
       for (const std::string &Name : Each.Zones)
-        if (Planner.RelaysByZone.count(Name))
+        if (Name != Planner.Zone && Planner.RelaysByZone.count(Name))
           ++ShardCounts[Name];
-    std::size_t Most = 0;
-    for (const auto &[Name, Count] : ShardCounts)
-      Most = std::max(Most, Count);
-    std::vector<std::string> Best;
-    for (const auto &[Name, Count] : ShardCounts)
-      if (Count == Most)
-        Best.push_back(Name);
-    return Best[Rotation % Best.size()];
+    std::map<std::string, double> Scores;
+    double Best = 0;
+    for (const auto &[Name, Count] : ShardCounts) {
+      Scores[Name] = static_cast<double>(Count) * roomIn(Name);
+      Best = std::max(Best, Scores[Name]);
+    }
+    std::vector<std::string> Equal;
+    for (const auto &[Name, Score] : Scores)
+      if (Score == Best)
+        Equal.push_back(Name);
+    return Equal[Rotation % Equal.size()];
+  }
+
+  /// 1 while the zone has a relay without a slice of this query; then falls
+  /// with the slices per relay.
+  double roomIn(const std::string &Zone) const {
+    const auto Relays =
+        static_cast<double>(Planner.RelaysByZone.at(Zone).size());
+    const auto Found = SliceCounts.find(Zone);
+    const auto Slices =
+        static_cast<double>(Found == SliceCounts.end() ? 1 : Found->second + 1);
+    return std::min(1.0, Relays / Slices);
   }
 
   void addSlice(const std::string &Zone, std::size_t Partition) {
     if (!RelayPairs.count(Zone))
       RelayPairs[Zone] = assignRelays(Planner.RelaysByZone.at(Zone));
-    const relay_pair &Pair = RelayPairs[Zone][Partition];
+    ++SliceCounts[Zone];
+    relay_pair Pair = RelayPairs[Zone][Partition];
+    const bool IsSmallZone =
+        Planner.RelaysByZone.at(Zone).size() < PartitionCount;
+    if (IsSmallZone && shardsOf(Pair.Backup) < shardsOf(Pair.Primary))
+      std::swap(Pair.Primary, Pair.Backup);
     Out.push_back({Pair.Primary, Pair.Backup, Zone != Planner.Zone, {}});
   }
 
+  /// Number of shards that the slices so far assign to the relay; the greatest
+  /// number for no relay.
+  std::size_t shardsOf(vm_id Relay) const {
+    if (Relay.Value == 0)
+      return SIZE_MAX;
+    std::size_t Count = 0;
+    for (const slice &Each : Out)
+      Count += Each.Primary == Relay ? Each.Shards.size() : 0;
+    return Count;
+  }
+
+  /// A relay of a small zone may be assigned several slices: one request is
+  /// enough for them.
+  void joinSlicesOfSameRelay() {
+    std::vector<slice> Joined;
+    for (slice &Each : Out) {
+      const auto Same =
+          std::find_if(Joined.begin(), Joined.end(), [&](const slice &Other) {
+            return Other.Primary == Each.Primary;
+          });
+      if (Same == Joined.end())
+        Joined.push_back(std::move(Each));
+      else
+        Same->Shards.insert(Same->Shards.end(), Each.Shards.begin(),
+                            Each.Shards.end());
+    }
+    Out = std::move(Joined);
+  }
+
   /// Rendezvous hashing: the primary of a partition is the relay with the
-  /// greatest weight that is not yet a primary. The backup is the relay with
-  /// the greatest weight apart from the primary.
+  /// greatest weight among those that are primaries of the fewest partitions.
+  /// The backup is the relay with the greatest weight apart from the primary.
   std::vector<relay_pair> assignRelays(const std::vector<vm_id> &Relays) const {
     std::vector<relay_pair> Pairs(PartitionCount);
     std::set<vm_id> Used;
@@ -171,10 +254,11 @@
       std::sort(Ranked.begin(), Ranked.end(), [&](vm_id A, vm_id B) {
         return rendezvousWeight(A, I) > rendezvousWeight(B, I);
       });
-      const auto Free =
-          std::find_if(Ranked.begin(), Ranked.end(),
-                       [&](vm_id Each) { return !Used.count(Each); });
-      Pairs[I].Primary = Free == Ranked.end() ? Ranked.front() : *Free;
+      if (Used.size() == Relays.size())
+        Used.clear();
+      Pairs[I].Primary =
+          *std::find_if(Ranked.begin(), Ranked.end(),
+                        [&](vm_id Each) { return !Used.count(Each); });
       Used.insert(Pairs[I].Primary);
       const auto Other =
           std::find_if(Ranked.begin(), Ranked.end(),
@@ -189,6 +273,7 @@
   std::size_t PartitionCount;
   std::vector<planned_shard> Shards;                         ///< sorted by name
   std::map<std::string, std::vector<relay_pair>> RelayPairs; ///< by zone
+  std::map<std::string, std::size_t> SliceCounts;            ///< by zone
   std::vector<slice> Out;
   std::size_t LastPartition = 0;
 };
--- a/src/relay/slice_planner.h
+++ b/src/relay/slice_planner.h
@@ -46,9 +46,10 @@
 /// Partitions queries into slices. For N shards, about sqrt(N) relays query
 /// about sqrt(N) shards each, so that the time of a query grows only with
 /// sqrt(N). A shard is queried by a relay in a zone that has an endpoint of it,
-/// preferably the local zone, so that only merged records cross zones. All
-/// relays compute the same assignment, so that each endpoint has connections
-/// from few relays.
+/// preferably the local zone, so that only merged records cross zones. A zone
+/// with fewer relays than slices leaves the others to relays of other zones.
+/// All relays compute the same assignment, so that each endpoint has
+/// connections from few relays.
 class slice_planner {
 public:
   slice_planner(slice_settings Settings, vm_id Self, std::string Zone)
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -575,3 +575,103 @@
   REQUIRE(Relay.answerTo(Request));
   CHECK(Relay.answerTo(Request)->Missing == 0);
 }
+
+namespace {
+
+/// `Counts[I]` relays in zone "z0", "z1" and so on.
+std::vector<relay_peer> relaysPerZone(const std::vector<std::size_t> &Counts) {
+  std::vector<relay_peer> Out;
+  std::uint32_t Vm = 0;
+  for (std::size_t Zone = 0; Zone < Counts.size(); ++Zone)
+    for (std::size_t I = 0; I < Counts[Zone]; ++I)
+      Out.push_back({{++Vm}, "z" + std::to_string(Zone)});
+  return Out;
+}
+
+/// Each shard has endpoints in three of five zones.
+class three_of_five_zones final : public zone_lookup {
+public:
+  std::vector<std::string> zonesOf(const service_name &Service) const override {
+    const int Number = std::stoi(Service.Value.substr(1));
+    std::vector<std::string> Out;
+    for (int I = 0; I < 3; ++I)
+      Out.push_back("z" + std::to_string((Number + I) % 5));
+    return Out;
+  }
+};
+
+gather_rule shards(std::size_t Count) {
+  gather_rule Rule;
+  for (std::size_t I = 0; I < Count; ++I)
+    Rule.Shards.push_back({"s" + std::to_string(I)});
+  return Rule;
+}
+
+/// Shards that each relay queries for one query that arrives in `Zone`.
+std::map<std::uint32_t, std::size_t>
+shardsPerRelay(const std::vector<relay_peer> &Peers, const std::string &Zone,
+               std::size_t ShardCount) {
+  std::uint32_t Self = 0;
+  for (const relay_peer &Each : Peers)
+    if (Each.Zone == Zone)
+      Self = Each.Vm.Value;
+  slice_planner Planner({}, {Self}, Zone);
+  Planner.setPeers(Peers);
+  std::map<std::uint32_t, std::size_t> Out;
+  std::set<std::size_t> Covered;
+  const three_of_five_zones Lookup;
+  for (const slice &Each : Planner.slicesOf(shards(ShardCount), Lookup)) {
+    Out[Each.Primary.Value] += Each.Shards.size();
+    for (const std::size_t Shard : Each.Shards)
+      CHECK(Covered.insert(Shard).second);
+  }
+  CHECK(Covered.size() == ShardCount);
+  return Out;
+}
+
+std::size_t mostShards(const std::map<std::uint32_t, std::size_t> &PerRelay) {
+  std::size_t Most = 0;
+  for (const auto &[Relay, Count] : PerRelay)
+    Most = std::max(Most, Count);
+  return Most;
+}
+
+} // namespace
+
+TEST_CASE("a zone that loses its relays leaves the slices of other zones small",
+          "[slices][load]") {
+  // A query over 180 shards has 13 slices of 14 shards.
+  for (const std::size_t Left : {59U, 12U, 3U, 1U}) {
+    const auto Peers = relaysPerZone({59, Left, 59, 59, 59});
+    CHECK(mostShards(shardsPerRelay(Peers, "z0", 180)) <= 28);
+  }
+  // A zone without any relay.
+  const auto Peers = relaysPerZone({59, 0, 59, 59, 59});
+  CHECK(mostShards(shardsPerRelay(Peers, "z0", 180)) <= 28);
+}
+
+TEST_CASE("a zone with few relays leaves most slices to relays of other zones",
+          "[slices][load]") {
+  for (const std::size_t Left : {3U, 1U}) {
+    const auto Peers = relaysPerZone({59, Left, 59, 59, 59});
+    CHECK(mostShards(shardsPerRelay(Peers, "z1", 180)) <= 28);
+  }
+}
+
+TEST_CASE("many shards over few relays are spread over all of them",
+          "[slices][load]") {
+  const auto Peers = relaysPerZone({4, 4, 3, 3, 3});
+  for (const char *Zone : {"z0", "z2", "z4"}) {
+    const auto PerRelay = shardsPerRelay(Peers, Zone, 180);
+    CHECK(PerRelay.size() >= 11);
+    CHECK(mostShards(PerRelay) <= 30);
+  }
+}
+
+TEST_CASE("a single zone with few relays queries all shards in even slices",
+          "[slices][load]") {
+  const auto Peers = relaysPerZone({3});
+  const auto PerRelay = shardsPerRelay(Peers, "z0", 180);
+  CHECK(PerRelay.size() == 3);
+  CHECK(mostShards(PerRelay) <= 75);
+}
