--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -20,8 +20,8 @@
 constexpr double GiveUpShare = 0.2;
 constexpr millis MinHedgeDelay{4};
 /// Bounds of the hedge delay, as multiples of the median latency.
-constexpr double MinHedgeMedianFactor = 1.25;
-constexpr double MaxHedgeMedianFactor = 2;
+constexpr double MinHedgeMedianFactor = 1.6;
+constexpr double MaxHedgeMedianFactor = 2.5;
 /// Time that a hedge leaves for its reply, as a multiple of the median latency.
 constexpr double HedgeReplyFactor = 2;
 /// Delay before a hedge that no endpoint or no budget permitted is tried again:
