Small queries: shards of other zones are queried by relays there

Queries under 40 shards were sent to each shard directly; a third of them have endpoints in other zones only, so each of those replies crossed. Change: of a query over 10 to 39 shards, the shards that need another zone are requested from relays of that zone, in groups, and only merged records cross; local shards are queried directly as before. A zone whose relays do not reply is queried directly after half of the objective. Three tests in relay_slices_test.

--- a/src/relay/slice_planner.cpp
+++ b/src/relay/slice_planner.cpp
@@ -79,6 +79,27 @@
     return std::move(Out);
   }
 
+  /// Slices of the shards that need another zone, and one slice for the
+  /// planning relay itself with the other shards; empty if no shard needs
+  /// another zone.
+  std::vector<slice> buildAcrossZones() {
+    std::vector<planned_shard> Remote;
+    slice Direct;
+    Direct.Primary = Planner.Self;
+    for (const planned_shard &Each : Shards)
+      if (needsOtherZone(Each))
+        Remote.push_back(Each);
+      else
+        Direct.Shards.push_back(Each.Index);
+    if (Remote.empty())
+      return {};
+    addRemoteSlices(Remote);
+    joinSlicesOfSameRelay();
+    if (!Direct.Shards.empty())
+      Out.push_back(std::move(Direct));
+    return std::move(Out);
+  }
+
 private:
   /// Square root of the number of shards, at least 1. Does not depend on the
   /// relays, so that all zones use the same partitions and a zone that loses
@@ -303,17 +324,25 @@
   return Rule.Shards.size() >= Settings.MinShards && HasOthers;
 }
 
+bool slice_planner::isSlicedAcrossZones(const gather_rule &Rule) const {
+  return Rule.Shards.size() >= Settings.MinShardsAcrossZones &&
+         RelaysByZone.size() > 1;
+}
+
 const std::vector<slice> &slice_planner::slicesOf(const gather_rule &Rule,
                                                   const zone_lookup &Lookup) {
   static const std::vector<slice> None;
-  if (!isSliced(Rule))
+  const bool IsSliced = isSliced(Rule);
+  if (!IsSliced && !isSlicedAcrossZones(Rule))
     return None;
   const auto Found = Cache.find(Rule.Shards);
   if (Found != Cache.end())
     return Found->second;
   if (Cache.size() >= MaxCachedPlans)
     Cache.clear();
-  return Cache[Rule.Shards] = builder(*this, Rule, Lookup).build();
+  builder Builder(*this, Rule, Lookup);
+  return Cache[Rule.Shards] =
+             IsSliced ? Builder.build() : Builder.buildAcrossZones();
 }
 
 } // namespace bulrush::relay
--- a/src/relay/slice_planner.h
+++ b/src/relay/slice_planner.h
@@ -41,6 +41,10 @@
   /// A query over fewer shards is not sliced: an extra hop would cost more than
   /// it saves.
   std::size_t MinShards = 40;
+  /// Of a query over at least this many shards, but fewer than `MinShards`, the
+  /// shards of the local zone are queried directly and those of other zones by
+  /// relays there, so that merged records cross zones instead of replies.
+  std::size_t MinShardsAcrossZones = 10;
 };
 
 /// Partitions queries into slices. For N shards, about sqrt(N) relays query
@@ -62,13 +66,17 @@
   /// Number of relays, over all zones, that may query the same shard.
   std::size_t relaysPerShard() const;
 
-  /// Whether the query has enough shards and there is another relay.
+  /// Whether all shards of the query are divided into slices: it has enough of
+  /// them and there is another relay.
   bool isSliced(const gather_rule &Rule) const;
-  /// Returns the slices of a query; empty if it is not sliced.
+  /// Returns the slices of a query; empty if its shards are all queried
+  /// directly.
   const std::vector<slice> &slicesOf(const gather_rule &Rule,
                                      const zone_lookup &Lookup);
 
 private:
+  bool isSlicedAcrossZones(const gather_rule &Rule) const;
+
   struct planned_shard;
   struct relay_pair;
   class builder;
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -675,3 +675,66 @@
   CHECK(PerRelay.size() == 3);
   CHECK(mostShards(PerRelay) <= 75);
 }
+
+namespace {
+
+/// Relay 1 of zone "z0" plans a query over 20 shards, each with endpoints in
+/// three of five zones with three relays each.
+std::vector<slice> slicesOfTwentyShards(const std::vector<relay_peer> &Peers) {
+  slice_planner Planner({}, {1}, "z0");
+  Planner.setPeers(Peers);
+  CHECK(!Planner.isSliced(shards(20)));
+  return Planner.slicesOf(shards(20), three_of_five_zones());
+}
+
+} // namespace
+
+TEST_CASE("of a query over some shards only those of other zones are requested "
+          "from relays",
+          "[slices][load]") {
+  const three_of_five_zones Lookup;
+  std::set<std::size_t> Covered;
+  for (const slice &Each : slicesOfTwentyShards(relaysPerZone({3, 3, 3, 3, 3})))
+    for (const std::size_t Shard : Each.Shards) {
+      CHECK(Covered.insert(Shard).second);
+      const auto Zones = Lookup.zonesOf(shards(20).Shards[Shard]);
+      const bool IsLocal = std::count(Zones.begin(), Zones.end(), "z0") > 0;
+      CHECK(IsLocal == (Each.Primary == vm_id{1}));
+      CHECK(IsLocal != Each.IsCrossZone);
+    }
+  CHECK(Covered.size() == 20);
+}
+
+TEST_CASE("a query over some shards is not sliced within a single zone",
+          "[slices]") {
+  CHECK(slicesOfTwentyShards(relaysPerZone({7})).empty());
+}
+
+TEST_CASE("shards of a zone whose relays do not reply are queried directly",
+          "[slices][load]") {
+  relay_settings Settings = relay_fixture::settings();
+  Settings.Self = {1};
+  relay_fixture Relay(Settings);
+  std::vector<std::string> Names;
+  for (int I = 0; I < 20; ++I) {
+    Names.push_back("s" + std::to_string(100 + I));
+    Relay.addService(Names.back(), 2);
+  }
+  // The shards s100 to s105 have endpoints in the far zone only.
+  for (listed_endpoint &Each : Relay.Directory.Endpoints)
+    if (Each.Service.Value < "s106")
+      Each.Zone = "far";
+  Relay.addRoute("/all/", Names).Gather.MinCoverage = 0.9;
+  Relay.step(peers_changed{{{{1}, "near"}, {{2}, "far"}, {{3}, "far"}}});
+  Relay.install(3);
+  const query_id Request = Relay.sendRequest("/all/x");
+  CHECK(Relay.Sent.size() == 14);
+  CHECK(Relay.count<send_shard_request>() > 0);
+  Relay.replyAll();
+  CHECK(Relay.answerTo(Request) == nullptr);
+  Relay.advance(51); // half of the objective
+  CHECK(Relay.Sent.size() == 6);
+  Relay.replyAll();
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Missing == 0);
+}
