A reply without the id of its request is not taken for its answer

Cause: replies without an echoed id were accepted, so a second copy of an answer without one, late, on a connection in use again, went to the next request. Tests: a late reply without an id (fails before by reading: it was accepted), a late copy between two requests, and an older directory after a hand-over (both pass before).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -271,11 +271,8 @@
     const auto Client = Owner.lock();
     if (!Client || Client->Settings.EchoHeader.empty())
       return false;
-    const auto Got = Message.find(Client->Settings.EchoHeader);
-    if (Got == Message.end())
-      return false;
-    const auto Sent = WireRequest.find(Client->Settings.EchoHeader);
-    return Sent == WireRequest.end() || Sent->value() != Got->value();
+    return WireRequest[Client->Settings.EchoHeader] !=
+           Message[Client->Settings.EchoHeader];
   }
 
   /// Whether the exchange was lost right after it was sent on a connection
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -44,7 +44,8 @@
   millis UnackedTimeout{0};
   millis SweepInterval{1'000}; ///< between two checks of the timeouts
   /// Request header that the server copies into its response. A response with
-  /// a different value belongs to an earlier request and is skipped.
+  /// a different value, or without one where the request has one, belongs to an
+  /// earlier request and is skipped.
   std::string EchoHeader;
   /// An exchange that takes longer ends as `lost`; its connection is closed.
   millis ExchangeTimeout{60'000};
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -776,3 +776,44 @@
   CHECK(Server.Open == 0);
   CHECK(peakMemory() - Before < std::size_t{32} << 20);
 }
+
+TEST_CASE("a late response without an id is not taken for the next one") {
+  const std::string WithoutId =
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain";
+  scripted_server Server(
+      {responseWith("1", "one"), WithoutId + responseWith("2", "two")});
+  boost::asio::io_context Io;
+  http::client Client(Io, echoSettings());
+  CHECK(exchange(Client, Io, "1").Response.Body == "one");
+  CHECK(exchange(Client, Io, "2").Response.Body == "two");
+}
+
+TEST_CASE("a late response that arrives between two requests ends the "
+          "connection") {
+  boost::asio::io_context Io;
+  tcp::acceptor Acceptor(Io,
+                         {boost::asio::ip::make_address("127.0.0.1"), Port});
+  // Answers the first request of each connection twice, the second time late.
+  int Connections = 0;
+  std::thread Server([&] {
+    std::string Request(4096, ' ');
+    boost::system::error_code Error;
+    std::vector<tcp::socket> Open;
+    for (const char *Id : {"1", "2"}) {
+      tcp::socket &Socket = Open.emplace_back(Acceptor.accept());
+      ++Connections;
+      Socket.read_some(boost::asio::buffer(Request), Error);
+      boost::asio::write(Socket, boost::asio::buffer(responseWith(Id, Id)),
+                         Error);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      boost::asio::write(Socket, boost::asio::buffer(responseWith(Id, Id)),
+                         Error);
+    }
+  });
+  http::client Client(Io, echoSettings());
+  CHECK(exchange(Client, Io, "1").Response.Body == "1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(exchange(Client, Io, "2").Response.Body == "2");
+  Server.join();
+  CHECK(Connections == 2);
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -771,3 +771,27 @@
     Relay.step(timer_fired{});
   CHECK(Relay.count<set_timer>() == Before);
 }
+
+TEST_CASE("after a hand-over of the registry an older directory does not bring "
+          "back an endpoint that left",
+          "[relay]") {
+  single_fixture Relay;
+  const directory Old = Relay.Directory;
+  std::erase_if(Relay.Directory.Endpoints, [](const listed_endpoint &Each) {
+    return Each.Identity.Instance == "one-0";
+  });
+  // The new leader's term; its sequence starts anew.
+  Relay.Directory.Version = {2, 1};
+  Relay.step(directory_arrived{
+      std::make_shared<const directory_change>(fullChange(Relay.Directory)),
+      {}});
+  // The former leader, cut off meanwhile, publishes what it read before.
+  directory Late = Old;
+  Late.Version = {1, Old.Version.Sequence + 5};
+  Relay.step(directory_arrived{
+      std::make_shared<const directory_change>(fullChange(Late)), {}});
+  for (int I = 0; I < 10; ++I) {
+    Relay.sendRequest("/one/");
+    CHECK(Relay.attemptAt("one-0") == 0);
+  }
+}
