Tests that checked less than they were meant to; one rule for pauses; micro benchmarks list their tests

- The owner's data path observed at most 1 s of an endpoint's Retry-After-Ms; now both paths use endpoint_pause.h, 60 s at most. owner_cold_test has the case (red before by reading: the cap was MaxProbeDelay).

--- a/bench/micro/bounds.h
+++ b/bench/micro/bounds.h
@@ -43,6 +43,15 @@
   return All;
 }
 
+/// Whether the command line only asks for the names of the benchmarks.
+inline bool isListing(int Count, char **Arguments) {
+  return std::any_of(Arguments, Arguments + Count, [](const char *Each) {
+    const std::string Text = Each;
+    return Text == "--benchmark_list_tests" ||
+           Text == "--benchmark_list_tests=true";
+  });
+}
+
 /// Records the shortest time in nanoseconds over the repetitions of each
 /// benchmark.
 class shortest_reporter final : public benchmark::ConsoleReporter {
@@ -66,8 +75,15 @@
   bool check(const std::vector<ratio_bound> &Bounds) const {
     bool AllHold = true;
     for (const ratio_bound &Bound : Bounds) {
-      const double Ratio =
-          ShortestTimes.at(Bound.Name) / ShortestTimes.at(Bound.Reference);
+      const auto Time = ShortestTimes.find(Bound.Name);
+      const auto Reference = ShortestTimes.find(Bound.Reference);
+      if (Time == ShortestTimes.end() || Reference == ShortestTimes.end()) {
+        std::printf("%s / %s did not run\n", Bound.Name.c_str(),
+                    Bound.Reference.c_str());
+        AllHold = false;
+        continue;
+      }
+      const double Ratio = Time->second / Reference->second;
       const bool Ok = Ratio <= Bound.MaxRatio;
       std::printf("%s %s / %s = %.5f, at most %.5f (%s)\n",
                   Ok ? "holds" : "BROKEN", Bound.Name.c_str(),
--- a/bench/micro/ratio_main.cpp
+++ b/bench/micro/ratio_main.cpp
@@ -1,5 +1,7 @@
 #include "ratio_main.h"
 
+#include "bounds.h"
+
 #include <cstdint>
 #include <cstdio>
 #include <map>
@@ -61,9 +63,12 @@
 
 int runWithBounds(int Count, char **Arguments,
                   const std::vector<ratio_bound> &Bounds) {
+  const bool IsListing = micro::isListing(Count, Arguments);
   benchmark::Initialize(&Count, Arguments);
   best_time_reporter Reporter;
   benchmark::RunSpecifiedBenchmarks(&Reporter);
+  if (IsListing)
+    return 0;
   const auto Reference = Reporter.BestNs.find("reference");
   if (Reference == Reporter.BestNs.end()) {
     std::printf("the reference benchmark did not run\n");
--- a/bench/micro/router_bench.cpp
+++ b/bench/micro/router_bench.cpp
@@ -260,6 +260,8 @@
   benchmark::Initialize(&FlagCount, Flags.data());
   micro::shortest_reporter Reporter;
   benchmark::RunSpecifiedBenchmarks(&Reporter);
+  if (micro::isListing(Count, Arguments))
+    return 0;
   const bool RatiosHold = Reporter.check({
       {"routeAndGather", "reference", 0.3,
        "letter 1: 164 queries a second a daemon, in 5% of a core"},
--- a/src/query/cold_start.cpp
+++ b/src/query/cold_start.cpp
@@ -1,5 +1,6 @@
 #include "query/cold_start.h"
 
+#include "bulrushtray/endpoint_pause.h"
 #include "query/service_time.h"
 
 #include <algorithm>
@@ -228,9 +229,8 @@
       RequiredSuccesses = std::min(RequiredSuccesses * 2,
                                    Settings.RampReplies * MaxBackoffFactor);
     closeSlots();
-    const millis RequestedDelay =
-        std::min(Observation.RetryAfter, Settings.MaxProbeDelay);
-    BlockedUntil = Now + std::max(ProbeDelay, RequestedDelay);
+    BlockedUntil =
+        Now + std::max(ProbeDelay, endpointPause(Observation.RetryAfter));
     if (WasProbe)
       ProbeDelay = std::min(ProbeDelay * 2, Settings.MaxProbeDelay);
     return Cause;
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -1,5 +1,7 @@
 #include "relay/endpoint_set.h"
 
+#include "bulrushtray/endpoint_pause.h"
+
 #include <algorithm>
 
 namespace bulrush::relay {
@@ -23,8 +25,6 @@
 /// Random increase of the cost, at most this share, so that relays do not all
 /// switch to the same endpoint.
 constexpr double CostJitter = 0.15;
-/// Longest pause that an endpoint can ask for.
-constexpr millis MaxPause{60'000};
 /// How long an announcement of an unlisted endpoint is remembered.
 constexpr millis AnnouncementMemory{600'000};
 
@@ -420,7 +420,7 @@
 
 void endpoint_set::pause(endpoint_state &Endpoint, millis Time, instant Now,
                          relay_actions &Out) {
-  const millis Bounded = std::min(Time, MaxPause);
+  const millis Bounded = endpointPause(Time);
   Endpoint.pauseUntil(Now + Bounded);
   auto LogEvent = makeLogEvent(Endpoint, endpoint_state_change::paused);
   LogEvent.PauseFor = Bounded;
--- a/test/fake_disk.h
+++ b/test/fake_disk.h
@@ -23,6 +23,8 @@
   using folder = std::map<std::string, std::shared_ptr<content>>;
 
   std::optional<disk_fault> Fault; ///< if set, all modifying calls fail with it
+  /// If set, this many modifying calls succeed and the next one sets `Fault`.
+  std::optional<std::size_t> CallsUntilFault;
   std::size_t Syncs = 0;
 
   /// Simulates a power failure. Each file keeps a random prefix of its unsynced
@@ -69,7 +71,7 @@
 
   disk_result<std::unique_ptr<store::disk_file>>
   open(const std::string &Name) override {
-    if (Fault)
+    if (fails())
       return failed();
     std::shared_ptr<content> &File = Names[Name];
     if (!File) {
@@ -85,7 +87,7 @@
   }
   disk_result<void> rename(const std::string &From,
                            const std::string &To) override {
-    if (Fault)
+    if (fails())
       return failed();
     if (!has(From))
       return missing(From);
@@ -94,7 +96,7 @@
     return {};
   }
   disk_result<void> remove(const std::string &Name) override {
-    if (Fault)
+    if (fails())
       return failed();
     Names.erase(Name);
     return {};
@@ -106,7 +108,7 @@
     return Result;
   }
   disk_result<void> syncDirectory() override {
-    if (Fault)
+    if (fails())
       return failed();
     SyncedNames = Names;
     return {};
@@ -123,13 +125,13 @@
     fake_file(fake_disk &Disk, std::shared_ptr<content> File)
         : Disk(Disk), File(std::move(File)) {}
     disk_result<void> append(std::string_view Bytes) override {
-      if (Disk.Fault)
+      if (Disk.fails())
         return Disk.failed();
       File->Current += Bytes;
       return {};
     }
     disk_result<void> sync() override {
-      if (Disk.Fault)
+      if (Disk.fails())
         return Disk.failed();
       File->Synced = File->Current;
       ++Disk.Syncs;
@@ -141,6 +143,13 @@
     std::shared_ptr<content> File;
   };
 
+  bool fails() {
+    if (CallsUntilFault && (*CallsUntilFault)-- == 0) {
+      CallsUntilFault.reset();
+      Fault = disk_fault::full;
+    }
+    return Fault.has_value();
+  }
   tl::unexpected<disk_error> failed() const {
     return tl::unexpected<disk_error>(disk_error{*Fault, "fake fault"});
   }
--- a/test/fuzz/control_simulation.h
+++ b/test/fuzz/control_simulation.h
@@ -154,13 +154,14 @@
     }
   }
 
-  /// Restarts a control process from a snapshot of its own applied state. Later
-  /// log entries are delivered again.
+  /// Restarts a control process from the snapshot of a voter that has applied
+  /// at least as much, itself or another. Later log entries are delivered
+  /// again.
   void restartVoter(std::size_t Voter) {
     if (Log.Leader == Voter)
       loseQuorum();
     voter &V = AllVoters[Voter];
-    const control_state State = V.Core->machine().snapshot();
+    const control_state State = snapshotFor(Voter);
     V.Core =
         std::make_unique<control_core>(vmOf(V), Deployment, Random(), Limits);
     V.Deferred.clear();
@@ -172,6 +173,16 @@
       It = It->first.first == Voter ? OpenRequests.erase(It) : ++It;
   }
 
+  control_state snapshotFor(std::size_t Voter) {
+    control_state Own = AllVoters[Voter].Core->machine().snapshot();
+    for (std::size_t Other = 0; Other < AllVoters.size(); ++Other) {
+      control_state State = AllVoters[Other].Core->machine().snapshot();
+      if (Other != Voter && State.Applied.Value >= Own.Applied.Value)
+        return State;
+    }
+    return Own;
+  }
+
   void restartDaemon(std::size_t Index) {
     daemon &D = AllDaemons[Index];
     const incarnation_id Next{D.Incarnation.Value + 1};
--- a/test/unit/log_file_test.cpp
+++ b/test/unit/log_file_test.cpp
@@ -86,3 +86,22 @@
     CHECK(*parseSingleRecord(*Disk.read("snapshot"), "snapshot") == "new");
   }
 }
+
+TEST_CASE("a crash in the middle of replaceFile leaves the old or the new file",
+          "[store]") {
+  bool HasFinished = false;
+  for (std::size_t Calls = 0; !HasFinished; ++Calls)
+    for (std::uint64_t Seed = 0; Seed < 50; ++Seed) {
+      std::mt19937_64 Random(Seed);
+      fake_disk Disk;
+      REQUIRE(replaceFile(Disk, "snapshot", "old"));
+      Disk.CallsUntilFault = Calls;
+      HasFinished = replaceFile(Disk, "snapshot", "new").has_value();
+      Disk.CallsUntilFault.reset();
+      Disk.Fault.reset();
+      Disk.crash(Random);
+      const auto Found = parseSingleRecord(*Disk.read("snapshot"), "snapshot");
+      REQUIRE(Found);
+      CHECK((*Found == "new" || (!HasFinished && *Found == "old")));
+    }
+}
--- a/test/unit/owner_cold_test.cpp
+++ b/test/unit/owner_cold_test.cpp
@@ -269,3 +269,17 @@
   }
   CHECK(countSent(Fixture) == 1);
 }
+
+TEST_CASE("an endpoint that asks for time gets no request until it is over",
+          "[owner][cold]") {
+  owner_fixture Fixture(3);
+  Fixture.grantAllLeases();
+  Fixture.warmUp();
+  reply_headers Headers;
+  Headers.RetryAfter = {1500};
+  Fixture.reply(Fixture.submitRequest(), reply_kind::shed, Headers);
+  Fixture.advance({1400});
+  CHECK(countSent(Fixture) == 0);
+  Fixture.advance({200});
+  CHECK(Fixture.sendCount() == 1);
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -497,7 +497,7 @@
   constexpr double Interval = 5;
   std::deque<std::uint64_t> Queue;
   double BusyUntil = 0;
-  std::size_t Useful = 0;
+  std::size_t Served = 0;
   for (int I = 0; I < 400; ++I) {
     Relay.sendRequest("/all/x");
     for (auto Each = Relay.Sent.begin(); Each != Relay.Sent.end();) {
@@ -515,9 +515,8 @@
       const std::uint64_t Done = Queue.front();
       Queue.pop_front();
       BusyUntil = Relay.Now.Ms + ServiceTime;
-      const bool WasWanted = Relay.Relay.active() > 0;
       Relay.reply(Done, 200);
-      Useful += WasWanted ? 1 : 0;
+      ++Served;
     }
   }
   std::size_t Complete = 0;
@@ -525,6 +524,8 @@
     if (const auto *Answer = std::get_if<send_answer>(&Each))
       Complete += Answer->Missing == 0 ? 1 : 0;
   CHECK(Complete >= 160); // one slot can serve 200
+  // Most replies of the overloaded endpoint come in time to be used.
+  CHECK(static_cast<double>(Complete) >= static_cast<double>(Served) * 0.8);
 }
 
 TEST_CASE("an endpoint that never replies gets only probes", "[relay][load]") {
--- a/test/unit/router_dead_zone_test.cpp
+++ b/test/unit/router_dead_zone_test.cpp
@@ -1,6 +1,7 @@
 #include "query_fixture.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 
 using namespace bulrush;
 using namespace bulrush::query;
@@ -18,23 +19,24 @@
   std::size_t Total = 0;
 };
 
-/// Sends one query every 5 ms, in steps of 1 ms. Endpoints reply at the start
-/// of the next step or, in a dead zone, never.
+/// Sends one query every 5 ms, in steps of 1 ms. Endpoints reply after 2 ms or,
+/// in a dead zone, never.
 phase_result run(router_harness &Harness, std::uint64_t &Query, int Queries,
                  bool ZoneIsDead) {
   constexpr int StepsAfter = 60;
   phase_result Result;
-  std::vector<sub_request> Due;
+  constexpr int ReplySteps = 2;
+  std::deque<std::pair<int, sub_request>> Due;
   for (int Step = 0; Step < 5 * Queries + StepsAfter; ++Step) {
-    for (const sub_request &Request : std::exchange(Due, {}))
-      if (!ZoneIsDead || Request.Endpoint.Value < Shards)
-        Harness.reply(Harness.answerTo(Request));
+    for (; !Due.empty() && Due.front().first <= Step; Due.pop_front())
+      if (!ZoneIsDead || Due.front().second.Endpoint.Value < Shards)
+        Harness.reply(Harness.answerTo(Due.front().second));
     Harness.advance(millis{1});
     if (Step % 5 == 0 && Step < 5 * Queries)
       Harness.search(++Query);
     for (const sub_request &Request : Harness.takeRequests()) {
       ++(Request.Attempt == 0 ? Result.Primaries : Result.Extra);
-      Due.push_back(Request);
+      Due.emplace_back(Step + ReplySteps, Request);
     }
     for (const answer &Answer : Harness.takeAnswers()) {
       Result.Covered += Answer.Covered;
