Endpoints that leave a query unanswered are suspected 250 ms past its objective

Attempts of a query that cannot be answered without them were given up only at the deadline, without any conclusion, and the connections broke after 1 s; until then each query waited 0.8 s for a 504 (34 of them), and only after that the next ones were refused at once. Change: 250 ms past the soft deadline the endpoints of attempts without a reply are probed; the attempts go on. Result: relay_test, queries over silent shards (fails before: no answer).

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -183,6 +183,8 @@
       ObjectiveAt > Now ? ObjectiveAt : Now + TimeToAnswer, Request.Deadline);
   Request.GiveUpAt = Now + Route.Objective * GiveUpShare;
   Request.HedgeAt = hedgeTime(Request);
+  if (Request.isGathered())
+    Request.OverdueAt = Request.SoftDeadline + LingerTime;
   Request.SliceRetryAt = Now + Route.Objective * SliceRetryShare;
   Request.LogEvent.RequestId = Request.Content->RequestId;
   Request.LogEvent.Route = Route.Name;
@@ -344,6 +346,8 @@
     sendHedges(Request);
   if (Now >= Request.SliceRetryAt)
     retryUnansweredSlices(Request);
+  if (Now >= Request.OverdueAt)
+    suspectOverdue(Request);
   settle(Request);
 }
 
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// How long the attempts of an answered request may continue before they are
-/// cancelled. An attempt that ends within this time keeps its connection usable
-/// and its latency is recorded.
-constexpr millis LingerTime{250};
 /// Delays after which a refused client should retry: when a busy endpoint is
 /// likely to be free, and when an unavailable one is likely to be back.
 constexpr millis BusyRetryAfter{60};
@@ -54,15 +50,37 @@
                                            : relay_refusal::few_shards);
     return;
   }
-  instant Next =
-      Now < Request.SoftDeadline ? Request.SoftDeadline : Request.Deadline;
-  if (Now < Request.HedgeAt)
-    Next = std::min(Next, Request.HedgeAt);
+  instant Next = nextWakeOf(Request, Now);
   if (Now < Request.SliceRetryAt && !Request.SliceRequests.empty())
     Next = std::min(Next, Request.SliceRetryAt);
   scheduleWake(Request, Next);
 }
 
+/// The next of the times that apply to every query: hedges, the soft deadline,
+/// overdue attempts and the deadline.
+instant relay::impl::nextWakeOf(const request_state &Request, instant Now) {
+  instant Next = Request.Deadline;
+  for (const instant Each :
+       {Request.HedgeAt, Request.SoftDeadline, Request.OverdueAt})
+    if (Now < Each)
+      Next = std::min(Next, Each);
+  return Next;
+}
+
+/// Probes the endpoints that have not replied to a query which waits for them
+/// past its objective: they may be down without closing their connections.
+/// Later queries need not wait in vain. The attempts go on, as a late reply is
+/// still used.
+void relay::impl::suspectOverdue(request_state &Request) {
+  Request.OverdueAt = Never;
+  for (const request_part &Part : Request.Parts)
+    for (const running_attempt &Each : Part.Running) {
+      endpoint_state *Endpoint = Endpoints.find(Each.Endpoint);
+      if (Endpoint && Now - Each.SentAt >= LingerTime)
+        Endpoints.markSuspect(*Endpoint, Now, *Out);
+    }
+}
+
 void relay::impl::settleSingle(request_state &Request) {
   request_part &Part = Request.Parts.front();
   switch (Part.Phase) {
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -8,6 +8,12 @@
 
 namespace bulrush::relay {
 
+/// How long the attempts of an answered request may continue before they are
+/// cancelled. An attempt that ends within this time keeps its connection usable
+/// and its latency is recorded. A longer one makes its endpoint suspect, also
+/// if the request is not answered yet.
+inline constexpr millis LingerTime{250};
+
 class relay::impl {
 public:
   impl(relay_settings Settings, std::uint64_t Seed);
@@ -115,6 +121,8 @@
                     std::shared_ptr<const endpoint_reply> Reply);
   void refuse(request_state &Request, relay_refusal Reason);
   void handleDeadline(request_state &Request);
+  void suspectOverdue(request_state &Request);
+  static instant nextWakeOf(const request_state &Request, instant Now);
   void sendAnswer(request_state &Request, send_answer Answer);
   void recordGatherTime(request_state &Request) const;
   static void recordMissingShards(request_state &Request);
--- a/src/relay/relay_peer_requests.cpp
+++ b/src/relay/relay_peer_requests.cpp
@@ -48,6 +48,7 @@
   setDeadlines(Request, ArrivedAt, {}, {});
   Request.SoftDeadline = ArrivedAt + ShardRequest.SoftTimeout;
   Request.HedgeAt = hedgeTime(Request);
+  Request.OverdueAt = Request.SoftDeadline + LingerTime;
   Request.SliceRetryAt = Never;
   Request.LogEvent.IsFromPeer = true;
   requester_state &Requester = Request.Requester.emplace();
@@ -129,10 +130,7 @@
   }
   if (Now >= Request.SoftDeadline && hasUnsentParts(Request))
     replyToRequester(Request, false);
-  instant Next =
-      Now < Request.SoftDeadline ? Request.SoftDeadline : Request.Deadline;
-  if (Now < Request.HedgeAt)
-    Next = std::min(Next, Request.HedgeAt);
+  instant Next = nextWakeOf(Request, Now);
   if (!Requester.HasSentReply)
     Next = std::min(Next, Requester.FirstReplyAt);
   scheduleWake(Request, Next);
--- a/src/relay/request_state.h
+++ b/src/relay/request_state.h
@@ -108,6 +108,9 @@
   /// endpoint may have executed it.
   instant GiveUpAt;
   instant Deadline;
+  /// When endpoints that have not replied to a query are suspected; `Never`
+  /// once that is done.
+  instant OverdueAt = Never;
   instant WakeAt = Never;      ///< earliest scheduled wake-up
   instant FirstPartAt = Never; ///< when the first part completed
   std::vector<request_part> Parts;
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -2,6 +2,7 @@
 #include "relay_fixture.h"
 
 #include <deque>
+#include <set>
 
 using namespace bulrush;
 using namespace bulrush::test;
@@ -796,3 +797,44 @@
     CHECK(Relay.attemptAt("one-0") == 0);
   }
 }
+
+TEST_CASE("queries over shards whose endpoints all fall silent are refused at "
+          "once from the first overdue one on",
+          "[relay][load]") {
+  gather_fixture Relay; // an answer needs three of four shards
+  const auto ReplyExcept = [&](const std::set<std::string> &Silent) {
+    for (auto Each = Relay.Sent.begin(); Each != Relay.Sent.end();) {
+      const auto [Number, Attempt] = *Each++;
+      const std::string Instance = Relay.instanceOf(Attempt);
+      if (!Silent.count(Instance.substr(0, 1)))
+        Relay.reply(Number);
+    }
+  };
+  const auto FailProbes = [&](std::size_t From) {
+    for (std::size_t I = From; I < Relay.Actions.size(); ++I)
+      if (const auto *Probe = std::get_if<probe_endpoint>(&Relay.Actions[I])) {
+        const endpoint_no No = Probe->Endpoint;
+        Relay.step(probe_ended{No, false, {}, {}, false, {}});
+      }
+  };
+  // A query every 20 ms; shards a and b are silent.
+  std::map<query_id, double> AskedAt;
+  std::size_t Handled = 0;
+  for (int I = 0; I < 50; ++I) {
+    AskedAt[Relay.sendRequest("/all/x")] = Relay.Now.Ms;
+    ReplyExcept({"a", "b"});
+    Relay.advance(20);
+    FailProbes(std::exchange(Handled, Relay.Actions.size()));
+  }
+  const double Start = AskedAt.begin()->second;
+  for (const auto &[Request, At] : AskedAt) {
+    // The objective is 100 ms, 10 of them on the way; 250 ms later the
+    // endpoints are overdue.
+    if (At < Start + 90 + 250 + 200)
+      continue;
+    const send_answer *Answer = Relay.answerTo(Request);
+    REQUIRE(Answer);
+    CHECK(Answer->Status == 503);
+    CHECK(Answer->RetryAfter > millis{0});
+  }
+}
