A single slow reply is no sign of a slow endpoint

The local endpoint was idle and remembered as 2 to 4.6 times as slow as usual: one reply after a pause of 100 ms counts as 10 times, and is forgotten over 3 s only. Bytes between zones were the largest price of the site. Change: a slow sample counts as the smaller of itself and the one before it, so once a second slow reply follows.

--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bulrush::relay {
 
@@ -100,8 +101,9 @@
 }
 
 void endpoint_state::observeSlowdown(double Sample, instant Now) {
+  const double Confirmed = std::min(Sample, std::exchange(LastSample, Sample));
   const double Old = expectedSlowdown(Now);
-  Slowdown = Old + (Sample - Old) * SlowdownWeight;
+  Slowdown = Old + (Confirmed - Old) * SlowdownWeight;
   SlowdownAt = Now;
 }
 
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -103,7 +103,9 @@
   millis expectedLatency(millis TypicalLatency, instant Now) const;
   /// Expected share of requests that fail, from 0 to 1; decays to 0.
   double expectedFailureRate(instant Now) const;
-  /// Adds a sample: the latency of a request divided by the typical latency.
+  /// Adds a sample: the latency of a request divided by the typical latency. A
+  /// slow reply counts once a second one follows: a single one is a pause that
+  /// is over.
   void observeSlowdown(double Sample, instant Now);
 
   // Health probes while suspect.
@@ -141,6 +143,7 @@
   std::map<attempt_no, in_flight_attempt> InFlight;
   concurrency_limit Limit;
   double Slowdown = 1;
+  double LastSample = 1; ///< latest slowdown sample
   instant SlowdownAt{-1e300};
   double FailureRate = 0; ///< moving average
   instant FailureRateAt{-1e300};
--- a/test/unit/relay_hedge_test.cpp
+++ b/test/unit/relay_hedge_test.cpp
@@ -112,3 +112,35 @@
   CHECK(Second >= 90 - 3 * 10);
   CHECK(Second <= 90 - 10);
 }
+
+TEST_CASE("a single pause of an endpoint does not move its requests to another "
+          "zone",
+          "[relay][load]") {
+  hedge_fixture Relay;
+  Relay.sendRequest("/all/");
+  REQUIRE(Relay.attemptAt("a-0") != 0); // of the local zone
+  Relay.advance(80);
+  Relay.replyAll();
+  int Local = 0;
+  for (int I = 0; I < 20; ++I) {
+    Relay.sendRequest("/all/", {800}, {{60}, false});
+    Local += Relay.attemptAt("a-0") != 0 ? 1 : 0;
+    Relay.advance(10);
+    Relay.replyAll();
+  }
+  CHECK(Local == 20);
+}
+
+TEST_CASE("an endpoint that stays slow loses its requests to another zone",
+          "[relay][load]") {
+  hedge_fixture Relay;
+  int Local = 0;
+  for (int I = 0; I < 20; ++I) {
+    Relay.sendRequest("/all/", {800}, {{60}, false});
+    const bool IsLocal = Relay.attemptAt("a-0") != 0;
+    Local += IsLocal ? 1 : 0;
+    Relay.advance(IsLocal ? 60 : 10);
+    Relay.replyAll();
+  }
+  CHECK(Local <= 5);
+}
