--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -315,38 +315,55 @@
   CHECK(!WasCalled);
 }
 
-TEST_CASE("the handler is notified when a client disconnects") {
-  class disconnect_handler final : public http::handler {
-  public:
-    void handle(http::request Request, http::responder) override {
-      Received = Request.Token;
-    }
-    void onClientDisconnected(http::request_token Token) override {
-      Disconnected = Token;
-    }
-    http::request_token Received = 0;
-    http::request_token Disconnected = 0;
-  };
+namespace {
+
+/// A server that treats a disconnect as a cancellation and never responds.
+class cancelling_server final : public http::handler {
+public:
+  cancelling_server() : Server(Io, settings(), *this, Metrics) {
+    REQUIRE(Server.start());
+  }
+  void handle(http::request Request, http::responder) override {
+    Received = Request.Token;
+  }
+  void onClientDisconnected(http::request_token Token) override {
+    ++Disconnects;
+    Disconnected = Token;
+  }
+
   boost::asio::io_context Io;
+  http::request_token Received = 0;
+  http::request_token Disconnected = 0;
+  int Disconnects = 0;
+
+private:
+  static http::server_settings settings() {
+    http::server_settings Out;
+    Out.Listen = {"127.0.0.1", Port};
+    Out.CancelOnDisconnect = true;
+    return Out;
+  }
+
   telemetry::metrics Metrics;
-  disconnect_handler Handler;
-  http::server_settings Settings;
-  Settings.Listen = {"127.0.0.1", Port};
-  Settings.CancelOnDisconnect = true;
-  http::server Server(Io, Settings, Handler, Metrics);
-  REQUIRE(Server.start());
+  http::server Server;
+};
+
+} // namespace
+
+TEST_CASE("the handler is notified when a client disconnects") {
+  cancelling_server Server;
   {
-    tcp::socket Socket(Io);
+    tcp::socket Socket(Server.Io);
     Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
     boost::asio::write(Socket, boost::asio::buffer(std::string(
                                    "GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
-    Io.run_for(std::chrono::milliseconds(50));
-    REQUIRE(Handler.Received != 0);
-    CHECK(Handler.Disconnected == 0);
+    Server.Io.run_for(std::chrono::milliseconds(50));
+    REQUIRE(Server.Received != 0);
+    CHECK(Server.Disconnected == 0);
   }
-  Io.restart();
-  Io.run_for(std::chrono::milliseconds(50));
-  CHECK(Handler.Disconnected == Handler.Received);
+  Server.Io.restart();
+  Server.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(Server.Disconnected == Server.Received);
 }
 
 TEST_CASE("after closeAfterResponses a response closes its connection") {
@@ -578,29 +595,14 @@
 }
 
 TEST_CASE("a client that leaves after asking for a close is noticed") {
-  class disconnect_handler final : public http::handler {
-  public:
-    void handle(http::request, http::responder) override {}
-    void onClientDisconnected(http::request_token) override { ++Disconnects; }
-    int Disconnects = 0;
-  };
-  boost::asio::io_context Io;
-  telemetry::metrics Metrics;
-  disconnect_handler Handler;
-  http::server_settings Settings;
-  Settings.Listen = {"127.0.0.1", Port};
-  Settings.CancelOnDisconnect = true;
-  http::server Server(Io, Settings, Handler, Metrics);
-  REQUIRE(Server.start());
-  {
-    raw_client Client(Io);
-    Client.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    runFor(Io, 30);
-    CHECK(Handler.Disconnects == 0);
-    Client.Socket.close();
-    runFor(Io, 30);
-  }
-  CHECK(Handler.Disconnects == 1);
+  cancelling_server Server;
+  raw_client Client(Server.Io);
+  Client.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  runFor(Server.Io, 30);
+  CHECK(Server.Disconnects == 0);
+  Client.Socket.close();
+  runFor(Server.Io, 30);
+  CHECK(Server.Disconnects == 1);
 }
 
 TEST_CASE("preconnect ends while a rejected connection delays new ones") {
