--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -101,7 +101,10 @@
 }
 
 void endpoint_state::observeSlowdown(double Sample, instant Now) {
-  const double Confirmed = std::min(Sample, std::exchange(LastSample, Sample));
+  // A slow reply of long ago is no second one.
+  const bool IsLastRecent = Now - SlowdownAt <= SlowdownDecayTime;
+  const double Last = std::exchange(LastSample, Sample);
+  const double Confirmed = std::min(Sample, IsLastRecent ? Last : 1.0);
   const double Old = expectedSlowdown(Now);
   Slowdown = Old + (Confirmed - Old) * SlowdownWeight;
   SlowdownAt = Now;
--- a/test/unit/relay_hedge_test.cpp
+++ b/test/unit/relay_hedge_test.cpp
@@ -35,6 +35,15 @@
     return IsHedged ? Ms : -1;
   }
 
+  /// Answers 100 requests, every `Nth` after `Ms` and the others after 10 ms.
+  void replyLateEach(int Nth, double Ms) {
+    for (int I = 0; I < 100; ++I) {
+      sendRequest("/all/");
+      advance(I % Nth == 0 ? Ms : 10);
+      replyAll();
+    }
+  }
+
   std::string HedgedTo; ///< instance, by the last `timeToHedge`
 };
 
@@ -44,11 +53,13 @@
           "[relay][hedges][load]") {
   hedge_fixture Near;
   hedge_fixture Far;
+  for (hedge_fixture *Each : {&Near, &Far})
+    Each->replyLateEach(4, 30);
   const int AtNear = Near.timeToHedge(100);
   // The client measures 70 of 100 ms itself.
   const int AtFar = Far.timeToHedge(100, {{70}, false});
   CHECK(AtNear > 10); // a reply at the usual time needs no hedge
-  CHECK(AtNear <= 21);
+  CHECK(AtNear <= 30);
   CHECK(AtFar <= 30 - 2 * 10 + 1);
 }
 
@@ -66,15 +77,27 @@
 TEST_CASE("a hedge goes to an idle endpoint that was slow a while ago",
           "[relay][hedges][load]") {
   hedge_fixture Relay;
-  // "a-1" was taken while "a-0" was cold, and paused.
+  // A second shard that replies makes the first one optional, so that no
+  // attempt is sent whose reply would come after the answer.
+  Relay.addService("b", 1, 100000);
+  Relay.Catalog.Routes.front().Gather.Shards.push_back({"b"});
+  Relay.Catalog.Routes.front().Gather.MinCoverage = 0.5;
+  Relay.install();
+  // "a-1" was taken while "a-0" was cold, and paused twice.
   Relay.listedEntry("a-0").ColdFor = {200};
   Relay.publishDirectory();
-  Relay.sendRequest("/all/");
-  Relay.advance(85);
-  Relay.replyAll();
+  for (int I = 0; I < 2; ++I) {
+    Relay.sendRequest("/all/");
+    Relay.reply(Relay.attemptAt("b-0"));
+    Relay.advance(85);
+    Relay.replyAll();
+  }
   Relay.advance(300);
-  REQUIRE(Relay.timeToHedge(100, {{62}, false}) > 0);
-  CHECK(Relay.HedgedTo == "a-1");
+  Relay.sendRequest("/all/", {800}, {{62}, false});
+  REQUIRE(Relay.attemptAt("a-0") != 0);
+  Relay.reply(Relay.attemptAt("b-0"));
+  Relay.advance(27); // 38 ms are left for the answer, a reply takes 10
+  CHECK(Relay.attemptAt("a-1") != 0);
 }
 
 TEST_CASE("early hedges leave budget for those that are urgent",
@@ -144,3 +167,17 @@
   }
   CHECK(Local <= 5);
 }
+
+TEST_CASE("two slow replies far apart do not make an endpoint slow",
+          "[relay][load]") {
+  hedge_fixture Relay;
+  for (int Pause = 0; Pause < 2; ++Pause) {
+    Relay.advance(5000);
+    Relay.sendRequest("/all/");
+    REQUIRE(Relay.attemptAt("a-0") != 0);
+    Relay.advance(80);
+    Relay.replyAll();
+  }
+  Relay.sendRequest("/all/", {800}, {{60}, false});
+  CHECK(Relay.attemptAt("a-0") != 0);
+}
