Late parts of a slice are sent once the requester has not cancelled them

Cause: a relay that queries shards for another one failed a part at once when its reply was expected after the soft deadline, though an endpoint was open. The requester then lacked shards and answered 502 to queries that had a second or more left. Change: such a part waits until a cancellation would have arrived, 10 ms after the soft deadline (a round trip between zones is 6.5 ms), and is sent then.

--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -23,6 +23,9 @@
 constexpr millis MaxShedBackoff{160};
 /// Delay before a part that the retry budget denied is retried.
 constexpr millis BudgetRetryDelay{50};
+/// Time from the soft deadline of a shard request, which is one round trip
+/// before that of its query, until a cancellation sent then has arrived.
+constexpr millis CancelTransit{10};
 /// A hedge is urgent once this many median latencies are left for its reply.
 constexpr double UrgentHedgeFactor = 3;
 /// A part of a query stops waiting this many median latencies before the
@@ -37,15 +40,24 @@
 /// Time after which a reply to a part that is sent now would go unused; `Never`
 /// if the request waits for it until its deadline. A query that has enough
 /// shards is answered without the part, so an overloaded endpoint would work in
-/// vain. For a shard request of another relay the limit is its soft deadline,
-/// except for attempts that are sent on its arrival: those have no limit.
+/// vain. Whether the query of a shard request has enough shards is known to the
+/// requester only, which cancels it then: until that would have arrived, the
+/// limit is the soft deadline, except for attempts that are sent on arrival.
 instant relay::impl::replyNeededBy(const request_state &Request) const {
   if (Request.Requester)
-    return Now > Request.ArrivedAt ? Request.SoftDeadline : Never;
+    return Now > Request.ArrivedAt && Now < cancelDueAt(Request)
+               ? Request.SoftDeadline
+               : Never;
   const bool IsOptional = Request.isGathered() && Request.hasEnoughParts();
   return IsOptional ? Request.SoftDeadline : Never;
 }
 
+/// When a shard request would have been cancelled if its query had enough
+/// shards at the soft deadline.
+instant relay::impl::cancelDueAt(const request_state &ShardRequest) {
+  return ShardRequest.SoftDeadline + CancelTransit;
+}
+
 reply_timing relay::impl::replyTiming(const request_state &Request) const {
   return {Request.RouteState->Median.value(),
           (Request.SoftDeadline - Now) * EarlyReplyShare,
@@ -66,8 +78,12 @@
   const bool HasEndpoint =
       State != availability::none &&
       (State == availability::busy || IsEarly || IsOverBudget);
-  const bool MayWait =
-      (HasEndpoint && Now < waitLimit(Request)) || PauseEnd < Never;
+  // An endpoint is open, but its reply would come after the soft deadline. The
+  // requester may need it all the same.
+  const bool IsDeferred = Request.Requester && State == availability::open &&
+                          !HasEndpoint && Now < cancelDueAt(Request);
+  const bool MayWait = (HasEndpoint && Now < waitLimit(Request)) ||
+                       PauseEnd < Never || IsDeferred;
   Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
   if (!MayWait)
     return;
@@ -78,6 +94,8 @@
     scheduleWake(Request, Part.NotBefore);
   if (PauseEnd < Never)
     scheduleWake(Request, PauseEnd);
+  if (IsDeferred)
+    scheduleWake(Request, cancelDueAt(Request));
 }
 
 /// When the first endpoint that only a pause excludes accepts requests again;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -64,6 +64,7 @@
   // relay_attempts.cpp: attempts of one part
   instant waitLimit(const request_state &Request) const;
   instant replyNeededBy(const request_state &Request) const;
+  static instant cancelDueAt(const request_state &ShardRequest);
   reply_timing replyTiming(const request_state &Request) const;
   void startPart(request_state &Request, request_part &Part);
   bool sendPart(request_state &Request, request_part &Part,
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -738,3 +738,53 @@
   REQUIRE(Relay.answerTo(Request));
   CHECK(Relay.answerTo(Request)->Missing == 0);
 }
+
+TEST_CASE("a part that would be late is sent once its requester has not "
+          "cancelled it, as after a restart of all relays",
+          "[slices][load]") {
+  // Another relay asks for one shard; both of its endpoints are as busy as when
+  // all clients return together.
+  relay_settings Settings = relay_fixture::settings();
+  Settings.Self = {2};
+  relay_fixture Relay(Settings);
+  Relay.addService("a", 2, 1000);
+  Relay.addRoute("/all/", {"a"}).Gather.MinCoverage = 1;
+  Relay.install();
+  const auto Ask = [&](std::uint64_t Id) {
+    shard_request ShardRequest;
+    ShardRequest.Id = {Id};
+    ShardRequest.Content = std::make_shared<opaque_request>();
+    ShardRequest.Shards = {{"a"}};
+    ShardRequest.RouteKey = "k";
+    ShardRequest.TopRecords = 10;
+    ShardRequest.MaxAttempts = 2;
+    ShardRequest.Objective = {100};
+    ShardRequest.SoftTimeout = {40};
+    ShardRequest.Remaining = {800};
+    Relay.step(shard_request_arrived{{1}, ShardRequest});
+  };
+  const auto FinalReplyTo = [&](std::uint64_t Id) {
+    const send_shard_reply *Out = nullptr;
+    for (const relay_action &Each : Relay.Actions)
+      if (const auto *Sent = std::get_if<send_shard_reply>(&Each))
+        if (Sent->Reply.ShardRequest == shard_request_id{Id} &&
+            Sent->Reply.IsFinal)
+          Out = Sent;
+    return Out;
+  };
+  // Each endpoint takes two of the first four at once; the fifth waits for one.
+  for (std::uint64_t Id = 1; Id <= 5; ++Id)
+    Ask(Id);
+  REQUIRE(Relay.Sent.size() == 4);
+  Relay.advance(30);
+  // One reply frees an endpoint; at the latency seen, the next one would be
+  // late.
+  Relay.reply(Relay.Sent.begin()->first);
+  CHECK(FinalReplyTo(5) == nullptr); // failed at once before
+  const std::size_t Before = Relay.Sent.size();
+  Relay.advance(21); // 51 ms: a cancellation would have arrived
+  CHECK(Relay.Sent.size() >= Before);
+  Relay.replyAll();
+  REQUIRE(FinalReplyTo(5));
+  CHECK(FinalReplyTo(5)->Reply.Covered == std::vector<std::uint32_t>{0});
+}
