One word for a stall, one place for a parser's error

Cause, found on reading: "pause" named both the time that an endpoint asks for and a moment in which it answers nothing without saying so; the test for an error of the HTTP parser stood twice in the server; three comments said less than the code does (a verdict for attempts that were never sent, slices of small queries, the bound of a pause). No behaviour changes.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -213,11 +213,7 @@
   void onInputDiscarded(error_code Error) {
     if (IsClosed)
       return;
-    const bool IsParsed =
-        Error.category() ==
-        beast::http::make_error_code(beast::http::error::end_of_stream)
-            .category();
-    const bool IsEnd = Error && (!IsParsed || isEndOfStream(Error));
+    const bool IsEnd = Error && (!isParseError(Error) || isEndOfStream(Error));
     if (!IsEnd) {
       discardInput();
       return;
@@ -227,6 +223,13 @@
       close();
   }
 
+  /// Whether the error comes from the HTTP parser, not from the connection.
+  static bool isParseError(error_code Error) {
+    using beast::http::error;
+    return Error.category() ==
+           beast::http::make_error_code(error::end_of_stream).category();
+  }
+
   static bool isEndOfStream(error_code Error) {
     using beast::http::error;
     return Error == error::end_of_stream || Error == error::partial_message;
@@ -234,10 +237,7 @@
 
   void onReadError(detail::server_state &Owner, error_code Error) {
     using beast::http::error;
-    const bool IsParseError =
-        Error.category() ==
-        beast::http::make_error_code(error::end_of_stream).category();
-    if (!IsParseError || isEndOfStream(Error)) {
+    if (!isParseError(Error) || isEndOfStream(Error)) {
       if (Owner.Settings.CancelOnDisconnect)
         close();
       else
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -35,8 +35,8 @@
   /// A local endpoint that is expected to reply within this is preferred.
   millis PreferredLatency;
   instant LatestAt = Never; ///< a later reply would go unused
-  /// An endpoint that was slow a while ago may be tried again: a short pause of
-  /// it is over by now.
+  /// An endpoint that was slow a while ago may be tried again: a short stall is
+  /// over by now.
   bool IgnoresPastSlowness = false;
 };
 
@@ -99,8 +99,8 @@
   /// Listed endpoints of these services that announced that they stop soon.
   std::vector<endpoint_identity>
   announcedLeaving(const std::vector<service_name> &Services) const;
-  /// Sends no requests to the endpoint for the time that it asked for, at most
-  /// 60 s.
+  /// Sends no requests to the endpoint for the time that it asked for, bounded
+  /// by `endpointPause`.
   void pause(endpoint_state &Endpoint, millis Time, instant Now,
              relay_actions &Out);
   /// When the first endpoint not in `Tried` ends a pause; `Never` if none is
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -32,7 +32,7 @@
                ///< answered
   stale_connection, ///< the endpoint had closed a kept connection; may be
                     ///< healthy
-  cancelled         ///< cancelled by the relay; no fault of the endpoint
+  cancelled ///< cancelled by the relay or never sent; no fault of the endpoint
 };
 
 class endpoint_state {
@@ -104,8 +104,8 @@
   /// Expected share of requests that fail, from 0 to 1; decays to 0.
   double expectedFailureRate(instant Now) const;
   /// Adds a sample: the latency of a request divided by the typical latency. A
-  /// slow reply counts once a second one follows: a single one is a pause that
-  /// is over.
+  /// slow reply counts once a second one follows soon: a single one is a stall
+  /// that is over.
   void observeSlowdown(double Sample, instant Now);
 
   // Health probes while suspect.
--- a/src/relay/slice_planner.h
+++ b/src/relay/slice_planner.h
@@ -38,8 +38,8 @@
 };
 
 struct slice_settings {
-  /// A query over fewer shards is not sliced: an extra hop would cost more than
-  /// it saves.
+  /// The local shards of a query over fewer shards are not sliced: an extra hop
+  /// would cost more than it saves.
   std::size_t MinShards = 40;
   /// Of a query over at least this many shards, but fewer than `MinShards`, the
   /// shards of the local zone are queried directly and those of other zones by
--- a/test/unit/relay_hedge_test.cpp
+++ b/test/unit/relay_hedge_test.cpp
@@ -1,5 +1,5 @@
-// When second attempts of slow parts are sent. Load: endpoints that pause for
-// longer than a query may take.
+// When second attempts of slow parts are sent, and what makes an endpoint slow.
+// Load: endpoints that stall for longer than a query may take.
 #include "relay/service_budget.h"
 #include "relay_fixture.h"
 
@@ -83,7 +83,7 @@
   Relay.Catalog.Routes.front().Gather.Shards.push_back({"b"});
   Relay.Catalog.Routes.front().Gather.MinCoverage = 0.5;
   Relay.install();
-  // "a-1" was taken while "a-0" was cold, and paused twice.
+  // "a-1" was taken while "a-0" was cold, and stalled twice.
   Relay.listedEntry("a-0").ColdFor = {200};
   Relay.publishDirectory();
   for (int I = 0; I < 2; ++I) {
@@ -136,7 +136,7 @@
   CHECK(Second <= 90 - 10);
 }
 
-TEST_CASE("a single pause of an endpoint does not move its requests to another "
+TEST_CASE("a single stall of an endpoint does not move its requests to another "
           "zone",
           "[relay][load]") {
   hedge_fixture Relay;
@@ -171,7 +171,7 @@
 TEST_CASE("two slow replies far apart do not make an endpoint slow",
           "[relay][load]") {
   hedge_fixture Relay;
-  for (int Pause = 0; Pause < 2; ++Pause) {
+  for (int Stall = 0; Stall < 2; ++Stall) {
     Relay.advance(5000);
     Relay.sendRequest("/all/");
     REQUIRE(Relay.attemptAt("a-0") != 0);
