Rate limits that endpoints state are decoded and logged

A reply without a limit lifts it only if its request was sent after the last reply with one. No decision depends on it yet.

--- a/src/fleet/adapter.h
+++ b/src/fleet/adapter.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,8 @@
   millis ColdFor;
   bool IsLeaving = false; ///< the endpoint states that it stops soon
   millis RetryAfter;      ///< time for which it wants no requests; 0: none
+  /// Requests that it takes from all relays together; none if not stated.
+  std::optional<request_rate> RateLimit;
 };
 
 /// Translates requests and responses between HTTP and the relay's types, for
--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -147,6 +147,8 @@
                        {"change", toString(LogEvent.Change)},
                        {"cold_ms", LogEvent.ColdFor.Count},
                        {"pause_ms", LogEvent.PauseFor.Count},
+                       {"limit_per_s", LogEvent.RateLimit.PerSecond},
+                       {"sent_under_limit", LogEvent.SentUnderLimit},
                        {"last_of_service", LogEvent.IsLastOfService}});
 }
 
--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -211,6 +211,7 @@
       Event.ColdFor = Health.ColdFor;
       Event.IsLeaving = Health.IsLeaving;
       Event.RetryAfter = Health.RetryAfter;
+      Event.RateLimit = Health.RateLimit;
     }
     OnEvent(Event);
   });
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -429,6 +429,38 @@
   Out.push_back(withdraw_attempts{Endpoint.number()});
 }
 
+void endpoint_set::onRateLimit(endpoint_state &Endpoint,
+                               std::optional<request_rate> Limit,
+                               instant SentAt, instant Now,
+                               relay_actions &Out) {
+  const std::optional<endpoint_state::rate_limit> Old = Endpoint.rateLimit();
+  if (!Limit) {
+    // A reply that overtook the one with the limit does not lift it.
+    if (!Old || SentAt <= Old->StatedAt)
+      return;
+    auto LogEvent =
+        makeLogEvent(Endpoint, endpoint_state_change::rate_limit_lifted);
+    LogEvent.SentUnderLimit = Old->Sent;
+    Endpoint.liftRateLimit();
+    Out.push_back(std::move(LogEvent));
+    return;
+  }
+  Endpoint.setRateLimit(*Limit, Now);
+  if (Old && Old->Rate == *Limit)
+    return;
+  auto LogEvent =
+      makeLogEvent(Endpoint, Old ? endpoint_state_change::rate_limit_changed
+                                 : endpoint_state_change::rate_limited);
+  LogEvent.RateLimit = *Limit;
+  Out.push_back(std::move(LogEvent));
+}
+
+void endpoint_set::reportInvalidRateLimit(const endpoint_state &Endpoint,
+                                          relay_actions &Out) {
+  Out.push_back(
+      makeLogEvent(Endpoint, endpoint_state_change::invalid_rate_limit));
+}
+
 instant
 endpoint_set::nextPauseEnd(const service_state &Service, instant Now,
                            const std::vector<endpoint_no> &Tried) const {
@@ -479,6 +511,8 @@
     announceLeaving(Endpoint->listed().Identity, Now, Out);
   if (IsSame && Event.RetryAfter > millis{0})
     pause(*Endpoint, Event.RetryAfter, Now, Out);
+  if (IsSame && Event.RateLimit)
+    onRateLimit(*Endpoint, Event.RateLimit, Now, Now, Out);
   if (IsHealthy && Event.ColdFor > millis{0}) {
     Endpoint->setColdFor(Event.ColdFor, Now);
     Out.push_back(
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -103,6 +103,14 @@
   /// by `endpointPause`.
   void pause(endpoint_state &Endpoint, millis Time, instant Now,
              relay_actions &Out);
+  /// Applies the rate limit that a reply to a request sent at `SentAt` states;
+  /// without one, lifts the limit unless it was stated after that time.
+  static void onRateLimit(endpoint_state &Endpoint,
+                          std::optional<request_rate> Limit, instant SentAt,
+                          instant Now, relay_actions &Out);
+  /// Logs that the endpoint stated a rate limit that is not a number.
+  static void reportInvalidRateLimit(const endpoint_state &Endpoint,
+                                     relay_actions &Out);
   /// When the first endpoint not in `Tried` ends a pause; `Never` if none is
   /// excluded by a pause alone.
   instant nextPauseEnd(const service_state &Service, instant Now,
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -34,6 +34,8 @@
 void endpoint_state::onSent(attempt_no Attempt, instant Now) {
   const std::size_t Concurrency = InFlight.size() + 1;
   InFlight[Attempt] = {Now, Concurrency};
+  if (RateLimit)
+    ++RateLimit->Sent;
 }
 
 bool endpoint_state::onEnded(attempt_no Attempt, attempt_verdict Verdict,
@@ -141,6 +143,13 @@
   return IsOnlyPaused ? PausedUntil : Never;
 }
 
+void endpoint_state::setRateLimit(request_rate Rate, instant Now) {
+  if (!RateLimit)
+    RateLimit.emplace();
+  RateLimit->Rate = Rate;
+  RateLimit->StatedAt = Now;
+}
+
 void endpoint_state::onProbeSent(instant) {
   IsProbing = true;
   ProbeAt = Never;
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -1,10 +1,12 @@
 /// Health, load and latency estimates that one relay keeps for one endpoint.
 #pragma once
 
+#include "bulrushtray/rate.h"
 #include "relay/concurrency_limit.h"
 #include "relay/directory.h"
 
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace bulrush::relay {
@@ -92,6 +94,17 @@
   /// it; `Never` otherwise.
   instant pauseEnd(instant Now) const;
 
+  /// A limit on the requests of all relays together, stated by the endpoint.
+  struct rate_limit {
+    request_rate Rate;
+    instant StatedAt;       ///< latest reply with a limit
+    std::uint64_t Sent = 0; ///< requests of this relay since the first one
+  };
+  /// The limit that the endpoint states now; none if it states none.
+  const std::optional<rate_limit> &rateLimit() const { return RateLimit; }
+  void setRateLimit(request_rate Rate, instant Now);
+  void liftRateLimit() { RateLimit.reset(); }
+
   /// Counts as congestion: the client was answered while a request was still in
   /// flight.
   void onLateReply(instant Now) { Limit.onCongestion(Now); }
@@ -147,6 +160,7 @@
   instant SlowdownAt{-1e300};
   double FailureRate = 0; ///< moving average
   instant FailureRateAt{-1e300};
+  std::optional<rate_limit> RateLimit;
   bool IsProbing = false;
   std::uint32_t FailedProbes = 0;
   instant ProbeAt = Never;
--- a/src/relay/events.cpp
+++ b/src/relay/events.cpp
@@ -66,6 +66,14 @@
     return "paused";
   case endpoint_state_change::invalid_retry_after:
     return "invalid_retry_after";
+  case endpoint_state_change::rate_limited:
+    return "rate_limited";
+  case endpoint_state_change::rate_limit_changed:
+    return "rate_limit_changed";
+  case endpoint_state_change::rate_limit_lifted:
+    return "rate_limit_lifted";
+  case endpoint_state_change::invalid_rate_limit:
+    return "invalid_rate_limit";
   }
   return "listed";
 }
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -1,6 +1,7 @@
 /// Events that the relay handles and actions that its shell performs.
 #pragma once
 
+#include "bulrushtray/rate.h"
 #include "http/message.h"
 #include "relay/directory_change.h"
 #include "relay/endpoint_state.h"
@@ -8,6 +9,7 @@
 #include "relay/slice_planner.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <variant>
 
@@ -36,6 +38,10 @@
   /// Time for which the endpoint wants no requests; 0 if it states none.
   millis RetryAfter;
   bool HasInvalidRetryAfter = false; ///< it states a time that is not a number
+  /// Requests that the endpoint takes from all relays together; none if it
+  /// states no limit.
+  std::optional<request_rate> RateLimit;
+  bool HasInvalidRateLimit = false; ///< it states a limit that is not a number
 };
 
 /// A request of one relay to another; unique until the sender restarts.
@@ -129,6 +135,8 @@
   millis ColdFor;         ///< remaining cold time
   bool IsLeaving = false; ///< the endpoint states that it stops soon
   millis RetryAfter;      ///< time for which it wants no requests; 0: none
+  /// Requests that it takes from all relays together; none if not stated.
+  std::optional<request_rate> RateLimit = std::nullopt;
 };
 
 /// The current catalog; ignored unless its version is newer than the last one.
@@ -360,7 +368,11 @@
   leaving,           ///< according to the directory
   announced_leaving, ///< according to the endpoint itself
   paused,            ///< it wants no requests for a while
-  invalid_retry_after
+  invalid_retry_after,
+  rate_limited,       ///< it states how many requests it takes
+  rate_limit_changed, ///< it states another number
+  rate_limit_lifted,
+  invalid_rate_limit
 };
 
 /// A change of the state of an endpoint, for the log.
@@ -368,8 +380,11 @@
   std::string Instance;
   service_name Service;
   endpoint_state_change Change = endpoint_state_change::listed;
-  millis ColdFor;  ///< remaining cold time; 0 if it does not apply
-  millis PauseFor; ///< time without requests; 0 if it does not apply
+  millis ColdFor;         ///< remaining cold time; 0 if it does not apply
+  millis PauseFor;        ///< time without requests; 0 if it does not apply
+  request_rate RateLimit; ///< that it states; 0 if it does not apply
+  /// Requests that this relay has sent it under the limit that is lifted.
+  std::uint64_t SentUnderLimit = 0;
   /// No other endpoint of the service can get requests.
   bool IsLastOfService = false;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -244,7 +244,7 @@
                                     Context.RouteState->Median.value(), Now))
     Endpoints.markSuspect(*Endpoint, Now, *Out);
   if (Endpoint && Event.Reply)
-    applyStatements(*Endpoint, *Event.Reply);
+    applyStatements(*Endpoint, *Event.Reply, Context.SentAt);
   if (Verdict == attempt_verdict::success)
     recordLatency(*Context.RouteState, Elapsed);
   if (!Request) {
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -111,10 +111,10 @@
   return PauseEnd < Never && IsInTime ? PauseEnd : Never;
 }
 
-/// Applies what an endpoint says of itself in a reply: that it stops soon, or
-/// that it wants no requests for a while.
+/// Applies what an endpoint says of itself in a reply: that it stops soon, that
+/// it wants no requests for a while, or how many it takes.
 void relay::impl::applyStatements(endpoint_state &Endpoint,
-                                  const endpoint_reply &Reply) {
+                                  const endpoint_reply &Reply, instant SentAt) {
   if (Reply.IsOtherInstance)
     return;
   if (Reply.IsLeaving)
@@ -123,6 +123,10 @@
     endpoint_set::reportInvalidRetryAfter(Endpoint, *Out);
   if (Reply.RetryAfter > millis{0})
     Endpoints.pause(Endpoint, Reply.RetryAfter, Now, *Out);
+  if (Reply.HasInvalidRateLimit)
+    endpoint_set::reportInvalidRateLimit(Endpoint, *Out);
+  else
+    endpoint_set::onRateLimit(Endpoint, Reply.RateLimit, SentAt, Now, *Out);
 }
 
 void relay::impl::announceLeaving(
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -75,7 +75,8 @@
                    const attempt_ended &Event);
   void retryPart(request_state &Request, request_part &Part);
   void backOffAfterShed(request_part &Part, endpoint_no Endpoint);
-  void applyStatements(endpoint_state &Endpoint, const endpoint_reply &Reply);
+  void applyStatements(endpoint_state &Endpoint, const endpoint_reply &Reply,
+                       instant SentAt);
   void announceLeaving(const std::vector<endpoint_identity> &Endpoints);
   instant pauseEndInTime(const request_state &Request,
                          const request_part &Part) const;
--- a/test/unit/relay_statements_test.cpp
+++ b/test/unit/relay_statements_test.cpp
@@ -76,6 +76,36 @@
   CHECK(!LogEvent->IsLastOfService);
 }
 
+TEST_CASE("a rate limit that an endpoint states is logged until it is lifted",
+          "[relay][statements]") {
+  statement_fixture Relay(1);
+  const auto Reply = [&](std::optional<request_rate> Limit) {
+    Relay.advance(20);
+    Relay.sendRequest("/one/");
+    endpoint_reply Out;
+    Out.Status = 200;
+    Out.Signature = "s";
+    Out.RateLimit = Limit;
+    Relay.end(Relay.attemptAt("one-0"), attempt_end::replied, Out);
+  };
+  Reply(request_rate{20});
+  const auto *Named =
+      findLogEvent(Relay.Actions, endpoint_state_change::rate_limited);
+  REQUIRE(Named);
+  CHECK(Named->RateLimit == request_rate{20});
+  Reply(request_rate{20});
+  Reply(request_rate{10});
+  const auto *Changed =
+      findLogEvent(Relay.Actions, endpoint_state_change::rate_limit_changed);
+  REQUIRE(Changed);
+  CHECK(Changed->RateLimit == request_rate{10});
+  Reply({});
+  const auto *Lifted =
+      findLogEvent(Relay.Actions, endpoint_state_change::rate_limit_lifted);
+  REQUIRE(Lifted);
+  CHECK(Lifted->SentUnderLimit == 3);
+}
+
 TEST_CASE("an announcement outlives directories that still list the endpoint",
           "[relay][statements]") {
   statement_fixture Relay;
