--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -13,8 +13,9 @@
 
 /// Instances are named "SERVICE-N"; even N are in zone "near", odd N in "far".
 struct relay_fixture {
-  explicit relay_fixture(relay_settings Settings = settings())
-      : Relay(std::move(Settings), 7) {}
+  explicit relay_fixture(relay_settings Settings = settings(),
+                         std::uint64_t Seed = 7)
+      : Relay(std::move(Settings), Seed) {}
 
   static relay_settings settings() {
     relay_settings Out;
