LIMIT: each relay paces its share of the rate that an endpoint states

Callers saw nothing. Endpoints that had named a limit went on getting twice as much, which makes them fall over in the end. Class: a bound over all relays that none of them knows. Change: request_pacer spaces the requests of a relay at the stated rate divided by the number of relays. An unused turn lapses after 1.5 s: 91 idle relays with one request saved up each would otherwise send 91 at once. Probes count too. Why it works: all shares sum up to the limit whatever the relays know of each other; the number of relays is the replicated one, which a relay gets before the catalog.

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -25,6 +25,9 @@
 /// Random increase of the cost, at most this share, so that relays do not all
 /// switch to the same endpoint.
 constexpr double CostJitter = 0.15;
+/// A lower limit counts as this. An endpoint that gets no requests at all could
+/// not state that it takes them again.
+constexpr request_rate MinRateLimit{0.1};
 /// How long an announcement of an unlisted endpoint is remembered.
 constexpr millis AnnouncementMemory{600'000};
 
@@ -256,10 +259,14 @@
   ZonesOut = Zones;
 }
 
-void endpoint_set::setRelayCount(std::uint32_t Count, relay_actions &Out) {
+void endpoint_set::setRelayCount(std::uint32_t Count, instant Now,
+                                 relay_actions &Out) {
   if (Count == RelayCount || Count == 0)
     return;
   RelayCount = Count;
+  for (auto &[No, Endpoint] : Endpoints)
+    if (const auto &Limit = Endpoint->rateLimit())
+      Endpoint->setRateShare(shareOf(Limit->Rate), Now);
   for (auto &[Name, Service] : Services) {
     resizeBudget(*Service);
     for (const endpoint_no No : Service->Endpoints)
@@ -445,7 +452,7 @@
     Out.push_back(std::move(LogEvent));
     return;
   }
-  Endpoint.setRateLimit(*Limit, Now);
+  applyRateLimit(Endpoint, *Limit, Now);
   if (Old && Old->Rate == *Limit)
     return;
   auto LogEvent =
@@ -455,6 +462,16 @@
   Out.push_back(std::move(LogEvent));
 }
 
+request_rate endpoint_set::shareOf(request_rate Limit) const {
+  return std::max(Limit, MinRateLimit) * (1.0 / RelayCount);
+}
+
+void endpoint_set::applyRateLimit(endpoint_state &Endpoint, request_rate Limit,
+                                  instant Now) {
+  const double Phase = static_cast<double>(Random() % 1024) / 1024;
+  Endpoint.setRateLimit(Limit, shareOf(Limit), Phase, Now);
+}
+
 void endpoint_set::reportInvalidRateLimit(const endpoint_state &Endpoint,
                                           relay_actions &Out) {
   Out.push_back(
@@ -491,10 +508,10 @@
   }
 }
 
-instant endpoint_set::nextProbe() const {
+instant endpoint_set::nextProbe(instant Now) const {
   instant Next = Never;
   for (const endpoint_no No : Suspects)
-    Next = std::min(Next, Endpoints.at(No)->nextProbe());
+    Next = std::min(Next, Endpoints.at(No)->nextProbe(Now));
   return Next;
 }
 
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -55,7 +55,7 @@
   void setZonesOut(const std::set<std::string> &Zones, instant Now);
   /// Sets the number of relays that share the endpoints, this one included;
   /// ignores 0.
-  void setRelayCount(std::uint32_t Count, relay_actions &Out);
+  void setRelayCount(std::uint32_t Count, instant Now, relay_actions &Out);
   /// Sets the services that belong to sliced queries: only `RelaysPerShard`
   /// relays send requests to each of them.
   void setSlicedServices(const std::set<service_name> &Names,
@@ -105,9 +105,8 @@
              relay_actions &Out);
   /// Applies the rate limit that a reply to a request sent at `SentAt` states;
   /// without one, lifts the limit unless it was stated after that time.
-  static void onRateLimit(endpoint_state &Endpoint,
-                          std::optional<request_rate> Limit, instant SentAt,
-                          instant Now, relay_actions &Out);
+  void onRateLimit(endpoint_state &Endpoint, std::optional<request_rate> Limit,
+                   instant SentAt, instant Now, relay_actions &Out);
   /// Logs that the endpoint stated a rate limit that is not a number.
   static void reportInvalidRateLimit(const endpoint_state &Endpoint,
                                      relay_actions &Out);
@@ -124,7 +123,7 @@
   /// Emits the health probes that are due.
   void sendDueProbes(instant Now, relay_actions &Out);
   /// When the next probe is due; `Never` if none is scheduled.
-  instant nextProbe() const;
+  instant nextProbe(instant Now) const;
   /// Stops sending requests to the endpoint and starts probing it.
   void markSuspect(endpoint_state &Endpoint, instant Now, relay_actions &Out);
   void on(const probe_ended &Event, instant Now, relay_actions &Out);
@@ -132,6 +131,10 @@
 private:
   void resizeBudget(service_state &Service) const;
   std::size_t connectionLimit(const service_state &Service) const;
+  /// The part of a rate limit that this relay may use.
+  request_rate shareOf(request_rate Limit) const;
+  void applyRateLimit(endpoint_state &Endpoint, request_rate Limit,
+                      instant Now);
   /// Emits `open_endpoint` with the current connection limit, once a catalog
   /// has listed the service.
   void emitOpen(endpoint_state &Endpoint, relay_actions &Out) const;
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -34,8 +34,7 @@
 void endpoint_state::onSent(attempt_no Attempt, instant Now) {
   const std::size_t Concurrency = InFlight.size() + 1;
   InFlight[Attempt] = {Now, Concurrency};
-  if (RateLimit)
-    ++RateLimit->Sent;
+  countAgainstLimit(Now);
 }
 
 bool endpoint_state::onEnded(attempt_no Attempt, attempt_verdict Verdict,
@@ -125,10 +124,10 @@
          Now >= ProbeAt;
 }
 
-instant endpoint_state::nextProbe() const {
+instant endpoint_state::nextProbe(instant Now) const {
   if (Health != health_status::suspect || isWithdrawn())
     return Never;
-  return std::max({ProbeAt, ColdUntil, PausedUntil});
+  return std::max({ProbeAt, ColdUntil, pausedUntil(Now)});
 }
 
 void endpoint_state::pauseUntil(instant Until) {
@@ -138,19 +137,35 @@
 }
 
 instant endpoint_state::pauseEnd(instant Now) const {
+  const instant Until = pausedUntil(Now);
   const bool IsOnlyPaused =
-      isPaused(Now) && !isWithdrawn() && !isDown() && ColdUntil <= PausedUntil;
-  return IsOnlyPaused ? PausedUntil : Never;
+      Now < Until && !isWithdrawn() && !isDown() && ColdUntil <= Until;
+  return IsOnlyPaused ? Until : Never;
 }
 
-void endpoint_state::setRateLimit(request_rate Rate, instant Now) {
+instant endpoint_state::pausedUntil(instant Now) const {
+  return RateLimit ? std::max(PausedUntil, RateLimit->Pacer.nextTurn(Now))
+                   : PausedUntil;
+}
+
+void endpoint_state::setRateLimit(request_rate Rate, request_rate Share,
+                                  double Phase, instant Now) {
   if (!RateLimit)
-    RateLimit.emplace();
+    RateLimit = rate_limit{Rate, Now, request_pacer(Share, Phase, Now)};
   RateLimit->Rate = Rate;
   RateLimit->StatedAt = Now;
+  RateLimit->Pacer.setRate(Share, Now);
+}
+
+void endpoint_state::countAgainstLimit(instant Now) {
+  if (!RateLimit)
+    return;
+  RateLimit->Pacer.take(Now);
+  ++RateLimit->Sent;
 }
 
-void endpoint_state::onProbeSent(instant) {
+void endpoint_state::onProbeSent(instant Now) {
+  countAgainstLimit(Now);
   IsProbing = true;
   ProbeAt = Never;
 }
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -1,9 +1,9 @@
 /// Health, load and latency estimates that one relay keeps for one endpoint.
 #pragma once
 
-#include "bulrushtray/rate.h"
 #include "relay/concurrency_limit.h"
 #include "relay/directory.h"
+#include "relay/request_pacer.h"
 
 #include <map>
 #include <optional>
@@ -73,8 +73,9 @@
 
   /// Whether a request may be sent now, given at most `MaxInFlight` at a time.
   bool canAccept(std::size_t MaxInFlight, instant Now) const;
-  /// Whether the endpoint is removed, leaving, cold, paused or in a zone that
-  /// is out of service; ignores load and health.
+  /// Whether the endpoint is removed, leaving, cold, paused, in a zone that is
+  /// out of service, or has a rate limit that permits no request now; ignores
+  /// load and health.
   bool isExcluded(instant Now) const {
     return isWithdrawn() || isCold(Now) || isPaused(Now);
   }
@@ -89,20 +90,29 @@
   /// Records that the endpoint asked for no requests until `Until`. Afterwards
   /// it gets one request at a time until one succeeds.
   void pauseUntil(instant Until);
-  bool isPaused(instant Now) const { return Now < PausedUntil; }
-  /// When the endpoint accepts requests again if nothing but a pause excludes
-  /// it; `Never` otherwise.
+  /// Whether a pause or the rate limit permits no request now.
+  bool isPaused(instant Now) const { return Now < pausedUntil(Now); }
+  /// When the endpoint accepts requests again if nothing but a pause or its
+  /// rate limit excludes it; `Never` otherwise.
   instant pauseEnd(instant Now) const;
 
   /// A limit on the requests of all relays together, stated by the endpoint.
   struct rate_limit {
-    request_rate Rate;
+    request_rate Rate;      ///< of all relays together
     instant StatedAt;       ///< latest reply with a limit
+    request_pacer Pacer;    ///< of this relay's share of the rate
     std::uint64_t Sent = 0; ///< requests of this relay since the first one
   };
   /// The limit that the endpoint states now; none if it states none.
   const std::optional<rate_limit> &rateLimit() const { return RateLimit; }
-  void setRateLimit(request_rate Rate, instant Now);
+  /// `Share` is the part of `Rate` that this relay may use, above 0; `Phase`
+  /// places its first request, see `request_pacer`.
+  void setRateLimit(request_rate Rate, request_rate Share, double Phase,
+                    instant Now);
+  /// Changes the part of the rate that this relay may use; there is a limit.
+  void setRateShare(request_rate Share, instant Now) {
+    RateLimit->Pacer.setRate(Share, Now);
+  }
   void liftRateLimit() { RateLimit.reset(); }
 
   /// Counts as congestion: the client was answered while a request was still in
@@ -125,7 +135,7 @@
   bool isProbeDue(instant Now) const;
   /// When the next probe may be sent; `Never` if none is scheduled or only a
   /// change of the directory or of the zones out can permit one.
-  instant nextProbe() const;
+  instant nextProbe(instant Now) const;
   void onProbeSent(instant Now);
   void onProbeEnded(bool IsHealthy, instant Now);
   /// Stops requests and schedules probes until one succeeds.
@@ -137,6 +147,10 @@
   }
 
 private:
+  /// Counts a request or probe that is sent now against the rate limit.
+  void countAgainstLimit(instant Now);
+  /// End of the pause, or next request that the rate limit permits.
+  instant pausedUntil(instant Now) const;
   /// Whether the endpoint is removed, leaving or in a zone out of service.
   bool isWithdrawn() const { return IsRemoved || IsZoneOut || isLeaving(); }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -309,7 +309,7 @@
 }
 
 void relay::impl::on(const peer_count_changed &Event) {
-  Endpoints.setRelayCount(Event.Count, *Out);
+  Endpoints.setRelayCount(Event.Count, Now, *Out);
 }
 
 void relay::impl::on(const timer_fired &) {
@@ -394,7 +394,7 @@
 }
 
 void relay::impl::armTimer() {
-  instant Next = std::min(Endpoints.nextProbe(), StartQueue.nextTimeout());
+  instant Next = std::min(Endpoints.nextProbe(Now), StartQueue.nextTimeout());
   for (const lingering_attempt &Each : Lingering)
     Next = std::min(Next, Each.Until);
   if (Next < HousekeepingAt) {
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -126,7 +126,7 @@
   if (Reply.HasInvalidRateLimit)
     endpoint_set::reportInvalidRateLimit(Endpoint, *Out);
   else
-    endpoint_set::onRateLimit(Endpoint, Reply.RateLimit, SentAt, Now, *Out);
+    Endpoints.onRateLimit(Endpoint, Reply.RateLimit, SentAt, Now, *Out);
 }
 
 void relay::impl::announceLeaving(
