--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -90,10 +90,21 @@
   std::vector<vm_id> Voters;
 };
 
+/// From a relay to the leader: rate limits of endpoints and the relay's demand.
+struct limit_reports {
+  std::vector<relay::limit_report> Reports;
+};
+
+/// From the leader to a relay: its parts of these limits.
+struct limit_grants {
+  std::vector<relay::limit_grant> Grants;
+};
+
 using fleet_message =
     std::variant<subscribe, redirect, fleet_state, endpoint_directory,
                  leader_heartbeat, applied, known_voters, control::message,
                  roster, relay::shard_request, relay::shard_reply,
-                 shard_request_cancel, retry_grant>;
+                 shard_request_cancel, retry_grant, limit_reports,
+                 limit_grants>;
 
 } // namespace bulrush::fleet
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -150,6 +150,13 @@
       onSubscribe(Key, *Request);
     else if (const auto *Applied = std::get_if<applied>(&*Message))
       Subscribers.onApplied(Key, *Applied, Clock.now());
+    else if (const auto *Limits = std::get_if<limit_reports>(&*Message))
+      onLimitReports(Key, *Limits);
+  }
+
+  void onLimitReports(const frame_link *Key, const limit_reports &Message) {
+    if (Node)
+      Subscribers.onLimitReports(Key, Message, Node->fleetSize(), Clock.now());
   }
 
   void onVoterMessage(const frame_link *Key, control::message Message) {
@@ -396,6 +403,7 @@
     };
     Set("registry_has_folder", Node ? 1 : 0);
     Set("registry_subscribers", Subscribers.count());
+    Set("registry_endpoint_limits", Subscribers.limitCount());
     Set("registry_endpoints", LastDirectory.Endpoints.size());
     Set("registry_list_age_ms", (Clock.now() - DirectoryReadAt).Count);
     if (!Node)
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -178,6 +178,8 @@
     on(Vm, std::move(*Directory));
   else if (const auto *Heartbeat = std::get_if<leader_heartbeat>(&*Message))
     Host.onFleetSize(Heartbeat->Peers);
+  else if (const auto *Limits = std::get_if<limit_grants>(&*Message))
+    Host.onLimitGrants(*Limits);
 }
 
 void registry_follower::on(vm_id Vm, const fleet_state &State) {
@@ -247,6 +249,12 @@
   sendApplied();
 }
 
+void registry_follower::send(const limit_reports &Message) {
+  const auto Known = Subscriptions.find(Leader);
+  if (Known != Subscriptions.end())
+    Known->second.Link->send(wire::encode(Message));
+}
+
 void registry_follower::sendApplied() {
   AppliedSentAt = Clock.now();
   const auto Known = Subscriptions.find(Leader);
--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -30,6 +30,7 @@
   virtual void onDirectory(endpoint_directory Directory) = 0;
   virtual void onFleetSize(std::uint32_t Count) = 0;
   virtual void onRoster(const relay_zones &Relays) = 0;
+  virtual void onLimitGrants(const limit_grants &Message) = 0;
   /// Returns the seeds from the current settings.
   virtual std::vector<vm_id> seeds() = 0;
 };
@@ -50,6 +51,8 @@
   /// Tells the leader that this daemon is about to stop, so that other relays
   /// send it no shard requests. Updates continue to arrive.
   void announceLeaving();
+  /// Sends the message to the leader; drops it while there is none.
+  void send(const limit_reports &Message);
 
 private:
   /// A link on which this daemon has sent `subscribe` to a vm.
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -157,6 +157,9 @@
   void on(const relay::cancel_shard_request &Action) { PeerLinks.send(Action); }
   void on(const relay::grant_retry &Action) { PeerLinks.send(Action); }
   void on(const relay::send_shard_reply &Action) { PeerLinks.send(Action); }
+  void on(const relay::send_limit_reports &Action) {
+    Follower.send(limit_reports{Action.Reports});
+  }
   void on(const relay::request_log_event &LogEvent) {
     Log.write(LogEvent, Clock.now());
   }
@@ -234,6 +237,10 @@
     step(Event);
   }
 
+  void onLimitGrants(const limit_grants &Message) override {
+    step(relay::limit_grants_arrived{Message.Grants});
+  }
+
   std::vector<vm_id> seeds() override {
     const auto Read = Adapter.Settings->read();
     return Read ? vmsOf(Read->Seeds) : std::vector<vm_id>{};
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -41,6 +41,40 @@
   New.Link->send(wire::encode(leader_heartbeat{State.Revision, FleetSize}));
   sendState(New, State, Voters);
   sendDirectory(New, Now);
+  const auto Current = Limits.current(Now);
+  if (!Current.empty())
+    New.Link->send(wire::encode(limit_grants{Current}));
+}
+
+void subscribers::onLimitReports(const frame_link *Link,
+                                 const limit_reports &Message,
+                                 std::uint32_t FleetSize, instant Now) {
+  const auto Found = All.find(Link);
+  if (Found == All.end())
+    return;
+  auto Outcome =
+      Limits.on(Found->second.Peer.Vm, Message.Reports, FleetSize, Now);
+  if (!Outcome.News.empty()) {
+    logLimits(Outcome.News, Found->second.Node);
+    const std::string Bytes =
+        wire::encode(limit_grants{std::move(Outcome.News)});
+    for (auto &[Key, Each] : All)
+      Each.Link->send(Bytes);
+  }
+  Found->second.Link->send(
+      wire::encode(limit_grants{std::move(Outcome.Grants)}));
+}
+
+void subscribers::logLimits(const std::vector<relay::limit_grant> &News,
+                            const std::string &Node) {
+  for (const relay::limit_grant &Each : News)
+    telemetry::logEvent(
+        severity::info, "endpoint_limit",
+        {{"endpoint", Each.Statement.Endpoint.Instance},
+         {"limit_per_s",
+          Each.Statement.Limit.value_or(request_rate{}).PerSecond},
+         {"lifted", !Each.Statement.Limit},
+         {"node", Node}});
 }
 
 void subscribers::onApplied(const frame_link *Link, const applied &Applied,
@@ -157,6 +191,7 @@
     drop(All.begin()->first, "not_leading");
   SentRelays = {};
   Directory = {};
+  Limits.clear();
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -5,6 +5,7 @@
 #include "fleet/frame_link.h"
 #include "fleet/messages.h"
 #include "fleet/registry_node.h"
+#include "relay/limit_allocator.h"
 
 #include <algorithm>
 #include <map>
@@ -28,6 +29,10 @@
            const std::vector<vm_id> &Voters, std::uint32_t FleetSize,
            instant Now);
   void onApplied(const frame_link *Link, const applied &Applied, instant Now);
+  /// Grants the subscriber its parts of the rate limits that it reports, and
+  /// tells all subscribers of limits that are new, changed or lifted.
+  void onLimitReports(const frame_link *Link, const limit_reports &Message,
+                      std::uint32_t FleetSize, instant Now);
   /// Removes the subscriber of a link that was closed by the peer.
   void onClosed(const frame_link *Link);
 
@@ -45,6 +50,8 @@
   void dropSilent(instant Now);
   void clear();
   std::size_t count() const { return All.size(); }
+  /// Number of endpoints with a rate limit.
+  std::size_t limitCount() const { return Limits.count(); }
 
 private:
   struct subscriber {
@@ -63,6 +70,8 @@
                  const std::vector<vm_id> &Voters);
   void sendDirectory(subscriber &Subscriber, instant Now);
   void drop(const frame_link *Link, const char *Reason);
+  static void logLimits(const std::vector<relay::limit_grant> &News,
+                        const std::string &Node);
 
   /// Encoded `fleet_state` messages by the catalog version that the receiver
   /// holds. They are cached because many relays subscribe at once.
@@ -82,6 +91,7 @@
   relay::directory Directory;
   instant DirectoryReadAt;
   relay_zones SentRelays;
+  relay::limit_allocator Limits;
 };
 
 } // namespace bulrush::fleet
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -25,9 +25,6 @@
 /// Random increase of the cost, at most this share, so that relays do not all
 /// switch to the same endpoint.
 constexpr double CostJitter = 0.15;
-/// A lower limit counts as this. An endpoint that gets no requests at all could
-/// not state that it takes them again.
-constexpr request_rate MinRateLimit{0.1};
 /// How long an announcement of an unlisted endpoint is remembered.
 constexpr millis AnnouncementMemory{600'000};
 
@@ -232,6 +229,7 @@
   Endpoint.markRemoved();
   ByIdentity.erase(Endpoint.listed().Identity);
   Suspects.erase(Endpoint.number());
+  Limited.erase(Endpoint.number());
   std::erase(service(Endpoint.listed().Service).Endpoints, Endpoint.number());
   Out.push_back(makeLogEvent(Endpoint, endpoint_state_change::gone));
   Out.push_back(close_endpoint{Endpoint.number()});
@@ -264,9 +262,7 @@
   if (Count == RelayCount || Count == 0)
     return;
   RelayCount = Count;
-  for (auto &[No, Endpoint] : Endpoints)
-    if (const auto &Limit = Endpoint->rateLimit())
-      Endpoint->setRateShare(shareOf(Limit->Rate), Now);
+  refreshShares(Now);
   for (auto &[Name, Service] : Services) {
     resizeBudget(*Service);
     for (const endpoint_no No : Service->Endpoints)
@@ -316,26 +312,25 @@
 endpoint_state *endpoint_set::choose(const service_state &Service,
                                      const std::vector<endpoint_no> &Tried,
                                      const reply_timing &Timing, instant Now) {
-  endpoint_state *Best = nullptr;
-  double BestCost = 0;
-  bool IsBestPreferred = false;
+  candidate Best;
+  candidate BestAtAnyRate;
   const std::size_t Limit = connectionLimit(Service);
   for (const endpoint_no No : Service.Endpoints) {
     endpoint_state &Each = *Endpoints.at(No);
-    if (contains(Tried, No) || !Each.canAccept(Limit, Now) ||
+    if (contains(Tried, No) || !Each.canAcceptAtAnyRate(Limit, Now) ||
         !isInTime(Each, Timing, Now))
       continue;
-    const bool IsPreferred = isPreferred(Each, Timing, Now);
-    const double Cost = cost(Each, Timing.TypicalLatency, Now);
-    const bool IsBetter =
-        IsPreferred != IsBestPreferred ? IsPreferred : !Best || Cost < BestCost;
-    if (!IsBetter)
-      continue;
-    Best = &Each;
-    BestCost = Cost;
-    IsBestPreferred = IsPreferred;
+    const candidate New{&Each, cost(Each, Timing.TypicalLatency, Now),
+                        isPreferred(Each, Timing, Now)};
+    if (New.isBetterThan(BestAtAnyRate))
+      BestAtAnyRate = New;
+    if (Each.hasTurn(Now) && New.isBetterThan(Best))
+      Best = New;
   }
-  return Best;
+  endpoint_state *Wanted = BestAtAnyRate.Endpoint;
+  if (Wanted && Wanted->rateLimit() && Timing.IsFirstTry)
+    Wanted->addDemand(Now);
+  return Best.Endpoint;
 }
 
 bool endpoint_set::canServe(const service_state &Service, millis TypicalLatency,
@@ -436,48 +431,6 @@
   Out.push_back(withdraw_attempts{Endpoint.number()});
 }
 
-void endpoint_set::onRateLimit(endpoint_state &Endpoint,
-                               std::optional<request_rate> Limit,
-                               instant SentAt, instant Now,
-                               relay_actions &Out) {
-  const std::optional<endpoint_state::rate_limit> Old = Endpoint.rateLimit();
-  if (!Limit) {
-    // A reply that overtook the one with the limit does not lift it.
-    if (!Old || SentAt <= Old->StatedAt)
-      return;
-    auto LogEvent =
-        makeLogEvent(Endpoint, endpoint_state_change::rate_limit_lifted);
-    LogEvent.SentUnderLimit = Old->Sent;
-    Endpoint.liftRateLimit();
-    Out.push_back(std::move(LogEvent));
-    return;
-  }
-  applyRateLimit(Endpoint, *Limit, Now);
-  if (Old && Old->Rate == *Limit)
-    return;
-  auto LogEvent =
-      makeLogEvent(Endpoint, Old ? endpoint_state_change::rate_limit_changed
-                                 : endpoint_state_change::rate_limited);
-  LogEvent.RateLimit = *Limit;
-  Out.push_back(std::move(LogEvent));
-}
-
-request_rate endpoint_set::shareOf(request_rate Limit) const {
-  return std::max(Limit, MinRateLimit) * (1.0 / RelayCount);
-}
-
-void endpoint_set::applyRateLimit(endpoint_state &Endpoint, request_rate Limit,
-                                  instant Now) {
-  const double Phase = static_cast<double>(Random() % 1024) / 1024;
-  Endpoint.setRateLimit(Limit, shareOf(Limit), Phase, Now);
-}
-
-void endpoint_set::reportInvalidRateLimit(const endpoint_state &Endpoint,
-                                          relay_actions &Out) {
-  Out.push_back(
-      makeLogEvent(Endpoint, endpoint_state_change::invalid_rate_limit));
-}
-
 instant
 endpoint_set::nextPauseEnd(const service_state &Service, instant Now,
                            const std::vector<endpoint_no> &Tried) const {
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -38,6 +38,8 @@
   /// An endpoint that was slow a while ago may be tried again: a short stall is
   /// over by now.
   bool IgnoresPastSlowness = false;
+  /// The part was not offered to the endpoints before; counts as demand.
+  bool IsFirstTry = false;
 };
 
 class endpoint_set final : public zone_lookup {
@@ -110,6 +112,13 @@
   /// Logs that the endpoint stated a rate limit that is not a number.
   static void reportInvalidRateLimit(const endpoint_state &Endpoint,
                                      relay_actions &Out);
+  /// Applies what the registry's leader tells of rate limits.
+  void on(const limit_grants_arrived &Event, instant Now, relay_actions &Out);
+  /// Reports the endpoints with a rate limit and this relay's demand, if that
+  /// is due.
+  void reportLimits(instant Now, relay_actions &Out);
+  /// When the next report is due; `Never` if no endpoint has a rate limit.
+  instant nextLimitReport() const;
   /// When the first endpoint not in `Tried` ends a pause; `Never` if none is
   /// excluded by a pause alone.
   instant nextPauseEnd(const service_state &Service, instant Now,
@@ -129,12 +138,34 @@
   void on(const probe_ended &Event, instant Now, relay_actions &Out);
 
 private:
+  /// An endpoint that may be chosen for a request.
+  struct candidate {
+    endpoint_state *Endpoint = nullptr;
+    double Cost = 0;
+    bool IsPreferred = false;
+
+    bool isBetterThan(const candidate &Other) const {
+      return IsPreferred != Other.IsPreferred
+                 ? IsPreferred
+                 : !Other.Endpoint || Cost < Other.Cost;
+    }
+  };
+
   void resizeBudget(service_state &Service) const;
   std::size_t connectionLimit(const service_state &Service) const;
+  /// The part of a rate limit for each relay if all have the same.
+  request_rate evenShare(request_rate Limit) const;
   /// The part of a rate limit that this relay may use.
-  request_rate shareOf(request_rate Limit) const;
+  request_rate shareOf(const endpoint_state::rate_limit &Limit,
+                       instant Now) const;
   void applyRateLimit(endpoint_state &Endpoint, request_rate Limit,
-                      instant Now);
+                      instant StatedAt, instant Now, relay_actions &Out);
+  void liftRateLimit(endpoint_state &Endpoint, instant StatedAt,
+                     relay_actions &Out);
+  void apply(const limit_statement &Statement, endpoint_state &Endpoint,
+             instant Now, relay_actions &Out);
+  /// Applies shares whose grant is new or has expired.
+  void refreshShares(instant Now);
   /// Emits `open_endpoint` with the current connection limit, once a catalog
   /// has listed the service.
   void emitOpen(endpoint_state &Endpoint, relay_actions &Out) const;
@@ -166,6 +197,11 @@
   std::unordered_map<endpoint_no, std::unique_ptr<endpoint_state>> Endpoints;
   std::map<endpoint_identity, endpoint_no> ByIdentity;
   std::set<endpoint_no> Suspects;
+  std::set<endpoint_no> Limited; ///< endpoints with a rate limit
+  /// Statements of a lifted limit to be reported.
+  std::vector<limit_statement> Lifted;
+  instant LimitsReportedAt{-1e300};
+  bool IsLimitReportDue = false; ///< there is something new to report
   /// Endpoints that announced that they stop soon, and when.
   std::map<endpoint_identity, instant> LeavingSince;
   directory_version Version;
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -78,8 +78,10 @@
   return Oldest;
 }
 
-bool endpoint_state::canAccept(std::size_t MaxInFlight, instant Now) const {
-  if (isExcluded(Now) || Health == health_status::suspect)
+bool endpoint_state::canAcceptAtAnyRate(std::size_t MaxInFlight,
+                                        instant Now) const {
+  if (isWithdrawn() || isCold(Now) || Now < PausedUntil ||
+      Health == health_status::suspect)
     return false;
   if (Health == health_status::probation)
     return InFlight.empty();
@@ -149,12 +151,17 @@
 }
 
 void endpoint_state::setRateLimit(request_rate Rate, request_rate Share,
-                                  double Phase, instant Now) {
+                                  double Phase, instant StatedAt, instant Now) {
   if (!RateLimit)
-    RateLimit = rate_limit{Rate, Now, request_pacer(Share, Phase, Now)};
+    RateLimit = rate_limit{
+        Rate, request_pacer(Share, Phase, Now), {}, {}, {}, false, 0};
   RateLimit->Rate = Rate;
-  RateLimit->StatedAt = Now;
-  RateLimit->Pacer.setRate(Share, Now);
+  LimitStatedAt = StatedAt;
+}
+
+void endpoint_state::liftRateLimit(instant StatedAt) {
+  RateLimit.reset();
+  LimitStatedAt = StatedAt;
 }
 
 void endpoint_state::countAgainstLimit(instant Now) {
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "relay/concurrency_limit.h"
+#include "relay/demand_meter.h"
 #include "relay/directory.h"
 #include "relay/request_pacer.h"
 
@@ -72,7 +73,15 @@
   millis oldestInFlightAge(instant Now) const;
 
   /// Whether a request may be sent now, given at most `MaxInFlight` at a time.
-  bool canAccept(std::size_t MaxInFlight, instant Now) const;
+  bool canAccept(std::size_t MaxInFlight, instant Now) const {
+    return canAcceptAtAnyRate(MaxInFlight, Now) && hasTurn(Now);
+  }
+  /// The same, whatever the rate limit permits.
+  bool canAcceptAtAnyRate(std::size_t MaxInFlight, instant Now) const;
+  /// Whether the rate limit, if there is one, permits a request now.
+  bool hasTurn(instant Now) const {
+    return !RateLimit || RateLimit->Pacer.hasTurn(Now);
+  }
   /// Whether the endpoint is removed, leaving, cold, paused, in a zone that is
   /// out of service, or has a rate limit that permits no request now; ignores
   /// load and health.
@@ -98,22 +107,38 @@
 
   /// A limit on the requests of all relays together, stated by the endpoint.
   struct rate_limit {
-    request_rate Rate;      ///< of all relays together
-    instant StatedAt;       ///< latest reply with a limit
-    request_pacer Pacer;    ///< of this relay's share of the rate
-    std::uint64_t Sent = 0; ///< requests of this relay since the first one
+    request_rate Rate;                 ///< of all relays together
+    request_pacer Pacer;               ///< of this relay's share of the rate
+    demand_meter Demand;               ///< of this relay
+    std::optional<request_rate> Share; ///< granted by the leader
+    instant GrantedAt;
+    bool IsUnreported = false; ///< the leader has not been told of `Rate` yet
+    std::uint64_t Sent = 0;    ///< requests of this relay since the first one
   };
   /// The limit that the endpoint states now; none if it states none.
   const std::optional<rate_limit> &rateLimit() const { return RateLimit; }
-  /// `Share` is the part of `Rate` that this relay may use, above 0; `Phase`
-  /// places its first request, see `request_pacer`.
+  /// `Share` is the part of a new limit that this relay may use, above 0, and
+  /// `Phase` places its first request, see `request_pacer`. Both have no effect
+  /// if there was a limit.
   void setRateLimit(request_rate Rate, request_rate Share, double Phase,
-                    instant Now);
-  /// Changes the part of the rate that this relay may use; there is a limit.
+                    instant StatedAt, instant Now);
+  /// The functions on a limit below need one to be set.
   void setRateShare(request_rate Share, instant Now) {
     RateLimit->Pacer.setRate(Share, Now);
   }
-  void liftRateLimit() { RateLimit.reset(); }
+  void grantShare(request_rate Share, instant Now) {
+    RateLimit->Share = Share;
+    RateLimit->GrantedAt = Now;
+  }
+  void addDemand(instant Now) { RateLimit->Demand.add(Now); }
+  void markLimitUnreported() { RateLimit->IsUnreported = true; }
+  /// Returns whether the limit was unreported.
+  bool markLimitReported() {
+    return std::exchange(RateLimit->IsUnreported, false);
+  }
+  void liftRateLimit(instant StatedAt);
+  /// Latest statement of a limit, or of none after one.
+  instant limitStatedAt() const { return LimitStatedAt; }
 
   /// Counts as congestion: the client was answered while a request was still in
   /// flight.
@@ -175,6 +200,7 @@
   double FailureRate = 0; ///< moving average
   instant FailureRateAt{-1e300};
   std::optional<rate_limit> RateLimit;
+  instant LimitStatedAt{-1e300};
   bool IsProbing = false;
   std::uint32_t FailedProbes = 0;
   instant ProbeAt = Never;
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -1,10 +1,10 @@
 /// Events that the relay handles and actions that its shell performs.
 #pragma once
 
-#include "bulrushtray/rate.h"
 #include "http/message.h"
 #include "relay/directory_change.h"
 #include "relay/endpoint_state.h"
+#include "relay/rate_limits.h"
 #include "relay/settings.h"
 #include "relay/slice_planner.h"
 
@@ -193,6 +193,11 @@
   shard_reply Reply;
 };
 
+/// What the registry's leader tells of rate limits that endpoints state.
+struct limit_grants_arrived {
+  std::vector<limit_grant> Grants;
+};
+
 /// The link to a relay is down; shard requests sent to it may be lost.
 struct peer_lost {
   vm_id Peer;
@@ -206,7 +211,8 @@
                  probe_ended, catalog_arrived, directory_arrived,
                  zones_out_changed, peer_count_changed, peers_changed,
                  shard_request_arrived, shard_request_cancelled, retry_granted,
-                 shard_reply_arrived, peer_lost, timer_fired>;
+                 shard_reply_arrived, limit_grants_arrived, peer_lost,
+                 timer_fired>;
 
 // Actions.
 
@@ -313,6 +319,12 @@
   bool HasClientDisconnected = false;
 };
 
+/// Tells the registry's leader of the rate limits of endpoints that this relay
+/// wants to send requests to.
+struct send_limit_reports {
+  std::vector<limit_report> Reports;
+};
+
 /// Requests one `timer_fired` at this time. Replaces any earlier timer.
 struct set_timer {
   instant At;
@@ -402,9 +414,9 @@
     std::variant<send_attempt, cancel_attempt, send_answer, preconnect_endpoint,
                  probe_endpoint, open_endpoint, close_endpoint,
                  withdraw_attempts, send_shard_request, send_shard_reply,
-                 cancel_shard_request, grant_retry, set_timer,
-                 request_log_event, attempt_log_event, endpoint_log_event,
-                 peer_log_event>;
+                 cancel_shard_request, grant_retry, send_limit_reports,
+                 set_timer, request_log_event, attempt_log_event,
+                 endpoint_log_event, peer_log_event>;
 using relay_actions = std::vector<relay_action>;
 
 /// Return the names used in logs.
--- /dev/null
+++ b/src/relay/rate_limits.h
@@ -0,0 +1,38 @@
+/// What relays and the registry's leader tell each other of the rate limits
+/// that endpoints state.
+#pragma once
+
+#include "bulrushtray/rate.h"
+#include "relay/directory.h"
+
+#include <optional>
+
+namespace bulrush::relay {
+
+/// What an endpoint stated `Age` ago.
+struct limit_statement {
+  endpoint_identity Endpoint;
+  std::optional<request_rate> Limit; ///< none: it takes any number again
+  millis Age;
+
+  bool operator==(const limit_statement &) const = default;
+};
+
+/// From a relay to the leader.
+struct limit_report {
+  limit_statement Statement;
+  request_rate Demand; ///< that this relay would send without a limit
+
+  bool operator==(const limit_report &) const = default;
+};
+
+/// From the leader to a relay.
+struct limit_grant {
+  limit_statement Statement;
+  /// What the receiver may send; none if the message only spreads a statement.
+  std::optional<request_rate> Share;
+
+  bool operator==(const limit_grant &) const = default;
+};
+
+} // namespace bulrush::relay
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -67,6 +67,7 @@
   StartQueue.markStarted(Now);
   std::visit([this](const auto &Each) { on(Each); }, Event);
   Endpoints.sendDueProbes(Now, Actions);
+  Endpoints.reportLimits(Now, Actions);
   armTimer();
   Out = nullptr;
 }
@@ -312,6 +313,11 @@
   Endpoints.setRelayCount(Event.Count, Now, *Out);
 }
 
+void relay::impl::on(const limit_grants_arrived &Event) {
+  Endpoints.on(Event, Now, *Out);
+  retryWaiting();
+}
+
 void relay::impl::on(const timer_fired &) {
   Wakes.disarm();
   if (Now >= HousekeepingAt)
@@ -394,7 +400,9 @@
 }
 
 void relay::impl::armTimer() {
-  instant Next = std::min(Endpoints.nextProbe(Now), StartQueue.nextTimeout());
+  instant Next =
+      std::min({Endpoints.nextProbe(Now), Endpoints.nextLimitReport(),
+                StartQueue.nextTimeout()});
   for (const lingering_attempt &Each : Lingering)
     Next = std::min(Next, Each.Until);
   if (Next < HousekeepingAt) {
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -2,6 +2,7 @@
 #include "relay/relay_impl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush::relay {
 
@@ -159,7 +160,10 @@
     Part.IsBudgetDenied = true;
     return false;
   }
-  endpoint_state *To = Endpoints.choose(*Part.Service, Part.Tried, Timing, Now);
+  reply_timing PartTiming = Timing;
+  PartTiming.IsFirstTry = !std::exchange(Part.WasOffered, true);
+  endpoint_state *To =
+      Endpoints.choose(*Part.Service, Part.Tried, PartTiming, Now);
   if (!To)
     return false;
   if (IsExtraAttempt)
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -43,6 +43,7 @@
   void on(const shard_request_cancelled &Event);
   void on(const retry_granted &Event);
   void on(const shard_reply_arrived &Event);
+  void on(const limit_grants_arrived &Event);
   void on(const peer_lost &Event);
   void on(const timer_fired &Event);
   void admit(const request_arrived &Event, instant ArrivedAt);
--- a/src/relay/request_state.h
+++ b/src/relay/request_state.h
@@ -52,6 +52,7 @@
   instant NotBefore{-1e300};      ///< end of the shed or budget backoff
   millis ShedBackoff;             ///< most recent backoff after a shed
   bool IsBudgetDenied = false;
+  bool WasOffered = false; ///< to the endpoints, whether or not one accepted
   bool HitStaleConnection = false;               ///< in an earlier attempt
   std::shared_ptr<const endpoint_reply> Reply;   ///< set when done
   std::shared_ptr<const endpoint_reply> Failure; ///< most recent error reply
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -207,6 +207,33 @@
   vmsToProto(From.Voters, *To.mutable_known_voters()->mutable_voters());
 }
 
+void toProto(const relay::limit_statement &From, EndpointLimit &To) {
+  To.set_instance(From.Endpoint.Instance);
+  To.set_born(From.Endpoint.StartTimeMs);
+  if (From.Limit)
+    To.set_rate(From.Limit->PerSecond);
+  To.set_age_ms(From.Age.Count);
+}
+
+void bodyToProto(const fleet::limit_reports &From, FleetMessage &To) {
+  LimitReports &Out = *To.mutable_limit_reports();
+  for (const relay::limit_report &Each : From.Reports) {
+    EndpointLimit &Item = *Out.add_limits();
+    toProto(Each.Statement, Item);
+    Item.set_demand(Each.Demand.PerSecond);
+  }
+}
+
+void bodyToProto(const fleet::limit_grants &From, FleetMessage &To) {
+  LimitGrants &Out = *To.mutable_limit_grants();
+  for (const relay::limit_grant &Each : From.Grants) {
+    EndpointLimit &Item = *Out.add_limits();
+    toProto(Each.Statement, Item);
+    if (Each.Share)
+      Item.set_share(Each.Share->PerSecond);
+  }
+}
+
 void bodyToProto(const control::message &From, FleetMessage &To) {
   toProto(From, *To.mutable_voter());
 }
@@ -342,6 +369,33 @@
   return To;
 }
 
+relay::limit_statement fromProto(const EndpointLimit &From) {
+  relay::limit_statement To;
+  To.Endpoint = {From.instance(), From.born()};
+  if (From.has_rate())
+    To.Limit = request_rate{From.rate()};
+  To.Age = {From.age_ms()};
+  return To;
+}
+
+fleet::limit_reports fromProto(const LimitReports &From) {
+  fleet::limit_reports To;
+  for (const EndpointLimit &Item : From.limits())
+    To.Reports.push_back({fromProto(Item), {Item.demand()}});
+  return To;
+}
+
+fleet::limit_grants fromProto(const LimitGrants &From) {
+  fleet::limit_grants To;
+  for (const EndpointLimit &Item : From.limits()) {
+    relay::limit_grant &Each = To.Grants.emplace_back();
+    Each.Statement = fromProto(Item);
+    if (Item.has_share())
+      Each.Share = request_rate{Item.share()};
+  }
+  return To;
+}
+
 } // namespace
 
 std::string encode(const fleet::fleet_message &Message) {
@@ -382,6 +436,10 @@
                                        In.cancel_ask().client_left()};
   case FleetMessage::kKnownVoters:
     return fleet::known_voters{vmsFromProto(In.known_voters().voters())};
+  case FleetMessage::kLimitReports:
+    return fromProto(In.limit_reports());
+  case FleetMessage::kLimitGrants:
+    return fromProto(In.limit_grants());
   case FleetMessage::kVoter: {
     auto Voter = fromProto(In.voter());
     if (!Voter)
--- a/test/shell/fleet_codec_test.cpp
+++ b/test/shell/fleet_codec_test.cpp
@@ -91,3 +91,20 @@
   applyRoster(fullChange({}), Held);
   CHECK(Held.empty());
 }
+
+TEST_CASE("reports and grants of rate limits survive encoding and decoding",
+          "[wire]") {
+  const relay::limit_statement Stated{{"i-1", 7}, request_rate{22.5}, {12.5}};
+  const relay::limit_statement Lifted{{"i-2", 8}, std::nullopt, {3}};
+  fleet::limit_reports Reports;
+  Reports.Reports = {{Stated, {41.5}}, {Lifted, {}}};
+  const auto ReportsBack = wire::decodeFleet(wire::encode(Reports));
+  REQUIRE(ReportsBack);
+  CHECK(std::get<fleet::limit_reports>(*ReportsBack).Reports ==
+        Reports.Reports);
+  fleet::limit_grants Grants;
+  Grants.Grants = {{Stated, request_rate{2.5}}, {Lifted, std::nullopt}};
+  const auto GrantsBack = wire::decodeFleet(wire::encode(Grants));
+  REQUIRE(GrantsBack);
+  CHECK(std::get<fleet::limit_grants>(*GrantsBack).Grants == Grants.Grants);
+}
