Endpoints that go down are told from connections that break; equal requests are marked

A probe that succeeds or times out (a link that is cut) means no crash, and neither does a request that another endpoint has answered. No decision depends on it yet.

--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <iomanip>
+#include <sstream>
 
 namespace bulrush::fleet {
 
@@ -30,6 +32,12 @@
   return Out;
 }
 
+std::string toHex(relay::request_fingerprint Fingerprint) {
+  std::ostringstream Out;
+  Out << std::hex << std::setfill('0') << std::setw(16) << Fingerprint.Value;
+  return Out.str();
+}
+
 bool isSampled(const std::string &RequestId) {
   return std::hash<std::string>{}(RequestId) % SampleEvery == 0;
 }
@@ -124,6 +132,7 @@
     return;
   telemetry::logEvent(severity::warning, "attempt_failed",
                       {{"id", LogEvent.RequestId},
+                       {"fingerprint", toHex(LogEvent.Fingerprint)},
                        {"service", LogEvent.Service.Value},
                        {"endpoint", LogEvent.Instance},
                        {"verdict", toString(LogEvent.Verdict)},
@@ -131,6 +140,17 @@
                        {"took_ms", LogEvent.Elapsed.Count}});
 }
 
+void decision_log::write(const relay::crash_log_event &LogEvent, instant Now) {
+  Metrics.add("crashes", LogEvent.Service.Value);
+  if (!takeToken(Now))
+    return;
+  telemetry::logEvent(severity::warning, "endpoint_crashed",
+                      {{"id", LogEvent.RequestId},
+                       {"fingerprint", toHex(LogEvent.Fingerprint)},
+                       {"service", LogEvent.Service.Value},
+                       {"endpoint", LogEvent.Instance}});
+}
+
 void decision_log::write(const relay::endpoint_log_event &LogEvent,
                          instant Now) {
   Metrics.add("beliefs", toString(LogEvent.Change));
--- a/src/fleet/decision_log.h
+++ b/src/fleet/decision_log.h
@@ -15,6 +15,7 @@
 
   void write(const relay::request_log_event &LogEvent, instant Now);
   void write(const relay::attempt_log_event &LogEvent, instant Now);
+  void write(const relay::crash_log_event &LogEvent, instant Now);
   void write(const relay::endpoint_log_event &LogEvent, instant Now);
   void write(const relay::peer_log_event &LogEvent, instant Now);
 
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -166,6 +166,9 @@
   void on(const relay::attempt_log_event &LogEvent) {
     Log.write(LogEvent, Clock.now());
   }
+  void on(const relay::crash_log_event &LogEvent) {
+    Log.write(LogEvent, Clock.now());
+  }
   void on(const relay::endpoint_log_event &LogEvent) {
     Log.write(LogEvent, Clock.now());
   }
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -451,14 +451,18 @@
   return Max * (static_cast<double>(Random() % 1024) / 1024);
 }
 
-void endpoint_set::sendDueProbes(instant Now, relay_actions &Out) {
+std::vector<endpoint_no> endpoint_set::sendDueProbes(instant Now,
+                                                     relay_actions &Out) {
+  std::vector<endpoint_no> Probed;
   for (const endpoint_no No : Suspects) {
     endpoint_state &Each = *Endpoints.at(No);
     if (!Each.isProbeDue(Now))
       continue;
     Each.onProbeSent(Now);
     Out.push_back(probe_endpoint{No});
+    Probed.push_back(No);
   }
+  return Probed;
 }
 
 instant endpoint_set::nextProbe(instant Now) const {
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -129,8 +129,8 @@
   /// A random time from 0 to `Max`.
   millis drawTime(millis Max);
 
-  /// Emits the health probes that are due.
-  void sendDueProbes(instant Now, relay_actions &Out);
+  /// Emits the health probes that are due; returns the endpoints.
+  std::vector<endpoint_no> sendDueProbes(instant Now, relay_actions &Out);
   /// When the next probe is due; `Never` if none is scheduled.
   instant nextProbe(instant Now) const;
   /// Stops sending requests to the endpoint and starts probing it.
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -25,6 +25,10 @@
   std::string Body;
 };
 
+/// Equal for equal requests, whatever their ids; see `fingerprintOf`.
+using request_fingerprint =
+    numeric_id<struct request_fingerprint_tag, std::uint64_t>;
+
 /// A complete reply of an endpoint.
 struct endpoint_reply {
   unsigned Status = 0;
@@ -362,6 +366,7 @@
 /// A failed attempt, for the log.
 struct attempt_log_event {
   std::string RequestId;
+  request_fingerprint Fingerprint;
   service_name Service;
   std::string Instance;
   attempt_verdict Verdict = attempt_verdict::failure;
@@ -369,6 +374,14 @@
   millis Elapsed;
 };
 
+/// An endpoint went down while it ran a request, for the log.
+struct crash_log_event {
+  std::string RequestId;
+  request_fingerprint Fingerprint;
+  std::string Instance;
+  service_name Service;
+};
+
 /// Changes in the state that the relay keeps for an endpoint.
 enum class endpoint_state_change : std::uint8_t {
   listed,
@@ -416,7 +429,7 @@
                  withdraw_attempts, send_shard_request, send_shard_reply,
                  cancel_shard_request, grant_retry, send_limit_reports,
                  set_timer, request_log_event, attempt_log_event,
-                 endpoint_log_event, peer_log_event>;
+                 crash_log_event, endpoint_log_event, peer_log_event>;
 using relay_actions = std::vector<relay_action>;
 
 /// Return the names used in logs.
--- /dev/null
+++ b/src/relay/fingerprint.cpp
@@ -0,0 +1,22 @@
+#include "relay/fingerprint.h"
+
+#include <array>
+#include <string_view>
+#include <xxhash.h>
+
+namespace bulrush::relay {
+
+request_fingerprint fingerprintOf(const opaque_request &Request) {
+  const std::string *Credentials =
+      http::findHeader(Request.Headers, "Authorization");
+  const std::array<std::string_view, 5> Fields{
+      Request.Method, Request.Host, Request.Target,
+      Credentials ? std::string_view(*Credentials) : std::string_view(),
+      Request.Body};
+  std::uint64_t Hash = 0;
+  for (const std::string_view Each : Fields)
+    Hash = XXH3_64bits_withSeed(Each.data(), Each.size(), Hash);
+  return {Hash};
+}
+
+} // namespace bulrush::relay
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -66,7 +66,8 @@
   Out = &Actions;
   StartQueue.markStarted(Now);
   std::visit([this](const auto &Each) { on(Each); }, Event);
-  Endpoints.sendDueProbes(Now, Actions);
+  for (const endpoint_no Each : Endpoints.sendDueProbes(Now, Actions))
+    Crashes.onProbeSent(Each, Now);
   Endpoints.reportLimits(Now, Actions);
   armTimer();
   Out = nullptr;
@@ -260,6 +261,7 @@
   });
   if (Verdict != attempt_verdict::success)
     logAttempt(*Request, Part, Endpoint, Verdict, Event, Elapsed);
+  noteLost(*Request, Context.Endpoint, Event.End);
   handleReply(*Request, Part, Context.Endpoint, Event);
   settle(*Request);
   retryWaiting();
@@ -279,6 +281,7 @@
 }
 
 void relay::impl::on(const probe_ended &Event) {
+  reportCrashes(Event);
   Endpoints.on(Event, Now, *Out);
   if (Event.IsLeaving)
     Slices.clearCache();
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -1,4 +1,5 @@
 // Attempts of one part: the first attempt, hedges and retries.
+#include "relay/fingerprint.h"
 #include "relay/relay_impl.h"
 
 #include <algorithm>
@@ -313,6 +314,29 @@
     ++Request.LogEvent.Retries;
 }
 
+/// Remembers a request whose connection broke while the endpoint may have run
+/// it. One that another endpoint has answered does not make endpoints go down.
+void relay::impl::noteLost(const request_state &Request, endpoint_no From,
+                           attempt_end End) {
+  const bool MayHaveRun = End != attempt_end::replied &&
+                          End != attempt_end::connect_failed &&
+                          End != attempt_end::not_sent;
+  if (MayHaveRun && Request.completedParts() == 0)
+    Crashes.onLost(From, fingerprintOf(*Request.Content),
+                   Request.Content->RequestId, Now);
+}
+
+/// Reports the requests that an endpoint was running when it went down.
+void relay::impl::reportCrashes(const probe_ended &Event) {
+  const endpoint_state *Endpoint = Endpoints.find(Event.Endpoint);
+  for (const crash &Each :
+       Crashes.onProbeEnded(Event.Endpoint, Event.IsHealthy, Now))
+    if (Endpoint)
+      Out->push_back(crash_log_event{Each.RequestId, Each.Request,
+                                     Endpoint->listed().Identity.Instance,
+                                     Endpoint->listed().Service});
+}
+
 void relay::impl::recordLatency(route_state &RouteState, millis Elapsed) {
   RouteState.Median.add(Elapsed);
   RouteState.Tail.add(Elapsed);
@@ -325,6 +349,7 @@
                              const attempt_ended &Event, millis Elapsed) {
   attempt_log_event LogEvent;
   LogEvent.RequestId = Request.Content->RequestId;
+  LogEvent.Fingerprint = fingerprintOf(*Request.Content);
   LogEvent.Service = Part.Service->Name;
   if (Endpoint)
     LogEvent.Instance = Endpoint->listed().Identity.Instance;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "query/wake_queue.h"
+#include "relay/crash_detector.h"
 #include "relay/relay.h"
 #include "relay/request_state.h"
 #include "relay/start_queue.h"
@@ -83,6 +84,9 @@
                          const request_part &Part) const;
   attempt_verdict verdictOf(const request_state *Request,
                             const attempt_ended &Event) const;
+  void noteLost(const request_state &Request, endpoint_no From,
+                attempt_end End);
+  void reportCrashes(const probe_ended &Event);
   void recordLatency(route_state &RouteState, millis Elapsed);
   void logAttempt(const request_state &Request, const request_part &Part,
                   const endpoint_state *Endpoint, attempt_verdict Verdict,
@@ -164,6 +168,7 @@
 
   relay_settings Settings;
   endpoint_set Endpoints;
+  crash_detector Crashes;
   slice_planner Slices;
   /// Shard requests of this relay that have not ended.
   std::unordered_map<shard_request_id, shard_request_ref> OpenShardRequests;
