--- /dev/null
+++ b/test/unit/crashing_request_test.cpp
@@ -0,0 +1,183 @@
+// Requests that make every endpoint go down that runs them.
+#include "relay_fixture.h"
+
+#include <deque>
+#include <random>
+#include <set>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+constexpr millis Tick{2};
+constexpr millis RunTime{60};    ///< of any request at an endpoint
+constexpr millis DownTime{3000}; ///< of an endpoint that went down
+/// The bound: this long after the third crash, at most `MaxLateSends` sends.
+constexpr millis NoticeTime{4000};
+constexpr std::size_t MaxLateSends = 3;
+
+/// Relays that share the endpoints of one service.
+struct crash_fleet {
+  crash_fleet(std::size_t RelayCount, int EndpointCount) {
+    for (std::size_t I = 0; I < RelayCount; ++I) {
+      auto &Relay = Relays.emplace_back(relay_fixture::settings(), I + 1);
+      Relay.addService("one", EndpointCount);
+      Relay.addPlainRoute("/one/", "one").Objective = {400};
+      Relay.install(static_cast<std::uint32_t>(RelayCount));
+    }
+  }
+
+  /// Runs the fleet. Requests for "/one/crash" arrive at any relay at the rate
+  /// `Crashing`, others at the rate `Normal`.
+  void run(millis Time, double CrashingPerSecond, double NormalPerSecond) {
+    std::bernoulli_distribution Crashes(CrashingPerSecond * Tick.Count / 1000);
+    std::bernoulli_distribution Arrives(NormalPerSecond * Tick.Count / 1000);
+    for (const instant End = Now + Time; Now < End; Now = Now + Tick) {
+      endRuns();
+      for (std::size_t I = 0; I < Relays.size(); ++I) {
+        Relays[I].advance(Tick.Count);
+        takeActions(I);
+      }
+      if (Crashes(Random))
+        send("/one/crash");
+      if (Arrives(Random))
+        send("/one/" + std::to_string(++NormalCount));
+    }
+  }
+
+  /// Takes the endpoints down together.
+  void crashAll(const std::set<std::string> &Instances) {
+    for (const std::string &Each : Instances)
+      takeDown(Each);
+  }
+
+  std::size_t lateSends() const {
+    if (CrashedAt.size() < 3)
+      return 0;
+    const instant From = CrashedAt[2] + NoticeTime;
+    return static_cast<std::size_t>(
+        std::count_if(CrashingSends.begin(), CrashingSends.end(),
+                      [&](instant Each) { return Each > From; }));
+  }
+
+  std::deque<relay_fixture> Relays;
+  std::mt19937 Random{5};
+  instant Now{1000};
+  std::vector<instant> CrashedAt;     ///< by the crashing request
+  std::vector<instant> CrashingSends; ///< to endpoints
+  std::size_t NormalCount = 0;
+  std::size_t Answered = 0; ///< of the normal requests
+  std::map<relay_refusal, std::size_t> Refusals;
+
+private:
+  struct run_state {
+    std::size_t Relay = 0;
+    std::uint64_t Attempt = 0;
+    std::string Instance;
+    bool IsCrashing = false;
+    instant EndsAt;
+  };
+  std::vector<run_state> Runs;
+  std::map<std::string, instant> DownUntil;
+
+  bool isDown(const std::string &Instance) const {
+    const auto Found = DownUntil.find(Instance);
+    return Found != DownUntil.end() && Now < Found->second;
+  }
+
+  void send(const std::string &Target) {
+    const std::size_t Index = Random() % Relays.size();
+    Relays[Index].sendRequest(Target);
+    takeActions(Index);
+  }
+
+  void takeActions(std::size_t Index) {
+    while (!Relays[Index].Actions.empty())
+      for (const relay_action &Each : std::exchange(Relays[Index].Actions, {}))
+        take(Index, Each);
+  }
+
+  void take(std::size_t Index, const relay_action &Action) {
+    if (const auto *Send = std::get_if<send_attempt>(&Action))
+      startRun(Index, *Send);
+    if (const auto *Cancel = std::get_if<cancel_attempt>(&Action))
+      std::erase_if(Runs, [&](const run_state &Each) {
+        return Each.Relay == Index && Each.Attempt == Cancel->Attempt.Value;
+      });
+    if (const auto *Probe = std::get_if<probe_endpoint>(&Action))
+      Relays[Index].step(
+          probe_ended{Probe->Endpoint,
+                      !isDown(Relays[Index].Names.at(Probe->Endpoint.Value)),
+                      {},
+                      {},
+                      false,
+                      {}});
+    const auto *Answer = std::get_if<send_answer>(&Action);
+    if (Answer && Answer->Content->Target != "/one/crash") {
+      Answered += Answer->Status == 200 ? 1 : 0;
+      ++Refusals[Answer->Reason];
+    }
+  }
+
+  void startRun(std::size_t Index, const send_attempt &Send) {
+    relay_fixture &Relay = Relays[Index];
+    const std::string Instance = Relay.instanceOf(Send);
+    if (isDown(Instance)) {
+      Relay.end(Send.Attempt.Value, attempt_end::connect_failed, {});
+      return;
+    }
+    const bool IsCrashing = Send.Content->Target == "/one/crash";
+    Runs.push_back(
+        {Index, Send.Attempt.Value, Instance, IsCrashing, Now + RunTime});
+    if (IsCrashing)
+      CrashingSends.push_back(Now);
+  }
+
+  void endRuns() {
+    while (true) {
+      const auto Due =
+          std::find_if(Runs.begin(), Runs.end(), [&](const run_state &Each) {
+            return Each.EndsAt <= Now;
+          });
+      if (Due == Runs.end())
+        return;
+      const run_state Run = *Due;
+      if (Run.IsCrashing) {
+        CrashedAt.push_back(Now);
+        takeDown(Run.Instance);
+        continue;
+      }
+      Runs.erase(Due);
+      Relays[Run.Relay].reply(Run.Attempt);
+    }
+  }
+
+  void takeDown(const std::string &Instance) {
+    DownUntil[Instance] = Now + DownTime;
+    std::vector<run_state> Lost;
+    for (const run_state &Each : Runs)
+      if (Each.Instance == Instance)
+        Lost.push_back(Each);
+    std::erase_if(
+        Runs, [&](const run_state &Each) { return Each.Instance == Instance; });
+    for (const run_state &Each : Lost)
+      if (Relays[Each.Relay].Sent.count(Each.Attempt))
+        Relays[Each.Relay].breakConnection(Each.Attempt);
+  }
+};
+
+} // namespace
+
+// Guards against BUDGET: a request that made endpoints go down was sent to
+// more and more of them.
+TEST_CASE("a request under which three endpoints went down is sent to no more",
+          "[relay][crash][!shouldfail]") {
+  for (const std::size_t RelayCount : {1U, 8U, 91U}) {
+    crash_fleet Fleet(RelayCount, 9);
+    Fleet.run({15'000}, 3, 40);
+    INFO(RelayCount << " relays");
+    CHECK(Fleet.CrashedAt.size() >= 3);
+    CHECK(Fleet.lateSends() <= MaxLateSends);
+  }
+}
