A relay that starts learns of quarantined requests before it sends any

Cause, found on reading: a relay that starts keeps requests until it has the catalog and the directory, and the leader sent the verdicts after them, so that a quarantined request that waited there went to an endpoint. Change: verdicts travel before the state, and the relay applies them before it follows the sender, as the roster. Result: all tests pass; no test of its own, the order is that of the messages on one link.

--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -164,13 +164,16 @@
     on(Vm, *State);
   else if (const auto *Redirect = std::get_if<redirect>(&*Message))
     on(Vm, *Redirect);
-  // A full roster is applied even if its sender is not followed yet: a leader
-  // sends it before the state, whose catalog lets waiting requests start.
+  // A full roster and verdicts are applied even if their sender is not followed
+  // yet: a leader sends them before the state, whose catalog lets waiting
+  // requests start.
   const auto *Roster = std::get_if<roster>(&*Message);
   if (Roster && (Roster->IsFull || Vm == Leader)) {
     applyRoster(*Roster, Relays);
     Host.onRoster(Relays);
   }
+  if (const auto *Verdicts = std::get_if<request_verdicts>(&*Message))
+    Host.onVerdicts(*Verdicts);
   if (Vm != Leader)
     return;
   ReceivedAt = Known->second.ReceivedAt;
@@ -180,8 +183,6 @@
     Host.onFleetSize(Heartbeat->Peers);
   else if (const auto *Limits = std::get_if<limit_grants>(&*Message))
     Host.onLimitGrants(*Limits);
-  else if (const auto *Verdicts = std::get_if<request_verdicts>(&*Message))
-    Host.onVerdicts(*Verdicts);
 }
 
 void registry_follower::on(vm_id Vm, const fleet_state &State) {
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -35,19 +35,20 @@
       severity::info, "subscriber_joined",
       {{"node", Request.Node}, {"revision", Request.Revision.Value}});
   OnEvent(subscriber_joined{New.Id});
-  // The roster and the fleet size are sent first: requests may be waiting at
-  // the relay for the catalog and the directory, and it must know by then how
-  // many relays share the endpoints.
+  // The roster, the fleet size and the verdicts are sent first: requests may be
+  // waiting at the relay for the catalog and the directory, and it must know by
+  // then how many relays share the endpoints and which requests no endpoint may
+  // get.
   New.Link->send(wire::encode(fullChange(SentRelays)));
   New.Link->send(wire::encode(leader_heartbeat{State.Revision, FleetSize}));
+  const auto Notices = Crashes.notices(Now);
+  if (!Notices.empty())
+    New.Link->send(wire::encode(request_verdicts{Notices}));
   sendState(New, State, Voters);
   sendDirectory(New, Now);
   const auto Current = Limits.current(Now);
   if (!Current.empty())
     New.Link->send(wire::encode(limit_grants{Current}));
-  const auto Notices = Crashes.notices(Now);
-  if (!Notices.empty())
-    New.Link->send(wire::encode(request_verdicts{Notices}));
 }
 
 void subscribers::sendToAll(const fleet_message &Message) {
