Crashes that follow each other within 20 ms no longer hide a query over shards

Cause, found on reading: crashes counted as one as long as each came within 20 ms of the one before, so that 20 endpoints that go down 5 ms apart under a query over 20 shards were one crash. Change: a crash counts if it comes more than 20 ms after the last one that counted. Result: crashing_request_test, crashes that follow each other closely: fails before.

--- a/src/relay/crash_history.cpp
+++ b/src/relay/crash_history.cpp
@@ -109,10 +109,12 @@
     Times.push_back(Each.At);
   std::sort(Times.begin(), Times.end());
   std::size_t Count = 0;
-  instant Last{-1e300};
+  instant LastCounted{-1e300};
   for (const instant Each : Times) {
-    Count += Each - Last > CommonCauseTime ? 1 : 0;
-    Last = Each;
+    if (Each - LastCounted <= CommonCauseTime)
+      continue;
+    ++Count;
+    LastCounted = Each;
   }
   return Count;
 }
--- a/test/unit/crashing_request_test.cpp
+++ b/test/unit/crashing_request_test.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr millis Tick{2};
-constexpr millis RunTime{60};    ///< of any request at an endpoint
+constexpr millis RunTime{60};             ///< of any request at an endpoint
 constexpr std::size_t PopularTargets = 7; ///< of the normal requests
-constexpr millis DownTime{3000}; ///< of an endpoint that went down
+constexpr millis DownTime{3000};          ///< of an endpoint that went down
 /// The bound: this long after the third crash, at most `MaxLateSends` sends.
 constexpr millis NoticeTime{4000};
 constexpr std::size_t MaxLateSends = 3;
@@ -265,6 +265,17 @@
   CHECK(History.quarantineLeft(Request, {1010}) == millis{0});
 }
 
+// Guards against BUDGET with a query over shards, which runs at many endpoints.
+TEST_CASE("crashes that follow each other closely count apart",
+          "[relay][crash]") {
+  crash_history History;
+  const request_fingerprint Request{7};
+  for (int I = 0; I < 12; ++I)
+    History.add(Request, {"one-" + std::to_string(I), 1}, {1000.0 + 5 * I},
+                {1060});
+  CHECK(History.verdict(Request, {1060}) == request_verdict::quarantined);
+}
+
 TEST_CASE("a crash after a quarantine starts one twice as long",
           "[relay][crash]") {
   crash_history History;
