Quarantines of requests are part of the registry's durable state

Cause, found on reading: quarantines lived in the memory of the leader and of the relays. After a loss of power of all machines the request would have ended three more endpoints, and as many as were sent to before the third ended. Change: the leader's decisions are entries of the replicated log (set_quarantine, with a time of day); a new leader starts with those that have not ended. The relays are told at once, before the entry is committed. 1,024 are kept. Result: registry_node_test, a quarantine outlives a power loss of all voters, reaches all voters, is bounded.

--- a/src/control/registry_machine.cpp
+++ b/src/control/registry_machine.cpp
@@ -1,5 +1,7 @@
 #include "control/registry_machine.h"
 
+#include <algorithm>
+
 namespace bulrush::control {
 
 bool registry_machine::apply(log_index Index, const registry_command &Command) {
@@ -32,6 +34,21 @@
   return false;
 }
 
+/// Returns false to keep the revision: the leader tells the daemons itself,
+/// before the command is committed.
+bool registry_machine::on(const set_quarantine &Command) {
+  if (Command.UntilMs == 0) {
+    State.Quarantines.erase(Command.Request);
+    return false;
+  }
+  State.Quarantines[Command.Request] = Command.UntilMs;
+  if (State.Quarantines.size() > MaxQuarantines)
+    State.Quarantines.erase(std::min_element(
+        State.Quarantines.begin(), State.Quarantines.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; }));
+  return false;
+}
+
 void registry_machine::load(log_index Index, registry_state NewState) {
   Applied = Index;
   State = std::move(NewState);
--- a/src/control/registry_machine.h
+++ b/src/control/registry_machine.h
@@ -1,11 +1,12 @@
 /// The registry's replicated state machine. Its state holds the latest catalog
-/// from the operators, the zones that are taken out, and the number of daemons
-/// that share the endpoints.
+/// from the operators, the zones that are taken out, the number of daemons that
+/// share the endpoints, and the requests that are kept from them.
 #pragma once
 
 #include "bulrushtray/ids.h"
 #include "control/log_entry.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <variant>
@@ -32,7 +33,19 @@
   std::uint32_t Daemons = 0;
 };
 
-using registry_command = std::variant<put_catalog, set_zone, set_fleet_size>;
+/// Keeps a request from all endpoints until a time of day, or no longer. It is
+/// replicated so that it survives a restart of the whole fleet.
+struct set_quarantine {
+  std::uint64_t Request = 0; ///< fingerprint
+  std::uint64_t UntilMs = 0; ///< Unix time in ms; 0: no longer
+};
+
+using registry_command =
+    std::variant<put_catalog, set_zone, set_fleet_size, set_quarantine>;
+
+/// Quarantined requests that the state holds. If there are more, those that end
+/// first are dropped.
+inline constexpr std::size_t MaxQuarantines = 1024;
 
 struct registry_state {
   revision Revision; ///< log index of the last catalog or zone change
@@ -40,6 +53,8 @@
   shared_bytes Catalog = shareBytes({});
   std::set<std::string> ZonesOut;
   std::uint32_t FleetSize = 0;
+  /// Until when a request is quarantined (Unix time in ms), by fingerprint.
+  std::map<std::uint64_t, std::uint64_t> Quarantines;
 };
 
 /// Applies committed commands in log order.
@@ -59,6 +74,7 @@
   bool on(const put_catalog &Command);
   bool on(const set_zone &Command);
   bool on(const set_fleet_size &Command);
+  bool on(const set_quarantine &Command);
 
   registry_state State;
   log_index Applied;
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -162,8 +162,29 @@
   }
 
   void onCrashReports(const crash_reports &Message) {
-    if (Subscribers.count() > 0)
-      Subscribers.onCrashReports(Message, Clock.now());
+    if (!Node || Subscribers.count() == 0)
+      return;
+    for (const relay::verdict_notice &Each :
+         Subscribers.onCrashReports(Message, Clock.now())) {
+      if (Each.Verdict == relay::request_verdict::watched)
+        continue;
+      const bool IsHeld = Each.Verdict == relay::request_verdict::quarantined;
+      const auto LeftMs = static_cast<std::uint64_t>(Each.QuarantineLeft.Count);
+      step(quarantine_decided{
+          {Each.Request.Value, IsHeld ? unixMillis() + LeftMs : 0}});
+    }
+  }
+
+  /// The quarantines of the replicated state that have not ended.
+  std::vector<relay::verdict_notice> storedQuarantines() const {
+    std::vector<relay::verdict_notice> Out;
+    const std::uint64_t NowMs = unixMillis();
+    for (const auto &[Request, UntilMs] : Node->state().Quarantines)
+      if (UntilMs > NowMs)
+        Out.push_back({{Request},
+                       relay::request_verdict::quarantined,
+                       {static_cast<double>(UntilMs - NowMs)}});
+    return Out;
   }
 
   void onVoterMessage(const frame_link *Key, control::message Message) {
@@ -320,6 +341,7 @@
     if (IsLeader) {
       Sequence = 0;
       CatalogUpdates.update(Node->state());
+      Subscribers.loadQuarantines(storedQuarantines(), Clock.now());
       Reader.start();
       return;
     }
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -154,6 +154,13 @@
     Found->second = std::max(Found->second, Event.Revision);
 }
 
+/// Not repeated if it is lost with the leader: the daemons tell the next one
+/// what they know.
+void registry_node::on(const quarantine_decided &Event) {
+  if (IsLeader)
+    propose(Event.Command);
+}
+
 void registry_node::stepLog(const control::event &Event) {
   std::vector<control::action> Actions;
   Log.step(Event, Now, Actions);
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -39,9 +39,14 @@
   revision Revision;
 };
 
-using node_event =
-    std::variant<control::event, command_received, read_received,
-                 subscriber_joined, subscriber_left, subscriber_applied>;
+/// The leader has decided on a request under which endpoints went down.
+struct quarantine_decided {
+  control::set_quarantine Command;
+};
+
+using node_event = std::variant<control::event, command_received, read_received,
+                                subscriber_joined, subscriber_left,
+                                subscriber_applied, quarantine_decided>;
 
 /// Result of a command or a read.
 enum class call_end : std::uint8_t {
@@ -123,6 +128,7 @@
   void on(const subscriber_joined &Event);
   void on(const subscriber_left &Event);
   void on(const subscriber_applied &Event);
+  void on(const quarantine_decided &Event);
 
   void on(control::persist &Action);
   void on(control::send &Action) { Out->push_back(std::move(Action)); }
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -57,12 +57,20 @@
     Each.Link->send(Bytes);
 }
 
-void subscribers::onCrashReports(const crash_reports &Message, instant Now) {
+std::vector<relay::verdict_notice>
+subscribers::onCrashReports(const crash_reports &Message, instant Now) {
   request_verdicts Changed{Crashes.apply(Message.Reports, Now)};
   if (Changed.Notices.empty())
-    return;
+    return {};
   logVerdicts(Changed.Notices);
   sendToAll(Changed);
+  return std::move(Changed.Notices);
+}
+
+void subscribers::loadQuarantines(
+    const std::vector<relay::verdict_notice> &Notices, instant Now) {
+  for (const relay::verdict_notice &Each : Notices)
+    Crashes.apply(Each, Now);
 }
 
 void subscribers::logVerdicts(
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -35,8 +35,12 @@
   void onLimitReports(const frame_link *Link, const limit_reports &Message,
                       std::uint32_t FleetSize, instant Now);
   /// Counts crashes that a subscriber reports, and tells all subscribers which
-  /// requests are quarantined.
-  void onCrashReports(const crash_reports &Message, instant Now);
+  /// requests are quarantined. Returns the decisions that changed.
+  std::vector<relay::verdict_notice>
+  onCrashReports(const crash_reports &Message, instant Now);
+  /// Applies quarantines that an earlier leader decided on.
+  void loadQuarantines(const std::vector<relay::verdict_notice> &Notices,
+                       instant Now);
   /// Removes the subscriber of a link that was closed by the peer.
   void onClosed(const frame_link *Link);
 
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -523,8 +523,13 @@
   } else if (const auto *Zone = std::get_if<control::set_zone>(&Command)) {
     Out.set_zone(Zone->Zone);
     Out.set_zone_out(Zone->IsOut);
+  } else if (const auto *Size =
+                 std::get_if<control::set_fleet_size>(&Command)) {
+    Out.set_fleet_size(Size->Daemons);
   } else {
-    Out.set_fleet_size(std::get<control::set_fleet_size>(Command).Daemons);
+    const auto &Quarantine = std::get<control::set_quarantine>(Command);
+    Out.set_quarantined_request(Quarantine.Request);
+    Out.set_quarantined_until(Quarantine.UntilMs);
   }
   return Out.SerializeAsString();
 }
@@ -536,6 +541,9 @@
     return fail("registry command: malformed");
   if (In.fleet_size() > 0)
     return control::set_fleet_size{In.fleet_size()};
+  if (In.has_quarantined_until())
+    return control::set_quarantine{In.quarantined_request(),
+                                   In.quarantined_until()};
   if (In.zone().empty())
     return control::put_catalog{In.catalog_version(),
                                 control::shareBytes(In.catalog())};
@@ -550,6 +558,8 @@
   for (const std::string &Zone : State.ZonesOut)
     Out.add_zones_out(Zone);
   Out.set_fleet_size(State.FleetSize);
+  for (const auto &[Request, UntilMs] : State.Quarantines)
+    (*Out.mutable_quarantines())[Request] = UntilMs;
   return Out.SerializeAsString();
 }
 
@@ -563,6 +573,7 @@
   State.Catalog = control::shareBytes(In.catalog());
   State.ZonesOut = {In.zones_out().begin(), In.zones_out().end()};
   State.FleetSize = In.fleet_size();
+  State.Quarantines = {In.quarantines().begin(), In.quarantines().end()};
   return State;
 }
 
--- a/test/shell/registry_node_test.cpp
+++ b/test/shell/registry_node_test.cpp
@@ -339,3 +339,46 @@
     REQUIRE(Registry.leader() == Leader);
   }
 }
+
+// Guards against BUDGET after a restart of the whole fleet.
+TEST_CASE("a quarantine outlives a power loss of all voters", "[registry]") {
+  control::registry_machine Machine;
+  Machine.apply({1}, control::set_quarantine{7, 5000});
+  Machine.apply({2}, control::set_quarantine{8, 6000});
+  Machine.apply({3}, control::set_quarantine{8, 0});
+  const auto Restored =
+      wire::decodeRegistryState(wire::encode(Machine.state()));
+  REQUIRE(Restored);
+  CHECK(Restored->Quarantines ==
+        std::map<std::uint64_t, std::uint64_t>{{7, 5000}});
+  for (const std::uint64_t UntilMs : {std::uint64_t{9000}, std::uint64_t{0}}) {
+    const auto Command =
+        wire::decodeRegistryCommand(wire::encode(control::registry_command{
+            control::set_quarantine{std::uint64_t{1} << 63, UntilMs}}));
+    REQUIRE(Command);
+    const auto &Back = std::get<control::set_quarantine>(*Command);
+    CHECK(Back.Request == std::uint64_t{1} << 63);
+    CHECK(Back.UntilMs == UntilMs);
+  }
+}
+
+TEST_CASE("a quarantine that the leader decides reaches all voters",
+          "[registry]") {
+  registry_fixture Group;
+  Group.run(2000);
+  auto *Leader = Group.leader();
+  REQUIRE(Leader);
+  Group.step(*Leader, quarantine_decided{{7, 5000}});
+  Group.run(500);
+  for (const auto &Each : Group.Voters)
+    CHECK(Each.Node->state().Quarantines.count(7) == 1);
+}
+
+TEST_CASE("the quarantines that the registry stores are bounded",
+          "[registry]") {
+  control::registry_machine Machine;
+  for (std::uint64_t I = 1; I <= 3000; ++I)
+    Machine.apply({I}, control::set_quarantine{I, I});
+  CHECK(Machine.state().Quarantines.size() == control::MaxQuarantines);
+  CHECK(Machine.state().Quarantines.count(3000) == 1);
+}
