A query that no relay has run is answered with 503 and a time to return

Cause: as soon as a slice was requested from another relay the query counted as one that may have run. Only ended requests with that word count as not run; a relay that is lost or retried does not.

--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -80,6 +80,9 @@
   bool WantsRetry = false;
   /// Endpoints of the shards that announced to this relay that they stop.
   std::vector<endpoint_identity> Leaving;
+  /// No endpoint has executed any of the shards or ever will; only in a final
+  /// reply.
+  bool IsNotRun = false;
 };
 
 // Events.
--- a/src/relay/relay_peer_requests.cpp
+++ b/src/relay/relay_peer_requests.cpp
@@ -163,6 +163,7 @@
     Bodies.push_back(Part.Reply->Body);
   }
   Reply.Leaving = Endpoints.announcedLeaving(Request.Route->Gather.Shards);
+  Reply.IsNotRun = IsFinal && !Request.mayHaveRun();
   Reply.WantsRetry = Requester.WantsRetry && !Requester.MayRetry;
   Reply.Records = greatestRecords(Bodies, Request.Route->Gather.TopRecords);
   Out->push_back(send_shard_reply{Requester.From, std::move(Reply)});
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -223,6 +223,7 @@
                                    const shard_reply &Reply) {
   Slice.HasReplied = true;
   Slice.IsEnded = Reply.IsFinal;
+  Slice.IsNotRun = Reply.IsFinal && Reply.IsNotRun;
   const bool IsUsable =
       Reply.Covered.size() == Reply.Signatures.size() &&
       std::all_of(
--- a/src/relay/request_state.cpp
+++ b/src/relay/request_state.cpp
@@ -38,7 +38,9 @@
 
 bool request_state::mayHaveRun() const {
   // Another relay may have sent the shards requested from it to endpoints.
-  return !SliceRequests.empty() ||
+  return std::any_of(
+             SliceRequests.begin(), SliceRequests.end(),
+             [](const slice_request &Slice) { return !Slice.IsNotRun; }) ||
          std::any_of(Parts.begin(), Parts.end(), [](const request_part &Part) {
            return Part.PossibleRuns > 0;
          });
--- a/src/relay/request_state.h
+++ b/src/relay/request_state.h
@@ -75,6 +75,7 @@
   bool IsRetryGranted = false; ///< the relay may retry parts; no other may
   bool IsRetried = false;      ///< its parts were also requested elsewhere
   bool IsEnded = false;        ///< no further reply can arrive
+  bool IsNotRun = false; ///< the relay states that no endpoint executed a part
 };
 
 /// Parts whose records another relay has already merged.
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -191,6 +191,7 @@
   Out.set_records(From.Records);
   Out.set_final(From.IsFinal);
   Out.set_wants_repeat(From.WantsRetry);
+  Out.set_not_run(From.IsNotRun);
   identitiesToProto(From.Leaving, *Out.mutable_leaving());
 }
 
@@ -315,6 +316,7 @@
   To.Records = From.records();
   To.IsFinal = From.final();
   To.WantsRetry = From.wants_repeat();
+  To.IsNotRun = From.not_run();
   To.Leaving = identitiesFromProto(From.leaving());
   return To;
 }
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -487,6 +487,33 @@
   CHECK(Relay.answerTo(Request)->Status != 503);
 }
 
+TEST_CASE("a query that no relay has run is answered with 503", "[slices]") {
+  slices_fixture Relay;
+  const query_id Request = Relay.sendRequest("/all/x");
+  for (const send_shard_request &Each : Relay.sentShardRequests()) {
+    // The other relay finds each endpoint too busy until it gives up.
+    slices_fixture Responder(Each.To.Value);
+    Responder.step(shard_request_arrived{{1}, Each.Request});
+    for (int Ms = 0; Ms < 800; Ms += 20) {
+      while (!Responder.Sent.empty())
+        Responder.replyNotRun(Responder.Sent.begin()->first);
+      Responder.advance(20);
+    }
+    const shard_reply Final = Responder.all<send_shard_reply>().back().Reply;
+    REQUIRE(Final.IsFinal);
+    CHECK(Final.IsNotRun);
+    Relay.step(shard_reply_arrived{Each.To, Final});
+  }
+  for (int Ms = 0; Ms < 800; Ms += 20) {
+    while (!Relay.Sent.empty())
+      Relay.replyNotRun(Relay.Sent.begin()->first);
+    Relay.advance(20);
+  }
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 503);
+  CHECK(Relay.answerTo(Request)->RetryAfter > millis{0});
+}
+
 TEST_CASE("a relay opens connections to the endpoints of its own slices",
           "[slices][load]") {
   slices_fixture Relay(1, 12);
