A query that can no longer get enough shards is refused at once

Callers of a query waited for its last parts, up to their deadline, although too many others had failed for an answer; endpoints worked for it. Found on reading. Cause: the end of a query was decided only once all parts had ended. Change: it is refused as soon as the parts that are done and those that may still come are fewer than the route needs. Result: relay_slices_test, refused at once, fails before (no answer).

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -38,11 +38,13 @@
 }
 
 void relay::impl::settleGather(request_state &Request) {
-  bool IsPending = false;
-  for (std::size_t I = 0; I < Request.Parts.size() && !IsPending; ++I)
-    IsPending = !Request.isSettled(I);
+  std::uint32_t Pending = 0;
+  for (std::size_t I = 0; I < Request.Parts.size(); ++I)
+    Pending += Request.isSettled(I) ? 0 : 1;
   const bool IsDue = Now >= Request.SoftDeadline && Request.hasEnoughParts();
-  if (!IsPending || IsDue) {
+  const bool CanSucceed =
+      Request.completedParts() + Pending >= Request.requiredParts();
+  if (Pending == 0 || IsDue || !CanSucceed) {
     if (Request.hasEnoughParts())
       answerGathered(Request);
     else
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -487,8 +487,28 @@
   CHECK(Relay.answerTo(Request)->Status != 503);
 }
 
+// Guards against clients that wait for a query which cannot succeed any more.
+TEST_CASE("a query that can no longer get enough shards is refused at once",
+          "[relay]") {
+  relay_fixture Relay;
+  for (const char *Name : {"a", "b", "c", "d"})
+    Relay.addService(Name, 1);
+  Relay.addRoute("/all/", {"a", "b", "c", "d"}); // 3 of 4 are needed
+  Relay.install();
+  const query_id Request = Relay.sendRequest("/all/");
+  REQUIRE(Relay.Sent.size() == 4);
+  Relay.breakConnection(Relay.attemptAt("a-0"));
+  CHECK(!Relay.answerTo(Request));
+  Relay.breakConnection(Relay.attemptAt("b-0"));
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 502);
+}
+
 TEST_CASE("a query that no relay has run is answered with 503", "[slices]") {
   slices_fixture Relay;
+  // One shard is enough, so that the query waits for all slices.
+  Relay.Catalog.Routes.front().Gather.MinCoverage = 0.01;
+  Relay.install(12);
   const query_id Request = Relay.sendRequest("/all/x");
   for (const send_shard_request &Each : Relay.sentShardRequests()) {
     // The other relay finds each endpoint too busy until it gives up.
