A limit in the last reply of an endpoint that is gone no longer ends the relay

Change: limits of endpoints that are gone are ignored, as suspicions are. Result: relay_statements_test, a limit in the last reply of an endpoint that is gone: fails before (unordered_map::at).

--- a/src/relay/endpoint_limits.cpp
+++ b/src/relay/endpoint_limits.cpp
@@ -33,6 +33,8 @@
                                std::optional<request_rate> Limit,
                                instant SentAt, instant Now,
                                relay_actions &Out) {
+  if (Endpoint.isRemoved())
+    return;
   const std::optional<endpoint_state::rate_limit> &Old = Endpoint.rateLimit();
   if (Limit) {
     const bool IsNews = !Old || Old->Rate != *Limit;
--- a/test/unit/relay_statements_test.cpp
+++ b/test/unit/relay_statements_test.cpp
@@ -107,6 +107,30 @@
   CHECK(Lifted->SentUnderLimit == 3);
 }
 
+// Guards against a relay that ends by itself: the limit of an endpoint that was
+// gone was kept and looked up.
+TEST_CASE("a limit in the last reply of an endpoint that is gone is ignored",
+          "[relay][statements]") {
+  statement_fixture Relay;
+  Relay.sendRequest("/one/");
+  const std::uint64_t Attempt = Relay.attemptAt("one-0");
+  REQUIRE(Attempt != 0);
+  const listed_endpoint Entry = Relay.listedEntry("one-0");
+  std::erase_if(Relay.Directory.Endpoints, [&](const listed_endpoint &Each) {
+    return Each.Identity == Entry.Identity;
+  });
+  Relay.publishDirectory();
+  endpoint_reply Reply;
+  Reply.Status = 200;
+  Reply.Signature = "s";
+  Reply.RateLimit = request_rate{5};
+  Relay.end(Attempt, attempt_end::replied, Reply);
+  CHECK(!findLogEvent(Relay.Actions, endpoint_state_change::rate_limited));
+  Relay.publishDirectory(); // forgets endpoints that are gone
+  REQUIRE_NOTHROW(Relay.advance(1000));
+  REQUIRE_NOTHROW(Relay.step(peer_count_changed{5}));
+}
+
 TEST_CASE("an announcement outlives directories that still list the endpoint",
           "[relay][statements]") {
   statement_fixture Relay;
