Stated rate limits are bounded in one place

Cause, found on reading: a limit near the largest double makes the interval between turns 0 in effect, and the arithmetic of turns infinite; the lower bound stood in two files. Change: observedLimit in rate_limits.h, 0.1 to 1,000,000 requests a second, for relays and the leader. Result: endpoint_limit_test, limits out of all proportion (0 and 1e308); not run on the code before.

--- a/src/relay/endpoint_limits.cpp
+++ b/src/relay/endpoint_limits.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// A lower limit counts as this. An endpoint that gets no requests at all could
-/// not state that it takes them again.
-constexpr request_rate MinRateLimit{0.1};
 /// Time between two reports to the registry's leader.
 constexpr millis ReportInterval{300};
 /// The same if there is something new to report.
@@ -80,7 +77,7 @@
 }
 
 request_rate endpoint_set::evenShare(request_rate Limit) const {
-  return std::max(Limit, MinRateLimit) * (1.0 / RelayCount);
+  return observedLimit(Limit) * (1.0 / RelayCount);
 }
 
 void endpoint_set::askForTurn(endpoint_state &Endpoint, instant By,
--- a/src/relay/limit_allocator.cpp
+++ b/src/relay/limit_allocator.cpp
@@ -12,9 +12,6 @@
 /// A relay with a lower share asks for turns: it would let most turns of its
 /// own lapse.
 constexpr request_rate MinShare{1};
-/// A lower limit counts as this. An endpoint that gets no requests at all could
-/// not state that it takes them again.
-constexpr request_rate MinRateLimit{0.1};
 /// Demands that were not reported again for this long no longer count. Relays
 /// report every 300 ms.
 constexpr millis DemandLifetime{1000};
@@ -50,13 +47,14 @@
   if (Sum <= 0)
     return {};
   const request_rate Share =
-      *State.Limit * ((1 - ReservedPart) * Demand.Demand.PerSecond / Sum);
+      observedLimit(*State.Limit) *
+      ((1 - ReservedPart) * Demand.Demand.PerSecond / Sum);
   return Share < MinShare ? request_rate{} : Share;
 }
 
 void limit_allocator::grant(limit_state &State, const limit_report &Report,
                             vm_id Relay, limit_grant &Out, instant Now) {
-  request_rate Left = std::max(*State.Limit, MinRateLimit);
+  request_rate Left = observedLimit(*State.Limit);
   for (const auto &[Vm, Each] : State.Demands)
     Left.PerSecond -= shareOf(State, Each).PerSecond;
   Left = std::max(Left, MinRateLimit);
--- a/src/relay/rate_limits.h
+++ b/src/relay/rate_limits.h
@@ -5,10 +5,22 @@
 #include "bulrushtray/rate.h"
 #include "relay/directory.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace bulrush::relay {
 
+/// A lower limit counts as this: an endpoint that gets no requests at all could
+/// not state that it takes them again.
+inline constexpr request_rate MinRateLimit{0.1};
+/// A higher limit counts as this; no endpoint takes as many.
+inline constexpr request_rate MaxRateLimit{1e6};
+
+/// The limit that is observed for one that an endpoint stated.
+constexpr request_rate observedLimit(request_rate Stated) {
+  return std::clamp(Stated, MinRateLimit, MaxRateLimit);
+}
+
 /// What an endpoint stated `Age` ago.
 struct limit_statement {
   endpoint_identity Endpoint;
--- a/test/unit/endpoint_limit_test.cpp
+++ b/test/unit/endpoint_limit_test.cpp
@@ -264,6 +264,17 @@
   }
 }
 
+TEST_CASE("limits out of all proportion are bounded", "[relay][limit]") {
+  for (const double PerSecond : {0.0, 1e308}) {
+    limited_fleet Fleet(8, {PerSecond}, 1);
+    Fleet.run({10'000}, {20});
+    INFO("limit " << PerSecond);
+    CHECK(Fleet.Counts.Answered >=
+          (PerSecond > 0 ? 0.9 * Fleet.Counts.Sent : 1));
+    CHECK(Fleet.worstWindow() <= (PerSecond > 0 ? 200 : 6));
+  }
+}
+
 TEST_CASE("what a limit cannot serve is refused at once", "[relay][limit]") {
   limited_fleet Fleet(8, {10}, 1);
   Fleet.run({10'000}, {40});
