The leader sums the demands for a limit once a report

Cause, found on reading: each share summed all demands again, so that a report cost the square of the relays that report: 870,000 additions at the 933 relays of a cell at the target size. Change: the sum is made once for each report. Result: endpoint_limit_test; no figure was measured.

--- a/src/relay/limit_allocator.cpp
+++ b/src/relay/limit_allocator.cpp
@@ -38,30 +38,35 @@
   return Change > Old->PerSecond * NotableChange;
 }
 
-/// The share that a relay with this demand gets; 0 if it is to ask for turns.
-request_rate limit_allocator::shareOf(const limit_state &State,
-                                      const relay_demand &Demand) {
-  double Sum = 0;
+request_rate limit_allocator::totalDemand(const limit_state &State) {
+  request_rate Sum;
   for (const auto &[Vm, Each] : State.Demands)
-    Sum += Each.Demand.PerSecond;
-  if (Sum <= 0)
+    Sum.PerSecond += Each.Demand.PerSecond;
+  return Sum;
+}
+
+/// The share of a relay with the demand `Own`; 0 if it is to ask for turns.
+request_rate limit_allocator::shareOf(request_rate Limit, request_rate Own,
+                                      request_rate Total) {
+  if (Total <= request_rate{})
     return {};
   const request_rate Share =
-      observedLimit(*State.Limit) *
-      ((1 - ReservedPart) * Demand.Demand.PerSecond / Sum);
+      Limit * ((1 - ReservedPart) * Own.PerSecond / Total.PerSecond);
   return Share < MinShare ? request_rate{} : Share;
 }
 
 void limit_allocator::grant(limit_state &State, const limit_report &Report,
-                            vm_id Relay, limit_grant &Out, instant Now) {
-  request_rate Left = observedLimit(*State.Limit);
+                            limit_grant &Out, instant Now) {
+  const request_rate Limit = observedLimit(*State.Limit);
+  const request_rate Total = totalDemand(State);
+  request_rate Left = Limit;
   for (const auto &[Vm, Each] : State.Demands)
-    Left.PerSecond -= shareOf(State, Each).PerSecond;
+    Left.PerSecond -= shareOf(Limit, Each.Demand, Total).PerSecond;
   Left = std::max(Left, MinRateLimit);
   if (!State.Turns)
     State.Turns.emplace(Left, 0, Now);
   State.Turns->setRate(Left, Now);
-  Out.Share = shareOf(State, State.Demands.at(Relay));
+  Out.Share = shareOf(Limit, Report.Demand, Total);
   if (!Report.WantsTurnWithin)
     return;
   const millis Delay = std::max(millis{0}, State.Turns->nextTurn(Now) - Now);
@@ -96,7 +101,7 @@
     State.Demands[Relay] = {Each.Demand, Now};
     Out.Grants.push_back(toGrant(Endpoint, State, Now));
     if (State.Limit)
-      grant(State, Each, Relay, Out.Grants.back(), Now);
+      grant(State, Each, Out.Grants.back(), Now);
   }
   return Out;
 }
--- a/src/relay/limit_allocator.h
+++ b/src/relay/limit_allocator.h
@@ -41,9 +41,10 @@
 
   static bool applyStatement(limit_state &State,
                              const limit_statement &Statement, instant Now);
-  static request_rate shareOf(const limit_state &State,
-                              const relay_demand &Demand);
-  static void grant(limit_state &State, const limit_report &Report, vm_id Relay,
+  static request_rate totalDemand(const limit_state &State);
+  static request_rate shareOf(request_rate Limit, request_rate Own,
+                              request_rate Total);
+  static void grant(limit_state &State, const limit_report &Report,
                     limit_grant &Out, instant Now);
   static limit_grant toGrant(const endpoint_identity &Endpoint,
                              const limit_state &State, instant Now);
