A crash after a retry counts however fast it comes

Callers: a request that ends its endpoints within milliseconds was sent to six of them and not to three, two by each attempt of its client. Cause: endpoints that go down within 20 ms of each other counted once, as if for a common cause. A retry that follows a crash at once and ends the next endpoint falls into that time, though the request was not there when the first went down. Change: crashes are reported with the time for which the request ran; only an endpoint that had the request before the last counted crash can share its cause. 5 ms are allowed for reports that travel for unlike times (the leader saw a retry before the crash that caused it).

--- a/src/relay/crash_detector.cpp
+++ b/src/relay/crash_detector.cpp
@@ -14,14 +14,13 @@
 
 } // namespace
 
-void crash_detector::onLost(endpoint_no Endpoint, request_fingerprint Request,
-                            const std::string &RequestId, instant Now) {
+void crash_detector::onLost(endpoint_no Endpoint, crash Lost) {
   std::erase_if(Endpoints, [&](const auto &Each) {
-    return Now - Each.second.Lost.back().At > LossLifetime;
+    return Lost.At - Each.second.Lost.back().At > LossLifetime;
   });
-  std::vector<crash> &Lost = Endpoints[Endpoint].Lost;
-  if (Lost.size() < MaxLost)
-    Lost.push_back({Request, RequestId, Now});
+  std::vector<crash> &Known = Endpoints[Endpoint].Lost;
+  if (Known.size() < MaxLost)
+    Known.push_back(std::move(Lost));
 }
 
 void crash_detector::onProbeSent(endpoint_no Endpoint, instant Now) {
--- a/src/relay/crash_detector.h
+++ b/src/relay/crash_detector.h
@@ -11,6 +11,7 @@
 struct crash {
   request_fingerprint Request;
   std::string RequestId;
+  instant SentAt; ///< to this endpoint
   instant At;
 };
 
@@ -19,8 +20,8 @@
 /// endpoint is gone; one that times out says nothing of the endpoint.
 class crash_detector {
 public:
-  void onLost(endpoint_no Endpoint, request_fingerprint Request,
-              const std::string &RequestId, instant Now);
+  /// `Lost.At` is the current time.
+  void onLost(endpoint_no Endpoint, crash Lost);
   void onProbeSent(endpoint_no Endpoint, instant Now);
   /// Returns the requests that the endpoint was running if it went down.
   std::vector<crash> onProbeEnded(endpoint_no Endpoint, bool IsHealthy,
--- a/src/relay/crash_history.cpp
+++ b/src/relay/crash_history.cpp
@@ -11,9 +11,12 @@
 /// From this many crashes on, relays report whether endpoints answer the
 /// request.
 constexpr std::size_t WatchedCrashes = 2;
-/// Endpoints that go down within this time of each other count once: a common
-/// cause, such as a lost host, is more likely than the request.
+/// Endpoints that go down within this time of each other, while the request is
+/// at all of them, count once: a common cause, such as a lost host, is more
+/// likely than the request.
 constexpr millis CommonCauseTime{20};
+/// Times in reports differ by less than this from when things happened.
+constexpr millis ReportJitter{5};
 /// Two relays that saw the same crash differ by less than this.
 constexpr millis SameCrashTime{2000};
 constexpr millis FirstQuarantine{600'000};
@@ -25,20 +28,19 @@
 
 } // namespace
 
-void crash_history::add(request_fingerprint Request,
-                        const endpoint_identity &Endpoint, instant At,
+void crash_history::add(request_fingerprint Request, const known_crash &Crash,
                         instant Now) {
   entry &Entry = entryOf(Request, Now);
   const bool IsKnown = std::any_of(
       Entry.Crashes.begin(), Entry.Crashes.end(), [&](const known_crash &Each) {
-        return Each.Endpoint == Endpoint &&
-               std::abs((Each.At - At).Count) < SameCrashTime.Count;
+        return Each.Endpoint == Crash.Endpoint &&
+               std::abs((Each.At - Crash.At).Count) < SameCrashTime.Count;
       });
   if (IsKnown)
     return;
   if (Entry.Crashes.size() == MaxCrashesKept)
     Entry.Crashes.erase(Entry.Crashes.begin());
-  Entry.Crashes.push_back({Endpoint, At});
+  Entry.Crashes.push_back(Crash);
   if (countSeparate(Entry) < MaxCrashes || Now < Entry.QuarantinedUntil)
     return;
   const double Doublings = std::min(Entry.Quarantines, MaxDoublings);
@@ -52,7 +54,8 @@
   for (const crash_report &Each : Reports) {
     const request_verdict Old = verdict(Each.Request, Now);
     for (const crash_mark &Mark : Each.Crashes)
-      add(Each.Request, Mark.Endpoint, Now - Mark.Age, Now);
+      add(Each.Request,
+          {Mark.Endpoint, Now - Mark.Age - Mark.RanFor, Now - Mark.Age}, Now);
     if (Each.HasSucceeded)
       clear(Each.Request);
     else if (Each.QuarantineLeft > millis{0})
@@ -104,17 +107,18 @@
 }
 
 std::size_t crash_history::countSeparate(const entry &Entry) {
-  std::vector<instant> Times;
-  for (const known_crash &Each : Entry.Crashes)
-    Times.push_back(Each.At);
-  std::sort(Times.begin(), Times.end());
+  std::vector<known_crash> Crashes = Entry.Crashes;
+  std::sort(
+      Crashes.begin(), Crashes.end(),
+      [](const known_crash &A, const known_crash &B) { return A.At < B.At; });
   std::size_t Count = 0;
   instant LastCounted{-1e300};
-  for (const instant Each : Times) {
-    if (Each - LastCounted <= CommonCauseTime)
+  for (const known_crash &Each : Crashes) {
+    const bool WasThere = Each.SentAt + ReportJitter < LastCounted;
+    if (WasThere && Each.At - LastCounted <= CommonCauseTime)
       continue;
     ++Count;
-    LastCounted = Each;
+    LastCounted = Each.At;
   }
   return Count;
 }
@@ -149,7 +153,8 @@
     Report.Request = Request;
     Report.QuarantineLeft = quarantineLeft(Request, Now);
     for (const known_crash &Each : Entry.Crashes)
-      Report.Crashes.push_back({Each.Endpoint, Now - Each.At});
+      Report.Crashes.push_back(
+          {Each.Endpoint, Each.At - Each.SentAt, Now - Each.At});
   }
   return Out;
 }
--- a/src/relay/crash_history.h
+++ b/src/relay/crash_history.h
@@ -16,9 +16,13 @@
 /// the next crash starts one that is twice as long.
 class crash_history {
 public:
+  struct known_crash {
+    endpoint_identity Endpoint;
+    instant SentAt; ///< the request, to this endpoint
+    instant At;
+  };
   /// Adds a crash unless it is known.
-  void add(request_fingerprint Request, const endpoint_identity &Endpoint,
-           instant At, instant Now);
+  void add(request_fingerprint Request, const known_crash &Crash, instant Now);
   /// An endpoint has answered the request.
   void clear(request_fingerprint Request) { Entries.erase(Request); }
   /// Applies the reports of a relay; returns the decisions that changed.
@@ -45,10 +49,6 @@
   verdict_notice noticeOf(request_fingerprint Request, instant Now) const;
 
 private:
-  struct known_crash {
-    endpoint_identity Endpoint;
-    instant At;
-  };
   struct entry {
     std::vector<known_crash> Crashes;
     instant UpdatedAt;
--- a/src/relay/crash_reports.h
+++ b/src/relay/crash_reports.h
@@ -17,6 +17,7 @@
 /// An endpoint went down `Age` ago while it ran a request.
 struct crash_mark {
   endpoint_identity Endpoint;
+  millis RanFor; ///< from the sending of the request
   millis Age;
 
   bool operator==(const crash_mark &) const = default;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -267,7 +267,7 @@
   });
   if (Verdict != attempt_verdict::success)
     logAttempt(*Request, Part, Endpoint, Verdict, Event, Elapsed);
-  noteLost(*Request, Context.Endpoint, Event.End);
+  noteLost(*Request, Context, Event.End);
   handleReply(*Request, Part, Context.Endpoint, Event);
   settle(*Request);
   retryWaiting();
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -327,14 +327,15 @@
 
 /// Remembers a request whose connection broke while the endpoint may have run
 /// it. One that another endpoint has answered does not make endpoints go down.
-void relay::impl::noteLost(const request_state &Request, endpoint_no From,
-                           attempt_end End) {
+void relay::impl::noteLost(const request_state &Request,
+                           const attempt_context &Attempt, attempt_end End) {
   const bool MayHaveRun = End != attempt_end::replied &&
                           End != attempt_end::connect_failed &&
                           End != attempt_end::not_sent;
   if (MayHaveRun && Request.completedParts() == 0)
-    Crashes.onLost(From, fingerprintOf(*Request.Content),
-                   Request.Content->RequestId, Now);
+    Crashes.onLost(Attempt.Endpoint,
+                   {fingerprintOf(*Request.Content), Request.Content->RequestId,
+                    Attempt.SentAt, Now});
 }
 
 /// Reports the requests that an endpoint was running when it went down.
@@ -348,7 +349,8 @@
     Out->push_back(crash_log_event{Each.RequestId, Each.Request,
                                    Identity.Instance,
                                    Endpoint->listed().Service});
-    Quarantine.onCrash(Each.Request, Identity, Each.At, Now, *Out);
+    Quarantine.onCrash(Each.Request, {Identity, Each.SentAt, Each.At}, Now,
+                       *Out);
   }
 }
 
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -31,6 +31,15 @@
   }
 
 private:
+  /// The request, the part and the endpoint of an attempt.
+  struct attempt_context {
+    query_id Request;
+    std::size_t Part = 0;
+    endpoint_no Endpoint;
+    instant SentAt;
+    route_state *RouteState = nullptr;
+  };
+
   // relay.cpp: events and admission
   void on(const request_arrived &Event);
   void on(const attempt_ended &Event);
@@ -88,7 +97,7 @@
                          const request_part &Part) const;
   attempt_verdict verdictOf(const request_state *Request,
                             const attempt_ended &Event) const;
-  void noteLost(const request_state &Request, endpoint_no From,
+  void noteLost(const request_state &Request, const attempt_context &Attempt,
                 attempt_end End);
   void reportCrashes(const probe_ended &Event);
   void recordLatency(route_state &RouteState, millis Elapsed);
@@ -144,14 +153,6 @@
                         unsigned Status, relay_refusal Reason,
                         millis RetryAfter = {});
 
-  /// The request, the part and the endpoint of an attempt.
-  struct attempt_context {
-    query_id Request;
-    std::size_t Part = 0;
-    endpoint_no Endpoint;
-    instant SentAt;
-    route_state *RouteState = nullptr;
-  };
   /// An attempt of an answered request.
   struct lingering_attempt {
     attempt_no Attempt;
--- a/src/relay/request_quarantine.cpp
+++ b/src/relay/request_quarantine.cpp
@@ -5,12 +5,13 @@
 namespace bulrush::relay {
 
 void request_quarantine::onCrash(request_fingerprint Request,
-                                 const endpoint_identity &Endpoint, instant At,
+                                 const crash_history::known_crash &Crash,
                                  instant Now, relay_actions &Out) {
-  History.add(Request, Endpoint, At, Now);
+  History.add(Request, Crash, Now);
   crash_report Report;
   Report.Request = Request;
-  Report.Crashes.push_back({Endpoint, Now - At});
+  Report.Crashes.push_back(
+      {Crash.Endpoint, Crash.At - Crash.SentAt, Now - Crash.At});
   Out.push_back(send_crash_reports{{std::move(Report)}});
 }
 
--- a/src/relay/request_quarantine.h
+++ b/src/relay/request_quarantine.h
@@ -10,8 +10,9 @@
 /// leader decided on those of all relays, and reports to the leader.
 class request_quarantine {
 public:
-  void onCrash(request_fingerprint Request, const endpoint_identity &Endpoint,
-               instant At, instant Now, relay_actions &Out);
+  void onCrash(request_fingerprint Request,
+               const crash_history::known_crash &Crash, instant Now,
+               relay_actions &Out);
   /// An endpoint has answered the request.
   void onSuccess(const opaque_request &Request, relay_actions &Out);
   void on(const verdicts_arrived &Event, instant Now);
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -252,6 +252,7 @@
       Mark.set_instance(Crash.Endpoint.Instance);
       Mark.set_born(Crash.Endpoint.StartTimeMs);
       Mark.set_age_ms(Crash.Age.Count);
+      Mark.set_ran_for_ms(Crash.RanFor.Count);
     }
   }
 }
@@ -445,7 +446,9 @@
     Each.HasSucceeded = Item.succeeded();
     Each.QuarantineLeft = {Item.quarantine_left_ms()};
     for (const CrashMark &Mark : Item.crashes())
-      Each.Crashes.push_back({{Mark.instance(), Mark.born()}, {Mark.age_ms()}});
+      Each.Crashes.push_back({{Mark.instance(), Mark.born()},
+                              {Mark.ran_for_ms()},
+                              {Mark.age_ms()}});
   }
   return To;
 }
--- a/test/shell/fleet_codec_test.cpp
+++ b/test/shell/fleet_codec_test.cpp
@@ -110,8 +110,9 @@
 TEST_CASE("crash reports and verdicts survive encoding and decoding",
           "[wire]") {
   fleet::crash_reports Reports;
-  Reports.Reports = {{{0xf00dULL << 48}, {{{"i-1", 7}, {12.5}}}, false, {250}},
-                     {{2}, {}, true, {}}};
+  Reports.Reports = {
+      {{0xf00dULL << 48}, {{{"i-1", 7}, {40}, {12.5}}}, false, {250}},
+      {{2}, {}, true, {}}};
   CHECK(roundTrip(Reports).Reports == Reports.Reports);
   fleet::request_verdicts Verdicts;
   Verdicts.Notices = {{{1}, relay::request_verdict::watched, {}},
--- a/test/unit/crashing_request_test.cpp
+++ b/test/unit/crashing_request_test.cpp
@@ -247,11 +247,11 @@
 TEST_CASE("a request that an endpoint answers is cleared", "[relay][crash]") {
   crash_history History;
   const request_fingerprint Request{7};
-  History.add(Request, {"one-0", 1}, {1000}, {1000});
-  History.add(Request, {"one-1", 1}, {2000}, {2000});
+  History.add(Request, {{"one-0", 1}, {900}, {1000}}, {1000});
+  History.add(Request, {{"one-1", 1}, {1900}, {2000}}, {2000});
   CHECK(History.verdict(Request, {2000}) == request_verdict::watched);
   History.clear(Request);
-  History.add(Request, {"one-2", 1}, {3000}, {3000});
+  History.add(Request, {{"one-2", 1}, {2900}, {3000}}, {3000});
   CHECK(History.verdict(Request, {3000}) == request_verdict::cleared);
 }
 
@@ -260,18 +260,32 @@
   crash_history History;
   const request_fingerprint Request{7};
   for (int I = 0; I < 5; ++I)
-    History.add(Request, {"one-" + std::to_string(I), 1}, {1000.0 + I}, {1010});
+    History.add(Request, {{"one-" + std::to_string(I), 1}, {900}, {1000.0 + I}},
+                {1010});
   CHECK(History.verdict(Request, {1010}) == request_verdict::cleared);
   CHECK(History.quarantineLeft(Request, {1010}) == millis{0});
 }
 
+// Guards against BUDGET with a request that ends its endpoints at once.
+TEST_CASE("a crash after a retry counts however fast it comes",
+          "[relay][crash]") {
+  crash_history History;
+  const request_fingerprint Request{7};
+  History.add(Request, {{"one-0", 1}, {1000}, {1003}}, {1003});
+  History.add(Request, {{"one-1", 1}, {1004}, {1007}}, {1007});
+  // Reports travel for unlike times: by them it was sent before the crash.
+  History.add(Request, {{"one-2", 1}, {1006}, {1011}}, {1011});
+  CHECK(History.verdict(Request, {1011}) == request_verdict::quarantined);
+}
+
 // Guards against BUDGET with a query over shards, which runs at many endpoints.
 TEST_CASE("crashes that follow each other closely count apart",
           "[relay][crash]") {
   crash_history History;
   const request_fingerprint Request{7};
   for (int I = 0; I < 12; ++I)
-    History.add(Request, {"one-" + std::to_string(I), 1}, {1000.0 + 5 * I},
+    History.add(Request,
+                {{"one-" + std::to_string(I), 1}, {900}, {1000.0 + 5 * I}},
                 {1060});
   CHECK(History.verdict(Request, {1060}) == request_verdict::quarantined);
 }
@@ -281,19 +295,21 @@
   crash_history History;
   const request_fingerprint Request{7};
   for (const double Ms : {1000, 2000, 3000})
-    History.add(Request, {"one-" + std::to_string(Ms), 1}, {Ms}, {Ms});
+    History.add(Request, {{"one-" + std::to_string(Ms), 1}, {Ms - 50}, {Ms}},
+                {Ms});
   const millis First = History.quarantineLeft(Request, {3000});
   CHECK(First > millis{0});
   const instant Later = instant{3000} + First + millis{1};
   CHECK(History.verdict(Request, Later) == request_verdict::watched);
-  History.add(Request, {"one-9", 1}, Later, Later);
+  History.add(Request, {{"one-9", 1}, Later, Later}, Later);
   CHECK(History.quarantineLeft(Request, Later) == First * 2);
 }
 
 TEST_CASE("the memory of crashes is bounded", "[relay][crash]") {
   crash_history History;
-  for (std::uint64_t I = 0; I < 5000; ++I)
-    History.add({I}, {"one-0", 1}, {1000.0 + static_cast<double>(I)},
-                {1000.0 + static_cast<double>(I)});
+  for (std::uint64_t I = 0; I < 5000; ++I) {
+    const instant At{1000.0 + static_cast<double>(I)};
+    History.add({I}, {{"one-0", 1}, At, At}, At);
+  }
   CHECK(History.reports({6000}).size() <= 1024);
 }
