LIMIT: a limit that rises is observed after 4 s

Callers saw nothing. Cause, from the log: the endpoint named 11.9 from 13.13 s on, because a second disruption of the same endpoint began, and the relays went over to it at once. What is allowed in the 4 s around a rise is counted by the lower limit. Change: hysteresis: a higher limit is observed once the endpoint has stated no lower one for 4 s; a lower one at once. Result: relay_statements_test, a higher limit is observed once no lower one was stated for a while.

--- a/src/relay/endpoint_limits.cpp
+++ b/src/relay/endpoint_limits.cpp
@@ -12,6 +12,9 @@
 constexpr millis ReportInterval{300};
 /// The same if there is something new to report.
 constexpr millis MinReportInterval{50};
+/// Hysteresis: a higher limit is observed once the endpoint has stated no lower
+/// one for this long.
+constexpr millis RaiseDelay{4000};
 /// Lower demands are not reported; their share expires.
 constexpr request_rate MinReportedDemand{0.05};
 
@@ -33,6 +36,10 @@
   if (Endpoint.isRemoved())
     return;
   const std::optional<endpoint_state::rate_limit> &Old = Endpoint.rateLimit();
+  const bool IsEarlyRaise =
+      Limit && Old && *Limit > Old->Rate && Now - Old->LowAt < RaiseDelay;
+  if (IsEarlyRaise)
+    return;
   if (Limit) {
     const bool IsNews = !Old || Old->Rate != *Limit;
     applyRateLimit(Endpoint, *Limit, Now, Now, Out);
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -153,9 +153,10 @@
 void endpoint_state::setRateLimit(request_rate Rate, request_rate EvenShare,
                                   double Phase, instant StatedAt, instant Now) {
   if (!RateLimit)
-    RateLimit =
-        rate_limit{Rate, endpoint_turns(EvenShare, Phase, Now), {}, false, 0};
+    RateLimit = rate_limit{
+        Rate, endpoint_turns(EvenShare, Phase, Now), {}, Now, false, 0};
   RateLimit->Rate = Rate;
+  RateLimit->LowAt = StatedAt;
   RateLimit->Turns.setEvenShare(EvenShare, Now);
   LimitStatedAt = StatedAt;
 }
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -110,6 +110,7 @@
     request_rate Rate;         ///< of all relays together
     endpoint_turns Turns;      ///< of this relay
     demand_meter Demand;       ///< of this relay
+    instant LowAt;             ///< when `Rate` or a lower one was stated last
     bool IsUnreported = false; ///< the leader has not been told of `Rate` yet
     std::uint64_t Sent = 0;    ///< requests of this relay since the first one
   };
--- a/test/unit/relay_statements_test.cpp
+++ b/test/unit/relay_statements_test.cpp
@@ -107,6 +107,33 @@
   CHECK(Lifted->SentUnderLimit == 3);
 }
 
+// Guards against LIMIT around the moment at which an endpoint raises its limit.
+TEST_CASE("a higher limit is observed once no lower one was stated for a while",
+          "[relay][statements]") {
+  statement_fixture Relay(1);
+  const auto Reply = [&](double PerSecond) {
+    Relay.advance(400);
+    Relay.sendRequest("/one/");
+    Relay.advance(50); // no leader replies
+    endpoint_reply Out;
+    Out.Status = 200;
+    Out.Signature = "s";
+    Out.RateLimit = request_rate{PerSecond};
+    Relay.end(Relay.attemptAt("one-0"), attempt_end::replied, Out);
+  };
+  const auto IsRaised = [&] {
+    return findLogEvent(Relay.Actions,
+                        endpoint_state_change::rate_limit_changed) != nullptr;
+  };
+  Reply(5);
+  for (int I = 0; I < 7; ++I)
+    Reply(20);
+  CHECK(!IsRaised());
+  for (int I = 0; I < 3; ++I)
+    Reply(20);
+  CHECK(IsRaised());
+}
+
 // Guards against a relay that ends by itself: the limit of an endpoint that was
 // gone was kept and looked up.
 TEST_CASE("a limit in the last reply of an endpoint that is gone is ignored",
