--- a/src/fleet/registry_follower.h
+++ b/src/fleet/registry_follower.h
@@ -32,7 +32,8 @@
   virtual void onRoster(const relay_zones &Relays) = 0;
   virtual void onLimitGrants(const limit_grants &Message) = 0;
   virtual void onVerdicts(const request_verdicts &Message) = 0;
-  /// The daemon follows a leader that it did not follow before.
+  /// The daemon follows a leader from now on; it may have followed the same one
+  /// before.
   virtual void onLeaderFound() = 0;
   /// Returns the seeds from the current settings.
   virtual std::vector<vm_id> seeds() = 0;
--- a/src/relay/crash_detector.h
+++ b/src/relay/crash_detector.h
@@ -26,7 +26,6 @@
   /// Returns the requests that the endpoint was running if it went down.
   std::vector<crash> onProbeEnded(endpoint_no Endpoint, bool IsHealthy,
                                   instant Now);
-  void forget(endpoint_no Endpoint) { Endpoints.erase(Endpoint); }
 
 private:
   struct endpoint_losses {
--- a/src/relay/endpoint_limits.cpp
+++ b/src/relay/endpoint_limits.cpp
@@ -18,15 +18,6 @@
 /// Lower demands are not reported; their share expires.
 constexpr request_rate MinReportedDemand{0.05};
 
-endpoint_log_event makeLogEvent(const endpoint_state &Endpoint,
-                                endpoint_state_change Change) {
-  endpoint_log_event Out;
-  Out.Instance = Endpoint.listed().Identity.Instance;
-  Out.Service = Endpoint.listed().Service;
-  Out.Change = Change;
-  return Out;
-}
-
 } // namespace
 
 void endpoint_set::onRateLimit(endpoint_state &Endpoint,
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -39,17 +39,6 @@
   return std::find(Set.begin(), Set.end(), No) != Set.end();
 }
 
-endpoint_log_event makeLogEvent(const endpoint_state &Endpoint,
-                                endpoint_state_change Change,
-                                millis ColdFor = {}) {
-  endpoint_log_event Out;
-  Out.Instance = Endpoint.listed().Identity.Instance;
-  Out.Service = Endpoint.listed().Service;
-  Out.Change = Change;
-  Out.ColdFor = ColdFor;
-  return Out;
-}
-
 } // namespace
 
 endpoint_set::endpoint_set(const relay_settings &Settings, std::uint64_t Seed)
--- a/src/relay/events.cpp
+++ b/src/relay/events.cpp
@@ -92,4 +92,14 @@
   return "cleared";
 }
 
+endpoint_log_event makeLogEvent(const endpoint_state &Endpoint,
+                                endpoint_state_change Change, millis ColdFor) {
+  endpoint_log_event Out;
+  Out.Instance = Endpoint.listed().Identity.Instance;
+  Out.Service = Endpoint.listed().Service;
+  Out.Change = Change;
+  Out.ColdFor = ColdFor;
+  return Out;
+}
+
 } // namespace bulrush::relay
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -208,7 +208,8 @@
   std::vector<verdict_notice> Notices;
 };
 
-/// This relay follows another leader of the registry than before.
+/// This relay follows a leader of the registry from now on; it may have
+/// followed the same one before.
 struct leader_found {};
 
 /// The link to a relay is down; shard requests sent to it may be lost.
@@ -452,4 +453,9 @@
 std::string_view toString(endpoint_state_change Change);
 std::string_view toString(request_verdict Verdict);
 
+/// The log event of a change of this endpoint.
+endpoint_log_event makeLogEvent(const endpoint_state &Endpoint,
+                                endpoint_state_change Change,
+                                millis ColdFor = {});
+
 } // namespace bulrush::relay
--- a/test/unit/crashing_request_test.cpp
+++ b/test/unit/crashing_request_test.cpp
@@ -62,6 +62,8 @@
     }
   }
 
+  std::size_t leaderQuarantines() const { return Leader.quarantined(Now); }
+
   std::size_t lateSends() const {
     if (CrashedAt.size() < 3)
       return 0;
@@ -211,6 +213,7 @@
   crash_fleet Fleet(8, 9);
   Fleet.run({4000}, 3, 40);
   Fleet.replaceLeader();
+  CHECK(Fleet.leaderQuarantines() == 1);
   Fleet.run({4000}, 3, 40);
   Fleet.HasLeader = false;
   Fleet.run({4000}, 3, 40);
