A refused probe no longer closes the connections that still work

Cause: a probe opened a new connection and first closed all idle ones, so that a single suspicion took away the only path to the endpoint. A refused connection was also tried again at once and without end while others were open.

Change: a refused probe is repeated on an open connection, and idle connections are closed only once a probe did not find the endpoint refusing. Exchanges wait for an open connection while new ones are refused, and the next one is tried after the backoff that rejected connections have.

--- a/src/daemon/endpoint_gateway.cpp
+++ b/src/daemon/endpoint_gateway.cpp
@@ -85,6 +85,7 @@
 query::reply_kind replyKind(const http::exchange_result &Result) {
   using query::reply_kind;
   if (Result.Status == http::exchange_status::connect_failed ||
+      Result.Status == http::exchange_status::connect_refused ||
       Result.Status == http::exchange_status::not_sent)
     return reply_kind::connect_refused;
   if (Result.Status == http::exchange_status::lost)
--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -1,6 +1,9 @@
 #include "fleet/endpoint_links.h"
 
+#include "fleet/process_start.h"
+
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace bulrush::fleet {
 
@@ -43,6 +46,7 @@
   case http::exchange_status::done:
     return relay::attempt_end::replied;
   case http::exchange_status::connect_failed:
+  case http::exchange_status::connect_refused:
     return relay::attempt_end::connect_failed;
   case http::exchange_status::not_sent:
     return relay::attempt_end::not_sent;
@@ -193,28 +197,73 @@
     postEvent(Event);
     return;
   }
-  // Idle connections may have become unresponsive together with the endpoint.
-  clientOf(*Link).closeIdle();
   http::client &Prober = proberOf(*Link);
   Prober.closeIdle();
-  http::request Request;
-  Request.Method = "GET";
-  Request.Target = Link->HealthPath;
-  Prober.send(std::move(Request), [this, No = Action.Endpoint](
-                                      const http::exchange_result &Result) {
-    relay::probe_ended Event;
-    Event.Endpoint = No;
-    if (Result.Status == http::exchange_status::done) {
-      const endpoint_health Health = Codec->decodeHealth(Result.Response);
-      Event.IsHealthy = Health.IsHealthy;
-      Event.Instance = Health.Instance;
-      Event.ColdFor = Health.ColdFor;
-      Event.IsLeaving = Health.IsLeaving;
-      Event.RetryAfter = Health.RetryAfter;
-      Event.RateLimit = Health.RateLimit;
+  Prober.send(healthRequest(*Link), [this, No = Action.Endpoint](
+                                        const http::exchange_result &Result) {
+    onProbed(No, Result);
+  });
+}
+
+http::request endpoint_links::healthRequest(const endpoint_link &Link) {
+  http::request Out;
+  Out.Method = "GET";
+  Out.Target = Link.HealthPath;
+  return Out;
+}
+
+/// An endpoint that refuses new connections may still serve those that are
+/// open. Otherwise these may have become unresponsive together with the
+/// endpoint.
+void endpoint_links::onProbed(relay::endpoint_no No,
+                              const http::exchange_result &Result) {
+  const link_ptr Link = find(No);
+  if (Link && Link->Client) {
+    if (Result.Status == http::exchange_status::connect_refused) {
+      probeOpenConnection(No, *Link);
+      return;
     }
-    OnEvent(Event);
+    Link->Client->closeIdle();
+  }
+  reportProbe(No, Result);
+}
+
+void endpoint_links::probeOpenConnection(relay::endpoint_no No,
+                                         endpoint_link &Link) {
+  auto Timer = std::make_shared<boost::asio::steady_timer>(Io);
+  const http::exchange_id Id = Link.Client->send(
+      healthRequest(Link),
+      [this, No, Timer](const http::exchange_result &Result) {
+        Timer->cancel();
+        reportProbe(No, Result);
+      },
+      http::connection_choice::idle);
+  Timer->expires_after(toChrono(ProbeTimeout));
+  Timer->async_wait([this, No, Id, Timer](boost::system::error_code Error) {
+    if (Error)
+      return;
+    if (const link_ptr Known = find(No); Known && Known->Client) {
+      Known->Client->cancel(Id);
+      Known->Client->closeIdle();
+    }
+    reportProbe(No, {http::exchange_status::lost, {}, {}, {}});
   });
 }
 
+void endpoint_links::reportProbe(relay::endpoint_no No,
+                                 const http::exchange_result &Result) {
+  relay::probe_ended Event;
+  Event.Endpoint = No;
+  if (Result.Status == http::exchange_status::done) {
+    const endpoint_health Health = Codec->decodeHealth(Result.Response);
+    Event.IsHealthy = Health.IsHealthy;
+    Event.Instance = Health.Instance;
+    Event.ColdFor = Health.ColdFor;
+    Event.IsLeaving = Health.IsLeaving;
+    Event.RetryAfter = Health.RetryAfter;
+    Event.RateLimit = Health.RateLimit;
+  }
+  OnEvent(Event);
+}
+
 } // namespace bulrush::fleet
--- a/src/fleet/endpoint_links.h
+++ b/src/fleet/endpoint_links.h
@@ -49,6 +49,10 @@
   http::client &proberOf(endpoint_link &Link) const;
   void onExchangeEnded(const std::weak_ptr<endpoint_link> &Link,
                        relay::attempt_no Attempt, http::exchange_result Result);
+  static http::request healthRequest(const endpoint_link &Link);
+  void onProbed(relay::endpoint_no No, const http::exchange_result &Result);
+  void probeOpenConnection(relay::endpoint_no No, endpoint_link &Link);
+  void reportProbe(relay::endpoint_no No, const http::exchange_result &Result);
   void postEvent(relay::relay_event Event);
   void eraseIfDrained(relay::endpoint_no No);
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -93,7 +93,9 @@
   void cancel(exchange_id Exchange);
   /// Returns false if no connection may be opened now.
   bool openConnection();
-  exchange_status onConnectionRejected();
+  void delayNextConnection();
+  bool hasConnected() const;
+  void onConnectFailed(const connection_ptr &Connection, error_code Error);
   void release(const connection_ptr &Connection);
   void remove(const connection_ptr &Connection);
   void failOldestWaiting(exchange_status Status);
@@ -186,8 +188,7 @@
     if (!Client)
       return;
     if (Error) {
-      Client->remove(shared_from_this());
-      Client->failOldestWaiting(exchange_status::connect_failed);
+      Client->onConnectFailed(shared_from_this(), Error);
       return;
     }
     IsConnected = true;
@@ -291,9 +292,10 @@
     Current.reset();
     if (const auto Client = Owner.lock()) {
       if (Status == exchange_status::lost && IsNew &&
-          Client->Connections.size() > 1)
-        Status = Client->onConnectionRejected();
-      else if (IsStaleConnection && !IsNew) {
+          Client->Connections.size() > 1) {
+        Client->delayNextConnection();
+        Status = exchange_status::connection_rejected;
+      } else if (IsStaleConnection && !IsNew) {
         Client->IdleLimit.onStaleConnection(IdleBefore, now());
         Status = exchange_status::stale_connection;
       }
@@ -344,7 +346,8 @@
     Connection->run(std::move(Exchange));
     return;
   }
-  if (Waiting.size() >= Settings.MaxWaiting) {
+  const bool HasRoom = Waiting.size() < Settings.MaxWaiting;
+  if (!HasRoom || Exchange.Choice == connection_choice::idle) {
     postResult(std::move(Exchange.Done), exchange_status::not_sent);
     return;
   }
@@ -379,10 +382,31 @@
   }
 }
 
-exchange_status detail::client_state::onConnectionRejected() {
+void detail::client_state::delayNextConnection() {
   ConnectBackoffUntil = std::chrono::steady_clock::now() +
                         detail::toChrono(Settings.ConnectBackoff);
-  return exchange_status::connection_rejected;
+}
+
+bool detail::client_state::hasConnected() const {
+  return std::any_of(
+      Connections.begin(), Connections.end(),
+      [](const connection_ptr &Each) { return Each->isConnected(); });
+}
+
+/// While the server refuses new connections, exchanges wait for one of those
+/// that are open.
+void detail::client_state::onConnectFailed(const connection_ptr &Connection,
+                                           error_code Error) {
+  const bool IsRefused = Error == asio::error::connection_refused ||
+                         Error == asio::error::connection_reset;
+  if (IsRefused && hasConnected()) {
+    delayNextConnection();
+    remove(Connection);
+    return;
+  }
+  remove(Connection);
+  failOldestWaiting(IsRefused ? exchange_status::connect_refused
+                              : exchange_status::connect_failed);
 }
 
 bool detail::client_state::openConnection() {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -34,9 +34,9 @@
   /// Idle connections in excess of `MinIdle` are closed after `SpareTimeout`.
   std::size_t MinIdle = SIZE_MAX;
   millis SpareTimeout{0};
-  /// If the server closes a new connection before its first response while
-  /// others are open, no connection is opened for this long unless none is
-  /// left.
+  /// If the server refuses a new connection, or closes it before its first
+  /// response, while others are open, no connection is opened for this long
+  /// unless none is left.
   millis ConnectBackoff{0};
   millis ConnectTimeout{0}; ///< 0: the operating system's default
   /// A connection is closed when sent bytes stay unacknowledged for this long
@@ -53,10 +53,12 @@
 
 /// How one exchange ended.
 enum class exchange_status {
-  done,           ///< a response was received
-  connect_failed, ///< no connection; nothing was sent
-  not_sent,       ///< the queue for a connection was full, or the exchange was
-                  ///< withdrawn; nothing was sent
+  done,            ///< a response was received
+  connect_failed,  ///< no connection; nothing was sent
+  connect_refused, ///< like `connect_failed`; the server's machine answers, but
+                   ///< accepts no new connection
+  not_sent,        ///< the queue for a connection was full, or the exchange was
+                   ///< withdrawn; nothing was sent
   lost, ///< the connection broke after sending began; the server may have run
         ///< the request
   connection_rejected, ///< like `lost`, on a new connection while others are
@@ -81,7 +83,8 @@
 /// Which connections may carry an exchange.
 enum class connection_choice : std::uint8_t {
   any,
-  fresh ///< a new one, or one that was used a moment ago
+  fresh, ///< a new one, or one that was used a moment ago
+  idle   ///< an idle one; the exchange ends as `not_sent` if there is none
 };
 
 /// Runs on the thread of its `io_context`. `send` never calls a handler
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -194,7 +194,7 @@
   CHECK(Statuses == Expected);
 }
 
-TEST_CASE("a refused connection is reported as connect_failed") {
+TEST_CASE("a refused connection is reported as connect_refused") {
   boost::asio::io_context Io;
   http::client_settings Settings;
   Settings.Server = {"127.0.0.1", 1};
@@ -205,7 +205,7 @@
     Io.stop();
   });
   Io.run_for(std::chrono::seconds(5));
-  CHECK(Status == http::exchange_status::connect_failed);
+  CHECK(Status == http::exchange_status::connect_refused);
 }
 
 namespace {
