A relay reports that it reaches no endpoint, and which failures come from it

During the incident a cut-off relay logged one line an endpoint, as in a mass crash of endpoints, and a failed shard request did not say why. reach_monitor counts endpoints that did not reply since the last one that did; from two on three others are probed, and without any reply for 300 ms reach is lost. New: event=reach, bulrush_reach_lost, unreachable= in request and ask lines. No decision depends on it yet.

These probes leave the state of an endpoint as it is.

--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -89,6 +89,7 @@
                        {"hedges", LogEvent.Hedges},
                        {"retries", LogEvent.Retries},
                        {"repeats", LogEvent.SliceRetries},
+                       {"unreachable", LogEvent.Unreachable},
                        {"budget_denied", LogEvent.BudgetDenials},
                        {"lacking", joinNames(LogEvent.MissingShards)}});
 }
@@ -115,6 +116,7 @@
                        {"shards", LogEvent.Shards},
                        {"hedges", LogEvent.Hedges},
                        {"retries", LogEvent.Retries},
+                       {"unreachable", LogEvent.Unreachable},
                        {"budget_denied", LogEvent.BudgetDenials}});
 }
 
@@ -177,4 +179,16 @@
                        {"passed_over_ms", LogEvent.Backoff.Count}});
 }
 
+void decision_log::write(const relay::reach_log_event &LogEvent, instant Now) {
+  const char *Change = LogEvent.IsLost ? "lost" : "restored";
+  Metrics.add("reach", Change);
+  if (!takeToken(Now))
+    return;
+  telemetry::logEvent(LogEvent.IsLost ? severity::error : severity::info,
+                      "reach",
+                      {{"change", Change},
+                       {"endpoints_unheard", LogEvent.UnheardEndpoints},
+                       {"doubt_ms", LogEvent.DoubtTime.Count}});
+}
+
 } // namespace bulrush::fleet
--- a/src/fleet/decision_log.h
+++ b/src/fleet/decision_log.h
@@ -18,6 +18,7 @@
   void write(const relay::crash_log_event &LogEvent, instant Now);
   void write(const relay::endpoint_log_event &LogEvent, instant Now);
   void write(const relay::peer_log_event &LogEvent, instant Now);
+  void write(const relay::reach_log_event &LogEvent, instant Now);
 
 private:
   void observeStages(const relay::request_log_event &LogEvent);
--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -254,7 +254,8 @@
                                  const http::exchange_result &Result) {
   relay::probe_ended Event;
   Event.Endpoint = No;
-  if (Result.Status == http::exchange_status::done) {
+  Event.HasReplied = Result.Status == http::exchange_status::done;
+  if (Event.HasReplied) {
     const endpoint_health Health = Codec->decodeHealth(Result.Response);
     Event.IsHealthy = Health.IsHealthy;
     Event.Instance = Health.Instance;
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -179,6 +179,10 @@
     Log.write(LogEvent, Clock.now());
   }
 
+  void on(const relay::reach_log_event &LogEvent) {
+    Log.write(LogEvent, Clock.now());
+  }
+
   void on(const relay::send_answer &Answer) {
     const auto Found = Responders.find(Answer.Request);
     if (Found == Responders.end())
@@ -270,6 +274,7 @@
     Set("endpoints_suspected", Now.Suspects);
     Set("peers_silent", Now.UnresponsivePeers);
     Set("requests_quarantined", Now.Quarantined);
+    Set("reach_lost", Now.IsReachLost ? 1 : 0);
     Set("catalog_version", Relay.version().Value);
     Set("revision", Follower.revision().Value);
     Set("registry_silent_ms", Follower.leaderSilence().Count);
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -382,6 +382,20 @@
   return Found;
 }
 
+bool endpoint_set::isUnreachable(const service_state &Service, bool IsReachLost,
+                                 instant Now) const {
+  bool HasEligible = false;
+  for (const endpoint_no No : Service.Endpoints) {
+    const endpoint_state &Each = *Endpoints.at(No);
+    if (Each.isExcluded(Now))
+      continue;
+    if (!IsReachLost && !Each.isDown())
+      return false;
+    HasEligible = true;
+  }
+  return HasEligible;
+}
+
 void endpoint_set::markSuspect(endpoint_state &Endpoint, instant Now,
                                relay_actions &Out) {
   Endpoint.markSuspect(Now);
@@ -390,6 +404,25 @@
   Out.push_back(makeLogEvent(Endpoint, endpoint_state_change::suspected));
 }
 
+void endpoint_set::probeOthers(const std::set<endpoint_no> &Except,
+                               std::size_t Count, instant Now,
+                               relay_actions &Out) {
+  if (ByIdentity.empty())
+    return;
+  auto Next = ByIdentity.begin();
+  std::advance(Next, Random() % ByIdentity.size());
+  for (std::size_t I = 0; I < ByIdentity.size() && Count > 0; ++I) {
+    if (Next == ByIdentity.end())
+      Next = ByIdentity.begin();
+    endpoint_state &Each = *Endpoints.at((Next++)->second);
+    if (Except.count(Each.number()) || Each.isExcluded(Now) ||
+        Each.rateLimit() || Each.health() == health_status::suspect)
+      continue;
+    Out.push_back(probe_endpoint{Each.number()});
+    --Count;
+  }
+}
+
 bool endpoint_set::announceLeaving(const endpoint_identity &Identity,
                                    instant Now, relay_actions &Out) {
   if (!LeavingSince.emplace(Identity, Now).second)
@@ -497,7 +530,9 @@
   const std::string &Expected = Endpoint->listed().Identity.Instance;
   const bool IsSame = Event.Instance.empty() || Event.Instance == Expected;
   const bool IsHealthy = Event.IsHealthy && IsSame;
-  Endpoint->onProbeEnded(IsHealthy, Now);
+  const bool WasSuspect = Endpoint->isProbing();
+  if (WasSuspect)
+    Endpoint->onProbeEnded(IsHealthy, Now);
   if (IsSame && Event.IsLeaving)
     announceLeaving(Endpoint->listed().Identity, Now, Out);
   if (IsSame && Event.RetryAfter > millis{0})
@@ -509,6 +544,8 @@
     Out.push_back(
         makeLogEvent(*Endpoint, endpoint_state_change::cold, Event.ColdFor));
   }
+  if (!WasSuspect)
+    return;
   if (IsHealthy)
     Suspects.erase(Event.Endpoint);
   if (IsHealthy)
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -95,6 +95,12 @@
   availability available(const service_state &Service, instant Now,
                          const std::vector<endpoint_no> &Tried = {}) const;
 
+  /// Whether this relay reaches none of the endpoints that may get requests,
+  /// while there are some: each was probed without success. `IsReachLost`: it
+  /// reaches no endpoint of any service.
+  bool isUnreachable(const service_state &Service, bool IsReachLost,
+                     instant Now) const;
+
   /// Stops sending requests to an endpoint that announced that it stops soon.
   /// Remembered for the incarnation, even while the directory does not list it.
   /// Returns whether this was new.
@@ -138,6 +144,10 @@
   /// Stops sending requests to the endpoint and starts probing it.
   void markSuspect(endpoint_state &Endpoint, instant Now, relay_actions &Out);
   void on(const probe_ended &Event, instant Now, relay_actions &Out);
+  /// Probes up to `Count` endpoints that may get requests and are not in
+  /// `Except`. Without a reply, their state stays as it is.
+  void probeOthers(const std::set<endpoint_no> &Except, std::size_t Count,
+                   instant Now, relay_actions &Out);
 
 private:
   /// An endpoint that may be chosen for a request.
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -162,6 +162,7 @@
   void onProbeEnded(bool IsHealthy, instant Now);
   /// Stops requests and schedules probes until one succeeds.
   void markSuspect(instant Now);
+  bool isProbing() const { return IsProbing; }
   std::uint32_t failedProbes() const { return FailedProbes; }
   /// Whether a probe has failed since the endpoint became suspect.
   bool isDown() const {
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -141,6 +141,8 @@
   millis RetryAfter;      ///< time for which it wants no requests; 0: none
   /// Requests that it takes from all relays together; none if not stated.
   std::optional<request_rate> RateLimit = std::nullopt;
+  /// A reply arrived, healthy or not.
+  bool HasReplied = false;
 };
 
 /// The current catalog; ignored unless its version is newer than the last one.
@@ -371,6 +373,8 @@
   std::uint32_t SliceRetries = 0;
   bool HasClientDisconnected = false;
   bool IsFromPeer = false; ///< the request is a shard request of another relay
+  /// Parts that failed while this relay reached no endpoint of their service.
+  std::uint32_t Unreachable = 0;
   /// Some of the shards that are not in the answer or have no available
   /// endpoint.
   std::vector<service_name> MissingShards;
@@ -430,6 +434,13 @@
   bool IsLastOfService = false;
 };
 
+/// This relay reaches no endpoint any more, or some again; for the log.
+struct reach_log_event {
+  bool IsLost = false;
+  std::size_t UnheardEndpoints = 0; ///< that did not reply since any other did
+  millis DoubtTime;                 ///< since the second of them did not reply
+};
+
 /// Another relay was lost, did not reply in time, or replies again; for the
 /// log.
 struct peer_log_event {
@@ -439,12 +450,14 @@
   millis Backoff; ///< time for which it gets no slices; 0: it replies again
 };
 
-using relay_action = std::variant<
-    send_attempt, cancel_attempt, send_answer, preconnect_endpoint,
-    probe_endpoint, open_endpoint, close_endpoint, withdraw_attempts,
-    send_shard_request, send_shard_reply, cancel_shard_request, grant_retry,
-    send_limit_reports, send_crash_reports, set_timer, request_log_event,
-    attempt_log_event, crash_log_event, endpoint_log_event, peer_log_event>;
+using relay_action =
+    std::variant<send_attempt, cancel_attempt, send_answer, preconnect_endpoint,
+                 probe_endpoint, open_endpoint, close_endpoint,
+                 withdraw_attempts, send_shard_request, send_shard_reply,
+                 cancel_shard_request, grant_retry, send_limit_reports,
+                 send_crash_reports, set_timer, request_log_event,
+                 attempt_log_event, crash_log_event, endpoint_log_event,
+                 peer_log_event, reach_log_event>;
 using relay_actions = std::vector<relay_action>;
 
 /// Return the names used in logs.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -36,8 +36,10 @@
 /// Maximum number of waiting requests that are retried after an event that may
 /// have made endpoint capacity available.
 constexpr std::size_t MaxRetriedPerEvent = 8;
-/// Wake-up id that belongs to no request: due probes, lingering attempts and
-/// timeouts of the start queue.
+/// Endpoints that are probed once reach is in doubt.
+constexpr std::size_t ReachProbes = 3;
+/// Wake-up id that belongs to no request: due probes, lingering attempts,
+/// timeouts of the start queue and a loss of reach.
 constexpr query_id Housekeeping{0};
 
 } // namespace
@@ -66,6 +68,7 @@
   Out = &Actions;
   StartQueue.markStarted(Now);
   std::visit([this](const auto &Each) { on(Each); }, Event);
+  updateReach();
   for (const endpoint_no Each : Endpoints.sendDueProbes(Now, Actions))
     Crashes.onProbeSent(Each, Now);
   Endpoints.reportLimits(Now, Actions);
@@ -73,6 +76,16 @@
   Out = nullptr;
 }
 
+/// Probes other endpoints once reach is in doubt, and reports its loss and its
+/// return.
+void relay::impl::updateReach() {
+  if (Reach.takeNewDoubt())
+    Endpoints.probeOthers(Reach.unheard(), ReachProbes, Now, *Out);
+  if (Reach.update(Now))
+    Out->push_back(reach_log_event{Reach.isLost(), Reach.unheard().size(),
+                                   Reach.doubtTime(Now)});
+}
+
 void relay::impl::on(const request_arrived &Event) {
   if (isReady())
     admit(Event, Now);
@@ -230,9 +243,13 @@
   std::uint32_t Servable = 0;
   for (const request_part &Part : Request.Parts) {
     if (Endpoints.canServe(*Part.Service, Request.RouteState->Median.value(),
-                           Request.SoftDeadline, Now))
+                           Request.SoftDeadline, Now)) {
       ++Servable;
-    else if (Request.LogEvent.MissingShards.size() < MaxMissingShards)
+      continue;
+    }
+    if (Endpoints.isUnreachable(*Part.Service, Reach.isLost(), Now))
+      ++Request.LogEvent.Unreachable;
+    if (Request.LogEvent.MissingShards.size() < MaxMissingShards)
       Request.LogEvent.MissingShards.push_back(Part.Service->Name);
   }
   return Servable >= Request.requiredParts();
@@ -247,6 +264,7 @@
   request_state *Request = find(Context.Request);
   const attempt_verdict Verdict = verdictOf(Request, Event);
   const millis Elapsed = Now - Context.SentAt;
+  noteReach(Context.Endpoint, Event.End);
   endpoint_state *Endpoint = Endpoints.find(Context.Endpoint);
   if (Endpoint && Endpoint->onEnded(Event.Attempt, Verdict,
                                     Context.RouteState->Median.value(), Now))
@@ -288,6 +306,10 @@
 
 void relay::impl::on(const probe_ended &Event) {
   reportCrashes(Event);
+  if (Event.IsHealthy || Event.HasReplied)
+    Reach.onHeard();
+  else
+    Reach.onUnheard(Event.Endpoint, Now);
   Endpoints.on(Event, Now, *Out);
   if (Event.IsLeaving)
     Slices.clearCache();
@@ -412,6 +434,7 @@
   Out.InFlight = Attempts.size();
   Endpoints.count(Out.Endpoints, Out.Cold, Out.Suspects, At);
   Out.Quarantined = Quarantine.count(At);
+  Out.IsReachLost = Reach.isLost();
   for (const auto &[Peer, Backoff] : UnresponsivePeers)
     Out.UnresponsivePeers += At < Backoff.Until ? 1 : 0;
   return Out;
@@ -420,7 +443,7 @@
 void relay::impl::armTimer() {
   instant Next =
       std::min({Endpoints.nextProbe(Now), Endpoints.nextLimitReport(),
-                StartQueue.nextTimeout()});
+                StartQueue.nextTimeout(), Reach.lossDue()});
   for (const lingering_attempt &Each : Lingering)
     Next = std::min(Next, Each.Until);
   if (Next < HousekeepingAt) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -19,6 +19,7 @@
   std::size_t Suspects = 0;          ///< endpoints that receive probes only
   std::size_t UnresponsivePeers = 0; ///< relays that are currently skipped
   std::size_t Quarantined = 0;       ///< requests that no endpoint gets
+  bool IsReachLost = false;          ///< this relay reaches no endpoint
 };
 
 /// Routing logic of one relay process, without I/O. Deterministic for a given
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -78,8 +78,10 @@
   for (const request_part &Part : Request.Parts)
     for (const running_attempt &Each : Part.Running) {
       endpoint_state *Endpoint = Endpoints.find(Each.Endpoint);
-      if (Endpoint && Now - Each.SentAt >= LingerTime)
-        Endpoints.markSuspect(*Endpoint, Now, *Out);
+      if (!Endpoint || Now - Each.SentAt < LingerTime)
+        continue;
+      Reach.onUnheard(Each.Endpoint, Now);
+      Endpoints.markSuspect(*Endpoint, Now, *Out);
     }
 }
 
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -91,8 +91,11 @@
   const bool MayWait = (HasEndpoint && Now < waitLimit(Request)) ||
                        PauseEnd < Never || IsDeferred;
   Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
-  if (!MayWait)
+  if (!MayWait) {
+    if (Endpoints.isUnreachable(*Part.Service, Reach.isLost(), Now))
+      ++Request.LogEvent.Unreachable;
     return;
+  }
   Waiting.insert(Request.Id);
   if (IsOverBudget)
     Part.NotBefore = std::max(Part.NotBefore, Now + BudgetRetryDelay);
@@ -338,6 +341,25 @@
                     Attempt.SentAt, Now});
 }
 
+/// Whether the endpoint was heard. One that closed a connection may be
+/// reachable, so that says nothing.
+void relay::impl::noteReach(endpoint_no Endpoint, attempt_end End) {
+  switch (End) {
+  case attempt_end::replied:
+  case attempt_end::malformed_response:
+    Reach.onHeard();
+    return;
+  case attempt_end::connect_failed:
+  case attempt_end::lost:
+    Reach.onUnheard(Endpoint, Now);
+    return;
+  case attempt_end::not_sent:
+  case attempt_end::connection_rejected:
+  case attempt_end::stale_connection:
+    return;
+  }
+}
+
 /// Reports the requests that an endpoint was running when it went down.
 void relay::impl::reportCrashes(const probe_ended &Event) {
   const endpoint_state *Endpoint = Endpoints.find(Event.Endpoint);
@@ -388,6 +410,7 @@
                       Now);
   if (Verdict == attempt_verdict::overdue) {
     recordLatency(*Context.RouteState, Now - Context.SentAt);
+    Reach.onUnheard(Context.Endpoint, Now);
     // The endpoint may be down without closing its connections; probe it.
     if (Endpoint)
       Endpoints.markSuspect(*Endpoint, Now, *Out);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -3,6 +3,7 @@
 
 #include "query/wake_queue.h"
 #include "relay/crash_detector.h"
+#include "relay/reach_monitor.h"
 #include "relay/relay.h"
 #include "relay/request_quarantine.h"
 #include "relay/request_state.h"
@@ -63,6 +64,7 @@
   void admit(const shard_request_arrived &Event, instant ArrivedAt);
   void admitQueued();
   void armTimer();
+  void updateReach();
   void scheduleWake(request_state &Request, instant At);
   void handleWake(request_state &Request);
   void retryWaiting();
@@ -99,6 +101,7 @@
                             const attempt_ended &Event) const;
   void noteLost(const request_state &Request, const attempt_context &Attempt,
                 attempt_end End);
+  void noteReach(endpoint_no Endpoint, attempt_end End);
   void reportCrashes(const probe_ended &Event);
   void recordLatency(route_state &RouteState, millis Elapsed);
   void logAttempt(const request_state &Request, const request_part &Part,
@@ -174,6 +177,7 @@
 
   relay_settings Settings;
   endpoint_set Endpoints;
+  reach_monitor Reach;
   crash_detector Crashes;
   request_quarantine Quarantine;
   slice_planner Slices;
