RECOVER: tests that fail: relays without endpoints refuse, and spoil the others' queries

3, 8 and 30 relays in one process share the endpoints; some are cut off from all of these, silently or refused. From 4 s after the cut on, cut-off relays serve 0 of their first tries (queries over 8 and 20 shards, requests for one endpoint), while two thirds of the others' share is required. With 64 shards and 24 of 30 relays cut off, the six in touch serve 0 too: their slices go to relays that cannot run them.

--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -15,7 +15,7 @@
 struct relay_fixture {
   explicit relay_fixture(relay_settings Settings = settings(),
                          std::uint64_t Seed = 7)
-      : Relay(std::move(Settings), Seed) {}
+      : Self(Settings.Self), Relay(std::move(Settings), Seed) {}
 
   static relay_settings settings() {
     relay_settings Out;
@@ -24,6 +24,7 @@
     return Out;
   }
 
+  vm_id Self;
   relay::relay Relay;
   instant Now{1000};
   relay_actions Actions;
--- /dev/null
+++ b/test/unit/stranded_relay_test.cpp
@@ -0,0 +1,81 @@
+// Relays that clients and other relays reach, but that reach no endpoint.
+#include "relay_fleet.h"
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+/// The rule: this long after the cut began, first tries at the relays that are
+/// cut off are served at least `MinServedRatio` times as often as at others.
+constexpr millis ContactTime{4000};
+constexpr double MinServedRatio = 2.0 / 3;
+constexpr double RequestsPerSecond = 60;
+
+struct stranded_fleet : relay_fleet {
+  stranded_fleet(fleet_options Options, std::size_t CutRelays,
+                 endpoint_path Path)
+      : relay_fleet(Options), CutRelays(CutRelays) {
+    run({2000}, RequestsPerSecond, "/all/");
+    for (std::size_t I = 0; I < CutRelays; ++I)
+      setPath(I, Path);
+  }
+
+  client_counts cutOff() const {
+    return count([this](std::size_t Each) { return Each < CutRelays; });
+  }
+  client_counts inTouch() const {
+    return count([this](std::size_t Each) { return Each >= CutRelays; });
+  }
+  static double share(const client_counts &Counts) {
+    return static_cast<double>(Counts.Served) /
+           static_cast<double>(Counts.Sent);
+  }
+
+  std::size_t CutRelays;
+};
+
+void checkServed(fleet_options Options, std::size_t CutRelays,
+                 endpoint_path Path, const std::string &Prefix) {
+  INFO(Options.Relays << " relays, " << CutRelays << " cut off, " << Prefix);
+  stranded_fleet Fleet(Options, CutRelays, Path);
+  Fleet.run(ContactTime, RequestsPerSecond, Prefix);
+  Fleet.resetCounts();
+  Fleet.run({5000}, RequestsPerSecond, Prefix);
+  const double InTouch = stranded_fleet::share(Fleet.inTouch());
+  const double CutOff = stranded_fleet::share(Fleet.cutOff());
+  INFO("served " << CutOff << ", at the others " << InTouch);
+  CHECK(CutOff >= InTouch * MinServedRatio);
+  CHECK(InTouch >= 0.95);
+}
+
+constexpr fleet_options ManyShards{30, 64, 2, 6};
+
+} // namespace
+
+// Guards against a relay that refuses what it could hand to relays that reach
+// the endpoints.
+TEST_CASE("queries at relays that reach no endpoint are served by other relays",
+          "[stranded][!shouldfail]") {
+  checkServed({}, 1, endpoint_path::silent, "/all/");
+  checkServed({}, 6, endpoint_path::silent, "/all/");
+  checkServed({}, 6, endpoint_path::refused, "/all/");
+  checkServed({3, 8, 2, 6}, 2, endpoint_path::silent, "/all/");
+}
+
+// Guards against slices that go to relays which cannot run them: one relay of
+// five is in touch.
+TEST_CASE("relays in touch are served while most others reach no endpoint",
+          "[stranded][!shouldfail]") {
+  checkServed(ManyShards, 24, endpoint_path::silent, "/all/");
+  checkServed(ManyShards, 24, endpoint_path::refused, "/all/");
+}
+
+// Guards against a relay that refuses a request for one endpoint although
+// other relays reach it.
+TEST_CASE("requests for one endpoint at a relay that reaches none are served "
+          "by other relays",
+          "[stranded][!shouldfail]") {
+  checkServed({}, 6, endpoint_path::silent, "/plain/");
+  checkServed({}, 6, endpoint_path::refused, "/plain/");
+}
