An endpoint without a reply at a request's deadline is probed

Callers of requests for one endpoint got 504 again and again from endpoints that had fallen silent, wherever their deadline is shorter than the 1 s after which unacknowledged bytes end a connection: at the deadline the attempt counted as withdrawn by the relay, which says nothing of the endpoint. Queries were not concerned as long as their deadline is later than 250 ms past the objective. It also kept a relay that gets only such requests from noticing the loss of reach.

An attempt that ran for 250 ms or more when the deadline came now counts as overdue, as a lingering one does. Test: relay_test, fails before.

Three tests counted the probes of all endpoints and meant one; the other one now is probed too, as it never replies. They count the probes of the one.

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -252,6 +252,13 @@
       Request.LogEvent.MissingShards.push_back(Part.Service->Name);
 }
 
+/// Whether the attempt ends with its request because the time is up, after a
+/// time in which an endpoint that is up replies.
+bool relay::impl::isOverdue(const request_state &Request,
+                            const running_attempt &Attempt) const {
+  return Now >= Request.Deadline && Now - Attempt.SentAt >= LingerTime;
+}
+
 /// Deletes the request. Its running attempts are cancelled, after `LingerTime`
 /// if `Linger` is set.
 void relay::impl::removeRequest(request_state &Request, bool Linger) {
@@ -263,7 +270,9 @@
       if (Linger)
         Lingering.push_back({Each.Attempt, Now + LingerTime});
       else
-        cancel(Each.Attempt, attempt_verdict::cancelled);
+        cancel(Each.Attempt, isOverdue(Request, Each)
+                                 ? attempt_verdict::overdue
+                                 : attempt_verdict::cancelled);
     }
   }
   cancelShardRequests(Request, Request.LogEvent.HasClientDisconnected);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -167,6 +167,8 @@
   void recordGatherTime(request_state &Request) const;
   static void recordMissingShards(request_state &Request);
   void removeRequest(request_state &Request, bool Linger);
+  bool isOverdue(const request_state &Request,
+                 const running_attempt &Attempt) const;
   millis retryAfter(const request_state &Request);
   millis pauseOf(const request_state &Request) const;
   void refuseUnadmitted(const request_arrived &Event, instant ArrivedAt,
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -175,6 +175,14 @@
         }));
   }
 
+  std::size_t probesOf(endpoint_no Endpoint) const {
+    return static_cast<std::size_t>(std::count_if(
+        Actions.begin(), Actions.end(), [&](const relay_action &Each) {
+          const auto *Probe = std::get_if<probe_endpoint>(&Each);
+          return Probe && Probe->Endpoint == Endpoint;
+        }));
+  }
+
   void end(std::uint64_t Attempt, attempt_end End,
            const endpoint_reply &Reply) {
     REQUIRE(Sent.erase(Attempt) == 1);
--- a/test/unit/relay_statements_test.cpp
+++ b/test/unit/relay_statements_test.cpp
@@ -203,7 +203,7 @@
   Relay.step(
       probe_ended{Relay.numberOf("one-0"), false, "one-0", {}, true, {}});
   Relay.advance(5000);
-  CHECK(Relay.count<probe_endpoint>() == 1);
+  CHECK(Relay.probesOf(Relay.numberOf("one-0")) == 1);
 }
 
 TEST_CASE("a shard whose last endpoint leaves is left out, and that is logged",
@@ -281,9 +281,9 @@
   Relay.step(
       probe_ended{Relay.numberOf("one-0"), false, "one-0", {}, false, {2000}});
   Relay.advance(1900);
-  CHECK(Relay.count<probe_endpoint>() == 1);
+  CHECK(Relay.probesOf(Relay.numberOf("one-0")) == 1);
   Relay.advance(150);
-  CHECK(Relay.count<probe_endpoint>() == 2);
+  CHECK(Relay.probesOf(Relay.numberOf("one-0")) == 2);
 }
 
 TEST_CASE("a request that a pause would make late is refused at once, with a "
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -751,7 +751,7 @@
     if (const auto *LogEvent = std::get_if<endpoint_log_event>(&Each))
       Logged += LogEvent->Change == endpoint_state_change::probe_failed ? 1 : 0;
   CHECK(Logged == 1);
-  CHECK(Relay.count<probe_endpoint>() == 6);
+  CHECK(Relay.probesOf(Attempt.Endpoint) == 6);
 }
 
 TEST_CASE("a suspect that may not be probed schedules no timer", "[relay]") {
@@ -838,3 +838,29 @@
     CHECK(Answer->RetryAfter > millis{0});
   }
 }
+
+// Guards against an endpoint that stays in use although no request to it is
+// answered before its client's deadline.
+TEST_CASE(
+    "an endpoint without a reply at a request's deadline gets only probes",
+    "[relay]") {
+  relay_fixture Relay;
+  Relay.addService("one", 1);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install();
+  const query_id Request = Relay.sendRequest("/one/", {600});
+  Relay.advance(600);
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 504);
+  CHECK(Relay.count<probe_endpoint>() == 1);
+  Relay.sendRequest("/one/", {600});
+  CHECK(Relay.Sent.empty());
+  // One that a client gave little time is not judged by it.
+  relay_fixture Other;
+  Other.addService("one", 1);
+  Other.addPlainRoute("/one/", "one");
+  Other.install();
+  Other.sendRequest("/one/", {100});
+  Other.advance(100);
+  CHECK(Other.count<probe_endpoint>() == 0);
+}
