RECOVER: requests for one endpoint take the detour too

Cause: shard requests carried merged records only, so that another relay could not return an endpoint's reply.

Change: a shard request may name one service whose reply is returned whole, with its status, headers, body and signature. One that is not idempotent takes the detour only while it certainly has not run, and is never sent to a second relay unless the first states that nothing ran. What the other relay cannot serve it refuses after the time that it gives its own clients, with a time to return.

--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -48,7 +48,8 @@
 /// A request of one relay to another; unique until the sender restarts.
 using shard_request_id = numeric_id<struct shard_request_tag, std::uint64_t>;
 
-/// Requests some shards of a query from another relay.
+/// Requests some shards of a query from another relay, or one service's reply
+/// to a request that is not a query.
 struct shard_request {
   shard_request_id Id;
   std::shared_ptr<const opaque_request> Content;
@@ -66,6 +67,9 @@
   bool IsRetry = false;
   /// Endpoints of the shards that announced to the requester that they stop.
   std::vector<endpoint_identity> Leaving;
+  /// Otherwise `Shards` names one service, and its reply is returned unchanged.
+  bool IsQuery = true;
+  bool IsIdempotent = true;
 };
 
 /// The results of a shard request since the previous reply to it.
@@ -89,6 +93,12 @@
   std::vector<std::uint32_t> Unreachable = {};
   std::vector<std::uint32_t> Interrupted = {};
   bool IsReachLost = false; ///< this relay reaches no endpoint of any service
+  /// To a request that is not a query: the endpoint's reply to forward; null if
+  /// there is none.
+  std::shared_ptr<const endpoint_reply> Reply = nullptr;
+  /// When the client of such a request should retry if it was not run; 0 if not
+  /// known.
+  millis RetryAfter{};
 };
 
 // Events.
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -95,7 +95,7 @@
   case part_phase::failed:
     if (Part.Failure)
       forwardReply(Request, Part.Failure);
-    else if (Part.PossibleRuns > 0)
+    else if (Request.mayHaveRun())
       refuse(Request, relay_refusal::lost);
     else
       refuse(Request, Part.Sends > 0 ? relay_refusal::not_run
@@ -105,7 +105,7 @@
     if (const instant PauseEnd = pauseEndInTime(Request, Part);
         PauseEnd < Never)
       scheduleWake(Request, PauseEnd);
-    else if (Now >= Request.GiveUpAt && Part.PossibleRuns == 0)
+    else if (isGivenUp(Request, Part))
       refuse(Request, Part.Sends > 0 ? relay_refusal::not_run
                                      : relay_refusal::no_endpoint);
     else
@@ -113,8 +113,12 @@
                    std::min(std::max(Request.GiveUpAt, Now + millis{1}),
                             Request.Deadline));
     return;
-  case part_phase::unreachable: // only queries have slices
   case part_phase::delegated:
+    scheduleWake(Request, Now < Request.SliceRetryAt
+                              ? std::min(Request.SliceRetryAt, Request.Deadline)
+                              : Request.Deadline);
+    return;
+  case part_phase::unreachable: // `settle` has requested it elsewhere
   case part_phase::awaiting_grant:
   case part_phase::running:
     scheduleWake(Request, Now < Request.HedgeAt
@@ -124,6 +128,14 @@
   }
 }
 
+/// Whether a request that is not a query has waited for an endpoint too long,
+/// and may still be refused.
+bool relay::impl::isGivenUp(const request_state &Request,
+                            const request_part &Part) const {
+  return Part.Phase == part_phase::waiting && Now >= Request.GiveUpAt &&
+         Part.PossibleRuns == 0 && pauseEndInTime(Request, Part) == Never;
+}
+
 void relay::impl::answerGathered(request_state &Request) {
   send_answer Answer;
   Answer.Status = 200;
@@ -178,6 +190,8 @@
 /// pause it ends after the pause plus a random time, so that clients do not all
 /// return at the same moment.
 millis relay::impl::retryAfter(const request_state &Request) {
+  if (Request.RetryAfterElsewhere > millis{0})
+    return Request.RetryAfterElsewhere;
   const millis Pause = pauseOf(Request);
   if (Pause > millis{0})
     return Pause +
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -35,7 +35,6 @@
 constexpr double RunTimeFactor = 2;
 
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
-bool isServerError(unsigned Status) { return Status >= 500; }
 
 } // namespace
 
--- a/src/relay/relay_detours.cpp
+++ b/src/relay/relay_detours.cpp
@@ -26,11 +26,11 @@
 }
 
 /// Whether a part that is unreachable from here may be requested from another
-/// relay. That one might run it, so all limits on attempts apply.
+/// relay. That one might run it, so the rules of a retry apply.
 bool relay::impl::mayDetour(const request_state &Request,
                             const request_part &Part) const {
-  return !Request.Requester && Request.isGathered() &&
-         Part.Detours < MaxDetours &&
+  const bool IsSafe = Request.Route->IsIdempotent || Part.PossibleRuns == 0;
+  return !Request.Requester && IsSafe && Part.Detours < MaxDetours &&
          Part.PossibleRuns < Request.Route->MaxAttempts &&
          Now >= Part.Service->UnreachableElsewhereUntil &&
          Now < Request.Deadline && pickDetour(Request);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -22,6 +22,8 @@
 /// unlikely to reply in time.
 inline constexpr double SliceRetryShare = 0.5;
 
+inline bool isServerError(unsigned Status) { return Status >= 500; }
+
 class relay::impl {
 public:
   impl(relay_settings Settings, std::uint64_t Seed);
@@ -133,12 +135,16 @@
                                   const std::vector<std::size_t> &Parts);
   void handleSliceReply(request_state &Request, slice_request &Slice,
                         const shard_reply &Reply);
+  void addWholeReply(request_state &Request, const shard_reply &Reply);
+  void addMergedParts(request_state &Request, const slice_request &Slice,
+                      const shard_reply &Reply);
   void cancelShardRequests(const request_state &Request,
                            bool HasClientDisconnected);
   void settlePeerRequest(request_state &Request);
   bool mayRetry(request_state &Request);
   static bool hasUnsentParts(const request_state &Request);
   void replyToRequester(request_state &Request, bool IsFinal);
+  void addEndpointReply(const request_state &Request, shard_reply &Reply);
 
   // relay_detours.cpp: parts whose endpoints only other relays reach
   bool isUnreachable(const service_state &Service) const;
@@ -156,6 +162,7 @@
   void settle(request_state &Request);
   void settleGather(request_state &Request);
   void settleSingle(request_state &Request);
+  bool isGivenUp(const request_state &Request, const request_part &Part) const;
   void answerGathered(request_state &Request);
   void forwardReply(request_state &Request,
                     std::shared_ptr<const endpoint_reply> Reply);
--- a/src/relay/relay_peer_requests.cpp
+++ b/src/relay/relay_peer_requests.cpp
@@ -33,12 +33,14 @@
   ActiveRequests[Id] = std::move(Owned);
   PeerRequests[{Event.From, ShardRequest.Id}] = Id;
   auto Route = std::make_shared<route>();
-  Route->IsIdempotent = true;
+  Route->IsIdempotent = ShardRequest.IsIdempotent;
   Route->Objective = ShardRequest.Objective;
   Route->Timeout = ShardRequest.Remaining;
   Route->MaxAttempts = ShardRequest.MaxAttempts;
-  Route->Gather.Shards = ShardRequest.Shards;
-  Route->Gather.TopRecords = ShardRequest.TopRecords;
+  if (ShardRequest.IsQuery) {
+    Route->Gather.Shards = ShardRequest.Shards;
+    Route->Gather.TopRecords = ShardRequest.TopRecords;
+  }
   Request.Id = Id;
   Request.Content = ShardRequest.Content;
   Request.Route = Route.get();
@@ -48,7 +50,10 @@
   setDeadlines(Request, ArrivedAt, {}, {});
   Request.SoftDeadline = ArrivedAt + ShardRequest.SoftTimeout;
   Request.HedgeAt = hedgeTime(Request);
-  Request.OverdueAt = Request.SoftDeadline + LingerTime;
+  if (ShardRequest.IsQuery)
+    Request.OverdueAt = Request.SoftDeadline + LingerTime;
+  Request.LogEvent.Shards =
+      static_cast<std::uint32_t>(ShardRequest.Shards.size());
   Request.LogEvent.IsFromPeer = true;
   requester_state &Requester = Request.Requester.emplace();
   Requester.From = Event.From;
@@ -108,6 +113,8 @@
 /// Sends the final reply if no part is pending. Otherwise sends any interim
 /// reply that is due and schedules the next wake-up.
 void relay::impl::settlePeerRequest(request_state &Request) {
+  if (!Request.isGathered() && isGivenUp(Request, Request.Parts.front()))
+    Request.Parts.front().Phase = part_phase::failed;
   const bool IsPending = std::any_of(Request.Parts.begin(), Request.Parts.end(),
                                      [](const auto &Part) {
                                        return Part.Phase != part_phase::done &&
@@ -132,6 +139,8 @@
   instant Next = nextWakeOf(Request, Now);
   if (!Requester.HasSentReply)
     Next = std::min(Next, Requester.FirstReplyAt);
+  if (!Request.isGathered() && Now < Request.GiveUpAt)
+    Next = std::min(Next, Request.GiveUpAt);
   scheduleWake(Request, Next);
 }
 
@@ -144,6 +153,16 @@
   return false;
 }
 
+/// Adds the endpoint's reply to a request that is not a query, or when to
+/// retry.
+void relay::impl::addEndpointReply(const request_state &Request,
+                                   shard_reply &Reply) {
+  const request_part &Part = Request.Parts.front();
+  Reply.Reply = Part.Reply ? Part.Reply : Part.Failure;
+  if (Reply.IsNotRun)
+    Reply.RetryAfter = retryAfter(Request);
+}
+
 /// Sends the requester the parts that no earlier reply included. A reply
 /// without parts shows that this relay is working, or requests a grant.
 void relay::impl::replyToRequester(request_state &Request, bool IsFinal) {
@@ -164,11 +183,17 @@
     Reply.Signatures.push_back(Part.Reply->Signature);
     Bodies.push_back(Part.Reply->Body);
   }
-  Reply.Leaving = Endpoints.announcedLeaving(Request.Route->Gather.Shards);
+  std::vector<service_name> Names;
+  for (const request_part &Part : Request.Parts)
+    Names.push_back(Part.Service->Name);
+  Reply.Leaving = Endpoints.announcedLeaving(Names);
   Reply.IsNotRun = IsFinal && !Request.mayHaveRun();
   Reply.IsReachLost = Reach.isLost();
   Reply.WantsRetry = Requester.WantsRetry && !Requester.MayRetry;
-  Reply.Records = greatestRecords(Bodies, Request.Route->Gather.TopRecords);
+  if (Request.isGathered())
+    Reply.Records = greatestRecords(Bodies, Request.Route->Gather.TopRecords);
+  else if (IsFinal)
+    addEndpointReply(Request, Reply);
   Out->push_back(send_shard_reply{Requester.From, std::move(Reply)});
 }
 
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -82,6 +82,8 @@
       std::max(millis{1}, Request.SoftDeadline - Now - RoundTrip);
   ShardRequest.Remaining = Request.Deadline - Now;
   ShardRequest.IsRetry = Target.PriorRuns > 0;
+  ShardRequest.IsQuery = Request.isGathered();
+  ShardRequest.IsIdempotent = Request.Route->IsIdempotent;
   for (const std::size_t PartIndex : Parts) {
     ShardRequest.Shards.push_back(Request.Parts[PartIndex].Service->Name);
     Request.Parts[PartIndex].Phase = part_phase::delegated;
@@ -226,14 +228,43 @@
   settle(*Request);
 }
 
-/// Adds the reply of a relay to the request. The records of a reply are merged
-/// and cannot be separated by part, so a reply with a part that is already done
-/// is discarded.
+/// Adds the reply of a relay to the request.
 void relay::impl::handleSliceReply(request_state &Request, slice_request &Slice,
                                    const shard_reply &Reply) {
   Slice.HasReplied = true;
   Slice.IsEnded = Reply.IsFinal;
   Slice.IsNotRun = Reply.IsFinal && Reply.IsNotRun;
+  if (Request.isGathered())
+    addMergedParts(Request, Slice, Reply);
+  else
+    addWholeReply(Request, Reply);
+  if (!Reply.IsFinal)
+    return;
+  restartUnreachable(Request, Slice, Reply);
+  failUnansweredParts(Request, Slice.Parts);
+}
+
+/// Adds the reply to a request that is not a query.
+void relay::impl::addWholeReply(request_state &Request,
+                                const shard_reply &Reply) {
+  Request.RetryAfterElsewhere = Reply.RetryAfter;
+  request_part &Part = Request.Parts.front();
+  if (!Reply.Reply || Part.Phase == part_phase::done)
+    return;
+  if (isServerError(Reply.Reply->Status)) {
+    Part.Failure = Reply.Reply;
+    return;
+  }
+  Part.Phase = part_phase::done;
+  Part.Reply = Reply.Reply;
+  Quarantine.onSuccess(*Request.Content, *Out);
+}
+
+/// The records of a reply are merged and cannot be separated by part, so a
+/// reply with a part that is already done is discarded.
+void relay::impl::addMergedParts(request_state &Request,
+                                 const slice_request &Slice,
+                                 const shard_reply &Reply) {
   const bool IsUsable =
       Reply.Covered.size() == Reply.Signatures.size() &&
       std::all_of(
@@ -248,10 +279,6 @@
     Quarantine.onSuccess(*Request.Content, *Out);
     Request.FirstPartAt = std::min(Request.FirstPartAt, Now);
   }
-  if (!Reply.IsFinal)
-    return;
-  restartUnreachable(Request, Slice, Reply);
-  failUnansweredParts(Request, Slice.Parts);
 }
 
 void relay::impl::cancelShardRequests(const request_state &Request,
--- a/src/relay/request_state.h
+++ b/src/relay/request_state.h
@@ -124,6 +124,8 @@
   std::vector<slice_request> SliceRequests;
   std::vector<merged_parts> Merged;
   instant SliceRetryAt = Never; ///< earliest `RetryAt` of the slices
+  /// Retry delay that another relay gave for its refusal; 0: none.
+  millis RetryAfterElsewhere;
   /// Relays that do not reach the endpoints of some parts.
   std::vector<vm_id> RelaysWithoutPath;
   std::optional<requester_state> Requester; ///< set for a shard request
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -157,6 +157,23 @@
   }
 }
 
+void headersToProto(const std::vector<http::header> &From,
+                    google::protobuf::RepeatedPtrField<Header> &To) {
+  for (const http::header &Each : From) {
+    Header &Item = *To.Add();
+    Item.set_name(Each.Name);
+    Item.set_value(Each.Value);
+  }
+}
+
+std::vector<http::header>
+headersFromProto(const google::protobuf::RepeatedPtrField<Header> &From) {
+  std::vector<http::header> To;
+  for (const Header &Each : From)
+    To.push_back({Each.name(), Each.value()});
+  return To;
+}
+
 void bodyToProto(const relay::shard_request &From, FleetMessage &To) {
   ShardAsk &Out = *To.mutable_shard_ask();
   const relay::opaque_request &Content = *From.Content;
@@ -166,11 +183,7 @@
   Out.set_host(Content.Host);
   Out.set_target(Content.Target);
   Out.set_body(Content.Body);
-  for (const http::header &Each : Content.Headers) {
-    Header &Item = *Out.add_headers();
-    Item.set_name(Each.Name);
-    Item.set_value(Each.Value);
-  }
+  headersToProto(Content.Headers, *Out.mutable_headers());
   for (const relay::service_name &Each : From.Shards)
     Out.add_shards(Each.Value);
   Out.set_route_key(From.RouteKey);
@@ -180,6 +193,8 @@
   Out.set_answer_in_ms(static_cast<float>(From.SoftTimeout.Count));
   Out.set_remaining_ms(static_cast<float>(From.Remaining.Count));
   Out.set_repeat(From.IsRetry);
+  Out.set_whole(!From.IsQuery);
+  Out.set_non_idempotent(!From.IsIdempotent);
   identitiesToProto(From.Leaving, *Out.mutable_leaving());
 }
 
@@ -200,6 +215,14 @@
     Out.add_interrupted(Each);
   Out.set_reach_lost(From.IsReachLost);
   identitiesToProto(From.Leaving, *Out.mutable_leaving());
+  Out.set_retry_after_ms(From.RetryAfter.Count);
+  if (!From.Reply)
+    return;
+  EndpointReply &Reply = *Out.mutable_reply();
+  Reply.set_status(From.Reply->Status);
+  headersToProto(From.Reply->Headers, *Reply.mutable_headers());
+  Reply.set_body(From.Reply->Body);
+  Reply.set_signature(From.Reply->Signature);
 }
 
 void bodyToProto(const fleet::retry_grant &From, FleetMessage &To) {
@@ -303,8 +326,7 @@
   Content->Host = From.host();
   Content->Target = From.target();
   Content->Body = From.body();
-  for (const Header &Each : From.headers())
-    Content->Headers.push_back({Each.name(), Each.value()});
+  Content->Headers = headersFromProto(From.headers());
   relay::shard_request To;
   To.Id = {From.ask()};
   To.Content = std::move(Content);
@@ -317,6 +339,8 @@
   To.SoftTimeout = {From.answer_in_ms()};
   To.Remaining = {From.remaining_ms()};
   To.IsRetry = From.repeat();
+  To.IsQuery = !From.whole();
+  To.IsIdempotent = !From.non_idempotent();
   To.Leaving = identitiesFromProto(From.leaving());
   return To;
 }
@@ -333,6 +357,15 @@
   To.Unreachable = {From.unreachable().begin(), From.unreachable().end()};
   To.Interrupted = {From.interrupted().begin(), From.interrupted().end()};
   To.IsReachLost = From.reach_lost();
+  To.RetryAfter = {From.retry_after_ms()};
+  if (!From.has_reply())
+    return To;
+  auto Reply = std::make_shared<relay::endpoint_reply>();
+  Reply->Status = From.reply().status();
+  Reply->Headers = headersFromProto(From.reply().headers());
+  Reply->Body = From.reply().body();
+  Reply->Signature = From.reply().signature();
+  To.Reply = std::move(Reply);
   To.Leaving = identitiesFromProto(From.leaving());
   return To;
 }
--- a/test/shell/fleet_codec_test.cpp
+++ b/test/shell/fleet_codec_test.cpp
@@ -139,3 +139,33 @@
   CHECK(Got.Interrupted == Reply.Interrupted);
   CHECK(Got.IsReachLost);
 }
+
+TEST_CASE("a request that is not a query survives a detour", "[wire]") {
+  relay::shard_request Asked;
+  Asked.Content = std::make_shared<relay::opaque_request>(relay::opaque_request{
+      "id", "POST", "shop.example", "/x", {{"A", "b"}}, "body"});
+  Asked.Shards = {{"plain"}};
+  Asked.IsQuery = false;
+  Asked.IsIdempotent = false;
+  const relay::shard_request Got = roundTrip(Asked);
+  CHECK(!Got.IsQuery);
+  CHECK(!Got.IsIdempotent);
+  CHECK(Got.Content->Body == "body");
+  relay::endpoint_reply Endpoint;
+  Endpoint.Status = 404;
+  Endpoint.Headers = {{"X-Any", "value"}};
+  Endpoint.Body = std::string("\0bytes", 6);
+  Endpoint.Signature = "s1";
+  relay::shard_reply Reply;
+  Reply.Reply = std::make_shared<relay::endpoint_reply>(Endpoint);
+  Reply.RetryAfter = {60};
+  const relay::shard_reply Back = roundTrip(Reply);
+  REQUIRE(Back.Reply);
+  CHECK(Back.Reply->Status == 404);
+  REQUIRE(Back.Reply->Headers.size() == 1);
+  CHECK(Back.Reply->Headers[0].Name == "X-Any");
+  CHECK(Back.Reply->Headers[0].Value == "value");
+  CHECK(Back.Reply->Body == Endpoint.Body);
+  CHECK(Back.Reply->Signature == "s1");
+  CHECK(Back.RetryAfter == millis{60});
+}
--- a/test/unit/stranded_relay_test.cpp
+++ b/test/unit/stranded_relay_test.cpp
@@ -75,7 +75,7 @@
 // other relays reach it.
 TEST_CASE("requests for one endpoint at a relay that reaches none are served "
           "by other relays",
-          "[stranded][!shouldfail]") {
+          "[stranded]") {
   checkServed({}, 6, endpoint_path::silent, "/plain/");
   checkServed({}, 6, endpoint_path::refused, "/plain/");
 }
@@ -145,3 +145,82 @@
           1.5 * static_cast<double>(Sum) / static_cast<double>(12 - Cut));
   }
 }
+
+// Guards against a request that must not run twice and takes a detour after it
+// may have run.
+TEST_CASE("a request that is not idempotent runs at most once on a detour",
+          "[stranded]") {
+  relay_fleet Fleet({12, 8, 2, 6});
+  for (std::size_t Round = 0; Round < 12; ++Round) {
+    for (std::size_t I = 0; I < 12; ++I)
+      Fleet.setPath(I, (I * 5 + Round * 7) % 12 < 8
+                           ? static_cast<endpoint_path>((I + Round) % 3)
+                           : endpoint_path::open);
+    Fleet.run({700}, 2 * RequestsPerSecond, "/once/");
+    if (Round % 4 == 3)
+      Fleet.kill(Round);
+  }
+  CHECK(Fleet.maxRuns() == 1);
+  CHECK(Fleet.FalseRefusals == 0);
+  CHECK(Fleet.Statuses[200] > 500);
+}
+
+// Guards against a detour that hides the endpoint's own answer.
+TEST_CASE("an endpoint's reply takes the detour back unchanged", "[stranded]") {
+  relay_fixture Responder;
+  Responder.addService("plain", 2);
+  Responder.install();
+  shard_request Asked;
+  Asked.Id = {7};
+  Asked.Content = std::make_shared<opaque_request>();
+  Asked.Shards = {{"plain"}};
+  Asked.MaxAttempts = 1;
+  Asked.Objective = {100};
+  Asked.SoftTimeout = {80};
+  Asked.Remaining = {800};
+  Asked.IsQuery = false;
+  for (const unsigned Status : {200U, 404U, 500U}) {
+    ++Asked.Id.Value;
+    Responder.step(shard_request_arrived{{2}, Asked});
+    REQUIRE(Responder.Sent.size() == 1);
+    Responder.reply(Responder.Sent.begin()->first, Status, "any bytes");
+    const auto *Reply = std::get_if<send_shard_reply>(
+        &*std::find_if(Responder.Actions.rbegin(), Responder.Actions.rend(),
+                       [](const relay_action &Each) {
+                         return std::holds_alternative<send_shard_reply>(Each);
+                       }));
+    REQUIRE(Reply);
+    REQUIRE(Reply->Reply.Reply);
+    CHECK(Reply->Reply.IsFinal);
+    CHECK(Reply->Reply.Reply->Status == Status);
+    CHECK(Reply->Reply.Reply->Body == "any bytes");
+  }
+}
+
+// Guards against a detour that waits where the relay itself would refuse.
+TEST_CASE("a detour to a relay whose endpoints are busy is refused with a time "
+          "to return",
+          "[stranded]") {
+  relay_fixture Responder;
+  Responder.addService("plain", 1, 1);
+  Responder.addPlainRoute("/plain/", "plain");
+  Responder.install();
+  Responder.sendRequest("/plain/x"); // takes the only connection
+  shard_request Asked;
+  Asked.Id = {7};
+  Asked.Content = std::make_shared<opaque_request>();
+  Asked.Shards = {{"plain"}};
+  Asked.Objective = {100};
+  Asked.SoftTimeout = {80};
+  Asked.Remaining = {800};
+  Asked.IsQuery = false;
+  Responder.step(shard_request_arrived{{2}, Asked});
+  Responder.advance(25); // a fifth of the objective has passed
+  REQUIRE(Responder.count<send_shard_reply>() == 1);
+  for (const relay_action &Each : Responder.Actions)
+    if (const auto *Reply = std::get_if<send_shard_reply>(&Each)) {
+      CHECK(Reply->Reply.IsFinal);
+      CHECK(Reply->Reply.IsNotRun);
+      CHECK(Reply->Reply.RetryAfter > millis{0});
+    }
+}
