Requests are handed to relays of the own region only

A part of a query, and since the detours a whole request with its body, went to any relay of the roster. Where a route has homes, a body must reach no machine of another region but the one that the client connected to (HOME). No deployment so far has two regions, so nobody saw it; found by looking for what a detour could break.

The settings tell the zones of other regions; the planner leaves out their relays.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -55,7 +55,9 @@
 
 relay::impl::impl(relay_settings Given, std::uint64_t Seed)
     : Settings(std::move(Given)), Endpoints(Settings, Seed),
-      Slices({}, Settings.Self, Settings.Zone), NextDetour(Seed) {}
+      Slices({.ForeignZones = Settings.ForeignZones}, Settings.Self,
+             Settings.Zone),
+      NextDetour(Seed) {}
 
 void relay::impl::step(const relay_event &Event, instant At,
                        relay_actions &Actions) {
--- a/src/relay/settings.h
+++ b/src/relay/settings.h
@@ -5,6 +5,7 @@
 #include "bulrushtray/ids.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace bulrush::relay {
@@ -31,6 +32,8 @@
   double Cores = 1; ///< CPU cores available to this relay; may be below 1
   vm_id Self;       ///< the machine of this relay
   std::string Zone; ///< the zone of this relay
+  /// Zones of other regions. Requests are not passed on to relays there.
+  std::set<std::string> ForeignZones;
 
   bool operator==(const relay_settings &) const = default;
 };
--- a/src/relay/slice_planner.cpp
+++ b/src/relay/slice_planner.cpp
@@ -319,6 +319,9 @@
 
 void slice_planner::setPeers(const std::vector<relay_peer> &New) {
   Peers = New;
+  std::erase_if(Peers, [&](const relay_peer &Each) {
+    return Settings.ForeignZones.count(Each.Zone) > 0;
+  });
   std::sort(
       Peers.begin(), Peers.end(),
       [](const relay_peer &A, const relay_peer &B) { return A.Vm < B.Vm; });
--- a/src/relay/slice_planner.h
+++ b/src/relay/slice_planner.h
@@ -6,6 +6,7 @@
 #include "relay/catalog.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
   /// shards of the local zone are queried directly and those of other zones by
   /// relays there, so that merged records cross zones instead of replies.
   std::size_t MinShardsAcrossZones = 10;
+  /// Relays in these zones get no slices: they are in another region.
+  std::set<std::string> ForeignZones = {};
 };
 
 /// Partitions queries into slices. For N shards, about sqrt(N) relays query
@@ -58,7 +61,7 @@
 class slice_planner {
 public:
   slice_planner(slice_settings Settings, vm_id Self, std::string Zone)
-      : Settings(Settings), Self(Self), Zone(std::move(Zone)) {}
+      : Settings(std::move(Settings)), Self(Self), Zone(std::move(Zone)) {}
 
   /// Sets all relays, this one included; discards cached plans if they changed.
   /// Those without reach get no slices.
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -726,6 +726,20 @@
   }
 }
 
+// Guards against a request that leaves the region that its route is at home in.
+TEST_CASE("relays of another region get no slices", "[slices]") {
+  slice_settings Settings;
+  Settings.ForeignZones = {"b"};
+  slice_planner Planner(Settings, {3}, "a");
+  Planner.setPeers(relaysInThreeZones());
+  const fixed_zones OneZone({"b"});
+  for (const slice &Each : Planner.slicesOf(manyShards(), OneZone))
+    CHECK(zoneOf(Each.Primary) != "b");
+  CHECK(Planner.others().size() == 17);
+  for (const relay_peer &Each : Planner.others())
+    CHECK(Each.Zone != "b");
+}
+
 // Guards against a shard that no relay queries since the relays of its only
 // zone reach no endpoint.
 TEST_CASE("shards whose zones have no relay with reach are queried from other "
