--- a/src/relay/relay_detours.cpp
+++ b/src/relay/relay_detours.cpp
@@ -115,7 +115,6 @@
     if (MayRestart)
       startPart(Request, Part);
   };
-  const std::vector<std::size_t> Parts = Slice.Parts;
   for (const std::uint32_t Each : Reply.Unreachable)
     Restart(Each, PriorRuns);
   for (const std::uint32_t Each : Reply.Interrupted)
