A relay that has lost its reach goes on probing other endpoints

Nobody saw it: found by asking what ends a loss of reach. A relay without reach sends nothing and probed only the endpoints that it had lost. Had these been replaced for good, such as by a loss of power of all endpoints, each relay would have waited for a reply of endpoints that no longer exist, and all of them would have refused for ever.

Test: reach_test, another incarnation of every endpoint; fails before.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -31,7 +31,7 @@
 /// Maximum number of waiting requests that are retried after an event that may
 /// have made endpoint capacity available.
 constexpr std::size_t MaxRetriedPerEvent = 8;
-/// Endpoints that are probed once reach is in doubt.
+/// Endpoints that are probed at a time while reach is in doubt or lost.
 constexpr std::size_t ReachProbes = 3;
 /// Wake-up id that belongs to no request: due probes, lingering attempts,
 /// timeouts of the start queue and a loss of reach.
@@ -73,10 +73,10 @@
   Out = nullptr;
 }
 
-/// Probes other endpoints once reach is in doubt. Reports its loss and its
-/// return. On a loss, no request waits for its endpoints any longer.
+/// Probes other endpoints while reach is in doubt or lost. Reports its loss and
+/// its return. On a loss, no request waits for its endpoints any longer.
 void relay::impl::updateReach() {
-  if (Reach.takeNewDoubt())
+  if (Reach.takeProbesDue(Now))
     Endpoints.probeOthers(Reach.unheard(), ReachProbes, Now, *Out);
   if (!Reach.update(Now))
     return;
@@ -458,7 +458,7 @@
 void relay::impl::armTimer() {
   instant Next =
       std::min({Endpoints.nextProbe(Now), Endpoints.nextLimitReport(),
-                StartQueue.nextTimeout(), Reach.lossDue()});
+                StartQueue.nextTimeout(), Reach.nextDue()});
   for (const lingering_attempt &Each : Lingering)
     Next = std::min(Next, Each.Until);
   if (Next < HousekeepingAt) {
--- a/test/unit/reach_test.cpp
+++ b/test/unit/reach_test.cpp
@@ -101,6 +101,28 @@
   reach_monitor Reach;
   for (int I = 0; I < 10; ++I)
     Reach.onUnheard({1}, instant{I * 100.0});
-  CHECK(!Reach.takeNewDoubt());
+  CHECK(!Reach.takeProbesDue(instant{5000}));
   CHECK(!Reach.update(instant{5000}));
 }
+
+// Guards against relays that wait for endpoints which are gone for good, while
+// those that replaced them get no request.
+TEST_CASE("reach returns once other endpoints have replaced those that were "
+          "lost",
+          "[reach]") {
+  reach_fixture Relay;
+  Relay.sendRequest("/all/x");
+  for (int I = 0; I < 40; ++I)
+    Relay.advance(20);
+  REQUIRE(Relay.Relay.gauges(Relay.Now).IsReachLost);
+  const std::set<endpoint_no> Gone = Relay.allEndpoints();
+  Relay.answerProbes(Gone);
+  for (listed_endpoint &Each : Relay.Directory.Endpoints)
+    Each.Identity.StartTimeMs = 2; // another incarnation
+  Relay.publishDirectory();
+  for (int I = 0; I < 100; ++I) {
+    Relay.advance(20);
+    Relay.answerProbes(Gone);
+  }
+  CHECK(!Relay.Relay.gauges(Relay.Now).IsReachLost);
+}
