--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -26,8 +26,8 @@
   double ColdRate = 0;   ///< requests per second that a cold endpoint can serve
   bool IsSliced = false; ///< only a few relays send requests to it
   std::vector<endpoint_no> Endpoints;
-  /// Another relay reaches none of the endpoints either; until then no further
-  /// relay is asked.
+  /// Several other relays reach none of the endpoints either; until then no
+  /// further one is asked.
   instant UnreachableElsewhereUntil{-1e300};
   service_budget Budget;
 };
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -295,6 +295,10 @@
     std::erase(Part.Tried, From);
   }
   retryPart(Request, Part);
+  // No endpoint is left that a connection could be opened to.
+  if (Event.End == attempt_end::connect_failed &&
+      Part.Phase == part_phase::failed)
+    markUnreachable(Request, Part);
 }
 
 /// If no other endpoint is available, makes the endpoint that shed the part
--- a/src/relay/relay_detours.cpp
+++ b/src/relay/relay_detours.cpp
@@ -12,8 +12,8 @@
 /// Relays that a part is requested from because this relay does not reach its
 /// endpoints, or the previous one did not.
 constexpr std::uint32_t MaxDetours = 3;
-/// Time for which no further relay is asked for a service whose endpoints
-/// another relay does not reach either.
+/// Time for which no relay is asked for a service whose endpoints `MaxDetours`
+/// other relays do not reach either.
 constexpr millis UnreachableElsewhereTime{1000};
 /// A relay that reaches no endpoint gets no slices for this long, unless it
 /// replies with results before.
@@ -48,18 +48,24 @@
   return Found != UnresponsivePeers.end() && Now < Found->second.Until;
 }
 
-/// The next relay in turn, so that the relays left share the load; null if none
-/// can be asked.
+/// The next relay in turn, so that the relays left share the load. Relays of a
+/// zone often lose their paths together, so those of other zones come first.
+/// Null if none can be asked.
 const relay_peer *relay::impl::pickDetour(const request_state &Request) const {
   const std::vector<relay_peer> &Others = Slices.others();
   const std::vector<vm_id> &Excluded = Request.RelaysWithoutPath;
+  const relay_peer *Fallback = nullptr;
   for (std::size_t I = 0; I < Others.size(); ++I) {
     const relay_peer &Each = Others[(NextDetour + I) % Others.size()];
-    if (!isInBackoff(Each.Vm) &&
-        std::find(Excluded.begin(), Excluded.end(), Each.Vm) == Excluded.end())
+    if (isInBackoff(Each.Vm) ||
+        std::find(Excluded.begin(), Excluded.end(), Each.Vm) != Excluded.end())
+      continue;
+    if (Each.Zone != Settings.Zone &&
+        Request.ZonesWithoutPath.count(Each.Zone) == 0)
       return &Each;
+    Fallback = Fallback ? Fallback : &Each;
   }
-  return nullptr;
+  return Fallback;
 }
 
 /// Requests all unreachable parts from one other relay: those without an
@@ -96,6 +102,9 @@
   if (Reply.Unreachable.empty() && Reply.Interrupted.empty())
     return;
   Request.RelaysWithoutPath.push_back(Slice.Target.To);
+  for (const relay_peer &Each : Slices.others())
+    if (Each.Vm == Slice.Target.To)
+      Request.ZonesWithoutPath.insert(Each.Zone);
   const std::uint32_t PriorRuns = Slice.Target.PriorRuns;
   const auto Restart = [&](std::uint32_t Index, std::uint32_t Runs) {
     if (Index >= Slice.Parts.size())
@@ -104,13 +113,11 @@
     request_part &Part = Request.Parts[PartIndex];
     if (Part.Phase != part_phase::delegated || Request.isDelegated(PartIndex))
       return;
-    if (!Reply.IsReachLost && isUnreachable(*Part.Service))
+    if (!Reply.IsReachLost && Part.Detours >= MaxDetours)
       Part.Service->UnreachableElsewhereUntil = Now + UnreachableElsewhereTime;
-    ++Part.Detours;
     Part.PossibleRuns = std::max(Part.PossibleRuns, Runs);
     Part.Deliveries = std::max(Part.Deliveries, Runs);
-    const bool MayRestart = Part.Detours <= MaxDetours &&
-                            Part.PossibleRuns < Request.Route->MaxAttempts;
+    const bool MayRestart = Part.PossibleRuns < Request.Route->MaxAttempts;
     Part.Phase = part_phase::failed;
     if (MayRestart)
       startPart(Request, Part);
--- a/src/relay/request_state.h
+++ b/src/relay/request_state.h
@@ -6,6 +6,7 @@
 #include "relay/route_table.h"
 
 #include <optional>
+#include <set>
 
 namespace bulrush::relay {
 
@@ -126,8 +127,9 @@
   instant SliceRetryAt = Never; ///< earliest `RetryAt` of the slices
   /// Retry delay that another relay gave for its refusal; 0: none.
   millis RetryAfterElsewhere;
-  /// Relays that do not reach the endpoints of some parts.
+  /// Relays that do not reach the endpoints of some parts, and their zones.
   std::vector<vm_id> RelaysWithoutPath;
+  std::set<std::string> ZonesWithoutPath;
   std::optional<requester_state> Requester; ///< set for a shard request
   request_log_event LogEvent;
 
--- a/test/relay_fleet.h
+++ b/test/relay_fleet.h
@@ -11,7 +11,12 @@
 namespace bulrush::test {
 
 /// What happens to a relay's connections to endpoints.
-enum class endpoint_path : std::uint8_t { open, silent, refused };
+enum class endpoint_path : std::uint8_t {
+  open,
+  silent,
+  refused,
+  mostly_refused ///< only the endpoints of the first shard are reached
+};
 
 struct fleet_options {
   std::size_t Relays = 8; ///< alternately in the zones "near" and "far"
@@ -168,10 +173,17 @@
     });
   }
 
+  bool reaches(std::size_t Relay, const std::string &Instance) const {
+    return Paths[Relay] == endpoint_path::open ||
+           (Paths[Relay] == endpoint_path::mostly_refused &&
+            Instance.rfind("s100-", 0) == 0);
+  }
+
   void take(std::size_t Relay, const send_attempt &Action) {
     const attempt_key Key{Relay, Action.Attempt.Value};
     ++SentBy[Relay];
-    if (Paths[Relay] != endpoint_path::open) {
+    const std::string Instance = Relays[Relay].instanceOf(Action);
+    if (!reaches(Relay, Instance)) {
       const bool IsSilent = Paths[Relay] == endpoint_path::silent;
       at(Now + (IsSilent ? UnackedTimeout : PeerDelay), [this, Key, IsSilent] {
         endAttempt(Key,
@@ -179,16 +191,14 @@
       });
       return;
     }
-    const std::string Instance = Relays[Relay].instanceOf(Action);
     const std::string Service = Instance.substr(0, Instance.find('-'));
     ++RunsOf[Action.Content->RequestId + Action.Content->Target + Service];
     HasRun.insert(Action.Content);
     Running.insert(Key);
-    at(Now + WorkTime, [this, Key] {
+    at(Now + WorkTime, [this, Key, Instance] {
       Running.erase(Key);
-      endAttempt(Key, Paths[Key.first] == endpoint_path::open
-                          ? attempt_end::replied
-                          : attempt_end::lost);
+      endAttempt(Key, reaches(Key.first, Instance) ? attempt_end::replied
+                                                   : attempt_end::lost);
     });
   }
 
@@ -212,7 +222,7 @@
     const bool IsSilent = Paths[Relay] == endpoint_path::silent;
     at(Now + (IsSilent ? ProbeTimeout : PeerDelay),
        [this, Relay, No = Action.Endpoint] {
-         const bool IsOpen = Paths[Relay] == endpoint_path::open;
+         const bool IsOpen = reaches(Relay, Relays[Relay].Names.at(No.Value));
          step(Relay, probe_ended{No, IsOpen, {}, {}, false, {}, {}, IsOpen});
        });
   }
--- a/test/unit/stranded_relay_test.cpp
+++ b/test/unit/stranded_relay_test.cpp
@@ -63,6 +63,31 @@
   checkServed({3, 8, 2, 6}, 2, endpoint_path::silent, "/all/");
 }
 
+// Guards against one relay's word that nobody reaches an endpoint, given by a
+// relay of the same zone: whole zones lose their paths.
+TEST_CASE("a zone whose relays reach few endpoints is served by other zones",
+          "[stranded]") {
+  for (const std::string Prefix : {"/all/", "/plain/"}) {
+    relay_fleet Fleet({8, 20, 2, 6});
+    const auto InZone = [](std::size_t Relay) {
+      return relay_fleet::zoneOf(Relay) == "near";
+    };
+    Fleet.run({2000}, RequestsPerSecond, "/all/");
+    for (std::size_t I = 0; I < 8; ++I)
+      if (InZone(I))
+        Fleet.setPath(I, endpoint_path::mostly_refused);
+    // Requests for the first shard's neighbours keep reach alive.
+    Fleet.run(ContactTime, RequestsPerSecond, "/all/");
+    Fleet.resetCounts();
+    for (int I = 0; I < 25; ++I) {
+      Fleet.run({100}, RequestsPerSecond, "/all/");
+      Fleet.run({100}, RequestsPerSecond, Prefix);
+    }
+    INFO(Prefix);
+    CHECK(stranded_fleet::share(Fleet.count(InZone)) >= 0.95);
+  }
+}
+
 // Guards against slices that go to relays which cannot run them: one relay of
 // five is in touch.
 TEST_CASE("relays in touch are served while most others reach no endpoint",
@@ -224,3 +249,33 @@
       CHECK(Reply->Reply.RetryAfter > millis{0});
     }
 }
+
+// Guards against a part that fails because all its endpoints refuse connections
+// and no probe has confirmed that yet.
+TEST_CASE(
+    "a part that no connection could be opened for takes a detour at once",
+    "[stranded]") {
+  for (const std::string Target : {"/all/x", "/plain/x"}) {
+    relay_settings Settings = relay_fixture::settings();
+    Settings.Self = {1};
+    relay_fixture Relay(Settings);
+    Relay.addService("a", 2);
+    Relay.addService("b", 2);
+    Relay.addRoute("/all/", {"a", "b"});
+    Relay.addPlainRoute("/plain/", "a");
+    Relay.step(peers_changed{{{{1}, "near"}, {{2}, "near"}, {{3}, "far"}}});
+    Relay.install(3);
+    Relay.sendRequest(Target);
+    for (int I = 0; I < 2; ++I)
+      Relay.end(Relay.attemptAt("a-0") ? Relay.attemptAt("a-0")
+                                       : Relay.attemptAt("a-1"),
+                attempt_end::connect_failed, {});
+    REQUIRE(Relay.count<send_shard_request>() == 1);
+    for (const relay_action &Each : Relay.Actions)
+      if (const auto *Asked = std::get_if<send_shard_request>(&Each)) {
+        CHECK(Asked->To.Value == 3); // of another zone
+        CHECK(!Asked->Request.IsRetry);
+        CHECK(Asked->Request.Shards == std::vector<service_name>{{"a"}});
+      }
+  }
+}
