A relay that loses its path no longer has harmless requests quarantined

Callers of popular queries got 503 for 10 minutes, at all relays, after a cut that resets connections and refuses new ones: it looks like a crash of each endpoint under the requests of that moment.

A relay now holds what it takes for crashes while its reach is in doubt, reports them once another endpoint has been heard, and drops them when reach is lost.

--- a/src/relay/reach_monitor.h
+++ b/src/relay/reach_monitor.h
@@ -27,6 +27,8 @@
   bool update(instant Now);
 
   bool isLost() const { return IsLost; }
+  /// Whether the silence of an endpoint may come from this relay's own path.
+  bool isInDoubt() const { return DoubtSince < Never; }
   /// When a doubt becomes a loss unless an endpoint is heard, or the next
   /// probes are due; `Never` if reach is not in doubt.
   instant nextDue() const;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -66,6 +66,7 @@
   StartQueue.markStarted(Now);
   std::visit([this](const auto &Each) { on(Each); }, Event);
   updateReach();
+  reportCrashes();
   for (const endpoint_no Each : Endpoints.sendDueProbes(Now, Actions))
     Crashes.onProbeSent(Each, Now);
   Endpoints.reportLimits(Now, Actions);
@@ -320,7 +321,7 @@
 }
 
 void relay::impl::on(const probe_ended &Event) {
-  reportCrashes(Event);
+  noteCrashes(Event);
   if (Event.IsHealthy || Event.HasReplied)
     Reach.onHeard();
   else
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -365,18 +365,28 @@
   }
 }
 
-/// Reports the requests that an endpoint was running when it went down.
-void relay::impl::reportCrashes(const probe_ended &Event) {
+/// Notes the requests that an endpoint was running when it went down.
+void relay::impl::noteCrashes(const probe_ended &Event) {
   const endpoint_state *Endpoint = Endpoints.find(Event.Endpoint);
   for (const crash &Each :
-       Crashes.onProbeEnded(Event.Endpoint, Event.IsHealthy, Now)) {
-    if (!Endpoint)
-      continue;
-    const endpoint_identity &Identity = Endpoint->listed().Identity;
-    Out->push_back(crash_log_event{Each.RequestId, Each.Request,
-                                   Identity.Instance,
-                                   Endpoint->listed().Service});
-    Quarantine.onCrash(Each.Request, {Identity, Each.SentAt, Each.At}, Now,
+       Crashes.onProbeEnded(Event.Endpoint, Event.IsHealthy, Now))
+    if (Endpoint)
+      HeldCrashes.push_back(
+          {Each, Endpoint->listed().Identity, Endpoint->listed().Service});
+}
+
+/// Reports the crashes once another endpoint has been heard. Without reach,
+/// they are this relay's loss of its path and no crashes.
+void relay::impl::reportCrashes() {
+  if (Reach.isLost())
+    HeldCrashes.clear();
+  if (Reach.isInDoubt())
+    return;
+  for (const held_crash &Each : std::exchange(HeldCrashes, {})) {
+    Out->push_back(crash_log_event{Each.Crash.RequestId, Each.Crash.Request,
+                                   Each.Endpoint.Instance, Each.Service});
+    Quarantine.onCrash(Each.Crash.Request,
+                       {Each.Endpoint, Each.Crash.SentAt, Each.Crash.At}, Now,
                        *Out);
   }
 }
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -109,7 +109,8 @@
   void noteLost(const request_state &Request, const attempt_context &Attempt,
                 attempt_end End);
   void noteReach(endpoint_no Endpoint, attempt_end End);
-  void reportCrashes(const probe_ended &Event);
+  void noteCrashes(const probe_ended &Event);
+  void reportCrashes();
   void recordLatency(route_state &RouteState, millis Elapsed);
   void logAttempt(const request_state &Request, const request_part &Part,
                   const endpoint_state *Endpoint, attempt_verdict Verdict,
@@ -190,6 +191,12 @@
   void cancel(attempt_no Attempt, attempt_verdict Verdict);
   void cancelLingering();
 
+  /// A request under which an endpoint went down.
+  struct held_crash {
+    crash Crash;
+    endpoint_identity Endpoint;
+    service_name Service;
+  };
   /// A relay that did not reply in time.
   struct peer_backoff {
     instant Until{-1e300}; ///< gets no slices until then
@@ -205,6 +212,8 @@
   endpoint_set Endpoints;
   reach_monitor Reach;
   crash_detector Crashes;
+  /// Crashes that have not been reported yet.
+  std::vector<held_crash> HeldCrashes;
   request_quarantine Quarantine;
   slice_planner Slices;
   /// Shard requests of this relay that have not ended.
--- a/test/unit/reach_test.cpp
+++ b/test/unit/reach_test.cpp
@@ -126,3 +126,27 @@
   }
   CHECK(!Relay.Relay.gauges(Relay.Now).IsReachLost);
 }
+
+// Guards against harmless requests that are quarantined because a relay lost
+// its path while endpoints ran them.
+TEST_CASE("endpoints that a relay loses all at once have not crashed",
+          "[reach]") {
+  for (const bool IsOwnPath : {true, false}) {
+    reach_fixture Relay;
+    Relay.sendRequest("/all/x");
+    std::set<endpoint_no> Down = Relay.allEndpoints();
+    if (!IsOwnPath) {
+      Down.clear();
+      for (const auto &[Number, Each] : Relay.Sent)
+        Down.insert(Each.Endpoint);
+    }
+    while (!Relay.Sent.empty())
+      Relay.breakConnection(Relay.Sent.begin()->first);
+    for (int I = 0; I < 40; ++I) {
+      Relay.answerProbes(Down);
+      Relay.advance(20);
+    }
+    CHECK((Relay.count<send_crash_reports>() == 0) == IsOwnPath);
+    CHECK((Relay.count<crash_log_event>() == 0) == IsOwnPath);
+  }
+}
