--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -530,6 +530,7 @@
   const std::string &Expected = Endpoint->listed().Identity.Instance;
   const bool IsSame = Event.Instance.empty() || Event.Instance == Expected;
   const bool IsHealthy = Event.IsHealthy && IsSame;
+  // A probe that only tests this relay's reach leaves the health as it is.
   const bool WasSuspect = Endpoint->isProbing();
   if (WasSuspect)
     Endpoint->onProbeEnded(IsHealthy, Now);
--- a/test/unit/stranded_relay_test.cpp
+++ b/test/unit/stranded_relay_test.cpp
@@ -76,7 +76,7 @@
     for (std::size_t I = 0; I < 8; ++I)
       if (InZone(I))
         Fleet.setPath(I, endpoint_path::mostly_refused);
-    // Requests for the first shard's neighbours keep reach alive.
+    // Replies of the first shard keep these relays from losing their reach.
     Fleet.run(ContactTime, RequestsPerSecond, "/all/");
     Fleet.resetCounts();
     for (int I = 0; I < 25; ++I) {
