--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
-"""Machines of the core are replaced one after the other; one new machine fails as well, soon after its start."""
+"""Machines of the core are replaced one after the other; the first of the new machines fails as well."""
 
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 import time
 
@@ -13,7 +14,8 @@
 CORES, RELAY = [11, 12, 13, 14, 15], 21
 NEW = [16, 17, 18, 19]  # addresses of the machines that are added
 SUCCESSOR_S = 1.0  # a new machine comes so long after the old one is gone
-FAILS_AFTER_S = 1.0  # the first new machine is gone so long after its start
+HEAD_START_S = 6.0  # the first new machine starts so long before the old one ends; catchUpS is 4
+FAILS_AFTER_S = 1.6  # the first new machine is gone so long after the old one
 CALM_S = 9.0  # between two replacements: catchUpS is 4, contactMs is 4
 RECOVERY_S = f.BOUNDS["recoveryS"]
 
@@ -60,7 +62,14 @@
         await asyncio.sleep(SUCCESSOR_S)
         fleet.start(new)
 
-    await replace("core-5", "core-6")
+    fleet.start("core-6")
+    await asyncio.sleep(HEAD_START_S)
+    fleet.signal("core-5", signal.SIGTERM)
+    asked = time.monotonic()
+    while fleet.processes["core-5"].poll() is None and time.monotonic() < asked + f.BOUNDS["graceS"]:
+        await asyncio.sleep(0.02)
+    fleet.kill("core-5")
+    record.write("core-5 is gone for good; its successor has run for 6 s and more")
     if trouble:
         await asyncio.sleep(FAILS_AFTER_S)
         await replace("core-6", "core-7")
