--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -11,6 +12,8 @@
 sys.path.insert(0, str(HERE.parent / "common"))
 import fleet as f  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=0: the same without the disruption
+
 CORES, RELAY = [11, 12, 13, 14, 15], 21
 NEW = [16, 17, 18, 19]  # addresses of the machines that are added
 SUCCESSOR_S = 1.0  # a new machine comes so long after the old one is gone
@@ -97,4 +100,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(f.main(HERE, case))
+    sys.exit(f.main(HERE, case, TROUBLE))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A relay is killed and started again while another relay works on its shard requests."""
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -9,7 +10,11 @@
 sys.path.insert(0, str(HERE.parent / "common"))
 import fleet as f  # noqa: E402
 
-CORES, KILLED, OTHER = [11, 12, 13, 14, 15], 21, 22
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=0: the same without the disruption
+
+CORES, KILLED = [11, 12, 13, 14, 15], 21
+OTHERS = {22: "dakar-pikine", 23: "dakar-plateau", 24: "dakar-plateau", 25: "dakar-plateau", 26: "dakar-almadies",
+          27: "dakar-almadies", 28: "dakar-almadies"}  # relays; no client of this script uses them
 SHARDS, SLOW = 20, 3  # shards with 2 searchers each; both of 3 shards, 15 in 100 of all searchers, have turned slow
 WORK_S, SLOW_S = 0.028, 1.6  # a request of 176 ms (the longest of this class take 210) takes 9.1 times as long
 TOP, LEAST = 50, 0.89
@@ -58,11 +63,12 @@
     for n, last in enumerate(CORES):
         fleet.describe(f"core-{n + 1}", last, "registry", list(f.ZONES)[n % 3], CORES[:3], 2)
     fleet.describe("front-pikine-1", KILLED, "relay", "dakar-pikine", CORES[:3], 2)
-    fleet.describe("front-plateau-1", OTHER, "relay", "dakar-plateau", CORES[:3], 2)
+    for last, zone in OTHERS.items():
+        fleet.describe(f"front-{last}", last, "relay", zone, CORES[:3], 2)
     for node in list(fleet.settings):
         fleet.start(node)
     await f.put_config(fleet, CORES, config(names))
-    for last in (KILLED, OTHER):
+    for last in (KILLED, *OTHERS):
         await f.wait_for("the relays were not ready", lambda last=last: f.is_ready(fleet, last))
     await asyncio.sleep(3)
 
@@ -85,4 +91,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(f.main(HERE, case))
+    sys.exit(f.main(HERE, case, TROUBLE))
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -77,7 +77,7 @@
         listen = {"front": f"{ip}:{FRONT}", "ready": f"{ip}:{READY}"} if is_front else {"control": f"{ip}:{CONTROL}"}
         self.settings[node] = {
             "node": node, "role": role, "machineClass": "front" if is_front else "core",
-            "serves": ["front"] if is_front else ["control"], "ip": ip, "zone": zone, "region": "dakar", "zones": ZONES,
+            "serves": ["front"] if is_front else ["control"], "ip": ip, "zone": zone, "region": ZONES[zone], "zones": ZONES,
             "listen": listen, "portRange": [FLEET, FLEET + 15], "seeds": [f"{self.ip(each)}:{CONTROL}" for each in seeds],
             "bootstrap": True, "lossCounts": not is_front,
             "limits": {"cpuShare": 0.25 if is_front else 0.6, "cores": 1, "memoryMb": 260, "maxFds": 4096,
@@ -133,7 +133,11 @@
 async def read_head(reader):
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin1").split("\r\n")
-    return lines[0], {k.lower(): v.strip() for k, _, v in (each.partition(":") for each in lines[1:] if each)}
+    fields = {}
+    for name, _, value in (each.partition(":") for each in lines[1:] if each):
+        key = name.lower()
+        fields[key] = f"{fields[key]}, {value.strip()}" if key in fields else value.strip()
+    return lines[0], fields
 
 
 async def call(ip, port, method, target, headers=None, body=b"", timeout=3.0):
@@ -168,21 +172,24 @@
     return (await call(fleet.ip(last), READY, "GET", "/ready", timeout=1.0)).status == 200
 
 
-async def put_config(fleet, lasts, document):
+async def send_order(fleet, lasts, method, target, body=b""):
     """The operator: sends the same order to one daemon after the other until it is acknowledged; follows 307."""
-    body = json.dumps(document).encode()
     for turn in range(60):
         host, port = fleet.ip(lasts[turn % len(lasts)]), CONTROL
         for _ in range(3):
-            answer = await call(host, port, "PUT", "/config", {"Content-Type": "application/json"}, body, 1.0)
+            answer = await call(host, port, method, target, {"Content-Type": "application/json"}, body, 1.0)
             if answer.status != 307:
                 break
             host, port = answer.headers["location"].split("/")[2].rsplit(":", 1)
         if answer.status == 200:
-            fleet.record.write(f"operator: version {document['version']} is acknowledged")
             return
         await asyncio.sleep(0.2)
-    raise CannotRun("no configuration was acknowledged")
+    raise CannotRun(f"{method} {target} was not acknowledged")
+
+
+async def put_config(fleet, lasts, document):
+    await send_order(fleet, lasts, "PUT", "/config", json.dumps(document).encode())
+    fleet.record.write(f"operator: version {document['version']} is acknowledged")
 
 
 class SearcherList:
@@ -272,7 +279,11 @@
         self.busy -= 1
         stamp = f"{request}.{self.service}.{len(self.runs):x}"
         self.record.write(f"searcher {self.service} ran {request} in {work_s * 1000:.0f} ms")
-        await connection.answer(200, {"X-Bulrushtray-Stamp": stamp, **echo(headers)}, record_of(request, self.service))
+        is_leaving = self.state != "ready"
+        fields = {"X-Bulrushtray-Stamp": stamp, **echo(headers), **({"Connection": "close"} if is_leaving else {})}
+        await connection.answer(200, fields, record_of(request, self.service))
+        if is_leaving:
+            connection.writer.close()
 
 
 def echo(headers):
@@ -312,9 +323,8 @@
              "warmupPerS": 0.0} for each in names]
 
 
-def main(folder, case):
+def main(folder, case, trouble):
     """Runs a case: a coroutine function of record and fleet that returns whether the rule held."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes on the way
     record = Record(folder)
     fleet = None
