A shard request belongs to the link on which it came: no reply reaches a later run of a relay

Cause: ids of shard requests began at 1 in each run of a relay. The relay that was asked knew a request by the requester's address and id, and sent the reply on whatever link that address had by then; the requester found its request by the id alone.

Change: requester_link (VM and a number, unique in a run) takes the place of the VM in shard requests that arrive, cancellations, grants and replies. peer_links replies on that link or drops the reply. When a link closes, its requests are cancelled at once (event requester_lost, bulrush_asks_abandoned_total), those in the start queue too. Ids start at a random number, and a reply counts only from the relay that was asked (bulrush_replies_ignored_total).

Why it works: a TCP link never outlives a run of either side, so that messages of two runs cannot meet; no time is involved.

Builds: no message changes its form. Requests of an older requester, whose ids repeat, are told apart by the link ("shard requests with one id on two links"). Two relays of older builds stay exposed to each other.

--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -234,6 +234,20 @@
                        {"passed_over_ms", LogEvent.Backoff.Count}});
 }
 
+void decision_log::write(const relay::requester_log_event &LogEvent,
+                         instant Now) {
+  Metrics.add("asks_abandoned", "", LogEvent.Abandoned);
+  if (!takeToken(Now))
+    return;
+  telemetry::logEvent(
+      severity::warning, "requester_lost",
+      {{"peer", toText(LogEvent.Peer)}, {"abandoned", LogEvent.Abandoned}});
+}
+
+void decision_log::count(const relay::ignored_reply_event &Event) {
+  Metrics.add("replies_ignored", toString(Event.Reason));
+}
+
 void decision_log::write(const relay::reach_log_event &LogEvent, instant Now) {
   const char *Change = LogEvent.IsLost ? "lost" : "restored";
   Metrics.add("reach", Change);
--- a/src/fleet/decision_log.h
+++ b/src/fleet/decision_log.h
@@ -20,7 +20,9 @@
   void write(const relay::crash_log_event &LogEvent, instant Now);
   void write(const relay::endpoint_log_event &LogEvent, instant Now);
   void write(const relay::peer_log_event &LogEvent, instant Now);
+  void write(const relay::requester_log_event &LogEvent, instant Now);
   void write(const relay::reach_log_event &LogEvent, instant Now);
+  void count(const relay::ignored_reply_event &Event);
   /// Sets the metrics of a rollout in progress: its share, and the requests to
   /// its target ("new") and to all other versions ("old").
   void count(const relay::rollout_report &Report);
--- a/src/fleet/peer_links.cpp
+++ b/src/fleet/peer_links.cpp
@@ -29,20 +29,39 @@
     return;
   const vm_id From{
       static_cast<std::uint32_t>(Remote.address().to_v4().to_uint())};
+  closeIncoming(From);
   auto Link = std::make_shared<frame_link>(std::move(Socket));
-  if (const auto Old = Incoming.find(From); Old != Incoming.end())
-    Old->second->close();
-  Incoming[From] = Link;
+  const relay::requester_link Requester{From, ++LastIncoming};
+  Incoming[From] = {Requester.Number, Link};
   Link->start(
-      [this, From](const std::string &Bytes) { onRequestFrame(From, Bytes); },
-      [this, From, Closed = Link.get()] {
-        const auto Known = Incoming.find(From);
-        if (Known != Incoming.end() && Known->second.get() == Closed)
-          Incoming.erase(Known);
-      });
+      [this, Requester](const std::string &Bytes) {
+        onRequestFrame(Requester, Bytes);
+      },
+      [this, Requester] { onIncomingClosed(Requester); });
 }
 
-void peer_links::onRequestFrame(vm_id From, const std::string &Bytes) {
+/// Closes the link of a relay that has opened a new one: it has restarted, or
+/// has given up the old link.
+void peer_links::closeIncoming(vm_id From) {
+  const auto Old = Incoming.find(From);
+  if (Old == Incoming.end())
+    return;
+  const relay::requester_link Lost{From, Old->second.Number};
+  Old->second.Link->close();
+  Incoming.erase(Old);
+  OnEvent(relay::requester_lost{Lost});
+}
+
+void peer_links::onIncomingClosed(relay::requester_link Link) {
+  const auto Known = Incoming.find(Link.Peer);
+  if (Known == Incoming.end() || Known->second.Number != Link.Number)
+    return;
+  Incoming.erase(Known);
+  OnEvent(relay::requester_lost{Link});
+}
+
+void peer_links::onRequestFrame(relay::requester_link From,
+                                const std::string &Bytes) {
   auto Message = wire::decodeFleet(Bytes);
   if (!Message) {
     OnRefused(Bytes, Message.error());
@@ -108,9 +127,9 @@
 }
 
 void peer_links::send(const relay::send_shard_reply &Action) {
-  const auto Known = Incoming.find(Action.To);
-  if (Known != Incoming.end())
-    Known->second->send(wire::encode(Action.Reply));
+  const auto Known = Incoming.find(Action.To.Peer);
+  if (Known != Incoming.end() && Known->second.Number == Action.To.Number)
+    Known->second.Link->send(wire::encode(Action.Reply));
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/peer_links.h
+++ b/src/fleet/peer_links.h
@@ -13,7 +13,8 @@
 namespace bulrush::fleet {
 
 /// Opens one link to each relay that is sent shard requests; its replies arrive
-/// on the same link. Runs on the thread of its `io_context`.
+/// on the same link and are sent on no other. Runs on the thread of its
+/// `io_context`.
 class peer_links {
 public:
   using event_handler = std::function<void(relay::relay_event)>;
@@ -33,7 +34,9 @@
 
 private:
   void accept(boost::asio::ip::tcp::socket Socket);
-  void onRequestFrame(vm_id From, const std::string &Bytes);
+  void closeIncoming(vm_id From);
+  void onIncomingClosed(relay::requester_link Link);
+  void onRequestFrame(relay::requester_link From, const std::string &Bytes);
   void onReplyFrame(vm_id From, const std::string &Bytes);
   /// Sends on the outgoing link to `Peer`; drops the message if there is none.
   void sendIfOpen(vm_id Peer, const fleet_message &Message);
@@ -47,8 +50,14 @@
   refusal_handler OnRefused;
   frame_acceptor Acceptor;
   std::map<vm_id, std::shared_ptr<frame_link>> Outgoing;
-  std::map<vm_id, std::shared_ptr<frame_link>>
-      Incoming; ///< latest link from each peer
+  /// A link on which a relay sends shard requests.
+  struct incoming_link {
+    std::uint64_t Number = 0;
+    std::shared_ptr<frame_link> Link;
+  };
+
+  std::map<vm_id, incoming_link> Incoming; ///< latest link from each peer
+  std::uint64_t LastIncoming = 0;
 };
 
 } // namespace bulrush::fleet
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -196,7 +196,10 @@
   void on(const relay::peer_log_event &LogEvent) {
     Log.write(LogEvent, Clock.now());
   }
-
+  void on(const relay::requester_log_event &LogEvent) {
+    Log.write(LogEvent, Clock.now());
+  }
+  void on(const relay::ignored_reply_event &Event) { Log.count(Event); }
   void on(const relay::reach_log_event &LogEvent) {
     Log.write(LogEvent, Clock.now());
   }
--- a/src/relay/events.cpp
+++ b/src/relay/events.cpp
@@ -110,6 +110,16 @@
   return "cleared";
 }
 
+std::string_view toString(ignored_reply Reason) {
+  switch (Reason) {
+  case ignored_reply::not_open:
+    return "not_open";
+  case ignored_reply::other_relay:
+    return "other_relay";
+  }
+  return "not_open";
+}
+
 endpoint_log_event makeLogEvent(const endpoint_state &Endpoint,
                                 endpoint_state_change Change, millis ColdFor) {
   endpoint_log_event Out;
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -59,9 +59,20 @@
   bool HasInvalidRateLimit = false; ///< it states a limit that is not a number
 };
 
-/// A request of one relay to another; unique until the sender restarts.
+/// A request of one relay to another. Each run of a relay starts at a random
+/// number, so that no two runs use the same ids.
 using shard_request_id = numeric_id<struct shard_request_tag, std::uint64_t>;
 
+/// The link on which another relay sent a shard request. Replies go to this
+/// link only: a later link of the same VM may belong to another process, which
+/// uses ids of its own.
+struct requester_link {
+  vm_id Peer;
+  std::uint64_t Number = 0; ///< unique until this process restarts
+
+  auto operator<=>(const requester_link &) const = default;
+};
+
 /// Requests some shards of a query from another relay, or one service's reply
 /// to a request that is not a query.
 struct shard_request {
@@ -210,13 +221,13 @@
 
 /// Another relay requests shards from this one.
 struct shard_request_arrived {
-  vm_id From;
+  requester_link From;
   shard_request Request;
 };
 
 /// The requester needs no further reply.
 struct shard_request_cancelled {
-  vm_id From;
+  requester_link From;
   shard_request_id ShardRequest;
   bool HasClientDisconnected = false;
 };
@@ -224,10 +235,17 @@
 /// The requester permits second attempts: it requests these shards from no
 /// other relay.
 struct retry_granted {
-  vm_id From;
+  requester_link From;
   shard_request_id ShardRequest;
 };
 
+/// A link on which another relay sent shard requests is closed. Nobody waits
+/// for the replies: the other relay has ended or will request the shards
+/// elsewhere.
+struct requester_lost {
+  requester_link From;
+};
+
 /// Another relay replied to a shard request of this one.
 struct shard_reply_arrived {
   vm_id From;
@@ -268,14 +286,13 @@
 /// The time of the last `set_timer` has been reached.
 struct timer_fired {};
 
-using relay_event =
-    std::variant<request_arrived, attempt_ended, client_disconnected,
-                 probe_ended, catalog_arrived, directory_arrived,
-                 zones_out_changed, peer_count_changed, peers_changed,
-                 shard_request_arrived, shard_request_cancelled, retry_granted,
-                 shard_reply_arrived, limit_grants_arrived, verdicts_arrived,
-                 quota_grants_arrived, version_policies_arrived, leader_found,
-                 peer_lost, timer_fired>;
+using relay_event = std::variant<
+    request_arrived, attempt_ended, client_disconnected, probe_ended,
+    catalog_arrived, directory_arrived, zones_out_changed, peer_count_changed,
+    peers_changed, shard_request_arrived, shard_request_cancelled,
+    retry_granted, requester_lost, shard_reply_arrived, limit_grants_arrived,
+    verdicts_arrived, quota_grants_arrived, version_policies_arrived,
+    leader_found, peer_lost, timer_fired>;
 
 // Actions.
 
@@ -368,7 +385,7 @@
 
 /// Replies to a shard request of another relay.
 struct send_shard_reply {
-  vm_id To;
+  requester_link To;
   shard_reply Reply;
 };
 
@@ -529,6 +546,25 @@
   bool IsReachLost = false; ///< it replied that it reaches no endpoint
 };
 
+/// Another relay's link was lost while this relay worked on its shard requests;
+/// for the log.
+struct requester_log_event {
+  vm_id Peer;
+  std::size_t Abandoned = 0; ///< shard requests
+};
+
+/// Why a shard reply was ignored.
+enum class ignored_reply : std::uint8_t {
+  not_open,   ///< its request has ended here, or was sent by another process
+  other_relay ///< it is from another relay than the request was sent to
+};
+
+/// A shard reply was ignored; for the metrics.
+struct ignored_reply_event {
+  vm_id Peer;
+  ignored_reply Reason = ignored_reply::not_open;
+};
+
 using relay_action =
     std::variant<send_attempt, cancel_attempt, send_answer, preconnect_endpoint,
                  probe_endpoint, open_endpoint, close_endpoint,
@@ -537,7 +573,7 @@
                  send_quota_reports, send_crash_reports, send_rollout_reports,
                  report_reach, set_timer, request_log_event, attempt_log_event,
                  crash_log_event, endpoint_log_event, peer_log_event,
-                 reach_log_event>;
+                 requester_log_event, ignored_reply_event, reach_log_event>;
 using relay_actions = std::vector<relay_action>;
 
 /// Return the names used in logs.
@@ -546,6 +582,7 @@
 std::string_view toString(endpoint_state_change Change);
 std::string_view toString(request_verdict Verdict);
 std::string_view toString(quota_state State);
+std::string_view toString(ignored_reply Reason);
 
 /// The log event of a change of this endpoint.
 endpoint_log_event makeLogEvent(const endpoint_state &Endpoint,
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -3,6 +3,7 @@
 #include "relay/relay_impl.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace bulrush::relay {
@@ -60,7 +61,8 @@
     : Settings(std::move(Given)), Endpoints(Settings, Seed),
       Slices({.ForeignZones = Settings.ForeignZones}, Settings.Self,
              Settings.Zone),
-      NextDetour(Seed), AccountSeed(Seed), Quotas(Seed) {}
+      LastShardRequest(std::mt19937_64(Seed)()), NextDetour(Seed),
+      AccountSeed(Seed), Quotas(Seed) {}
 
 void relay::impl::step(const relay_event &Event, instant At,
                        relay_actions &Actions) {
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -71,6 +71,7 @@
   void on(const shard_request_arrived &Event);
   void on(const shard_request_cancelled &Event);
   void on(const retry_granted &Event);
+  void on(const requester_lost &Event);
   void on(const shard_reply_arrived &Event);
   void on(const limit_grants_arrived &Event);
   void on(const quota_grants_arrived &Event);
@@ -294,10 +295,12 @@
   slice_planner Slices;
   /// Shard requests of this relay that have not ended.
   std::unordered_map<shard_request_id, shard_request_ref> OpenShardRequests;
-  /// Shard requests of other relays, by requester and its id.
-  std::map<std::pair<vm_id, shard_request_id>, query_id> PeerRequests;
+  /// Shard requests of other relays, by the requester's link and id.
+  std::map<std::pair<requester_link, shard_request_id>, query_id> PeerRequests;
   std::map<vm_id, peer_backoff> UnresponsivePeers;
-  std::uint64_t LastShardRequest = 0;
+  /// Starts at random: a relay of an older build may reply to requests that
+  /// this relay sent before it was restarted.
+  std::uint64_t LastShardRequest;
   std::size_t NextDetour; ///< index into `Slices.others()`
   std::uint64_t LastPeerRequest = 0;
   std::shared_ptr<const route_table> Table;
--- a/src/relay/relay_peer_requests.cpp
+++ b/src/relay/relay_peer_requests.cpp
@@ -83,6 +83,21 @@
     removeRequest(*Request, !Event.HasClientDisconnected);
 }
 
+/// Attempts are cancelled at once, as for a client that has disconnected: that
+/// they did not end in time says nothing about their endpoints.
+void relay::impl::on(const requester_lost &Event) {
+  std::vector<query_id> Abandoned;
+  for (auto Each = PeerRequests.lower_bound({Event.From, {}});
+       Each != PeerRequests.end() && Each->first.first == Event.From; ++Each)
+    Abandoned.push_back(Each->second);
+  for (const query_id Id : Abandoned)
+    if (request_state *Request = find(Id))
+      removeRequest(*Request, false);
+  const std::size_t Count = Abandoned.size() + StartQueue.remove(Event.From);
+  if (Count > 0)
+    Out->push_back(requester_log_event{Event.From.Peer, Count});
+}
+
 /// Whether this relay may send second attempts. Only one relay may do so for a
 /// shard, so a shard request of another relay needs a grant of its requester.
 /// The first call requests the grant.
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -208,10 +208,16 @@
 void relay::impl::on(const shard_reply_arrived &Event) {
   announceLeaving(Event.Reply.Leaving);
   const auto Found = OpenShardRequests.find(Event.Reply.ShardRequest);
-  if (Found == OpenShardRequests.end())
+  if (Found == OpenShardRequests.end()) {
+    Out->push_back(ignored_reply_event{Event.From, ignored_reply::not_open});
     return;
+  }
   const shard_request_ref Ref = Found->second;
   request_state *Request = find(Ref.Request);
+  if (Request && Request->SliceRequests[Ref.Index].Target.To != Event.From) {
+    Out->push_back(ignored_reply_event{Event.From, ignored_reply::other_relay});
+    return;
+  }
   if (Event.Reply.IsFinal || !Request)
     OpenShardRequests.erase(Found);
   if (!Request)
--- a/src/relay/request_state.h
+++ b/src/relay/request_state.h
@@ -97,7 +97,7 @@
 
 /// The relay that sent a shard request, and what was replied to it so far.
 struct requester_state {
-  vm_id From;
+  requester_link From;
   shard_request_id ShardRequest;      ///< unique at the requester only
   std::shared_ptr<const route> Route; ///< built from the shard request
   instant FirstReplyAt; ///< a first reply is sent by then, even without results
--- a/src/relay/start_queue.h
+++ b/src/relay/start_queue.h
@@ -48,11 +48,17 @@
       ShardRequests.push_back({Event, Now});
   }
   /// Removes a shard request that its requester has cancelled.
-  void remove(vm_id From, shard_request_id ShardRequest) {
+  void remove(requester_link From, shard_request_id ShardRequest) {
     std::erase_if(ShardRequests, [&](const shard_request_entry &Each) {
       return Each.Event.From == From && Each.Event.Request.Id == ShardRequest;
     });
   }
+  /// Removes the shard requests from a link; returns their number.
+  std::size_t remove(requester_link From) {
+    return std::erase_if(ShardRequests, [&](const shard_request_entry &Each) {
+      return Each.Event.From == From;
+    });
+  }
   std::vector<shard_request_entry> takeShardRequests() {
     return std::exchange(ShardRequests, {});
   }
--- a/test/relay_fleet.h
+++ b/test/relay_fleet.h
@@ -99,8 +99,10 @@
   /// The relay's process ends; the links to it break.
   void kill(std::size_t Relay) {
     Killed.insert(Relay);
-    for (std::size_t I = 0; I < Relays.size(); ++I)
+    for (std::size_t I = 0; I < Relays.size(); ++I) {
+      step(I, requester_lost{linkOf(Relay)});
       step(I, peer_lost{Relays[Relay].Self});
+    }
   }
 
   /// Sums the requests of the relays for which `Matches` is true.
@@ -236,22 +238,25 @@
     at(Now + PeerDelay,
        [this, Index, Event = std::move(Event)] { step(Index, Event); });
   }
+  /// The link on which the relay sends shard requests to any other.
+  requester_link linkOf(std::size_t Relay) const {
+    return {Relays[Relay].Self, 1};
+  }
   void take(std::size_t From, const send_shard_request &Action) {
     deliver(From, Action.To,
-            shard_request_arrived{Relays[From].Self, Action.Request});
+            shard_request_arrived{linkOf(From), Action.Request});
   }
   void take(std::size_t From, const send_shard_reply &Action) {
-    deliver(From, Action.To,
+    deliver(From, Action.To.Peer,
             shard_reply_arrived{Relays[From].Self, Action.Reply});
   }
   void take(std::size_t From, const cancel_shard_request &Action) {
     deliver(From, Action.To,
-            shard_request_cancelled{Relays[From].Self, Action.ShardRequest,
+            shard_request_cancelled{linkOf(From), Action.ShardRequest,
                                     Action.HasClientDisconnected});
   }
   void take(std::size_t From, const grant_retry &Action) {
-    deliver(From, Action.To,
-            retry_granted{Relays[From].Self, Action.ShardRequest});
+    deliver(From, Action.To, retry_granted{linkOf(From), Action.ShardRequest});
   }
 
   void take(std::size_t Relay, const report_reach &Action) {
--- a/test/shell/level0_test.cpp
+++ b/test/shell/level0_test.cpp
@@ -138,6 +138,26 @@
   }
 }
 
+TEST_CASE("level 0 reads and echoes the large ids of shard requests",
+          "[wire][builds]") {
+  // Guards against a relay of level 0 that replies to another id than this
+  // build sent: ids no longer start at 1.
+  constexpr relay::shard_request_id Id{0xfedcba9876543210};
+  old_reader Reader;
+  relay::shard_request Request;
+  Request.Id = Id;
+  Request.Content = std::make_shared<const relay::opaque_request>();
+  const std::string Understood = Reader.understood(
+      "bulrush.wire.FleetMessage", wire::encode(fleet::fleet_message(Request)));
+  const auto Read = wire::decodeFleet(Understood);
+  REQUIRE(Read);
+  CHECK(std::get<relay::shard_request>(*Read).Id == Id);
+  relay::shard_reply Reply;
+  Reply.ShardRequest = Id;
+  const std::string Bytes = wire::encode(fleet::fleet_message(Reply));
+  CHECK(Reader.understood("bulrush.wire.FleetMessage", Bytes) == Bytes);
+}
+
 TEST_CASE("level 0 ignores the entry that raises the level", "[wire][builds]") {
   // Guards against a voter that has gone back to level 0 and reads the entry as
   // one that changes its state. It reads an empty command as the catalog of
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -18,8 +18,9 @@
     return Out;
   }
 
-  explicit slices_fixture(std::uint32_t Self = 1, std::uint32_t Peers = 12)
-      : relay_fixture(settingsOf(Self)) {
+  explicit slices_fixture(std::uint32_t Self = 1, std::uint32_t Peers = 12,
+                          std::uint64_t Seed = 7)
+      : relay_fixture(settingsOf(Self), Seed) {
     std::vector<std::string> Names;
     for (std::size_t I = 0; I < ShardCount; ++I) {
       Names.push_back("s" + std::to_string(100 + I));
@@ -591,6 +592,111 @@
   CHECK(Responder.Sent.empty());
 }
 
+// Guards against mixing up the requests of two runs of a relay: both may use
+// the same ids.
+TEST_CASE("shard requests with one id on two links are answered separately",
+          "[slices]") {
+  slices_fixture Requester(1);
+  Requester.sendRequest("/all/x");
+  const send_shard_request ShardRequest = Requester.sentShardRequests().front();
+  const std::size_t Shards = ShardRequest.Request.Shards.size();
+  const requester_link Former{{1}, 1};
+  const requester_link Latter{{1}, 2};
+  slices_fixture Responder(ShardRequest.To.Value);
+  Responder.step(shard_request_arrived{Former, ShardRequest.Request});
+  Responder.step(shard_request_arrived{Latter, ShardRequest.Request});
+  REQUIRE(Responder.Sent.size() == 2 * Shards);
+  Responder.step(
+      shard_request_cancelled{Former, ShardRequest.Request.Id, true});
+  CHECK(Responder.Sent.size() == Shards);
+  Responder.replyAll();
+  REQUIRE(Responder.count<send_shard_reply>() == 1);
+  CHECK(Responder.all<send_shard_reply>().front().To == Latter);
+}
+
+// Guards against work for a relay that has ended, and against replies that the
+// next run of that relay would get.
+TEST_CASE("shard requests of a lost link are cancelled", "[slices]") {
+  slices_fixture Requester(1);
+  Requester.sendRequest("/all/x");
+  const send_shard_request ShardRequest = Requester.sentShardRequests().front();
+  const requester_link Lost{{1}, 1};
+  const requester_link Other{{9}, 2};
+  slices_fixture Responder(ShardRequest.To.Value);
+  Responder.step(shard_request_arrived{Lost, ShardRequest.Request});
+  Responder.step(shard_request_arrived{Other, ShardRequest.Request});
+  const std::size_t Shards = ShardRequest.Request.Shards.size();
+  Responder.step(requester_lost{Lost});
+  REQUIRE(Responder.count<requester_log_event>() == 1);
+  CHECK(Responder.all<requester_log_event>().front().Abandoned == 1);
+  CHECK(Responder.count<cancel_attempt>() == Shards);
+  CHECK(Responder.Sent.size() == Shards);
+  Responder.replyAll();
+  for (const send_shard_reply &Each : Responder.all<send_shard_reply>())
+    CHECK(Each.To == Other);
+  // Nothing is in progress on the link any more.
+  Responder.step(requester_lost{Lost});
+  CHECK(Responder.count<requester_log_event>() == 1);
+}
+
+// Guards against work that a starting relay would begin for a relay that has
+// ended.
+TEST_CASE("shard requests of a lost link are removed from the start queue",
+          "[slices]") {
+  slices_fixture Requester(1);
+  Requester.sendRequest("/all/x");
+  const send_shard_request ShardRequest = Requester.sentShardRequests().front();
+  relay_fixture Responder(slices_fixture::settingsOf(ShardRequest.To.Value));
+  Responder.Catalog = Requester.Catalog;
+  Responder.Directory = Requester.Directory;
+  Responder.step(shard_request_arrived{{{1}, 1}, ShardRequest.Request});
+  Responder.step(requester_lost{{{1}, 1}});
+  CHECK(Responder.count<requester_log_event>() == 1);
+  Responder.install();
+  CHECK(Responder.Sent.empty());
+}
+
+// Guards against a late reply of an older build, which sends it on any link to
+// the VM of the requester: a run of a relay uses no id of an earlier run.
+TEST_CASE("a reply to an earlier run of the relay is ignored", "[slices]") {
+  slices_fixture Before(1);
+  slices_fixture After(1, 12, 8);
+  const auto SentBefore = [&] {
+    Before.sendRequest("/all/x");
+    return Before.sentShardRequests();
+  }();
+  const query_id Request = After.sendRequest("/all/x");
+  for (const send_shard_request &Each : SentBefore)
+    After.step(shard_reply_arrived{Each.To, After.fullReply(Each)});
+  CHECK(After.count<ignored_reply_event>() == SentBefore.size());
+  After.replyAll();
+  CHECK(!After.answerTo(Request));
+  for (const send_shard_request &Each : After.sentShardRequests())
+    After.step(shard_reply_arrived{Each.To, After.fullReply(Each)});
+  REQUIRE(After.answerTo(Request));
+  CHECK(After.answerTo(Request)->Status == 200);
+}
+
+// Guards against parts from a relay that was not asked, such as a new one at
+// the address of another.
+TEST_CASE("a shard reply counts only from the relay that was asked",
+          "[slices]") {
+  slices_fixture Relay;
+  const query_id Request = Relay.sendRequest("/all/x");
+  const auto ShardRequests = Relay.sentShardRequests();
+  for (const send_shard_request &Each : ShardRequests)
+    Relay.step(
+        shard_reply_arrived{{Each.To.Value + 100}, Relay.fullReply(Each)});
+  const auto Ignored = Relay.all<ignored_reply_event>();
+  REQUIRE(Ignored.size() == ShardRequests.size());
+  CHECK(Ignored.front().Reason == ignored_reply::other_relay);
+  Relay.replyAll();
+  CHECK(!Relay.answerTo(Request));
+  for (const send_shard_request &Each : ShardRequests)
+    Relay.step(shard_reply_arrived{Each.To, Relay.fullReply(Each)});
+  CHECK(Relay.answerTo(Request));
+}
+
 TEST_CASE("slices of an unresponsive zone are queried by the relay itself",
           "[slices][load]") {
   slices_fixture Relay(1, 24);
