A request that was refused is sent again on another connection: a copy of the refusal is not its reply

Cause: an endpoint may send a copy of a reply where the next one on the connection is expected; copies are told by the request id that they echo. A refused request is sent again under the same id, and the client took the connection that was used last, the one with the copy. It counted the running attempt as not run.

Change: a connection remembers the ids of requests that ended with an error response and carries none of them again; after 64 it is closed. The client takes another idle connection, opens one, replaces an idle one if the pool is full, or ends the attempt as not_sent if the endpoint opens none, so that the request does not wait for its deadline.

Why it works: a copy can arrive on the connection of its original only, and no request with that id follows there. The rule is in the client, so that it holds for all kinds of attempts, and no time is involved.

Builds: no message and no record changes.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -35,6 +35,10 @@
 constexpr millis RecentUseLimit{100};
 /// A request on a stale connection is lost within about one round trip.
 constexpr millis StaleFailureWindow{150};
+/// A connection that remembers this many ids of failed requests is closed.
+constexpr std::size_t MaxFailedIds = 64;
+/// Least status of a response after which a request may be sent again.
+constexpr unsigned MinFailureStatus = 400;
 
 instant now() { return steady_clock_source().now(); }
 
@@ -91,9 +95,17 @@
 
   void send(exchange Exchange);
   void cancel(exchange_id Exchange);
+  /// Removes and returns the most recently used idle connection that may carry
+  /// the exchange; null if there is none.
+  connection_ptr takeIdle(const exchange &Exchange);
   /// Returns false if no connection may be opened now.
   bool openConnection();
+  bool isBackingOff() const;
   void delayNextConnection();
+  void serveStranded();
+  /// Whether an open connection may carry the exchange, now or later.
+  bool mayBeSent(const exchange &Exchange) const;
+  void failStranded();
   bool hasConnected() const;
   void onConnectFailed(const connection_ptr &Connection, error_code Error);
   void release(const connection_ptr &Connection);
@@ -168,6 +180,18 @@
   bool runs(exchange_id Exchange) const {
     return Current && Current->Id == Exchange;
   }
+  /// Whether a late copy of an earlier response cannot be taken for the
+  /// response to this exchange: responses are told apart by the id of their
+  /// request, so that a failed one is sent again on another connection.
+  bool mayCarry(const exchange &Exchange) const {
+    if (FailedIds.empty())
+      return true;
+    const auto Client = Owner.lock();
+    const std::string *Id = Client ? findHeader(Exchange.Request.Headers,
+                                                Client->Settings.EchoHeader)
+                                   : nullptr;
+    return !Id || FailedIds.count(*Id) == 0;
+  }
   /// Closes the connection without calling the handler of its exchange.
   void abort() {
     Current.reset();
@@ -248,7 +272,10 @@
       if (KeepAlive > millis{0})
         Client->IdleLimit.onKeepAliveTimeout(KeepAlive);
     }
-    IsReusable = Message.keep_alive() && Buffer.size() == 0;
+    if (Message.result_int() >= MinFailureStatus)
+      rememberFailure();
+    IsReusable = Message.keep_alive() && Buffer.size() == 0 &&
+                 FailedIds.size() < MaxFailedIds;
     response Response;
     Response.Status = Message.result_int();
     Response.Headers = detail::copyHeaders(Message);
@@ -276,6 +303,15 @@
            Message[Client->Settings.EchoHeader];
   }
 
+  void rememberFailure() {
+    const auto Client = Owner.lock();
+    if (!Client || Client->Settings.EchoHeader.empty())
+      return;
+    const auto Id = WireRequest[Client->Settings.EchoHeader];
+    if (!Id.empty())
+      FailedIds.emplace(Id.data(), Id.size());
+  }
+
   /// Whether the exchange was lost right after it was sent on a connection
   /// that had been idle.
   bool isStaleConnection(exchange_status Status) const {
@@ -322,16 +358,27 @@
   bool IsConnected = false;
   bool IsNew = true;    ///< no exchange has ended on it yet
   unsigned Skipped = 0; ///< skipped in this exchange
+  std::unordered_set<std::string> FailedIds; ///< see `mayCarry`
 };
 
+connection_ptr detail::client_state::takeIdle(const exchange &Exchange) {
+  const auto Found =
+      std::find_if(Idle.rbegin(), Idle.rend(), [&](const connection_ptr &Each) {
+        return Each->mayCarry(Exchange);
+      });
+  if (Found == Idle.rend())
+    return nullptr;
+  connection_ptr Connection = *Found;
+  Idle.erase(std::next(Found).base());
+  return Connection;
+}
+
 void detail::client_state::send(exchange Exchange) {
   if (!IsAddressValid) {
     postResult(std::move(Exchange.Done), exchange_status::connect_failed);
     return;
   }
-  while (!Idle.empty()) {
-    const connection_ptr Connection = Idle.back();
-    Idle.pop_back();
+  while (const connection_ptr Connection = takeIdle(Exchange)) {
     if (isIdleTooLong(*Connection, Exchange.Choice)) {
       remove(Connection);
       continue;
@@ -352,7 +399,8 @@
     return;
   }
   Waiting.push_back(std::move(Exchange));
-  openConnection();
+  if (!openConnection())
+    serveStranded();
 }
 
 bool detail::client_state::isIdleTooLong(const connection &Connection,
@@ -409,12 +457,43 @@
                               : exchange_status::connect_failed);
 }
 
+bool detail::client_state::isBackingOff() const {
+  return !Connections.empty() &&
+         std::chrono::steady_clock::now() < ConnectBackoffUntil;
+}
+
+/// Opens or replaces a connection if the exchange that has waited longest may
+/// be sent on none of those that are open. Fails it while the server refuses
+/// new connections.
+void detail::client_state::serveStranded() {
+  if (Waiting.empty() || mayBeSent(Waiting.front()))
+    return;
+  if (isBackingOff())
+    failStranded();
+  else if (!openConnection() && !Idle.empty())
+    remove(Idle.front()); // opens another one
+}
+
+bool detail::client_state::mayBeSent(const exchange &Exchange) const {
+  return std::any_of(
+      Connections.begin(), Connections.end(),
+      [&](const connection_ptr &Each) { return Each->mayCarry(Exchange); });
+}
+
+/// Fails the exchanges that may be sent on no open connection.
+void detail::client_state::failStranded() {
+  std::deque<exchange> Kept;
+  for (exchange &Each : std::exchange(Waiting, {})) {
+    if (mayBeSent(Each))
+      Kept.push_back(std::move(Each));
+    else
+      postResult(std::move(Each.Done), exchange_status::not_sent);
+  }
+  Waiting = std::move(Kept);
+}
+
 bool detail::client_state::openConnection() {
-  if (Connections.size() >= Settings.MaxConnections)
-    return false;
-  const bool HasOpenConnection = !Connections.empty();
-  if (HasOpenConnection &&
-      std::chrono::steady_clock::now() < ConnectBackoffUntil)
+  if (Connections.size() >= Settings.MaxConnections || isBackingOff())
     return false;
   const auto Connection = std::make_shared<connection>(shared_from_this());
   Connections.insert(Connection);
@@ -425,26 +504,35 @@
 }
 
 void detail::client_state::release(const connection_ptr &Connection) {
-  if (Waiting.empty()) {
-    Idle.push_back(Connection);
+  Idle.push_back(Connection);
+  serveStranded();
+  const auto Free = std::find(Idle.begin(), Idle.end(), Connection);
+  const auto Next =
+      std::find_if(Waiting.begin(), Waiting.end(), [&](const exchange &Each) {
+        return Connection->mayCarry(Each);
+      });
+  if (Free == Idle.end() || Next == Waiting.end())
     return;
-  }
-  exchange Next = std::move(Waiting.front());
-  Waiting.pop_front();
-  Connection->run(std::move(Next));
+  Idle.erase(Free);
+  exchange Exchange = std::move(*Next);
+  Waiting.erase(Next);
+  Connection->run(std::move(Exchange));
 }
 
 void detail::client_state::remove(const connection_ptr &Connection) {
   Connection->close();
   Connections.erase(Connection);
   std::erase(Idle, Connection);
-  if (!Waiting.empty())
-    openConnection();
+  if (!Waiting.empty() && !openConnection())
+    serveStranded();
 }
 
 void detail::client_state::failOldestWaiting(exchange_status Status) {
-  const bool MayStillConnect = Connections.size() > Waiting.size();
-  if (MayStillConnect || Waiting.empty())
+  if (Waiting.empty())
+    return;
+  const bool MayStillConnect =
+      Connections.size() > Waiting.size() && mayBeSent(Waiting.front());
+  if (MayStillConnect)
     return;
   exchange First = std::move(Waiting.front());
   Waiting.pop_front();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -45,7 +45,9 @@
   millis SweepInterval{1'000}; ///< between two checks of the timeouts
   /// Request header that the server copies into its response. A response with
   /// a different value, or without one where the request has one, belongs to an
-  /// earlier request and is skipped.
+  /// earlier request and is skipped. A request whose value is that of an
+  /// earlier one with an error response is sent on another connection, where no
+  /// further copy of that response can arrive.
   std::string EchoHeader;
   /// An exchange that takes longer ends as `lost`; its connection is closed.
   millis ExchangeTimeout{60'000};
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -6,7 +6,10 @@
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <sys/resource.h>
 #include <thread>
 
@@ -289,6 +292,181 @@
   CHECK(exchange(Client, Io, "2").Response.Body == "two");
 }
 
+namespace {
+
+/// Refuses each id at its first request and serves it afterwards. Sends a copy
+/// of a refusal where the next response on its connection is expected.
+class copying_server {
+public:
+  copying_server()
+      : Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), Port}) {
+    accept();
+  }
+
+  /// Sends the request and waits for its end, at most 2 s.
+  http::exchange_result send(http::client &Client, const std::string &Id) {
+    std::optional<http::exchange_result> Out;
+    Client.send({"GET", "/", {{"Echo", Id}}, {}},
+                [&](http::exchange_result Result) { Out = std::move(Result); });
+    for (int I = 0; I < 400 && !Out; ++I) {
+      Io.restart();
+      Io.run_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(Out);
+    return *Out;
+  }
+  void stopAccepting() { Acceptor.close(); }
+
+  boost::asio::io_context Io;
+  int Connections = 0;
+  std::map<std::string, int> Runs; ///< by id
+
+private:
+  struct client_connection {
+    explicit client_connection(tcp::socket Given) : Socket(std::move(Given)) {}
+    tcp::socket Socket;
+    std::string Bytes = std::string(4096, ' ');
+    std::string HeldCopy;
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](auto Error, tcp::socket Socket) {
+      if (Error)
+        return;
+      ++Connections;
+      read(std::make_shared<client_connection>(std::move(Socket)));
+      accept();
+    });
+  }
+  void read(const std::shared_ptr<client_connection> &From) {
+    From->Socket.async_read_some(boost::asio::buffer(From->Bytes),
+                                 [this, From](auto Error, auto Size) {
+                                   if (Error)
+                                     return;
+                                   answer(*From, From->Bytes.substr(0, Size));
+                                   read(From);
+                                 });
+  }
+  void answer(client_connection &To, const std::string &Request) {
+    const std::size_t At = Request.find("Echo: ") + 6;
+    const std::string Id = Request.substr(At, Request.find('\r', At) - At);
+    std::string Out = std::exchange(To.HeldCopy, {});
+    if (Refused.insert(Id).second) {
+      To.HeldCopy =
+          "HTTP/1.1 503 X\r\nEcho: " + Id + "\r\nContent-Length: 0\r\n\r\n";
+      Out += To.HeldCopy;
+    } else {
+      ++Runs[Id];
+      Out += responseWith(Id, "ran " + Id);
+    }
+    boost::asio::write(To.Socket, boost::asio::buffer(Out));
+  }
+
+  tcp::acceptor Acceptor;
+  std::set<std::string> Refused;
+};
+
+} // namespace
+
+// Guards against a request that runs and is reported as not run: a copy of a
+// refusal has the id of the request that is sent again.
+TEST_CASE("a copy of a refusal is not taken for the response to the same "
+          "request") {
+  copying_server Server;
+  http::client Client(Server.Io, echoSettings());
+  CHECK(Server.send(Client, "1").Response.Status == 503);
+  CHECK(Server.send(Client, "1").Response.Body == "ran 1");
+  CHECK(Server.Runs["1"] == 1);
+  Client.closeIdle();
+}
+
+// Guards against new connections for requests that cannot be mixed up.
+TEST_CASE("a connection with a refusal carries other requests") {
+  copying_server Server;
+  http::client Client(Server.Io, echoSettings());
+  for (const char *Id : {"1", "2", "3"})
+    CHECK(Server.send(Client, Id).Response.Status == 503);
+  CHECK(Server.Connections == 1);
+  for (const char *Id : {"1", "2", "3"})
+    CHECK(Server.send(Client, Id).Response.Body == "ran " + std::string(Id));
+  CHECK(Server.Connections == 2);
+  Client.closeIdle();
+}
+
+// Guards against a request that waits until its deadline since the only
+// connection may not carry it.
+TEST_CASE("a full pool replaces a connection for a request sent again") {
+  copying_server Server;
+  http::client_settings Settings = echoSettings();
+  Settings.MaxConnections = 1;
+  http::client Client(Server.Io, Settings);
+  for (const char *Id : {"1", "2"}) {
+    CHECK(Server.send(Client, Id).Response.Status == 503);
+    CHECK(Server.send(Client, Id).Response.Body == "ran " + std::string(Id));
+    CHECK(Client.connectionCount() == 1);
+  }
+  Client.closeIdle();
+}
+
+// Guards against a request that never gets a connection since others keep
+// those busy that may not carry it.
+TEST_CASE("a request sent again gets a connection beside a steady load") {
+  copying_server Server;
+  http::client_settings Settings = echoSettings();
+  Settings.MaxConnections = 1;
+  http::client Client(Server.Io, Settings);
+  CHECK(Server.send(Client, "1").Response.Status == 503);
+  int Others = 0;
+  std::function<void(http::exchange_result)> SendNext =
+      [&](const http::exchange_result &) {
+        if (++Others < 100)
+          Client.send(
+              {"GET", "/", {{"Echo", "x" + std::to_string(Others)}}, {}},
+              SendNext);
+      };
+  for (int I = 0; I < 3; ++I)
+    SendNext({});
+  int OthersBefore = 0;
+  Client.send({"GET", "/", {{"Echo", "1"}}, {}},
+              [&](const http::exchange_result &Result) {
+                CHECK(Result.Response.Body == "ran 1");
+                OthersBefore = Others;
+              });
+  for (int I = 0; I < 400 && Others < 100; ++I) {
+    Server.Io.restart();
+    Server.Io.run_for(std::chrono::milliseconds(5));
+  }
+  CHECK(OthersBefore > 0);
+  CHECK(OthersBefore < 20);
+  Client.closeIdle();
+}
+
+// Guards against a request that waits for a connection to a server that opens
+// none, while those that are open may not carry it.
+TEST_CASE("a request sent again fails at once if no connection may carry it") {
+  copying_server Server;
+  http::client_settings Settings = echoSettings();
+  Settings.ConnectBackoff = {300};
+  http::client Client(Server.Io, Settings);
+  CHECK(Server.send(Client, "1").Response.Status == 503);
+  Server.stopAccepting();
+  CHECK(Server.send(Client, "1").Status == http::exchange_status::not_sent);
+  CHECK(Client.connectionCount() == 1);
+  CHECK(Server.send(Client, "2").Response.Status == 503);
+  Client.closeIdle();
+}
+
+// Guards against a list of ids that grows as long as a connection lives.
+TEST_CASE("a connection is closed after many refusals") {
+  copying_server Server;
+  http::client Client(Server.Io, echoSettings());
+  for (int I = 0; I < 200; ++I)
+    CHECK(Server.send(Client, std::to_string(I)).Response.Status == 503);
+  CHECK(Server.Connections == 4);
+  CHECK(Server.send(Client, "0").Response.Body == "ran 0");
+  Client.closeIdle();
+}
+
 TEST_CASE("a malformed response is distinguished from a lost connection") {
   scripted_server Server({"garbage that is no response\r\n\r\n"});
   boost::asio::io_context Io;
