A learner on the leader's own VM is never promotable: one rule for both ways of promotion

Cause: the former check stood in the automatic promotion only; promote_member could have removed the leader in favour of such a learner. Measured: unit_tests and shell_tests pass.

--- a/src/control/replica_members.cpp
+++ b/src/control/replica_members.cpp
@@ -230,11 +230,11 @@
   changeGroup(group().without(Event.Learner));
 }
 
-/// Whether this is a learner that has all committed entries and replies at
-/// present.
+/// Whether this is a learner on another VM that has all committed entries and
+/// replies at present.
 bool replica_core::isPromotable(const group_member &Member) const {
   const auto Known = Progress.find(Member.Id);
-  return Member.Role == member_role::learner && Member.Id != Self &&
+  return Member.Role == member_role::learner && Member.Vm != Vm &&
          Known != Progress.end() &&
          Known->second.Mode == member_progress::mode::replicate &&
          Known->second.Match >= Commit &&
@@ -265,7 +265,7 @@
     return;
   for (const group_member &Each : group().Members) {
     const bool IsDue = Options.PromotesAllLearners || formerMemberOf(Each);
-    if (!IsDue || Each.Vm == Vm || !isPromotable(Each))
+    if (!IsDue || !isPromotable(Each))
       continue;
     promote(Each);
     return;
