Random restarts and replies between two relays: no part of another request in any order

Cause: the first test of the links knows one order, and faults of this kind come in others. Change: 40 seeds of queries, restarts in a row and late replies over real links; all runs draw the same ids, so that the links alone keep them apart.

--- a/test/shell/peer_links_test.cpp
+++ b/test/shell/peer_links_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio.hpp>
 #include <memory>
+#include <random>
 
 using namespace bulrush;
 using namespace bulrush::test;
@@ -156,3 +157,54 @@
   for (const std::string &Each : Answer.Signatures)
     CHECK(Each == "after");
 }
+
+// Guards against the same in other orders: several restarts in a row, with
+// replies before, between and after them.
+TEST_CASE("no order of restarts and replies mixes the parts of two requests",
+          "[peer_links]") {
+  std::size_t Answers = 0;
+  for (std::uint32_t Seed = 1; Seed <= 40; ++Seed) {
+    INFO("seed " << Seed);
+    std::mt19937 Random(Seed);
+    two_relays Relays;
+    std::vector<std::string> Requests;
+    const auto CheckAnswers = [&] {
+      for (const relay_action &Each : Relays.Requester->Actions)
+        if (const auto *Answer = std::get_if<send_answer>(&Each)) {
+          ++Answers;
+          for (const std::string &Signature : Answer->Signatures)
+            REQUIRE(Signature == Answer->Content->RequestId);
+        }
+    };
+    for (int Step = 0; Step < 25; ++Step) {
+      switch (Random() % 5) {
+      case 0:
+      case 1:
+        Requests.push_back("request " + std::to_string(Requests.size()));
+        Relays.Requester->query(Requests.back());
+        break;
+      case 2:
+        CheckAnswers();
+        Relays.kill();
+        Relays.start();
+        break;
+      default:
+        if (Requests.empty())
+          break;
+        const std::string &Replied = Requests[Random() % Requests.size()];
+        Relays.Responder.replyTo(Replied);
+        Relays.Requester->replyTo(Replied);
+        break;
+      }
+      if (Random() % 2 == 0)
+        Relays.runFor(std::chrono::milliseconds(3));
+    }
+    for (const std::string &Each : Requests) {
+      Relays.Responder.replyTo(Each);
+      Relays.Requester->replyTo(Each);
+      Relays.runFor(std::chrono::milliseconds(3));
+    }
+    CheckAnswers();
+  }
+  CHECK(Answers > 40);
+}
