--- a/src/control/voter_manager.cpp
+++ b/src/control/voter_manager.cpp
@@ -35,7 +35,7 @@
 }
 
 /// A learner that has not replied for `LearnerTimeout` since it was added. Its
-/// VM may have ended before it was a member.
+/// VM may have failed before it was a member.
 std::optional<voter_id> voter_manager::lostLearner(const replica_status &Status,
                                                    instant Now) {
   std::erase_if(LearnersSeen, [&](const auto &Item) {
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -395,7 +395,7 @@
 
 // Guards against a request that waits until its deadline since the only
 // connection may not carry it.
-TEST_CASE("a full pool replaces a connection for a request sent again") {
+TEST_CASE("a full pool replaces a connection for a repeated request") {
   copying_server Server;
   http::client_settings Settings = echoSettings();
   Settings.MaxConnections = 1;
@@ -410,7 +410,7 @@
 
 // Guards against a request that never gets a connection since others keep
 // those busy that may not carry it.
-TEST_CASE("a request sent again gets a connection beside a steady load") {
+TEST_CASE("a repeated request gets a connection beside a steady load") {
   copying_server Server;
   http::client_settings Settings = echoSettings();
   Settings.MaxConnections = 1;
@@ -443,7 +443,7 @@
 
 // Guards against a request that waits for a connection to a server that opens
 // none, while those that are open may not carry it.
-TEST_CASE("a request sent again fails at once if no connection may carry it") {
+TEST_CASE("a repeated request fails at once if no connection may carry it") {
   copying_server Server;
   http::client_settings Settings = echoSettings();
   Settings.ConnectBackoff = {300};
--- a/test/shell/registry_members_test.cpp
+++ b/test/shell/registry_members_test.cpp
@@ -1,4 +1,4 @@
-// Machines of the registry that come, end and are replaced.
+// VMs of the registry that join, fail and are replaced.
 #include "registry_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -11,11 +11,12 @@
 
 namespace {
 
-/// Machines that are replaced by others at new addresses with empty disks.
+/// A registry whose VMs are replaced by others at new addresses with empty
+/// disks.
 struct members_fixture : registry_fixture {
   members_fixture() { run(3000); }
 
-  /// Starts a new machine that knows those that run; returns its index.
+  /// Starts a new VM that knows the running ones; returns its index.
   std::uint32_t add() {
     control::vms_discovered Running;
     for (const voter &Each : Voters)
@@ -27,7 +28,7 @@
     step(Voters[Index], control::event(Running));
     return Index;
   }
-  void end(std::uint32_t Index) { Voters[Index].IsUp = false; }
+  void fail(std::uint32_t Index) { Voters[Index].IsUp = false; }
   /// A voter that does not lead.
   std::uint32_t follower() {
     for (std::uint32_t I = 0; I < Voters.size(); ++I)
@@ -52,16 +53,16 @@
       Count += isVoter(I) ? 1 : 0;
     return Count;
   }
-  /// Replaces a voter by a new machine, one second after it has ended.
+  /// Replaces a voter by a new VM, one second after it has failed.
   void replace(std::uint32_t Index) {
-    end(Index);
+    fail(Index);
     run(1000);
     add();
   }
-  /// Ends a voter while two machines stand by. One takes its place, the other
-  /// one stays a learner; returns its index.
+  /// Fails a voter while two standby VMs run. One replaces it, the other one
+  /// stays a learner; returns its index.
   std::uint32_t addLearner() {
-    end(follower());
+    fail(follower());
     run(1500);
     const std::uint32_t First = add();
     const std::uint32_t Second = add();
@@ -86,20 +87,19 @@
 
 } // namespace
 
-// Guards against a registry that takes in no machine any more because one ended
-// before it became a voter, and that is left without a leader by two further
-// single replacements.
-TEST_CASE("a machine that ends before it is a voter holds up no repair",
+// Guards against a registry that adds no VM any more because one failed before
+// its promotion, and that has no leader after two further single replacements.
+TEST_CASE("a VM that fails before its promotion does not block repairs",
           "[registry][members]") {
-  // From the end of the voter; it is silent after 2500 ms.
-  const double NewEndsAfter = GENERATE(1000, 1600, 2300, 2490, 2520, 2600);
+  // Since the failure of the voter, which counts as silent after 2500 ms.
+  const double NewFailsAfter = GENERATE(1000, 1600, 2300, 2490, 2520, 2600);
   members_fixture Registry;
   REQUIRE(Registry.submitCommand(1, makeCatalog(7, "seven")) == call_end::done);
   const std::uint32_t New = Registry.add();
   Registry.run(6000);
-  Registry.end(Registry.follower());
-  Registry.run(NewEndsAfter);
-  Registry.end(New);
+  Registry.fail(Registry.follower());
+  Registry.run(NewFailsAfter);
+  Registry.fail(New);
   Registry.run(1000);
   const std::uint32_t Sound = Registry.add();
   Registry.run(9000);
@@ -116,19 +116,19 @@
   CHECK(Registry.soundVoters() == 5);
 }
 
-// Guards against the same for a machine whose disk is lost and that ends while
-// it gets the log again.
-TEST_CASE("a machine with a lost disk that ends again holds up no repair",
+// Guards against the same for a VM that has lost its disk and fails while it
+// receives the log.
+TEST_CASE("a VM with a lost disk that fails again does not block repairs",
           "[registry][members]") {
-  const double RunsFor = GENERATE(10, 60, 110, 160, 210);
+  const double UpTime = GENERATE(10, 60, 110, 160, 210);
   members_fixture Registry;
   const std::uint32_t Lost = Registry.follower();
-  Registry.end(Lost);
+  Registry.fail(Lost);
   Registry.run(500);
   Registry.Delay = {40}; // so that it is a learner for some time
   Registry.start(Lost, 3, false, 900);
-  Registry.run(RunsFor);
-  Registry.end(Lost);
+  Registry.run(UpTime);
+  Registry.fail(Lost);
   Registry.Delay = {0};
   const std::uint32_t Sound = Registry.add();
   Registry.run(9000);
@@ -136,31 +136,30 @@
   CHECK(Registry.soundVoters() == 5);
 }
 
-// Guards against a group that grows with each machine that stands by, as its
-// majority would.
-TEST_CASE("machines that stand by become voters only as they are needed",
+// Guards against a group, and a majority, that grow with each standby VM.
+TEST_CASE("standby VMs become voters only when they are needed",
           "[registry][members]") {
   members_fixture Registry;
   std::set<std::uint32_t> StandBy;
-  Registry.end(Registry.follower());
+  Registry.fail(Registry.follower());
   Registry.run(1500);
   for (int I = 0; I < 3; ++I)
     StandBy.insert(Registry.add());
   Registry.run(6000);
   CHECK(Registry.group().voterCount() == 5);
   CHECK(Registry.soundVoters() == 5);
-  Registry.end(Registry.follower());
+  Registry.fail(Registry.follower());
   Registry.run(6000);
   CHECK(Registry.group().voterCount() == 5);
   CHECK(Registry.soundVoters() == 5);
 }
 
-// Guards against learners that have ended and stay in the group, where one that
-// has announced no level would keep the level from being raised.
-TEST_CASE("a learner that has ended is removed", "[registry][members]") {
+// Guards against failed learners that stay in the group: one that has announced
+// no level would prevent a higher replicated level.
+TEST_CASE("a failed learner is removed", "[registry][members]") {
   members_fixture Registry;
   const std::uint32_t Learner = Registry.addLearner();
-  Registry.end(Learner);
+  Registry.fail(Learner);
   Registry.run(9000);
   CHECK(Registry.learners() == 1);
   Registry.run(2000);
@@ -168,12 +167,12 @@
   CHECK(Registry.soundVoters() == 5);
 }
 
-// Guards against a machine that is shut out for good after it was removed.
-TEST_CASE("a learner that was removed while it stood still joins again",
+// Guards against a VM that can never join again after it was removed.
+TEST_CASE("a learner that was removed while it was frozen joins again",
           "[registry][members]") {
   members_fixture Registry;
   const std::uint32_t Learner = Registry.addLearner();
-  Registry.end(Learner);
+  Registry.fail(Learner);
   Registry.run(12'000);
   REQUIRE(Registry.learners() == 0);
   Registry.Voters[Learner].IsUp = true;
@@ -181,16 +180,16 @@
   CHECK(Registry.Voters[Learner].HasLostIdentity);
   // The daemon opens a new folder when it learns that.
   Registry.start(Learner, 3, false, 950);
-  Registry.end(Registry.follower());
+  Registry.fail(Registry.follower());
   Registry.run(6000);
   CHECK(Registry.isVoter(Learner));
   CHECK(Registry.soundVoters() == 5);
 }
 
-// Guards against orders of events that nobody thought of: after single
-// replacements, with new machines that end, stand still or lose their disks on
-// the way, the registry serves and has all its voters.
-TEST_CASE("replaced machines leave a registry that serves",
+// Guards against other orders of events: after single replacements, with new
+// VMs that fail, freeze or lose their disks meanwhile, the registry serves and
+// has all its voters.
+TEST_CASE("a registry serves after random replacements",
           "[registry][members]") {
   for (std::uint32_t Seed = 1; Seed <= seedCount(60); ++Seed) {
     INFO("seed " << Seed);
@@ -210,22 +209,23 @@
         Early = Registry.add();
         Registry.run(UpTo(60) * 100);
       }
-      Registry.end(UpTo(2) == 0 ? Registry.leaderIndex() : Registry.follower());
+      Registry.fail(UpTo(2) == 0 ? Registry.leaderIndex()
+                                 : Registry.follower());
       Registry.run(UpTo(40) * 100);
-      // At most two disks are lost: the voter's and that of the new machine.
+      // At most two disks are lost: the voter's and that of the new VM.
       const std::uint32_t New = Early ? *Early : Registry.add();
       Registry.run(UpTo(10) * 30);
       switch (UpTo(3)) {
-      case 0: // ends for good
-        Registry.end(New);
+      case 0: // fails for good
+        Registry.fail(New);
         break;
-      case 1: // stands still
-        Registry.end(New);
+      case 1: // freezes
+        Registry.fail(New);
         Registry.run(UpTo(60) * 100);
         Registry.Voters[New].IsUp = true;
         break;
       case 2: // restarts with an empty disk
-        Registry.end(New);
+        Registry.fail(New);
         Registry.run(UpTo(20) * 100);
         Registry.start(New, 3, false, 1000 * Seed + Round);
         break;
