Last reading: two comments of the registry's membership

Cause: promoteLearners had lost its comment, and lostLearner did not say that it also records since when each learner is one. Change: comments only. Measured: builds; formatting checked. Nothing else was run on this commit.

--- a/src/control/replica_members.cpp
+++ b/src/control/replica_members.cpp
@@ -260,6 +260,8 @@
     changeGroup(group().with({Learner.Id, Learner.Vm, member_role::voter}));
 }
 
+/// Promotes at most one learner that is promoted without `promote_member`; see
+/// `replica_options::PromotesAllLearners`.
 void replica_core::promoteLearners() {
   if (!acceptsProposals() || groupChangePending())
     return;
--- a/src/control/voter_manager.cpp
+++ b/src/control/voter_manager.cpp
@@ -35,7 +35,8 @@
 }
 
 /// A learner that has not replied for `LearnerTimeout` since it was added. Its
-/// VM may have failed before it was a member.
+/// VM may have failed before it was a member. Called in each step, as it also
+/// records since when each learner is one.
 std::optional<voter_id> voter_manager::lostLearner(const replica_status &Status,
                                                    instant Now) {
   std::erase_if(LearnersSeen, [&](const auto &Item) {
