A process that a signal or an exception ends says so in its log

Seen: processes ended by themselves, and nothing told how; without the supervisor's status a crash, a signal from outside and a missing resource look the same. Change: the relay and the registry, before any other constructor, install handlers of the fatal signals and a terminate handler that write one line process_ended with the cause; the default action follows.

--- a/cmake/shells.cmake
+++ b/cmake/shells.cmake
@@ -15,7 +15,7 @@
 target_link_libraries(bulrush_platform PUBLIC bulrush_fleet)
 
 foreach(Name bulrush-relay bulrush-registry)
-  add_executable(${Name} programs/${Name}.cpp)
+  add_executable(${Name} programs/${Name}.cpp programs/early_start.cpp)
   target_link_libraries(${Name} PRIVATE bulrush_platform)
 endforeach()
 
--- a/src/fleet/process_start.cpp
+++ b/src/fleet/process_start.cpp
@@ -1,6 +1,7 @@
 #include "fleet/process_start.h"
 
 #include "telemetry/log.h"
+#include "telemetry/process_guard.h"
 
 #include <random>
 
@@ -13,6 +14,7 @@
 }
 
 void startProcessLog(const std::string &Process) {
+  telemetry::setProcessName(Process);
   telemetry::log_settings Settings;
   Settings.Process = Process;
   Settings.ToStandardOutput = true;
--- /dev/null
+++ b/src/telemetry/process_guard.cpp
@@ -0,0 +1,131 @@
+#include "telemetry/process_guard.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <exception>
+#include <poll.h>
+#include <unistd.h>
+
+namespace bulrush::telemetry {
+
+namespace {
+
+constexpr std::array FatalSignals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
+constexpr std::size_t MaxNameBytes = 64;
+/// Stack of the handler, so that a stack overflow is reported too.
+constexpr std::size_t HandlerStackBytes = 16 << 10;
+
+// All state of the handlers is initialized at compile time: a signal may arrive
+// before any constructor has run.
+constinit std::array<char, MaxNameBytes> ProcessName{};
+constinit std::array<char, HandlerStackBytes> HandlerStack{};
+
+/// A log line in a buffer of fixed size, without functions that are unsafe in a
+/// signal handler.
+class signal_safe_line {
+public:
+  signal_safe_line &operator<<(const char *Text) {
+    while (*Text != '\0' && Size < Buffer.size())
+      Buffer[Size++] = *Text++;
+    return *this;
+  }
+  signal_safe_line &addNumber(unsigned Value, int MinDigits) {
+    std::array<char, 16> Digits{};
+    std::size_t Count = 0;
+    for (; Value > 0 || static_cast<int>(Count) < MinDigits; Value /= 10)
+      Digits[Count++] = static_cast<char>('0' + Value % 10);
+    while (Count > 0 && Size < Buffer.size())
+      Buffer[Size++] = Digits[--Count];
+    return *this;
+  }
+  /// The current UTC time, as in the other lines of the log.
+  signal_safe_line &addTime() {
+    timespec Now{};
+    ::clock_gettime(CLOCK_REALTIME, &Now);
+    const std::chrono::sys_seconds Seconds{std::chrono::seconds(Now.tv_sec)};
+    const auto Day = std::chrono::floor<std::chrono::days>(Seconds);
+    const std::chrono::year_month_day Date{Day};
+    const std::chrono::hh_mm_ss Time{Seconds - Day};
+    addNumber(static_cast<unsigned>(static_cast<int>(Date.year())), 4);
+    *this << "-";
+    addNumber(static_cast<unsigned>(Date.month()), 2) << "-";
+    addNumber(static_cast<unsigned>(Date.day()), 2) << "T";
+    addNumber(static_cast<unsigned>(Time.hours().count()), 2) << ":";
+    addNumber(static_cast<unsigned>(Time.minutes().count()), 2) << ":";
+    addNumber(static_cast<unsigned>(Time.seconds().count()), 2) << ".";
+    return addNumber(static_cast<unsigned>(Now.tv_nsec / 1000), 6);
+  }
+  /// Writes the line unless that would block.
+  void write() const {
+    pollfd Poll{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&Poll, 1, 0) > 0) {
+      [[maybe_unused]] const ssize_t Written =
+          ::write(STDOUT_FILENO, Buffer.data(), Size);
+    }
+  }
+
+private:
+  std::array<char, 256> Buffer{};
+  std::size_t Size = 0;
+};
+
+/// The default action, restored by SA_RESETHAND, follows once the handler
+/// returns.
+extern "C" void onFatalSignal(int Number) {
+  signal_safe_line Line;
+  Line << "\ntime=";
+  Line.addTime() << " process=" << ProcessName.data()
+                 << " severity=error event=process_ended cause=signal signal=";
+  Line.addNumber(static_cast<unsigned>(Number), 1) << "\n";
+  Line.write();
+  ::raise(Number);
+}
+
+[[noreturn]] void onTerminate() {
+  std::string Error = "unknown";
+  try {
+    if (const std::exception_ptr Thrown = std::current_exception())
+      std::rethrow_exception(Thrown);
+  } catch (const std::exception &E) {
+    Error = E.what();
+  } catch (...) {
+  }
+  logEvent(severity::error, "process_ended",
+           {{"cause", "exception"}, {"error", Error}});
+  std::abort();
+}
+
+void setAction(int Number, void (*Handler)(int), int Flags) {
+  struct sigaction Action {};
+  Action.sa_handler = Handler;
+  Action.sa_flags = Flags;
+  sigemptyset(&Action.sa_mask);
+  ::sigaction(Number, &Action, nullptr);
+}
+
+} // namespace
+
+void protectProcess() {
+  stack_t Stack{};
+  Stack.ss_sp = HandlerStack.data();
+  Stack.ss_size = HandlerStack.size();
+  ::sigaltstack(&Stack, nullptr);
+  for (const int Number : FatalSignals)
+    setAction(Number, onFatalSignal,
+              static_cast<int>(SA_RESETHAND | SA_ONSTACK));
+  std::set_terminate(onTerminate);
+}
+
+void setProcessName(const std::string &Name) {
+  const std::size_t Size = std::min(Name.size(), ProcessName.size() - 1);
+  std::memcpy(ProcessName.data(), Name.data(), Size);
+  ProcessName[Size] = '\0';
+}
+
+} // namespace bulrush::telemetry
--- /dev/null
+++ b/src/telemetry/process_guard.h
@@ -0,0 +1,15 @@
+/// Protects a daemon from signals that would end it, and logs those that do.
+#pragma once
+
+#include <string>
+
+namespace bulrush::telemetry {
+
+/// Call it first in a daemon: a fatal signal and an exception that nobody
+/// catches leave a log line `process_ended`.
+void protectProcess();
+
+/// Name of this process in the line of a fatal signal.
+void setProcessName(const std::string &Name);
+
+} // namespace bulrush::telemetry
