A refused write is an error and no signal that ends the process

Seen: a relay or registry ends with SIGPIPE when the reader of its log is gone, and with SIGXFSZ when its log file reaches a limit on file size; a registry whose data folder takes no bytes by such a limit ends with SIGXFSZ at each start. Cause: the default action of both signals; sockets are written with MSG_NOSIGNAL, the log and the data folder cannot be.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -519,6 +519,7 @@
     Set("registry_quarantines", Subscribers.quarantineCount(Clock.now()));
     Set("registry_endpoints", LastDirectory.Endpoints.size());
     Set("registry_list_age_ms", (Clock.now() - DirectoryReadAt).Count);
+    Set("log_lines_dropped", telemetry::droppedLines());
     Rollouts.setGauges();
     if (!Node)
       return;
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -311,6 +311,7 @@
     Set("catalog_version", Relay.version().Value);
     Set("revision", Follower.revision().Value);
     Set("registry_silent_ms", Follower.leaderSilence().Count);
+    Set("log_lines_dropped", telemetry::droppedLines());
     Set("stopping", IsStopping ? 1 : 0);
   }
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -2,6 +2,7 @@
 
 #include "telemetry/bounded_output.h"
 
+#include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
@@ -26,6 +27,8 @@
 BOOST_LOG_INLINE_GLOBAL_LOGGER_DEFAULT(
     event_logger, boost::log::sources::severity_logger_mt<severity>)
 
+std::atomic<std::uint64_t> DroppedLines{0};
+
 /// Writes formatted lines to standard output without blocking.
 class output_backend final
     : public boost::log::sinks::basic_formatted_sink_backend<
@@ -34,6 +37,7 @@
   void consume(const boost::log::record_view &, const std::string &Line) {
     Output.append(Line);
     Output.flush();
+    DroppedLines.store(Output.dropped());
   }
 
 private:
@@ -70,6 +74,8 @@
 
 } // namespace
 
+std::uint64_t droppedLines() { return DroppedLines.load(); }
+
 std::string formatLine(std::string_view Event,
                        const std::vector<field> &Fields) {
   std::string Line = "event=";
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -1,6 +1,7 @@
 /// Structured logging: one line of key=value pairs per log event.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -45,6 +46,9 @@
 void logEvent(severity Severity, std::string_view Event,
               const std::vector<field> &Fields);
 
+/// Lines that were dropped because standard output did not take them.
+std::uint64_t droppedLines();
+
 /// Formats a log event without its time, process and severity; for tests.
 std::string formatLine(std::string_view Event,
                        const std::vector<field> &Fields);
--- a/src/telemetry/process_guard.cpp
+++ b/src/telemetry/process_guard.cpp
@@ -112,6 +112,8 @@
 } // namespace
 
 void protectProcess() {
+  setAction(SIGPIPE, SIG_IGN, 0);
+  setAction(SIGXFSZ, SIG_IGN, 0);
   stack_t Stack{};
   Stack.ss_sp = HandlerStack.data();
   Stack.ss_size = HandlerStack.size();
--- a/src/telemetry/process_guard.h
+++ b/src/telemetry/process_guard.h
@@ -5,8 +5,9 @@
 
 namespace bulrush::telemetry {
 
-/// Call it first in a daemon: a fatal signal and an exception that nobody
-/// catches leave a log line `process_ended`.
+/// Call it first in a daemon. Refused writes become errors instead of SIGPIPE
+/// and SIGXFSZ; a fatal signal and an exception that nobody catches leave a log
+/// line `process_ended`.
 void protectProcess();
 
 /// Name of this process in the line of a fatal signal.
