Standard descriptors that are closed are opened on /dev/null

Seen: a process that is started with descriptor 1 or 2 closed uses their numbers for a timer, a socket or a data file, into which log lines are then written. Cause: the kernel gives the lowest free number.

--- a/src/telemetry/process_guard.cpp
+++ b/src/telemetry/process_guard.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
 #include <exception>
+#include <fcntl.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -109,11 +111,18 @@
   ::sigaction(Number, &Action, nullptr);
 }
 
+void openStandardDescriptors() {
+  for (const int Descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
+    if (::fcntl(Descriptor, F_GETFD) < 0 && errno == EBADF)
+      ::open("/dev/null", O_RDWR); // takes the lowest free number
+}
+
 } // namespace
 
 void protectProcess() {
   setAction(SIGPIPE, SIG_IGN, 0);
   setAction(SIGXFSZ, SIG_IGN, 0);
+  openStandardDescriptors();
   stack_t Stack{};
   Stack.ss_sp = HandlerStack.data();
   Stack.ss_size = HandlerStack.size();
--- a/src/telemetry/process_guard.h
+++ b/src/telemetry/process_guard.h
@@ -6,8 +6,10 @@
 namespace bulrush::telemetry {
 
 /// Call it first in a daemon. Refused writes become errors instead of SIGPIPE
-/// and SIGXFSZ; a fatal signal and an exception that nobody catches leave a log
-/// line `process_ended`.
+/// and SIGXFSZ; standard descriptors that are closed are opened on /dev/null,
+/// so that no socket or data file gets their number; a fatal signal and an
+/// exception that nobody catches leave a log line `process_ended`. Calls no
+/// function that needs initialization of other modules.
 void protectProcess();
 
 /// Name of this process in the line of a fatal signal.
