Signals are handled from the first constructor until the process is gone

Seen: SIGHUP within the first milliseconds of a start ends the process, and so does SIGHUP in the last ones of a stop; SIGTERM in a start ends it by the signal. A change of settings that meets a restart takes the process down. Cause: asio's signal_set was installed after settings, log and servers, and restores the default action when it is destroyed. Before that the loader had some dozen libraries to map and relocate: milliseconds, tens of them under load. Change: handlers are installed by the earliest constructor and stay. They record the signal and wake the event loop through a pipe (signal_reader); what came before the loop is acted on when it runs.

--- a/cmake/shells.cmake
+++ b/cmake/shells.cmake
@@ -4,7 +4,7 @@
 add_library(bulrush_messages STATIC src/wire/voter_codec.cpp src/wire/fleet_codec.cpp src/wire/rollout_codec.cpp src/wire/quota_codec.cpp
             src/wire/generated/voter.pb.cc src/wire/generated/fleet.pb.cc)
 target_include_directories(bulrush_messages PUBLIC include src)
-target_link_libraries(bulrush_messages PUBLIC bulrush_control bulrush_relay protobuf)
+target_link_libraries(bulrush_messages PUBLIC bulrush_control bulrush_relay libprotobuf.a z)
 
 bulrush_library(http bulrush_world bulrush_telemetry Threads::Threads)
 bulrush_library(fleet bulrush_relay bulrush_control bulrush_store bulrush_messages bulrush_http
@@ -17,6 +17,7 @@
 foreach(Name bulrush-relay bulrush-registry)
   add_executable(${Name} programs/${Name}.cpp programs/early_start.cpp)
   target_link_libraries(${Name} PRIVATE bulrush_platform)
+  target_link_options(${Name} PRIVATE -static-libstdc++ -static-libgcc)
 endforeach()
 
 set(ShellLibraries http fleet)
--- a/src/fleet/process_watch.cpp
+++ b/src/fleet/process_watch.cpp
@@ -18,37 +18,34 @@
 
 process_watch::process_watch(boost::asio::io_context &Io,
                              std::shared_ptr<settings_source> Given,
+                             std::uint64_t ReadStamp,
                              settings_handler OnSettings, stop_handler OnStop)
     : Settings(std::move(Given)), OnSettings(std::move(OnSettings)),
-      OnStop(std::move(OnStop)), Signals(Io, SIGTERM, SIGINT, SIGHUP),
-      Timer(Io) {}
+      OnStop(std::move(OnStop)),
+      Signals(Io, [this](int Number) { onSignal(Number); }), Timer(Io),
+      Stamp(ReadStamp) {}
 
 void process_watch::start() {
-  Stamp = Settings->stamp();
-  awaitSignal();
-  schedulePoll();
+  Signals.start();
+  poll();
 }
 
-void process_watch::awaitSignal() {
-  Signals.async_wait([this](boost::system::error_code Error, int Signal) {
-    if (Error)
-      return;
-    if (Signal == SIGHUP)
-      reload();
-    else
-      OnStop();
-    awaitSignal();
-  });
+void process_watch::onSignal(int Number) {
+  if (Number == SIGHUP) {
+    reload();
+    return;
+  }
+  telemetry::logEvent(severity::info, "stop_signal", {{"signal", Number}});
+  OnStop();
 }
 
-void process_watch::schedulePoll() {
+void process_watch::poll() {
+  if (Settings->stamp() != Stamp)
+    reload();
   Timer.expires_after(toChrono(PollInterval));
   Timer.async_wait([this](boost::system::error_code Error) {
-    if (Error)
-      return;
-    if (Settings->stamp() != Stamp)
-      reload();
-    schedulePoll();
+    if (!Error)
+      poll();
   });
 }
 
--- a/src/fleet/process_watch.h
+++ b/src/fleet/process_watch.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "fleet/adapter.h"
+#include "fleet/signal_reader.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 
@@ -18,23 +18,25 @@
   using settings_handler = std::function<void(const process_settings &)>;
   using stop_handler = std::function<void()>;
 
+  /// `ReadStamp` is the stamp of the settings from before they were read.
   process_watch(boost::asio::io_context &Io,
                 std::shared_ptr<settings_source> Settings,
-                settings_handler OnSettings, stop_handler OnStop);
+                std::uint64_t ReadStamp, settings_handler OnSettings,
+                stop_handler OnStop);
 
   void start();
 
 private:
-  void awaitSignal();
-  void schedulePoll();
+  void onSignal(int Number);
+  void poll();
   void reload();
 
   std::shared_ptr<settings_source> Settings;
   settings_handler OnSettings;
   stop_handler OnStop;
-  boost::asio::signal_set Signals;
+  signal_reader Signals;
   boost::asio::steady_timer Timer;
-  std::uint64_t Stamp = 0;
+  std::uint64_t Stamp;
 };
 
 } // namespace bulrush::fleet
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -54,7 +54,8 @@
                                public voter_folder_host,
                                public rollout_runner_host {
 public:
-  registry_process(const adapter &Adapter, process_settings Given)
+  registry_process(const adapter &Adapter, process_settings Given,
+                   std::uint64_t SettingsStamp)
       : Settings(std::move(Given)), Self(*vmFromIp(Settings.Ip)),
         OperatorHandler(*Adapter.Operators, *this, Metrics),
         Acceptor(Io,
@@ -62,7 +63,7 @@
                    accept(std::move(Socket));
                  }),
         Watch(
-            Io, Adapter.Settings,
+            Io, Adapter.Settings, SettingsStamp,
             [this](const process_settings &Read) { onSettings(Read); },
             [this] { shutDown(); }),
         Ticker(Io), ShutdownTimer(Io),
@@ -627,13 +628,14 @@
 } // namespace
 
 int runRegistry(const adapter &Adapter) {
+  const std::uint64_t Stamp = Adapter.Settings->stamp();
   auto Settings = Adapter.Settings->read();
   if (!Settings)
     return failStart(Settings.error());
   startProcessLog(Settings->Node);
   if (!vmFromIp(Settings->Ip))
     return failStart({"ip: not an IPv4 address: " + Settings->Ip});
-  return registry_process(Adapter, std::move(*Settings)).run();
+  return registry_process(Adapter, std::move(*Settings), Stamp).run();
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -42,7 +42,8 @@
 
 class relay_process final : public http::handler, public follower_host {
 public:
-  relay_process(const adapter &Adapter, process_settings Given)
+  relay_process(const adapter &Adapter, process_settings Given,
+                std::uint64_t SettingsStamp)
       : Adapter(Adapter), Settings(std::move(Given)),
         Relay(Settings.Relay, drawSeed()),
         EndpointLinks(Io, Adapter.Requests, Metrics,
@@ -56,7 +57,7 @@
         Follower(Io, followerSettings(Settings), Clock, *this), Log(Metrics),
         RelayTimer(Io), ShutdownTimer(Io),
         Watch(
-            Io, Adapter.Settings,
+            Io, Adapter.Settings, SettingsStamp,
             [this](const process_settings &Read) {
               Follower.addVms(vmsOf(Read.Seeds));
             },
@@ -410,6 +411,7 @@
 } // namespace
 
 int runRelay(const adapter &Adapter) {
+  const std::uint64_t Stamp = Adapter.Settings->stamp();
   auto Settings = Adapter.Settings->read();
   if (!Settings)
     return failStart(Settings.error());
@@ -418,7 +420,7 @@
   if (!Self)
     return failStart({"ip: not an IPv4 address: " + Settings->Ip});
   Settings->Relay.Self = *Self;
-  return relay_process(Adapter, std::move(*Settings)).run();
+  return relay_process(Adapter, std::move(*Settings), Stamp).run();
 }
 
 } // namespace bulrush::fleet
--- a/src/telemetry/process_guard.cpp
+++ b/src/telemetry/process_guard.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <chrono>
 #include <csignal>
@@ -19,14 +20,37 @@
 namespace {
 
 constexpr std::array FatalSignals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
+constexpr std::array RecordedSignals{SIGHUP, SIGTERM, SIGINT};
 constexpr std::size_t MaxNameBytes = 64;
 /// Stack of the handler, so that a stack overflow is reported too.
 constexpr std::size_t HandlerStackBytes = 16 << 10;
 
 // All state of the handlers is initialized at compile time: a signal may arrive
 // before any constructor has run.
+constinit std::array<std::atomic<bool>, RecordedSignals.size()> HasArrived{};
+constinit std::atomic<int> WakeupDescriptor{-1};
 constinit std::array<char, MaxNameBytes> ProcessName{};
 constinit std::array<char, HandlerStackBytes> HandlerStack{};
+static_assert(std::atomic<bool>::is_always_lock_free);
+static_assert(std::atomic<int>::is_always_lock_free);
+
+std::size_t indexOf(int Number) {
+  std::size_t Index = 0;
+  while (Index + 1 < RecordedSignals.size() && RecordedSignals[Index] != Number)
+    ++Index;
+  return Index;
+}
+
+extern "C" void onRecordedSignal(int Number) {
+  const int SavedErrno = errno;
+  HasArrived[indexOf(Number)].store(true);
+  if (const int Descriptor = WakeupDescriptor.load(); Descriptor >= 0) {
+    const char Byte = 0;
+    // A full pipe wakes the reader as well.
+    [[maybe_unused]] const ssize_t Written = ::write(Descriptor, &Byte, 1);
+  }
+  errno = SavedErrno;
+}
 
 /// A log line in a buffer of fixed size, without functions that are unsafe in a
 /// signal handler.
@@ -139,4 +163,15 @@
   ProcessName[Size] = '\0';
 }
 
+void recordSignals() {
+  for (const int Number : RecordedSignals)
+    setAction(Number, onRecordedSignal, SA_RESTART);
+}
+
+bool takeSignal(int Number) {
+  return HasArrived[indexOf(Number)].exchange(false);
+}
+
+void setSignalWakeup(int Descriptor) { WakeupDescriptor.store(Descriptor); }
+
 } // namespace bulrush::telemetry
--- a/src/telemetry/process_guard.h
+++ b/src/telemetry/process_guard.h
@@ -15,4 +15,16 @@
 /// Name of this process in the line of a fatal signal.
 void setProcessName(const std::string &Name);
 
+/// Records SIGHUP, SIGTERM and SIGINT from now until the process is gone. None
+/// of them ends the process any more.
+void recordSignals();
+
+/// Whether the signal has arrived since the previous call. `Number` is one that
+/// `recordSignals` records.
+bool takeSignal(int Number);
+
+/// Each recorded signal writes a byte to `Descriptor`, which must not block; -1
+/// ends this.
+void setSignalWakeup(int Descriptor);
+
 } // namespace bulrush::telemetry
