A start waits for an address or descriptors that are not available yet

Seen: the relay and the registry ended with status 1 at once when one of their ports, that of the metrics included, was in use, or when descriptors were few: after a stop that takes longer than the restart the system does not start. Cause: http::server::start and frame_acceptor::listen took each error of bind and listen for final, and the daemons ended on the first. Change: http::listener, used by both, tries again while the address is in use or not there yet or a resource has run out, and logs listen_waiting.

--- a/src/fleet/peer_links.cpp
+++ b/src/fleet/peer_links.cpp
@@ -14,12 +14,12 @@
                        event_handler OnEvent, refusal_handler OnRefused)
     : Io(Io), Self(Self), Port(Port), OnEvent(std::move(OnEvent)),
       OnRefused(std::move(OnRefused)),
-      Acceptor(Io, [this](asio::ip::tcp::socket Socket) {
+      Listener(Io, [this](asio::ip::tcp::socket Socket) {
         accept(std::move(Socket));
       }) {}
 
-expected<void> peer_links::listen() {
-  return Acceptor.listen(tcpEndpoint(Self, Port));
+expected<void> peer_links::listen(http::listener::open_handler OnOpen) {
+  return Listener.open(tcpEndpoint(Self, Port), std::move(OnOpen));
 }
 
 void peer_links::accept(asio::ip::tcp::socket Socket) {
--- a/src/fleet/peer_links.h
+++ b/src/fleet/peer_links.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "fleet/adapter.h"
-#include "fleet/frame_acceptor.h"
 #include "fleet/frame_link.h"
 #include "fleet/messages.h"
+#include "http/listener.h"
 
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -26,7 +26,9 @@
   peer_links(boost::asio::io_context &Io, vm_id Self, std::uint16_t Port,
              event_handler OnEvent, refusal_handler OnRefused);
 
-  expected<void> listen();
+  /// See `http::listener::open`.
+  expected<void> listen(http::listener::open_handler OnOpen = {});
+  bool isListening() const { return Listener.isOpen(); }
   void send(const relay::send_shard_request &Action);
   void send(const relay::cancel_shard_request &Action);
   void send(const relay::grant_retry &Action);
@@ -48,7 +50,7 @@
   std::uint16_t Port;
   event_handler OnEvent;
   refusal_handler OnRefused;
-  frame_acceptor Acceptor;
+  http::listener Listener;
   std::map<vm_id, std::shared_ptr<frame_link>> Outgoing;
   /// A link on which a relay sends shard requests.
   struct incoming_link {
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -2,7 +2,6 @@
 
 #include "control/build_level.h"
 #include "fleet/endpoint_reader.h"
-#include "fleet/frame_acceptor.h"
 #include "fleet/operator_handler.h"
 #include "fleet/process_start.h"
 #include "fleet/process_watch.h"
@@ -11,6 +10,7 @@
 #include "fleet/subscribers.h"
 #include "fleet/voter_folder.h"
 #include "fleet/voter_links.h"
+#include "http/listener.h"
 #include "telemetry/log.h"
 #include "wire/fleet_codec.h"
 
@@ -57,7 +57,7 @@
   registry_process(const adapter &Adapter, process_settings Given)
       : Settings(std::move(Given)), Self(*vmFromIp(Settings.Ip)),
         OperatorHandler(*Adapter.Operators, *this, Metrics),
-        Acceptor(Io,
+        Listener(Io,
                  [this](asio::ip::tcp::socket Socket) {
                    accept(std::move(Socket));
                  }),
@@ -88,7 +88,6 @@
     const auto Started = startServers();
     if (!Started)
       return failStart(Started.error());
-    Folder.open();
     Watch.start();
     scheduleTick();
     Io.run();
@@ -118,7 +117,12 @@
       if (auto Other = MetricsServer->start(); !Other)
         return Other;
     }
-    return Acceptor.listen(tcpEndpoint(Self, Settings.FleetPort));
+    // A voter that the others cannot reach would call one election after the
+    // other.
+    return Listener.open(tcpEndpoint(Self, Settings.FleetPort), [this] {
+      if (!IsStopping)
+        Folder.open();
+    });
   }
 
   void accept(asio::ip::tcp::socket Socket) {
@@ -509,6 +513,8 @@
     const auto Set = [this](const char *Name, auto Value) {
       Metrics.set(Name, "", static_cast<double>(Value));
     };
+    Set("listening_operators", Operators->isListening() ? 1 : 0);
+    Set("listening_registries", Listener.isOpen() ? 1 : 0);
     Set("registry_has_folder", Node ? 1 : 0);
     Set("registry_subscribers", Subscribers.count());
     Set("registry_endpoint_limits", Subscribers.limitCount());
@@ -598,7 +604,7 @@
   operator_handler OperatorHandler;
   std::optional<http::server> Operators;
   std::optional<http::server> MetricsServer;
-  frame_acceptor Acceptor;
+  http::listener Listener;
   process_watch Watch;
   asio::steady_timer Ticker;
   asio::steady_timer ShutdownTimer;
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -62,7 +62,8 @@
             },
             [this] { shutDown(); }) {
     ReadinessHandler.IsReady = [this] {
-      return Relay.isReady() && !IsStopping;
+      return Relay.isReady() && !IsStopping && Clients->isListening() &&
+             PeerLinks.isListening();
     };
   }
 
@@ -73,7 +74,6 @@
     if (!Started)
       return failStart(Started.error());
     step(relay::timer_fired{}); // the relay measures its startup time from here
-    Follower.start();
     Watch.start();
     Io.run();
     telemetry::logEvent(severity::info, "relay_stopped",
@@ -113,7 +113,9 @@
     for (http::server *Server : {&*Clients, &*Readiness})
       if (auto Started = Server->start(); !Started)
         return Started;
-    if (auto Listening = PeerLinks.listen(); !Listening)
+    // The registry tells the other relays of this one, so they must reach it.
+    if (auto Listening = PeerLinks.listen([this] { Follower.start(); });
+        !Listening)
       return Listening;
     if (Settings.MetricsPort == 0)
       return {};
@@ -311,6 +313,8 @@
     Set("catalog_version", Relay.version().Value);
     Set("revision", Follower.revision().Value);
     Set("registry_silent_ms", Follower.leaderSilence().Count);
+    Set("listening_clients", Clients->isListening() ? 1 : 0);
+    Set("listening_relays", PeerLinks.isListening() ? 1 : 0);
     Set("stopping", IsStopping ? 1 : 0);
   }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "http/detail.h"
+#include "http/listener.h"
 #include "telemetry/metrics.h"
 
 #include <array>
@@ -25,9 +26,6 @@
 using wire_response = beast::http::response<beast::http::string_body>;
 
 constexpr auto SweepInterval = std::chrono::milliseconds(500);
-/// Pause after an accept that failed, such as for want of descriptors.
-constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
-constexpr int ListenBacklog = 1024;
 /// Share of the idle timeout that clients are told.
 constexpr double AnnouncedIdleShare = 0.8;
 /// How long a connection whose last response was sent waits for the client to
@@ -53,9 +51,8 @@
   server_settings Settings;
   handler &Handler;
   telemetry::metrics &Metrics;
-  tcp::acceptor Acceptor;
+  std::optional<listener> Listener; ///< set by `server::start`
   asio::steady_timer SweepTimer;
-  asio::steady_timer AcceptTimer;
   std::unordered_set<std::shared_ptr<session>> Sessions;
   std::size_t InFlightRequests = 0;
   request_token LastToken = 0;
@@ -64,7 +61,7 @@
   server_state(asio::io_context &Io, server_settings Settings, handler &Handler,
                telemetry::metrics &Metrics)
       : Io(Io), Settings(std::move(Settings)), Handler(Handler),
-        Metrics(Metrics), Acceptor(Io), SweepTimer(Io), AcceptTimer(Io) {}
+        Metrics(Metrics), SweepTimer(Io) {}
 };
 
 /// One connection of a client.
@@ -364,8 +361,6 @@
 
 namespace {
 
-void acceptNext(const std::shared_ptr<detail::server_state> &State);
-
 void startSession(const std::shared_ptr<detail::server_state> &State,
                   tcp::socket Socket) {
   if (State->Sessions.size() >= State->Settings.MaxConnections) {
@@ -379,31 +374,6 @@
   Session->start();
 }
 
-void onAccepted(const std::shared_ptr<detail::server_state> &State,
-                error_code Error, tcp::socket Socket) {
-  if (Error == asio::error::operation_aborted)
-    return;
-  if (Error) {
-    State->Metrics.add("accept_failed", Error.message());
-    State->AcceptTimer.expires_after(AcceptRetryDelay);
-    State->AcceptTimer.async_wait([State](error_code Cancelled) {
-      if (!Cancelled)
-        acceptNext(State);
-    });
-    return;
-  }
-  startSession(State, std::move(Socket));
-  acceptNext(State);
-}
-
-void acceptNext(const std::shared_ptr<detail::server_state> &State) {
-  if (!State->Acceptor.is_open())
-    return;
-  State->Acceptor.async_accept([State](error_code Error, tcp::socket Socket) {
-    onAccepted(State, Error, std::move(Socket));
-  });
-}
-
 void scheduleSweep(const std::shared_ptr<detail::server_state> &State) {
   State->SweepTimer.expires_after(SweepInterval);
   State->SweepTimer.async_wait([Weak = std::weak_ptr(State)](error_code Error) {
@@ -434,9 +404,7 @@
                                                    Handler, Metrics)) {}
 
 server::~server() {
-  error_code Ignored;
-  State->Acceptor.close(Ignored);
-  State->AcceptTimer.cancel();
+  State->Listener.reset();
   State->SweepTimer.cancel();
   const auto Sessions = State->Sessions;
   for (const auto &Session : Sessions)
@@ -450,34 +418,27 @@
   const auto Ip = asio::ip::make_address(Listen.Host, Error);
   if (Error)
     return fail("cannot listen on " + Name + ": not an IP address");
-  const tcp::endpoint ListenEndpoint(Ip, Listen.Port);
-  State->Acceptor.open(ListenEndpoint.protocol(), Error);
-  if (!Error)
-    State->Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    State->Acceptor.bind(ListenEndpoint, Error);
-  if (!Error)
-    State->Acceptor.listen(ListenBacklog, Error);
-  if (Error)
-    return fail("cannot listen on " + Name + ": " + Error.message());
-  acceptNext(State);
+  State->Listener.emplace(
+      State->Io,
+      [Weak = std::weak_ptr(State)](tcp::socket Socket) {
+        if (const auto Accepting = Weak.lock())
+          startSession(Accepting, std::move(Socket));
+      },
+      [Weak = std::weak_ptr(State)](const std::string &Error) {
+        if (const auto Accepting = Weak.lock())
+          Accepting->Metrics.add("accept_failed", Error);
+      });
   scheduleSweep(State);
-  return {};
+  return State->Listener->open({Ip, Listen.Port});
+}
+
+bool server::isListening() const {
+  return State->Listener && State->Listener->isOpen();
 }
 
 void server::stopAccepting() {
-  if (!State->Acceptor.is_open())
-    return;
-  // Connections that the kernel has established would be reset.
-  error_code Error;
-  State->Acceptor.non_blocking(true, Error);
-  while (!Error) {
-    tcp::socket Socket = State->Acceptor.accept(Error);
-    if (!Error)
-      startSession(State, std::move(Socket));
-  }
-  error_code Ignored;
-  State->Acceptor.close(Ignored);
+  if (State->Listener)
+    State->Listener->stop();
 }
 
 void server::closeAfterResponses() { State->ClosesAfterResponses = true; }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -64,8 +64,10 @@
   server(const server &) = delete;
   server &operator=(const server &) = delete;
 
-  /// Binds and listens. Error messages include the address.
+  /// Listens and accepts, as soon as the address can be used; see
+  /// `listener::open`.
   expected<void> start();
+  bool isListening() const;
   /// Stops accepting connections; those that are established, even if not yet
   /// accepted, continue to be served.
   void stopAccepting();
