A start reads settings again that are being written

Seen: a process that starts while the platform writes its settings file ends with status 1. Cause: the settings were read once; half a file is no JSON. Change: they are read again for a second before the start fails. platform/test/start_conditions, "the settings file is being written": failed on for both programs, passes now.

--- a/src/fleet/process_start.cpp
+++ b/src/fleet/process_start.cpp
@@ -3,9 +3,26 @@
 #include "telemetry/log.h"
 
 #include <random>
+#include <thread>
 
 namespace bulrush::fleet {
 
+namespace {
+
+constexpr std::chrono::milliseconds SettingsRetryDelay{50};
+constexpr int MaxSettingsReads = 20;
+
+} // namespace
+
+expected<process_settings> readSettings(settings_source &Source) {
+  auto Settings = Source.read();
+  for (int Reads = 1; !Settings && Reads < MaxSettingsReads; ++Reads) {
+    std::this_thread::sleep_for(SettingsRetryDelay);
+    Settings = Source.read();
+  }
+  return Settings;
+}
+
 int failStart(const error &Error) {
   telemetry::logEvent(telemetry::severity::error, "start_failed",
                       {{"error", Error.Message}});
--- a/src/fleet/process_start.h
+++ b/src/fleet/process_start.h
@@ -8,6 +8,9 @@
 
 namespace bulrush::fleet {
 
+/// Reads the settings at the start. A file that cannot be read may be about to
+/// be replaced, so it is read again for a second.
+expected<process_settings> readSettings(settings_source &Source);
 /// Logs why the process cannot start and returns its exit status.
 int failStart(const error &Error);
 void startProcessLog(const std::string &Process);
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -632,7 +632,7 @@
 } // namespace
 
 int runRegistry(const adapter &Adapter) {
-  auto Settings = Adapter.Settings->read();
+  auto Settings = readSettings(*Adapter.Settings);
   if (!Settings)
     return failStart(Settings.error());
   startProcessLog(Settings->Node);
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -413,7 +413,7 @@
 } // namespace
 
 int runRelay(const adapter &Adapter) {
-  auto Settings = Adapter.Settings->read();
+  auto Settings = readSettings(*Adapter.Settings);
   if (!Settings)
     return failStart(Settings.error());
   startProcessLog(Settings->Node);
