An exception in a handler does not end the process

Cause: nothing caught an exception that left a handler. Change: handler_guard around the event loop and around each action of a step, so that the actions behind the failed one, timers among them, are still carried out; it logs handler_failed and counts. The HTTP server fails only the request whose handler threw, with 500. TRACE with content, which RFC 9110 forbids, is refused with 400 at once. Tests: "TRACE with content is refused at once", "an exception in the handler fails its request only", "an event loop goes on after an exception in a handler"; the first two end the test program on the code before.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "control/build_level.h"
 #include "fleet/endpoint_reader.h"
+#include "fleet/handler_guard.h"
 #include "fleet/operator_handler.h"
 #include "fleet/process_start.h"
 #include "fleet/process_watch.h"
@@ -90,7 +91,7 @@
       return failStart(Started.error());
     Watch.start();
     scheduleTick();
-    Io.run();
+    Guard.run(Io);
     telemetry::logEvent(severity::info, "registry_stopped",
                         {{"node", Settings.Node}});
     return HasRefusedRecord ? 1 : 0;
@@ -309,7 +310,7 @@
     std::vector<node_action> Actions;
     Node->step(Event, Clock.now(), Actions);
     for (node_action &Action : Actions)
-      std::visit([this](auto &Each) { on(Each); }, Action);
+      Guard.call([&] { std::visit([this](auto &Each) { on(Each); }, Action); });
     answerSubscriptions();
   }
 
@@ -599,6 +600,7 @@
   asio::io_context Io{1};
   boot_clock_source Clock;
   telemetry::metrics Metrics;
+  handler_guard Guard{Metrics};
   metrics_page MetricsPage{Metrics, [this] { setGauges(); }};
   refused_messages Refused{Metrics};
   operator_handler OperatorHandler;
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/decision_log.h"
 #include "fleet/endpoint_links.h"
+#include "fleet/handler_guard.h"
 #include "fleet/peer_links.h"
 #include "fleet/process_start.h"
 #include "fleet/process_watch.h"
@@ -75,7 +76,7 @@
       return failStart(Started.error());
     step(relay::timer_fired{}); // the relay measures its startup time from here
     Watch.start();
-    Io.run();
+    Guard.run(Io);
     telemetry::logEvent(severity::info, "relay_stopped",
                         {{"node", Settings.Node}});
     return 0;
@@ -148,7 +149,8 @@
     relay::relay_actions Actions;
     Relay.step(Event, Clock.now(), Actions);
     for (const relay::relay_action &Action : Actions)
-      std::visit([this](const auto &Each) { on(Each); }, Action);
+      Guard.call(
+          [&] { std::visit([this](const auto &Each) { on(Each); }, Action); });
   }
 
   void on(const relay::send_attempt &Action) { EndpointLinks.send(Action); }
@@ -386,6 +388,7 @@
   asio::io_context Io{1};
   boot_clock_source Clock;
   telemetry::metrics Metrics;
+  handler_guard Guard{Metrics};
   metrics_page MetricsPage{Metrics, [this] {
                              setGauges();
                              setQuotaGauges();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "http/detail.h"
 #include "http/listener.h"
+#include "telemetry/log.h"
 #include "telemetry/metrics.h"
 
 #include <array>
@@ -171,6 +172,12 @@
       return;
     }
     auto Message = Parser->release();
+    // RFC 9110, 9.3.8; such a request cannot be forwarded.
+    if (Message.method() == beast::http::verb::trace &&
+        !Message.body().empty()) {
+      refuse(*Owner, 400, "TRACE with content");
+      return;
+    }
     const bool KeepAlive = Message.keep_alive();
     IsReadFinished = !KeepAlive;
     const std::uint64_t Number = addSlot(*Owner, KeepAlive, Message.version());
@@ -182,17 +189,32 @@
                     Owner->LastToken,
                     roundTripTime(Socket),
                     Number == 0};
-    Owner->Handler.handle(std::move(Request),
-                          [Weak = weak_from_this(), Number](response Response) {
-                            if (const auto Self = Weak.lock())
-                              Self->setResponse(Number, std::move(Response));
-                          });
+    handle(*Owner, std::move(Request), Number);
     if (IsReadFinished)
       discardInput();
     else
       readNext();
   }
 
+  /// An exception of the handler fails this request only.
+  void handle(detail::server_state &Owner, request Request,
+              std::uint64_t Number) {
+    try {
+      Owner.Handler.handle(std::move(Request), [Weak = weak_from_this(),
+                                                Number](response Response) {
+        if (const auto Self = Weak.lock())
+          Self->setResponse(Number, std::move(Response));
+      });
+    } catch (const std::exception &Error) {
+      Owner.Metrics.add("http_handler_failed", "");
+      telemetry::logEvent(telemetry::severity::error, "http_handler_failed",
+                          {{"error", Error.what()}});
+      response Response;
+      Response.Status = 500;
+      setResponse(Number, std::move(Response));
+    }
+  }
+
   /// Reads and drops what arrives after the last request, to notice when the
   /// client closes the connection.
   void discardInput() {
@@ -241,16 +263,23 @@
         finishReading();
       return;
     }
-    response Response;
-    Response.Status = 400;
+    unsigned Status = 400;
     if (Error == error::body_limit)
-      Response.Status = 413;
+      Status = 413;
     if (Error == error::header_limit)
-      Response.Status = 431;
-    Owner.Metrics.add("http_refused", std::to_string(Response.Status));
+      Status = 431;
+    refuse(Owner, Status, Error.message());
+  }
+
+  /// Refuses what was read; it is the last request on this connection.
+  void refuse(detail::server_state &Owner, unsigned Status,
+              const std::string &Message) {
+    Owner.Metrics.add("http_refused", std::to_string(Status));
+    response Response;
+    Response.Status = Status;
     Response.Body =
-        R"({"outcome":"not_run","reason":"bad_request","message":")" +
-        Error.message() + "\"}";
+        R"({"outcome":"not_run","reason":"bad_request","message":")" + Message +
+        "\"}";
     IsReadFinished = true;
     setResponse(addSlot(Owner, false, 11), std::move(Response));
   }
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <sys/resource.h>
 #include <thread>
 
@@ -28,6 +29,8 @@
   void handle(http::request Request, http::responder Respond) override {
     http::response Response;
     Response.Body = Request.Target;
+    if (Request.Target == "/throw")
+      throw std::invalid_argument("refused by the handler");
     if (Request.Target == "/later")
       HeldResponse = [Respond, Response] { Respond(Response); };
     else
@@ -998,3 +1001,30 @@
   Server.join();
   CHECK(Connections == 2);
 }
+
+// Guards against a request that cannot be forwarded and ends the relay: the
+// HTTP library throws when it serializes TRACE with content.
+TEST_CASE("TRACE with content is refused at once", "[http]") {
+  fixture Test;
+  const std::string Response = Test.exchangeRaw(
+      "TRACE /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", 1 << 20);
+  CHECK(Response.rfind("HTTP/1.1 400", 0) == 0);
+  const std::string Chunked =
+      Test.exchangeRaw("TRACE /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                       "chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                       1 << 20);
+  CHECK(Chunked.rfind("HTTP/1.1 400", 0) == 0);
+}
+
+// Guards against an exception in the handler of one request that ends the
+// process or leaves the client without a response.
+TEST_CASE("an exception in the handler fails its request only", "[http]") {
+  fixture Test;
+  const std::string Response = Test.exchangeRaw(
+      "GET /throw HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+      1 << 20);
+  CHECK(Response.rfind("HTTP/1.1 500", 0) == 0);
+  CHECK(Response.find("HTTP/1.1 200") != std::string::npos);
+  CHECK(Response.find("/next") != std::string::npos);
+}
--- a/test/shell/listener_test.cpp
+++ b/test/shell/listener_test.cpp
@@ -1,8 +1,10 @@
+#include "fleet/handler_guard.h"
 #include "http/listener.h"
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <stdexcept>
 
 using namespace bulrush;
 
@@ -73,3 +75,20 @@
   Test.runFor(std::chrono::milliseconds(50));
   CHECK(Test.Accepted == 1);
 }
+
+// Guards against an exception in one handler that ends the process, or that
+// keeps the handlers behind it from running.
+TEST_CASE("an event loop goes on after an exception in a handler",
+          "[handler_guard]") {
+  asio::io_context Io;
+  telemetry::metrics Metrics;
+  fleet::handler_guard Guard(Metrics);
+  int Calls = 0;
+  asio::post(Io, [&] { ++Calls; });
+  asio::post(Io, [] { throw std::invalid_argument("invalid request body"); });
+  asio::post(Io, [] { throw 5; });
+  asio::post(Io, [&] { ++Calls; });
+  Guard.run(Io);
+  CHECK(Calls == 2);
+  CHECK(Metrics.text().find("handlers_failed_total 2") != std::string::npos);
+}
