A query over no shards is refused at once

Cause: a route without shards was taken for one of a single service, and pickTarget used the target that there is not. Change: such a request is refused with 503 before it is admitted; an answer of no parts is no success. Test: "a query over no shards is refused at once", which ends the test program on the code before.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -153,6 +153,12 @@
                      Quarantined, Account);
     return;
   }
+  // A query over no shards: no answer can be a success.
+  if (Route->Gather.Shards.empty() && Route->Targets.empty()) {
+    refuseUnadmitted(Event, ArrivedAt, 503, relay_refusal::few_shards,
+                     return_time::whenDown(), Account);
+    return;
+  }
   std::optional<quota_decision> Quota;
   if (Decision)
     Quota = *Decision;
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -864,3 +864,16 @@
   Other.advance(100);
   CHECK(Other.count<probe_endpoint>() == 0);
 }
+
+// Guards against a query over no shards that ends the relay: such a
+// configuration is valid.
+TEST_CASE("a query over no shards is refused at once", "[relay]") {
+  relay_fixture Relay;
+  Relay.addService("one", 1);
+  Relay.addRoute("/none/", {});
+  Relay.install();
+  const query_id Request = Relay.sendRequest("/none/x", {});
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 503);
+  CHECK(Relay.answerTo(Request)->RetryAfter > millis{0});
+}
