--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -2,7 +2,7 @@
 
 #include "control/build_level.h"
 #include "fleet/endpoint_reader.h"
-#include "fleet/frame_acceptor.h"
+#include "fleet/handler_guard.h"
 #include "fleet/operator_handler.h"
 #include "fleet/process_start.h"
 #include "fleet/process_watch.h"
@@ -11,6 +11,7 @@
 #include "fleet/subscribers.h"
 #include "fleet/voter_folder.h"
 #include "fleet/voter_links.h"
+#include "http/listener.h"
 #include "telemetry/log.h"
 #include "wire/fleet_codec.h"
 
@@ -58,7 +59,7 @@
                    std::uint64_t SettingsStamp)
       : Settings(std::move(Given)), Self(*vmFromIp(Settings.Ip)),
         OperatorHandler(*Adapter.Operators, *this, Metrics),
-        Acceptor(Io,
+        Listener(Io,
                  [this](asio::ip::tcp::socket Socket) {
                    accept(std::move(Socket));
                  }),
@@ -89,10 +90,9 @@
     const auto Started = startServers();
     if (!Started)
       return failStart(Started.error());
-    Folder.open();
     Watch.start();
     scheduleTick();
-    Io.run();
+    Guard.run(Io);
     telemetry::logEvent(severity::info, "registry_stopped",
                         {{"node", Settings.Node}});
     return HasRefusedRecord ? 1 : 0;
@@ -119,7 +119,12 @@
       if (auto Other = MetricsServer->start(); !Other)
         return Other;
     }
-    return Acceptor.listen(tcpEndpoint(Self, Settings.FleetPort));
+    // A voter that the others cannot reach would call one election after the
+    // other.
+    return Listener.open(tcpEndpoint(Self, Settings.FleetPort), [this] {
+      if (!IsStopping)
+        Folder.open();
+    });
   }
 
   void accept(asio::ip::tcp::socket Socket) {
@@ -306,7 +311,7 @@
     std::vector<node_action> Actions;
     Node->step(Event, Clock.now(), Actions);
     for (node_action &Action : Actions)
-      std::visit([this](auto &Each) { on(Each); }, Action);
+      Guard.call([&] { std::visit([this](auto &Each) { on(Each); }, Action); });
     answerSubscriptions();
   }
 
@@ -510,6 +515,8 @@
     const auto Set = [this](const char *Name, auto Value) {
       Metrics.set(Name, "", static_cast<double>(Value));
     };
+    Set("listening_operators", Operators->isListening() ? 1 : 0);
+    Set("listening_registries", Listener.isOpen() ? 1 : 0);
     Set("registry_has_folder", Node ? 1 : 0);
     Set("registry_subscribers", Subscribers.count());
     Set("registry_endpoint_limits", Subscribers.limitCount());
@@ -595,12 +602,13 @@
   asio::io_context Io{1};
   boot_clock_source Clock;
   telemetry::metrics Metrics;
+  handler_guard Guard{Metrics};
   metrics_page MetricsPage{Metrics, [this] { setGauges(); }};
   refused_messages Refused{Metrics};
   operator_handler OperatorHandler;
   std::optional<http::server> Operators;
   std::optional<http::server> MetricsServer;
-  frame_acceptor Acceptor;
+  http::listener Listener;
   process_watch Watch;
   asio::steady_timer Ticker;
   asio::steady_timer ShutdownTimer;
@@ -629,7 +637,7 @@
 
 int runRegistry(const adapter &Adapter) {
   const std::uint64_t Stamp = Adapter.Settings->stamp();
-  auto Settings = Adapter.Settings->read();
+  auto Settings = readSettings(*Adapter.Settings);
   if (!Settings)
     return failStart(Settings.error());
   startProcessLog(Settings->Node);
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/decision_log.h"
 #include "fleet/endpoint_links.h"
+#include "fleet/handler_guard.h"
 #include "fleet/peer_links.h"
 #include "fleet/process_start.h"
 #include "fleet/process_watch.h"
@@ -63,7 +64,8 @@
             },
             [this] { shutDown(); }) {
     ReadinessHandler.IsReady = [this] {
-      return Relay.isReady() && !IsStopping;
+      return Relay.isReady() && !IsStopping && Clients->isListening() &&
+             PeerLinks.isListening();
     };
   }
 
@@ -74,9 +76,8 @@
     if (!Started)
       return failStart(Started.error());
     step(relay::timer_fired{}); // the relay measures its startup time from here
-    Follower.start();
     Watch.start();
-    Io.run();
+    Guard.run(Io);
     telemetry::logEvent(severity::info, "relay_stopped",
                         {{"node", Settings.Node}});
     return 0;
@@ -114,7 +115,9 @@
     for (http::server *Server : {&*Clients, &*Readiness})
       if (auto Started = Server->start(); !Started)
         return Started;
-    if (auto Listening = PeerLinks.listen(); !Listening)
+    // The registry tells the other relays of this one, so they must reach it.
+    if (auto Listening = PeerLinks.listen([this] { Follower.start(); });
+        !Listening)
       return Listening;
     if (Settings.MetricsPort == 0)
       return {};
@@ -147,7 +150,8 @@
     relay::relay_actions Actions;
     Relay.step(Event, Clock.now(), Actions);
     for (const relay::relay_action &Action : Actions)
-      std::visit([this](const auto &Each) { on(Each); }, Action);
+      Guard.call(
+          [&] { std::visit([this](const auto &Each) { on(Each); }, Action); });
   }
 
   void on(const relay::send_attempt &Action) { EndpointLinks.send(Action); }
@@ -313,6 +317,8 @@
     Set("revision", Follower.revision().Value);
     Set("registry_silent_ms", Follower.leaderSilence().Count);
     Set("log_lines_dropped", telemetry::droppedLines());
+    Set("listening_clients", Clients->isListening() ? 1 : 0);
+    Set("listening_relays", PeerLinks.isListening() ? 1 : 0);
     Set("stopping", IsStopping ? 1 : 0);
   }
 
@@ -384,6 +390,7 @@
   asio::io_context Io{1};
   boot_clock_source Clock;
   telemetry::metrics Metrics;
+  handler_guard Guard{Metrics};
   metrics_page MetricsPage{Metrics, [this] {
                              setGauges();
                              setQuotaGauges();
@@ -412,7 +419,7 @@
 
 int runRelay(const adapter &Adapter) {
   const std::uint64_t Stamp = Adapter.Settings->stamp();
-  auto Settings = Adapter.Settings->read();
+  auto Settings = readSettings(*Adapter.Settings);
   if (!Settings)
     return failStart(Settings.error());
   startProcessLog(Settings->Node);
--- a/src/fleet/signal_reader.cpp
+++ b/src/fleet/signal_reader.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
-#include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <fcntl.h>
 #include <unistd.h>
@@ -14,8 +14,15 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
+namespace {
+
+/// While there is no pipe.
+constexpr std::chrono::milliseconds PollInterval{100};
+
+} // namespace
+
 signal_reader::signal_reader(asio::io_context &Io, signal_handler OnSignal)
-    : Pipe(Io), OnSignal(std::move(OnSignal)) {}
+    : Pipe(Io), PollTimer(Io), OnSignal(std::move(OnSignal)) {}
 
 signal_reader::~signal_reader() {
   telemetry::setSignalWakeup(-1);
@@ -25,9 +32,15 @@
 
 void signal_reader::start() {
   std::array<int, 2> Ends{};
-  if (::pipe2(Ends.data(), O_NONBLOCK | O_CLOEXEC) != 0)
-    throw boost::system::system_error({errno, boost::system::system_category()},
-                                      "pipe for signals");
+  if (::pipe2(Ends.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
+    PollTimer.expires_after(PollInterval);
+    PollTimer.async_wait([this](error_code Error) {
+      if (!Error)
+        start();
+    });
+    deliver();
+    return;
+  }
   Pipe.assign(Ends[0]);
   WriteEnd = Ends[1];
   telemetry::setSignalWakeup(WriteEnd);
--- a/src/fleet/signal_reader.h
+++ b/src/fleet/signal_reader.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 
 namespace bulrush::fleet {
@@ -22,7 +23,7 @@
   signal_reader &operator=(const signal_reader &) = delete;
   signal_reader &operator=(signal_reader &&) = delete;
 
-  /// Throws `boost::system::system_error` if there is no descriptor left.
+  /// Polls for signals as long as there is no descriptor left.
   void start();
 
 private:
@@ -30,6 +31,7 @@
   void deliver();
 
   boost::asio::posix::stream_descriptor Pipe;
+  boost::asio::steady_timer PollTimer;
   int WriteEnd = -1;
   std::array<char, 64> Bytes{}; ///< what is read has no meaning
   signal_handler OnSignal;
