A link between relays is its own identity; its source address is not

Seen: relays on one host, nothing wrong otherwise: each new link closes the link of another relay, links never settle, and 5% of the queries end with 502. Each lost link repeats shard requests, which is what the retry budget has to bear. Cause: peer_links took the source address of a connection for the relay and closed its older link. Connections are not bound to the machine's address, so on one host all relays are 127.0.0.1 to each other; behind an address translation likewise. Change: links are kept by their own number. What the address gave besides, the end of the link of a relay that lost power, TCP keep-alive gives: probes after 5 s without traffic. The log names the address as such (requester_lost address=). Test: "relays whose connections share an address keep their links".

--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -239,9 +239,9 @@
   Metrics.add("asks_abandoned", "", LogEvent.Abandoned);
   if (!takeToken(Now))
     return;
-  telemetry::logEvent(
-      severity::warning, "requester_lost",
-      {{"peer", toText(LogEvent.Peer)}, {"abandoned", LogEvent.Abandoned}});
+  telemetry::logEvent(severity::warning, "requester_lost",
+                      {{"address", toText(LogEvent.Address)},
+                       {"abandoned", LogEvent.Abandoned}});
 }
 
 void decision_log::count(const relay::ignored_reply_event &Event) {
--- a/src/fleet/frame_link.cpp
+++ b/src/fleet/frame_link.cpp
@@ -11,6 +11,14 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
+namespace {
+
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 3;
+constexpr double MillisPerSecond = 1000;
+
+} // namespace
+
 frame_link::frame_link(socket Given, frame_bounds Bounds)
     : Socket(std::move(Given)), Bounds(Bounds) {}
 
@@ -38,13 +46,20 @@
   IsOpen = true;
   error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
-  const auto Timeout = static_cast<unsigned>(Bounds.UnackedTimeout.Count);
-  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout,
-               sizeof Timeout);
+  setTcpOption(TCP_USER_TIMEOUT, static_cast<int>(Bounds.UnackedTimeout.Count));
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  setTcpOption(TCP_KEEPIDLE,
+               static_cast<int>(Bounds.KeepAliveIdle.Count / MillisPerSecond));
+  setTcpOption(TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  setTcpOption(TCP_KEEPCNT, KeepAliveProbes);
   readLength();
   writeNext();
 }
 
+void frame_link::setTcpOption(int Name, int Value) {
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, Name, &Value, sizeof Value);
+}
+
 void frame_link::readLength() {
   asio::async_read(Socket, asio::buffer(LengthPrefix),
                    [Self = shared_from_this()](error_code Error, std::size_t) {
--- a/src/fleet/frame_link.h
+++ b/src/fleet/frame_link.h
@@ -21,6 +21,9 @@
       8 << 20; ///< exceeding it with more than one queued frame closes the link
   /// Sent bytes that stay unacknowledged for this long close the link.
   millis UnackedTimeout{1500};
+  /// A link without traffic for this long is probed, and closed if the probes
+  /// stay unacknowledged: the other machine may be gone without a word.
+  millis KeepAliveIdle{5000};
 };
 
 /// Runs on the thread of its `io_context`. Closes itself on any error and then
@@ -47,6 +50,7 @@
 
 private:
   void onOpened();
+  void setTcpOption(int Name, int Value);
   void readLength();
   void readBody();
   void writeNext();
--- a/src/fleet/peer_links.cpp
+++ b/src/fleet/peer_links.cpp
@@ -22,42 +22,26 @@
   return Acceptor.listen(tcpEndpoint(Self, Port));
 }
 
+/// A link is its own identity. Its source address is not: relays on one host or
+/// behind an address translation share one, and an address may be reused.
 void peer_links::accept(asio::ip::tcp::socket Socket) {
   error_code Error;
   const auto Remote = Socket.remote_endpoint(Error);
   if (Error)
     return;
-  const vm_id From{
+  const vm_id Address{
       static_cast<std::uint32_t>(Remote.address().to_v4().to_uint())};
-  closeIncoming(From);
   auto Link = std::make_shared<frame_link>(std::move(Socket));
-  const relay::requester_link Requester{From, ++LastIncoming};
-  Incoming[From] = {Requester.Number, Link};
+  const relay::requester_link Requester{++LastIncoming, Address};
+  Incoming[Requester] = Link;
   Link->start(
       [this, Requester](const std::string &Bytes) {
         onRequestFrame(Requester, Bytes);
       },
-      [this, Requester] { onIncomingClosed(Requester); });
-}
-
-/// Closes the link of a relay that has opened a new one: it has restarted, or
-/// has given up the old link.
-void peer_links::closeIncoming(vm_id From) {
-  const auto Old = Incoming.find(From);
-  if (Old == Incoming.end())
-    return;
-  const relay::requester_link Lost{From, Old->second.Number};
-  Old->second.Link->close();
-  Incoming.erase(Old);
-  OnEvent(relay::requester_lost{Lost});
-}
-
-void peer_links::onIncomingClosed(relay::requester_link Link) {
-  const auto Known = Incoming.find(Link.Peer);
-  if (Known == Incoming.end() || Known->second.Number != Link.Number)
-    return;
-  Incoming.erase(Known);
-  OnEvent(relay::requester_lost{Link});
+      [this, Requester] {
+        Incoming.erase(Requester);
+        OnEvent(relay::requester_lost{Requester});
+      });
 }
 
 void peer_links::onRequestFrame(relay::requester_link From,
@@ -127,9 +111,9 @@
 }
 
 void peer_links::send(const relay::send_shard_reply &Action) {
-  const auto Known = Incoming.find(Action.To.Peer);
-  if (Known != Incoming.end() && Known->second.Number == Action.To.Number)
-    Known->second.Link->send(wire::encode(Action.Reply));
+  const auto Known = Incoming.find(Action.To);
+  if (Known != Incoming.end())
+    Known->second->send(wire::encode(Action.Reply));
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/peer_links.h
+++ b/src/fleet/peer_links.h
@@ -34,8 +34,6 @@
 
 private:
   void accept(boost::asio::ip::tcp::socket Socket);
-  void closeIncoming(vm_id From);
-  void onIncomingClosed(relay::requester_link Link);
   void onRequestFrame(relay::requester_link From, const std::string &Bytes);
   void onReplyFrame(vm_id From, const std::string &Bytes);
   /// Sends on the outgoing link to `Peer`; drops the message if there is none.
@@ -50,13 +48,8 @@
   refusal_handler OnRefused;
   frame_acceptor Acceptor;
   std::map<vm_id, std::shared_ptr<frame_link>> Outgoing;
-  /// A link on which a relay sends shard requests.
-  struct incoming_link {
-    std::uint64_t Number = 0;
-    std::shared_ptr<frame_link> Link;
-  };
-
-  std::map<vm_id, incoming_link> Incoming; ///< latest link from each peer
+  /// Links on which other relays send shard requests.
+  std::map<relay::requester_link, std::shared_ptr<frame_link>> Incoming;
   std::uint64_t LastIncoming = 0;
 };
 
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -64,11 +64,11 @@
 using shard_request_id = numeric_id<struct shard_request_tag, std::uint64_t>;
 
 /// The link on which another relay sent a shard request. Replies go to this
-/// link only: a later link of the same VM may belong to another process, which
-/// uses ids of its own.
+/// link only: another link from the same address may belong to another process,
+/// which uses ids of its own.
 struct requester_link {
-  vm_id Peer;
   std::uint64_t Number = 0; ///< unique until this process restarts
+  vm_id Address; ///< source of the connection, for logs; not the relay's name
 
   auto operator<=>(const requester_link &) const = default;
 };
@@ -549,7 +549,7 @@
 /// Another relay's link was lost while this relay worked on its shard requests;
 /// for the log.
 struct requester_log_event {
-  vm_id Peer;
+  vm_id Address;             ///< source of the connection
   std::size_t Abandoned = 0; ///< shard requests
 };
 
--- a/src/relay/relay_peer_requests.cpp
+++ b/src/relay/relay_peer_requests.cpp
@@ -95,7 +95,7 @@
       removeRequest(*Request, false);
   const std::size_t Count = Abandoned.size() + StartQueue.remove(Event.From);
   if (Count > 0)
-    Out->push_back(requester_log_event{Event.From.Peer, Count});
+    Out->push_back(requester_log_event{Event.From.Address, Count});
 }
 
 /// Whether this relay may send second attempts. Only one relay may do so for a
--- a/test/relay_fleet.h
+++ b/test/relay_fleet.h
@@ -240,14 +240,14 @@
   }
   /// The link on which the relay sends shard requests to any other.
   requester_link linkOf(std::size_t Relay) const {
-    return {Relays[Relay].Self, 1};
+    return {Relay + 1, Relays[Relay].Self};
   }
   void take(std::size_t From, const send_shard_request &Action) {
     deliver(From, Action.To,
             shard_request_arrived{linkOf(From), Action.Request});
   }
   void take(std::size_t From, const send_shard_reply &Action) {
-    deliver(From, Action.To.Peer,
+    deliver(From, Action.To.Address,
             shard_reply_arrived{Relays[From].Self, Action.Reply});
   }
   void take(std::size_t From, const cancel_shard_request &Action) {
--- a/test/shell/peer_links_test.cpp
+++ b/test/shell/peer_links_test.cpp
@@ -208,3 +208,39 @@
   }
   CHECK(Answers > 40);
 }
+
+// Guards against relays that close each other's links because their connections
+// come from one address: relays on one host, or behind an address translation.
+TEST_CASE("relays whose connections share an address keep their links",
+          "[peer_links]") {
+  constexpr std::size_t Count = 8;
+  relay_process Responder{ResponderVm, 8};
+  REQUIRE(Responder.listen());
+  std::vector<std::unique_ptr<relay_process>> Requesters;
+  std::vector<query_id> Queries;
+  for (std::size_t I = 0; I < Count; ++I)
+    Requesters.push_back(std::make_unique<relay_process>(RequesterVm, 10 + I));
+  const auto RunFor = [&](std::chrono::milliseconds Time) {
+    for (const auto End = std::chrono::steady_clock::now() + Time;
+         std::chrono::steady_clock::now() < End;) {
+      Responder.runFor(std::chrono::milliseconds(1));
+      for (const auto &Each : Requesters)
+        Each->runFor(std::chrono::milliseconds(1));
+    }
+  };
+  for (std::size_t I = 0; I < Count; ++I) {
+    Queries.push_back(Requesters[I]->query("request " + std::to_string(I)));
+    RunFor(std::chrono::milliseconds(20));
+  }
+  for (std::size_t I = 0; I < Count; ++I) {
+    Responder.replyTo("request " + std::to_string(I));
+    RunFor(std::chrono::milliseconds(20));
+    Requesters[I]->replyTo("request " + std::to_string(I));
+  }
+  for (std::size_t I = 0; I < Count; ++I) {
+    INFO("requester " << I);
+    const send_answer *Answer = Requesters[I]->answerTo(Queries[I]);
+    REQUIRE(Answer);
+    CHECK(Answer->Signatures.size() == ShardCount);
+  }
+}
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -600,8 +600,8 @@
   Requester.sendRequest("/all/x");
   const send_shard_request ShardRequest = Requester.sentShardRequests().front();
   const std::size_t Shards = ShardRequest.Request.Shards.size();
-  const requester_link Former{{1}, 1};
-  const requester_link Latter{{1}, 2};
+  const requester_link Former{1, {1}};
+  const requester_link Latter{2, {1}};
   slices_fixture Responder(ShardRequest.To.Value);
   Responder.step(shard_request_arrived{Former, ShardRequest.Request});
   Responder.step(shard_request_arrived{Latter, ShardRequest.Request});
@@ -620,8 +620,8 @@
   slices_fixture Requester(1);
   Requester.sendRequest("/all/x");
   const send_shard_request ShardRequest = Requester.sentShardRequests().front();
-  const requester_link Lost{{1}, 1};
-  const requester_link Other{{9}, 2};
+  const requester_link Lost{1, {1}};
+  const requester_link Other{2, {9}};
   slices_fixture Responder(ShardRequest.To.Value);
   Responder.step(shard_request_arrived{Lost, ShardRequest.Request});
   Responder.step(shard_request_arrived{Other, ShardRequest.Request});
