--- a/programs/command_line.h
+++ b/programs/command_line.h
@@ -3,6 +3,7 @@
 
 #include "bulrushtray/ids.h"
 #include "daemon/process.h"
+#include "telemetry/process_guard.h"
 
 #include <iostream>
 #include <string>
@@ -43,6 +44,7 @@
 template <class Daemon, class Load>
 int runDaemon(const std::string &Name, const std::string &Purpose, Load Loader,
               int Count, char **Arguments) {
+  telemetry::protectProcess();
   const daemon_options Options = parseDaemonOptions(Purpose, Count, Arguments);
   auto Settings = Loader(Options.Settings, Options.Vm);
   if (!Settings) {
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -2,6 +2,7 @@
 
 #include "settings/json_reader.h"
 #include "telemetry/log.h"
+#include "telemetry/process_guard.h"
 
 #include <boost/asio/io_context.hpp>
 #include <caf/all.hpp>
@@ -59,6 +60,7 @@
 }
 
 void startProcessLog(const std::string &Process, const std::string &Level) {
+  telemetry::setProcessName(Process);
   telemetry::log_settings Settings;
   Settings.Process = Process;
   if (Level == "debug")
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -68,7 +68,8 @@
 /// which uses ids of its own.
 struct requester_link {
   std::uint64_t Number = 0; ///< unique until this process restarts
-  vm_id Address; ///< source of the connection, for logs; not the relay's name
+  /// Source of the connection, for logs; says nothing about the relay.
+  vm_id Address = {};
 
   auto operator<=>(const requester_link &) const = default;
 };
