A folder whose retirement is cut short opens again

Change: the directory is synced after each rename, the log first. Evidence: found by reading; the fake disk now loses or keeps each change of a name by itself (before: all of them or none), can leave half of a refused append, and can refuse reading and listing.

--- a/src/store/durable_log.cpp
+++ b/src/store/durable_log.cpp
@@ -306,13 +306,17 @@
 
 bool durable_log::pending() const { return Impl->Pending; }
 
+/// The log goes first, durably: a folder with a log but without its snapshot is
+/// damaged, one with only a snapshot is retired by the next `open`.
 disk_result<void> durable_log::retire(disk &Disk) {
   for (const std::string Name : {LogName, SnapshotName}) {
     auto Moved = Disk.rename(Name, Name + RetiredSuffix);
     if (!Moved && Moved.error().Fault != disk_fault::not_found)
       return Moved;
+    if (auto Synced = Disk.syncDirectory(); !Synced)
+      return Synced;
   }
-  return Disk.syncDirectory();
+  return {};
 }
 
 } // namespace bulrush::store
--- a/test/fake_disk.h
+++ b/test/fake_disk.h
@@ -25,14 +25,19 @@
   std::optional<disk_fault> Fault; ///< if set, all modifying calls fail with it
   /// If set, this many modifying calls succeed and the next one sets `Fault`.
   std::optional<std::size_t> CallsUntilFault;
+  bool FaultsReads = false;  ///< whether reading and listing fail as well
+  bool WritesPartly = false; ///< whether a refused append leaves some bytes
   std::size_t Syncs = 0;
 
   /// Simulates a power failure. Each file keeps a random prefix of its unsynced
-  /// bytes, possibly with one corrupted byte; unsynced changes of file names
-  /// are lost or kept at random.
+  /// bytes, possibly with one corrupted byte; each unsynced change of a file
+  /// name is lost or kept at random, independently of the others.
   void crash(std::mt19937_64 &Random) {
-    if (Random() % 2)
-      Names = SyncedNames;
+    Names = SyncedNames;
+    for (const name_change &Change : UnsyncedChanges)
+      if (Random() % 2)
+        apply(Change, Names);
+    UnsyncedChanges.clear();
     for (auto &[Name, File] : Names) {
       std::string Kept = File->Synced;
       const std::size_t Unsynced = File->Current.size() - Kept.size();
@@ -62,6 +67,7 @@
         Names[Name]->FileId = ++LastFileId;
     }
     SyncedNames = Names;
+    UnsyncedChanges.clear();
   }
   void wipe() { restore({}, false); }
   std::string &bytes(const std::string &Name) {
@@ -73,14 +79,16 @@
   open(const std::string &Name) override {
     if (fails())
       return failed();
-    std::shared_ptr<content> &File = Names[Name];
-    if (!File) {
-      File = std::make_shared<content>();
+    if (!has(Name)) {
+      const auto File = std::make_shared<content>();
       File->FileId = ++LastFileId;
+      change({"", Name, File});
     }
-    return std::make_unique<fake_file>(*this, File);
+    return std::make_unique<fake_file>(*this, Names.at(Name));
   }
   disk_result<std::string> read(const std::string &Name) override {
+    if (FaultsReads && fails())
+      return failed();
     if (!has(Name))
       return missing(Name);
     return Names[Name]->Current;
@@ -91,17 +99,18 @@
       return failed();
     if (!has(From))
       return missing(From);
-    Names[To] = Names[From];
-    Names.erase(From);
+    change({From, To, Names.at(From)});
     return {};
   }
   disk_result<void> remove(const std::string &Name) override {
     if (fails())
       return failed();
-    Names.erase(Name);
+    change({Name, "", nullptr});
     return {};
   }
   disk_result<std::vector<std::string>> list() override {
+    if (FaultsReads && fails())
+      return failed();
     std::vector<std::string> Result;
     for (const auto &[Name, File] : Names)
       Result.push_back(Name);
@@ -111,22 +120,35 @@
     if (fails())
       return failed();
     SyncedNames = Names;
+    UnsyncedChanges.clear();
     return {};
   }
   disk_result<std::uint64_t> fileId(const std::string &Name) override {
+    if (FaultsReads && fails())
+      return failed();
     if (!has(Name))
       return missing(Name);
     return Names[Name]->FileId;
   }
 
 private:
+  /// A created file has no former name, and a removed one has no new name.
+  struct name_change {
+    std::string From;
+    std::string To;
+    std::shared_ptr<content> File;
+  };
+
   class fake_file final : public store::disk_file {
   public:
     fake_file(fake_disk &Disk, std::shared_ptr<content> File)
         : Disk(Disk), File(std::move(File)) {}
     disk_result<void> append(std::string_view Bytes) override {
-      if (Disk.fails())
+      if (Disk.fails()) {
+        if (Disk.WritesPartly)
+          File->Current += Bytes.substr(0, Bytes.size() / 2);
         return Disk.failed();
+      }
       File->Current += Bytes;
       return {};
     }
@@ -143,6 +165,16 @@
     std::shared_ptr<content> File;
   };
 
+  static void apply(const name_change &Change, folder &To) {
+    To.erase(Change.From);
+    if (!Change.To.empty())
+      To[Change.To] = Change.File;
+  }
+  void change(name_change Change) {
+    apply(Change, Names);
+    UnsyncedChanges.push_back(std::move(Change));
+  }
+
   bool fails() {
     if (CallsUntilFault && (*CallsUntilFault)-- == 0) {
       CallsUntilFault.reset();
@@ -160,6 +192,7 @@
 
   folder Names;
   folder SyncedNames;
+  std::vector<name_change> UnsyncedChanges; ///< since `SyncedNames`
   std::uint64_t LastFileId = 0;
 };
 
