A folder that cannot be set aside is not used until it is

Seen: a voter that had lost its identity (an outdated copy, or a member that was replaced) while its disk refused renames came back under the identity that it had to give up. Cause: voter_folder::replace logged the failed retirement and opened the folder all the same, with the former voter id. Change: the folder remembers that it must be retired, and every attempt to open it retires it first. After a restart of the process the other voters refuse the identity again, as before. Evidence: test/shell/voter_folder_test.cpp, "a folder that cannot be set aside is not used until it is": three of its checks fail on the old code (opened at once, the former id), all pass now.

--- a/src/fleet/voter_folder.cpp
+++ b/src/fleet/voter_folder.cpp
@@ -26,6 +26,13 @@
     return;
   }
   Disk = std::move(*Folder);
+  if (MustRetire) {
+    if (const auto Retired = store::durable_log::retire(*Disk); !Retired) {
+      onDiskError(Retired.error().Message);
+      return;
+    }
+    MustRetire = false;
+  }
   store::folder_options Options;
   Options.Vm = Vm;
   Options.NewVoterId = drawSeed() | 1;
@@ -92,10 +99,7 @@
 
 void voter_folder::replace() {
   close();
-  if (auto Folder = store::openPosixDisk(Path))
-    if (const auto Retired = store::durable_log::retire(**Folder); !Retired)
-      telemetry::logEvent(severity::error, "disk_failed",
-                          {{"error", Retired.error().Message}});
+  MustRetire = true;
   open();
 }
 
--- a/src/fleet/voter_folder.h
+++ b/src/fleet/voter_folder.h
@@ -31,7 +31,7 @@
   void write(control::persist Write);
   void close();
   /// Retires the folder, because it is an outdated copy or its member was
-  /// removed, and opens a new one.
+  /// removed, and opens a new one; on an error, retries until both succeed.
   void replace();
 
 private:
@@ -45,6 +45,7 @@
   boost::asio::steady_timer RetryTimer;
   std::unique_ptr<store::disk> Disk;
   std::unique_ptr<disk_thread> Writer;
+  bool MustRetire = false; ///< before the folder is opened
   std::uint64_t Generation =
       0; ///< increases with each opening and closing; callbacks of an earlier
          ///< generation are ignored
--- /dev/null
+++ b/test/shell/voter_folder_test.cpp
@@ -0,0 +1,66 @@
+#include "fleet/voter_folder.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <optional>
+#include <unistd.h>
+
+using namespace bulrush;
+
+namespace {
+
+namespace files = std::filesystem;
+
+struct fixture final : fleet::voter_folder_host {
+  files::path Path = files::temp_directory_path() /
+                     ("voter_folder_test." + std::to_string(::getpid()));
+  boost::asio::io_context Io;
+  std::optional<control::recovered_state> State;
+  control::write_id Persisted;
+  fleet::voter_folder Folder{Io, Path.string(), vm_id{1}, *this};
+
+  ~fixture() override {
+    Folder.close();
+    files::remove_all(Path);
+  }
+  fixture() { files::remove_all(Path); }
+  fixture(const fixture &) = delete;
+  fixture &operator=(const fixture &) = delete;
+
+  void onFolderOpened(control::recovered_state Opened) override {
+    State = std::move(Opened);
+  }
+  void onPersisted(control::write_id Write) override { Persisted = Write; }
+  void onFolderClosed() override { State.reset(); }
+
+  void runFor(std::chrono::milliseconds Time) {
+    Io.restart();
+    Io.run_for(Time);
+  }
+  /// A name that a file cannot get, so that files cannot be set aside.
+  files::path blockedName() const { return Path / "log.former"; }
+};
+
+constexpr std::chrono::milliseconds MoreThanRetryDelay{700};
+
+} // namespace
+
+// Guards against a voter that votes again as a member that it is no more, since
+// its folder could not be set aside while the disk refused that.
+TEST_CASE("a folder that cannot be set aside is not used until it is",
+          "[folder]") {
+  fixture Test;
+  Test.Folder.open();
+  REQUIRE(Test.State);
+  const control::voter_id Former = Test.State->Self;
+  files::create_directory(Test.blockedName());
+  Test.Folder.replace();
+  CHECK_FALSE(Test.State);
+  Test.runFor(MoreThanRetryDelay);
+  CHECK_FALSE(Test.State);
+  files::remove(Test.blockedName());
+  Test.runFor(MoreThanRetryDelay);
+  REQUIRE(Test.State);
+  CHECK(Test.State->Self != Former);
+}
