A folder that was closed is not opened by a pending retry

Seen: a registry that was told to stop while its disk refused writes could open its folder again in its last half second and step a new node, after the folder had been closed for good. Cause: the retry timer ran on when the folder was closed. Change: the timer's handler is ignored if the folder was closed or opened since it was armed, as the other callbacks are. Evidence: by reading; "a closed folder stays closed" fails on the old code and passes now.

--- a/src/fleet/voter_folder.cpp
+++ b/src/fleet/voter_folder.cpp
@@ -79,8 +79,8 @@
   telemetry::logEvent(severity::error, "disk_failed", {{"error", Message}});
   close();
   RetryTimer.expires_after(toChrono(RetryDelay));
-  RetryTimer.async_wait([this](boost::system::error_code Error) {
-    if (!Error)
+  RetryTimer.async_wait([this, Closed = Generation](auto Error) {
+    if (!Error && Closed == Generation)
       open();
   });
 }
--- a/test/shell/voter_folder_test.cpp
+++ b/test/shell/voter_folder_test.cpp
@@ -64,3 +64,16 @@
   REQUIRE(Test.State);
   CHECK(Test.State->Self != Former);
 }
+
+// Guards against a folder that is opened again after the process closed it for
+// its end.
+TEST_CASE("a closed folder stays closed", "[folder]") {
+  fixture Test;
+  files::create_directories(Test.Path / "log");
+  Test.Folder.open();
+  REQUIRE_FALSE(Test.State);
+  Test.Folder.close();
+  files::remove(Test.Path / "log");
+  Test.runFor(MoreThanRetryDelay);
+  CHECK_FALSE(Test.State);
+}
