A handler that throws stops nothing that others wait for

Found by a review with failing tests: a link between processes whose handler threw stayed open and read nothing any more; a SIGTERM that arrived with a SIGHUP was lost when the reload threw; a tick or a poll that threw was the last one; a step of the relay that threw set no timer. Class: work that goes on only if the handler before it returns, once an exception no longer ends the process.

--- a/src/fleet/frame_link.cpp
+++ b/src/fleet/frame_link.cpp
@@ -93,7 +93,13 @@
                      // Moved out for the call: the handler may close the link,
                      // which resets `OnFrame`.
                      const auto Handler = std::move(Self->OnFrame);
-                     Handler(std::move(Self->Body));
+                     try {
+                       Handler(std::move(Self->Body));
+                     } catch (...) {
+                       // Otherwise the link would stay open and read nothing.
+                       Self->fail();
+                       throw;
+                     }
                      if (Self->IsClosed)
                        return;
                      Self->OnFrame = Handler;
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -24,6 +24,8 @@
 /// readiness every second and stops after two failed probes.
 constexpr millis DrainTime{2600};
 constexpr millis ShutdownPollInterval{100};
+/// Time until the relay's timer fires after a step that failed.
+constexpr millis TimerRetryDelay{10};
 /// The process exits this long before the platform kills it, so that the last
 /// responses are sent.
 constexpr millis ShutdownMargin{400};
@@ -148,7 +150,18 @@
 
   void step(const relay::relay_event &Event) {
     relay::relay_actions Actions;
-    Relay.step(Event, Clock.now(), Actions);
+    try {
+      Relay.step(Event, Clock.now(), Actions);
+    } catch (...) {
+      // The timer may have been due to be set.
+      Actions.push_back(relay::set_timer{Clock.now() + TimerRetryDelay});
+      perform(Actions);
+      throw;
+    }
+    perform(Actions);
+  }
+
+  void perform(const relay::relay_actions &Actions) {
     for (const relay::relay_action &Action : Actions)
       Guard.call(
           [&] { std::visit([this](const auto &Each) { on(Each); }, Action); });
--- a/src/fleet/signal_reader.cpp
+++ b/src/fleet/signal_reader.cpp
@@ -59,7 +59,8 @@
 }
 
 void signal_reader::deliver() {
-  for (const int Number : {SIGHUP, SIGTERM, SIGINT})
+  // Stops come first: an exception in a reload must not lose them.
+  for (const int Number : {SIGTERM, SIGINT, SIGHUP})
     if (telemetry::takeSignal(Number))
       OnSignal(Number);
 }
