Settings that could not be read are read again

Seen: in a trial that took descriptors from running processes, SIGHUP gave settings_refused. By reading: the change that it announces is then not applied, also not once there are descriptors again. Cause: the stamp of the settings was remembered before they were read, so that a failed reading counted as done. The log line is not repeated while the error stays the same.

--- a/src/fleet/process_watch.cpp
+++ b/src/fleet/process_watch.cpp
@@ -40,7 +40,7 @@
 }
 
 void process_watch::poll() {
-  if (Settings->stamp() != Stamp)
+  if (MustRead || Settings->stamp() != Stamp)
     reload();
   Timer.expires_after(toChrono(PollInterval));
   Timer.async_wait([this](boost::system::error_code Error) {
@@ -52,14 +52,23 @@
 void process_watch::reload() {
   Stamp = Settings->stamp();
   const auto Read = Settings->read();
+  MustRead = !Read;
   if (!Read) {
-    telemetry::logEvent(severity::error, "settings_refused",
-                        {{"error", Read.error().Message}});
+    logRefusal(Read.error().Message);
     return;
   }
+  LastRefusal.clear();
   telemetry::logEvent(severity::info, "settings_reloaded",
                       {{"seeds", Read->Seeds.size()}});
   OnSettings(*Read);
 }
 
+void process_watch::logRefusal(const std::string &Message) {
+  if (Message == LastRefusal)
+    return;
+  LastRefusal = Message;
+  telemetry::logEvent(severity::error, "settings_refused",
+                      {{"error", Message}});
+}
+
 } // namespace bulrush::fleet
--- a/src/fleet/process_watch.h
+++ b/src/fleet/process_watch.h
@@ -30,6 +30,8 @@
   void onSignal(int Number);
   void poll();
   void reload();
+  /// Logs an error once until it changes.
+  void logRefusal(const std::string &Message);
 
   std::shared_ptr<settings_source> Settings;
   settings_handler OnSettings;
@@ -37,6 +39,8 @@
   signal_reader Signals;
   boost::asio::steady_timer Timer;
   std::uint64_t Stamp;
+  bool MustRead = false; ///< at the next poll, whatever the stamp is
+  std::string LastRefusal;
 };
 
 } // namespace bulrush::fleet
