A link reads on after a frame whose handler throws

Seen by reading, after exceptions no longer end the process: a link whose frame handler threw stayed open and read nothing more. A voter or a relay behind it was not heard until a timeout closed the link, if one does. Cause: the next read was started after the handler, and an exception skipped that. Change: the next read is started in either case and the exception goes on to the guard, which logs it. Closing the link instead was weighed: a message that fails at every relay would make all of them subscribe again in a loop. Evidence: test/shell/frame_link_test.cpp, "a link reads on after a frame whose handler throws": on the old code the second frame is not handled in 5 s, now it is.

--- a/src/fleet/frame_link.cpp
+++ b/src/fleet/frame_link.cpp
@@ -75,17 +75,30 @@
                        Self->fail();
                        return;
                      }
-                     // Moved out for the call: the handler may close the link,
-                     // which resets `OnFrame`.
-                     const auto Handler = std::move(Self->OnFrame);
-                     Handler(std::move(Self->Body));
-                     if (Self->IsClosed)
-                       return;
-                     Self->OnFrame = Handler;
-                     Self->readLength();
+                     Self->handleBody();
                    });
 }
 
+/// Reads on even if the handler throws: the frame is lost, the link is not.
+void frame_link::handleBody() {
+  // Moved out for the call: the handler may close the link, which resets
+  // `OnFrame`.
+  const auto Handler = std::move(OnFrame);
+  const auto ReadNext = [&] {
+    if (IsClosed)
+      return;
+    OnFrame = Handler;
+    readLength();
+  };
+  try {
+    Handler(std::move(Body));
+  } catch (...) {
+    ReadNext();
+    throw;
+  }
+  ReadNext();
+}
+
 void frame_link::send(const std::string &Bytes) {
   if (IsClosed)
     return;
--- a/src/fleet/frame_link.h
+++ b/src/fleet/frame_link.h
@@ -49,6 +49,7 @@
   void onOpened();
   void readLength();
   void readBody();
+  void handleBody();
   void writeNext();
   void fail();
 
