Periodic work goes on after one exception

Seen by reading, after exceptions no longer end the process: the ticks of the registry and of a relay's registry follower, and the polling of settings, ended with the first exception in them. A registry without ticks neither votes nor leads, a relay without them looks for no leader, and the process runs on. Cause: the timer was armed again after the work, and an exception skipped that. Change: the follower and the settings watch arm it first; the registry's tick runs under the guard, as the timer depends on whether there is a leader. Evidence: "a follower goes on after a tick that throws" and "settings are polled after a change whose handler throws" fail on the old code (no further call in 5 and 10 s) and pass now. The registry's tick has no test of its own: nothing in it can be made to throw from outside today.

--- a/src/fleet/process_watch.cpp
+++ b/src/fleet/process_watch.cpp
@@ -40,13 +40,13 @@
 }
 
 void process_watch::poll() {
-  if (MustRead || Settings->stamp() != Stamp)
-    reload();
   Timer.expires_after(toChrono(PollInterval));
   Timer.async_wait([this](boost::system::error_code Error) {
     if (!Error)
       poll();
   });
+  if (MustRead || Settings->stamp() != Stamp)
+    reload();
 }
 
 void process_watch::reload() {
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -553,7 +553,7 @@
     Ticker.async_wait([this](error_code Error) {
       if (Error)
         return;
-      onTick();
+      Guard.call([this] { onTick(); });
       scheduleTick();
     });
   }
--- a/src/fleet/registry_follower.cpp
+++ b/src/fleet/registry_follower.cpp
@@ -64,8 +64,8 @@
   Ticker.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
-    onTick();
     scheduleTick();
+    onTick();
   });
 }
 
