A link holds no memory for bytes that have not arrived

Cause: the body was allocated and filled with zeros as soon as its length was read. Change: a body is read in blocks of 64 KB and grows as they arrive.

--- a/src/fleet/frame_link.cpp
+++ b/src/fleet/frame_link.cpp
@@ -1,5 +1,6 @@
 #include "fleet/frame_link.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +12,12 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
+namespace {
+
+constexpr std::size_t BlockBytes = 64 << 10;
+
+} // namespace
+
 frame_link::frame_link(socket Given, frame_bounds Bounds)
     : Socket(std::move(Given)), Bounds(Bounds) {}
 
@@ -61,21 +68,30 @@
                        Self->fail();
                        return;
                      }
-                     Self->Body.assign(Size, '\0');
-                     Self->readBody();
+                     Self->Body.clear();
+                     Self->readBody(Size);
                    });
 }
 
-void frame_link::readBody() {
-  asio::async_read(Socket, asio::buffer(Body),
-                   [Self = shared_from_this()](error_code Error, std::size_t) {
+/// Reads the rest of a frame. Memory grows with the bytes that arrive, not with
+/// the length that the other end claims.
+void frame_link::readBody(std::size_t Left) {
+  const std::size_t Begin = Body.size();
+  const std::size_t Size = std::min(Left, BlockBytes);
+  Body.resize(Begin + Size);
+  asio::async_read(Socket, asio::buffer(Body.data() + Begin, Size),
+                   [Self = shared_from_this(),
+                    Left = Left - Size](error_code Error, std::size_t) {
                      if (Self->IsClosed)
                        return;
                      if (Error) {
                        Self->fail();
                        return;
                      }
-                     Self->handleBody();
+                     if (Left > 0)
+                       Self->readBody(Left);
+                     else
+                       Self->handleBody();
                    });
 }
 
--- a/src/fleet/frame_link.h
+++ b/src/fleet/frame_link.h
@@ -48,7 +48,7 @@
 private:
   void onOpened();
   void readLength();
-  void readBody();
+  void readBody(std::size_t Left);
   void handleBody();
   void writeNext();
   void fail();
