--- a/src/fleet/frame_link.h
+++ b/src/fleet/frame_link.h
@@ -52,7 +52,7 @@
   void onOpened();
   void setTcpOption(int Name, int Value);
   void readLength();
-  void readBody();
+  void readBody(std::size_t Left);
   void handleBody();
   void writeNext();
   void fail();
