Relays count repeats and their denials by reason

Seen by operators: arrivals beyond the first at a service cannot be traced to the relay that sent them, nor to why. The log line of a request had the sums of hedges and retries, counted by route, and one number of denials.

Each attempt that takes a token of the retry budget, and each part that is denied one, is now counted at the relay that pays: as a hedge, after a failure, after a shed, for a slice whose relay did not reply, after a lost path (detour), or for another relay that repeats its shard request (peer). They are in bulrush_repeats_sent_total and bulrush_repeats_denied_total, and in repeats_sent and repeats_denied of the lines "request" and "ask". Nothing else changes; no message between processes does.

Measured: the two new test cases pass; they do not compile on the old code.

--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -38,6 +38,23 @@
   return Out;
 }
 
+/// Returns text such as "hedge:2,shed:1"; "-" if there were none.
+std::string listRepeats(const relay::request_log_event &LogEvent,
+                        std::uint32_t relay::repeat_count::*Count) {
+  std::string Out;
+  for (std::size_t I = 0; I < LogEvent.Repeats.size(); ++I) {
+    const std::uint32_t Number = LogEvent.Repeats[I].*Count;
+    if (Number == 0)
+      continue;
+    if (!Out.empty())
+      Out += ',';
+    Out += toString(static_cast<relay::repeat_reason>(I));
+    Out += ':';
+    Out += std::to_string(Number);
+  }
+  return Out.empty() ? "-" : Out;
+}
+
 bool isSampled(const std::string &RequestId) {
   return std::hash<std::string>{}(RequestId) % SampleEvery == 0;
 }
@@ -78,9 +95,21 @@
                 Label + " " + std::string(toString(LogEvent.Reason)));
 }
 
+void decision_log::countRepeats(const relay::request_log_event &LogEvent) {
+  for (std::size_t I = 0; I < LogEvent.Repeats.size(); ++I) {
+    const relay::repeat_count &Count = LogEvent.Repeats[I];
+    const auto Reason = toString(static_cast<relay::repeat_reason>(I));
+    if (Count.Sent > 0)
+      Metrics.add("repeats_sent", Reason, Count.Sent);
+    if (Count.Denied > 0)
+      Metrics.add("repeats_denied", Reason, Count.Denied);
+  }
+}
+
 void decision_log::write(const relay::request_log_event &LogEvent,
                          instant Now) {
   countAccount(LogEvent);
+  countRepeats(LogEvent);
   if (LogEvent.IsFromPeer) {
     writeShardRequest(LogEvent, Now);
     return;
@@ -101,33 +130,36 @@
     return;
   if (!IsRoutine && !takeToken(Now))
     return;
-  telemetry::logEvent(IsRoutine ? severity::info : severity::warning, "request",
-                      {{"id", LogEvent.RequestId},
-                       {"route", LogEvent.Route},
-                       {"account", LogEvent.Account.Value},
-                       {"quota", toString(LogEvent.Quota)},
-                       {"quota_wait_ms", LogEvent.QuotaWait.Count},
-                       {"catalog", LogEvent.Version.Value},
-                       {"status", LogEvent.Status},
-                       {"reason", toString(LogEvent.Reason)},
-                       {"client_left", LogEvent.HasClientDisconnected},
-                       {"took_ms", LogEvent.Elapsed.Count},
-                       {"objective_ms", LogEvent.Objective.Count},
-                       {"queued_ms", LogEvent.QueueTime.Count},
-                       {"queued_behind", LogEvent.QueuedBehind},
-                       {"gathering_ms", LogEvent.GatherTime.Count},
-                       {"covered", LogEvent.Covered},
-                       {"shards", LogEvent.Shards},
-                       {"hedges", LogEvent.Hedges},
-                       {"retries", LogEvent.Retries},
-                       {"repeats", LogEvent.SliceRetries},
-                       {"unreachable", LogEvent.Unreachable},
-                       {"detours", LogEvent.Detours},
-                       {"detoured_to", LogEvent.DetouredTo.Value == 0
-                                           ? std::string("-")
-                                           : toText(LogEvent.DetouredTo)},
-                       {"budget_denied", LogEvent.BudgetDenials},
-                       {"lacking", joinNames(LogEvent.MissingShards)}});
+  telemetry::logEvent(
+      IsRoutine ? severity::info : severity::warning, "request",
+      {{"id", LogEvent.RequestId},
+       {"route", LogEvent.Route},
+       {"account", LogEvent.Account.Value},
+       {"quota", toString(LogEvent.Quota)},
+       {"quota_wait_ms", LogEvent.QuotaWait.Count},
+       {"catalog", LogEvent.Version.Value},
+       {"status", LogEvent.Status},
+       {"reason", toString(LogEvent.Reason)},
+       {"client_left", LogEvent.HasClientDisconnected},
+       {"took_ms", LogEvent.Elapsed.Count},
+       {"objective_ms", LogEvent.Objective.Count},
+       {"queued_ms", LogEvent.QueueTime.Count},
+       {"queued_behind", LogEvent.QueuedBehind},
+       {"gathering_ms", LogEvent.GatherTime.Count},
+       {"covered", LogEvent.Covered},
+       {"shards", LogEvent.Shards},
+       {"hedges", LogEvent.Hedges},
+       {"retries", LogEvent.Retries},
+       {"repeats", LogEvent.SliceRetries},
+       {"unreachable", LogEvent.Unreachable},
+       {"detours", LogEvent.Detours},
+       {"detoured_to", LogEvent.DetouredTo.Value == 0
+                           ? std::string("-")
+                           : toText(LogEvent.DetouredTo)},
+       {"budget_denied", LogEvent.BudgetDenials},
+       {"repeats_sent", listRepeats(LogEvent, &relay::repeat_count::Sent)},
+       {"repeats_denied", listRepeats(LogEvent, &relay::repeat_count::Denied)},
+       {"lacking", joinNames(LogEvent.MissingShards)}});
 }
 
 void decision_log::observeStages(const relay::request_log_event &LogEvent) {
@@ -145,17 +177,21 @@
   observeStages(LogEvent);
   if (LogEvent.Covered >= LogEvent.Shards || !takeToken(Now))
     return;
-  telemetry::logEvent(severity::warning, "ask",
-                      {{"id", LogEvent.RequestId},
-                       {"account", LogEvent.Account.Value},
-                       {"queued_behind", LogEvent.QueuedBehind},
-                       {"took_ms", LogEvent.Elapsed.Count},
-                       {"covered", LogEvent.Covered},
-                       {"shards", LogEvent.Shards},
-                       {"hedges", LogEvent.Hedges},
-                       {"retries", LogEvent.Retries},
-                       {"unreachable", LogEvent.Unreachable},
-                       {"budget_denied", LogEvent.BudgetDenials}});
+  telemetry::logEvent(
+      severity::warning, "ask",
+      {{"id", LogEvent.RequestId},
+       {"account", LogEvent.Account.Value},
+       {"queued_behind", LogEvent.QueuedBehind},
+       {"took_ms", LogEvent.Elapsed.Count},
+       {"covered", LogEvent.Covered},
+       {"shards", LogEvent.Shards},
+       {"hedges", LogEvent.Hedges},
+       {"retries", LogEvent.Retries},
+       {"unreachable", LogEvent.Unreachable},
+       {"budget_denied", LogEvent.BudgetDenials},
+       {"repeats_sent", listRepeats(LogEvent, &relay::repeat_count::Sent)},
+       {"repeats_denied",
+        listRepeats(LogEvent, &relay::repeat_count::Denied)}});
 }
 
 void decision_log::write(const relay::attempt_log_event &LogEvent,
--- a/src/fleet/decision_log.h
+++ b/src/fleet/decision_log.h
@@ -29,6 +29,7 @@
 
 private:
   /// Counts the request and the attempts of an account.
+  void countRepeats(const relay::request_log_event &LogEvent);
   void countAccount(const relay::request_log_event &LogEvent);
   void observeStages(const relay::request_log_event &LogEvent);
   void writeShardRequest(const relay::request_log_event &LogEvent, instant Now);
--- a/src/relay/events.cpp
+++ b/src/relay/events.cpp
@@ -110,6 +110,24 @@
   return "cleared";
 }
 
+std::string_view toString(repeat_reason Reason) {
+  switch (Reason) {
+  case repeat_reason::hedge:
+    return "hedge";
+  case repeat_reason::failure:
+    return "failure";
+  case repeat_reason::shed:
+    return "shed";
+  case repeat_reason::slice:
+    return "slice";
+  case repeat_reason::detour:
+    return "detour";
+  case repeat_reason::peer:
+    return "peer";
+  }
+  return "unknown";
+}
+
 std::string_view toString(ignored_reply Reason) {
   switch (Reason) {
   case ignored_reply::not_open:
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -11,6 +11,7 @@
 #include "relay/settings.h"
 #include "relay/slice_planner.h"
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <set>
@@ -435,6 +436,25 @@
   instant At;
 };
 
+/// Why a part is sent to an endpoint again.
+enum class repeat_reason : std::uint8_t {
+  hedge,
+  failure, ///< the attempt before failed
+  shed,    ///< the endpoint before did not run it
+  slice,   ///< this relay sends it as the relay of its slice did not reply
+  detour,  ///< the relay before lost its path to the endpoint
+  peer     ///< requested by a relay that had requested it elsewhere before
+};
+inline constexpr std::size_t RepeatReasonCount = 6;
+
+/// Repeats of parts for one reason.
+struct repeat_count {
+  std::uint32_t Sent = 0;
+  std::uint32_t Denied = 0; ///< by the retry budget
+
+  bool operator==(const repeat_count &) const = default;
+};
+
 /// A completed or abandoned request, for the log and the metrics.
 struct request_log_event {
   std::string RequestId;
@@ -458,6 +478,8 @@
   std::uint32_t Hedges = 0;
   std::uint32_t Retries = 0;
   std::uint32_t BudgetDenials = 0; ///< second attempts denied by the budget
+  /// The attempts that took from the retry budget, or were denied by it.
+  std::array<repeat_count, RepeatReasonCount> Repeats; ///< by `repeat_reason`
   /// Slices that were requested again because their relay was lost or did not
   /// reply.
   std::uint32_t SliceRetries = 0;
@@ -583,6 +605,7 @@
 std::string_view toString(request_verdict Verdict);
 std::string_view toString(quota_state State);
 std::string_view toString(ignored_reply Reason);
+std::string_view toString(repeat_reason Reason);
 
 /// The log event of a change of this endpoint.
 endpoint_log_event makeLogEvent(const endpoint_state &Endpoint,
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -81,7 +81,8 @@
   }
   const bool IsEarly = Now < Part.NotBefore;
   const bool IsBehind = !IsEarly && !IsNext && isBehind(Request, Part);
-  if (!IsEarly && !IsBehind && sendPart(Request, Part, replyTiming(Request)))
+  if (!IsEarly && !IsBehind &&
+      sendPart(Request, Part, replyTiming(Request), Part.RepeatReason))
     return;
   reply_timing Timing;
   Timing.LatestSendAt = latestSendAfterPause(Request);
@@ -176,13 +177,18 @@
 /// can accept it, or if an attempt has already reached an endpoint and the
 /// retry budget holds less than one token above `Reserve`.
 bool relay::impl::sendPart(request_state &Request, request_part &Part,
-                           const reply_timing &Timing, double Reserve) {
+                           const reply_timing &Timing, repeat_reason Reason,
+                           double Reserve) {
   service_budget &Budget = Part.Service->Budget;
   Budget.refill(Now);
   const bool IsExtraAttempt = Part.Deliveries > 0;
+  repeat_count &Repeats =
+      Request.LogEvent.Repeats[static_cast<std::size_t>(Reason)];
   if (IsExtraAttempt && !Budget.canSpend(Reserve)) {
-    Request.LogEvent.BudgetDenials += Part.IsBudgetDenied ? 0 : 1;
-    Part.IsBudgetDenied = true;
+    if (!std::exchange(Part.IsBudgetDenied, true)) {
+      ++Request.LogEvent.BudgetDenials;
+      ++Repeats.Denied;
+    }
     return false;
   }
   reply_timing PartTiming = Timing;
@@ -193,10 +199,12 @@
       Endpoints.choose(*Part.Service, Part.Tried, PartTiming, Now);
   if (!To)
     return false;
-  if (IsExtraAttempt)
+  if (IsExtraAttempt) {
     Budget.spend(Reserve);
-  else
+    ++Repeats.Sent;
+  } else {
     Budget.onFirstAttempt();
+  }
   if (Part.Sends == 0)
     Request.LogEvent.QueueTime =
         std::max(Request.LogEvent.QueueTime, Now - Request.ArrivedAt);
@@ -238,7 +246,7 @@
   const millis TimeLeft = Request.SoftDeadline - Now;
   const bool IsUrgent =
       TimeLeft <= Request.RouteState->Median.value() * UrgentHedgeFactor;
-  if (sendPart(Request, Part, Timing,
+  if (sendPart(Request, Part, Timing, repeat_reason::hedge,
                Part.Service->Budget.hedgeReserve(IsUrgent)))
     ++Request.LogEvent.Hedges;
 }
@@ -311,6 +319,7 @@
     Part.Failure = Event.Reply;
   if (!Part.Running.empty())
     return;
+  Part.RepeatReason = IsShed ? repeat_reason::shed : repeat_reason::failure;
   if (IsShed)
     backOffAfterShed(Part, From);
   if (Event.End == attempt_end::stale_connection) {
--- a/src/relay/relay_detours.cpp
+++ b/src/relay/relay_detours.cpp
@@ -118,6 +118,7 @@
       Part.Service->UnreachableElsewhereUntil = Now + UnreachableElsewhereTime;
     Part.PossibleRuns = std::max(Part.PossibleRuns, Runs);
     Part.Deliveries = std::max(Part.Deliveries, Runs);
+    Part.RepeatReason = repeat_reason::detour;
     const bool MayRestart = Part.PossibleRuns < Request.Route->MaxAttempts;
     Part.Phase = part_phase::failed;
     if (MayRestart)
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -144,7 +144,8 @@
   void startPart(request_state &Request, request_part &Part,
                  bool IsNext = false);
   bool sendPart(request_state &Request, request_part &Part,
-                const reply_timing &Timing, double Reserve = 0);
+                const reply_timing &Timing, repeat_reason Reason,
+                double Reserve = 0);
   void sendHedge(request_state &Request, request_part &Part);
   bool mayHedge(const request_state &Request, const request_part &Part) const;
   void handleReply(request_state &Request, request_part &Part, endpoint_no From,
--- a/src/relay/relay_peer_requests.cpp
+++ b/src/relay/relay_peer_requests.cpp
@@ -68,6 +68,7 @@
     Request.Parts.emplace_back().Service = &Endpoints.service(Shard);
   for (request_part &Part : Request.Parts) {
     Part.Deliveries = ShardRequest.IsRetry ? 1 : 0;
+    Part.RepeatReason = repeat_reason::peer;
     startPart(Request, Part);
   }
   settle(Request);
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -131,6 +131,7 @@
     request_part &Part = Request.Parts[PartIndex];
     // The first relay may have run one attempt.
     Part.PossibleRuns = Part.Deliveries = 1;
+    Part.RepeatReason = repeat_reason::slice;
     startPart(Request, Part);
   }
 }
--- a/src/relay/request_state.h
+++ b/src/relay/request_state.h
@@ -56,6 +56,8 @@
   std::uint32_t Detours = 0;  ///< requests to relays that may reach endpoints
   bool IsUnreachable = false; ///< failed since no endpoint was reachable
   bool IsBudgetDenied = false;
+  /// Of the next attempt, if it is a further one and no hedge.
+  repeat_reason RepeatReason = repeat_reason::failure;
   bool HasWaited = false;          ///< in the queue of its service
   std::optional<work_item> Queued; ///< set while it waits there
   bool WasOffered = false; ///< to the endpoints, whether or not one accepted
--- a/test/shell/decision_log_test.cpp
+++ b/test/shell/decision_log_test.cpp
@@ -49,3 +49,22 @@
   CHECK(Metrics.count("account_requests", "account-100") == 0);
   CHECK(Metrics.count("account_requests", "(others)") == 100);
 }
+
+// Guards against further attempts whose reason and sender no page tells.
+TEST_CASE("repeats and their denials are counted by reason", "[fleet]") {
+  telemetry::metrics Metrics;
+  decision_log Log(Metrics);
+  relay::request_log_event Event = makeEvent("", 3);
+  const auto CountOf = [&](relay::repeat_reason Reason) -> auto & {
+    return Event.Repeats[static_cast<std::size_t>(Reason)];
+  };
+  CountOf(relay::repeat_reason::hedge) = {2, 1};
+  CountOf(relay::repeat_reason::peer) = {0, 4};
+  Log.write(Event, {0});
+  Event.IsFromPeer = true;
+  Log.write(Event, {0});
+  CHECK(Metrics.count("repeats_sent", "hedge") == 4);
+  CHECK(Metrics.count("repeats_denied", "hedge") == 2);
+  CHECK(Metrics.count("repeats_sent", "peer") == 0);
+  CHECK(Metrics.count("repeats_denied", "peer") == 8);
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -394,6 +394,32 @@
   CHECK(ExtraAttempts >= 20);
 }
 
+// Guards against further attempts whose reason and sender no page tells.
+TEST_CASE("a request's log event tells why its parts were sent again",
+          "[relay]") {
+  relay_fixture Relay;
+  Relay.addService("one", 2);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install();
+  const auto CountOf = [&](repeat_reason Reason) {
+    const auto &Event = std::get<request_log_event>(*std::find_if(
+        Relay.Actions.rbegin(), Relay.Actions.rend(), [](const auto &Each) {
+          return std::holds_alternative<request_log_event>(Each);
+        }));
+    return Event.Repeats[static_cast<std::size_t>(Reason)];
+  };
+  Relay.sendRequest("/one/");
+  Relay.reply(Relay.Sent.begin()->first, 500);
+  Relay.replyAll();
+  CHECK(CountOf(repeat_reason::failure) == repeat_count{1, 0});
+  CHECK(CountOf(repeat_reason::shed) == repeat_count{});
+  Relay.sendRequest("/one/");
+  Relay.replyNotRun(Relay.Sent.begin()->first);
+  Relay.replyAll();
+  CHECK(CountOf(repeat_reason::shed) == repeat_count{1, 0});
+  CHECK(CountOf(repeat_reason::failure) == repeat_count{});
+}
+
 TEST_CASE("a spent budget refills over time", "[relay][load]") {
   service_budget Budget;
   Budget.resize({0.2, 100, {10'000}}, 4);
