The relays that the plans name for a shard share its retry budget

Seen by callers' endpoints: with 85 relays and queries in slices, the repeats of a shard over all relays went beyond ratio x requests + slack.

Cause: each relay took a ninth of the slack of a sliced service, whether the plans name it for that service or not; the fallback of a slice of another zone was the requester, any of 85, each with a ninth. And a relay that starts took itself for the only one, with the whole slack, until the registry's leader told the fleet's size.

Why this works: slice_planner computes from roster and directory, for the plans of all zones, which relays are named for each shard; these share the slack in equal parts. A relay that is not named, or does not know the fleet's size, spends only what its own first attempts earned in the last 2 s. Repeats of a slice go to named relays: the backup, or for a slice of another zone the own zone's relay for that partition (named as well), then any other named one. Services that other routes use too are shared by all relays, as before. A part that a relay without share may not repeat fails at once. No message between processes changes.

The test "slices of an unresponsive zone are queried by the relay itself" was right for the old design only, in which each requester had a share. Its replacement asks the same of the relays that take the slices over: every lost shard is sent to an endpoint, once, and the answer lacks none; and it asks that they are of the own zone and told that it is a repeat.

Not bounded by this: half a bucket at each start of a relay, rosters that differ for a while, first attempts of a relay that was frozen.

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -117,11 +117,38 @@
   return Service.IsSliced ? std::min(PerShard, RelayCount) : RelayCount;
 }
 
+/// Relays that share the slack of the service's retry budget; 0: this relay has
+/// no part of it.
+std::uint32_t endpoint_set::budgetShares(const service_state &Service) const {
+  if (!IsRelayCountKnown)
+    return 0;
+  const std::set<vm_id> &Planned = Service.PlannedRelays;
+  if (Planned.empty())
+    return RelayCount;
+  return Planned.count(Settings.Self)
+             ? static_cast<std::uint32_t>(Planned.size())
+             : 0;
+}
+
 void endpoint_set::resizeBudget(service_state &Service) const {
-  const std::uint32_t Relays = sharingRelays(Service);
-  Service.Budget.resize(Settings.Budget, Relays);
+  Service.Budget.resize(Settings.Budget, budgetShares(Service));
   if (Service.Split)
-    Service.Split->setRelayCount(std::max(Relays, 1U));
+    Service.Split->setRelayCount(std::max(sharingRelays(Service), 1U));
+}
+
+void endpoint_set::setPlannedRelays(
+    const std::map<service_name, std::set<vm_id>> &Planned) {
+  for (const auto &[Name, Relays] : Planned)
+    service(Name);
+  for (auto &[Name, Service] : Services) {
+    const auto Found = Planned.find(Service->Name);
+    const std::set<vm_id> New =
+        Found == Planned.end() ? std::set<vm_id>{} : Found->second;
+    if (New == Service->PlannedRelays)
+      continue;
+    Service->PlannedRelays = New;
+    resizeBudget(*Service);
+  }
 }
 
 std::size_t endpoint_set::connectionLimit(const service_state &Service) const {
@@ -279,9 +306,10 @@
 
 void endpoint_set::setRelayCount(std::uint32_t Count, instant Now,
                                  relay_actions &Out) {
-  if (Count == RelayCount || Count == 0)
+  if (Count == 0 || (Count == RelayCount && IsRelayCountKnown))
     return;
   RelayCount = Count;
+  IsRelayCountKnown = true;
   for (const endpoint_no No : Limited) {
     endpoint_state &Endpoint = *Endpoints.at(No);
     Endpoint.turns().setEvenShare(evenShare(Endpoint.rateLimit()->Rate), Now);
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -27,6 +27,9 @@
   std::uint32_t MaxConnections = 0;
   double ColdRate = 0;   ///< requests per second that a cold endpoint can serve
   bool IsSliced = false; ///< only a few relays send requests to it
+  /// The relays that the plans of all zones name for it; they share its retry
+  /// budget. Empty: all relays do.
+  std::set<vm_id> PlannedRelays;
   std::vector<endpoint_no> Endpoints;
   /// Several other relays reach none of the endpoints either; until then no
   /// further one is asked.
@@ -78,6 +81,9 @@
   /// relays send requests to each of them.
   void setSlicedServices(const std::set<service_name> &Names,
                          std::size_t RelaysPerShard, relay_actions &Out);
+  /// Sets the relays that are planned to query services. All relays share the
+  /// budgets of the other services.
+  void setPlannedRelays(const std::map<service_name, std::set<vm_id>> &Planned);
 
   /// Applies what the registry's leader decided on the versions of services.
   /// Withdraws the waiting attempts from endpoints that get none any more.
@@ -223,6 +229,7 @@
                                    const service_state &Service) const;
 
   std::uint32_t sharingRelays(const service_state &Service) const;
+  std::uint32_t budgetShares(const service_state &Service) const;
   void resizeBudget(service_state &Service) const;
   std::size_t connectionLimit(const service_state &Service) const;
   /// The part of a rate limit for each relay if all have the same.
@@ -263,6 +270,7 @@
   std::uint64_t Seed;
   std::minstd_rand Random;
   std::uint32_t RelayCount = 1;
+  bool IsRelayCountKnown = false;
   /// Relays that send requests to one sliced service.
   std::size_t RelaysPerShard = 1;
   std::set<std::string> ZonesOut;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -419,6 +419,7 @@
   HasDirectory = true;
   Endpoints.install(*Event.Change, Now - Event.Age, Now, *Out);
   Slices.clearCache();
+  updatePlannedRelays();
   preconnectSlices();
   admitQueued();
   markAllFreed();
@@ -427,6 +428,7 @@
 void relay::impl::on(const zones_out_changed &Event) {
   Endpoints.setZonesOut(Event.Zones, Now);
   Slices.clearCache();
+  updatePlannedRelays();
 }
 
 void relay::impl::on(const peer_count_changed &Event) {
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -100,8 +100,11 @@
   // requester may need it all the same.
   const bool IsDeferred = Request.Requester && State == availability::open &&
                           !HasEndpoint && Now < cancelDueAt(Request);
-  const bool MayWaitForTurn =
-      HasEndpoint && Now < waitLimit(Request) && !isHopeless(Request, Part);
+  // Without a share of the budget, a token comes by chance only.
+  const bool IsDenied = IsOverBudget && !Part.Service->Budget.refillsOverTime();
+  const bool MayWaitForTurn = HasEndpoint && !IsDenied &&
+                              Now < waitLimit(Request) &&
+                              !isHopeless(Request, Part);
   const bool MayWait = MayWaitForTurn || PauseEnd < Never || IsDeferred;
   Part.Phase = MayWait ? part_phase::waiting : part_phase::failed;
   if (!MayWait)
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -174,9 +174,19 @@
   // shard requests of other relays
   void scatter(request_state &Request);
   void updateSlicedServices();
+  void updatePlannedRelays();
   void preconnectSlices();
   static vm_id fallbackFor(const slice &Slice, vm_id To);
   vm_id pickPeer(vm_id Primary, vm_id Backup) const;
+  vm_id pickRepeater(const request_state &Request,
+                     const std::vector<std::size_t> &Parts,
+                     const slice_target &Old) const;
+  vm_id pickPlanned(const request_state &Request,
+                    const std::vector<std::size_t> &Parts, vm_id Excluded,
+                    bool TakesUnresponsive) const;
+  std::string zoneOf(vm_id Relay) const;
+  void repeatLocally(request_state &Request,
+                     const std::vector<std::size_t> &Parts);
   void sendShardRequest(request_state &Request,
                         const std::vector<std::size_t> &Parts,
                         const slice_target &Target);
--- a/src/relay/relay_slices.cpp
+++ b/src/relay/relay_slices.cpp
@@ -2,6 +2,7 @@
 #include "relay/relay_impl.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bulrush::relay {
 
@@ -30,20 +31,24 @@
     return;
   }
   for (const slice &Each : QuerySlices) {
-    const vm_id To = pickPeer(Each.Primary, Each.Backup);
+    vm_id To = pickPeer(Each.Primary, Each.Backup);
+    if (To == Settings.Self && Each.Primary != Settings.Self)
+      To = pickPlanned(Request, Each.Shards, Each.Primary, false);
     if (To == Settings.Self)
       startLocally(Request, Each.Shards);
     else
-      sendShardRequest(Request, Each.Shards,
-                       {To, fallbackFor(Each, To), Each.IsCrossZone, 0});
+      sendShardRequest(
+          Request, Each.Shards,
+          {To, fallbackFor(Each, To), zoneOf(To) != Settings.Zone, 0});
   }
 }
 
-/// The relay to use if `To` does not reply; 0 means this relay. A slice of
-/// another zone falls back to this relay, as all relays of that zone may fail
-/// together. So does a slice whose primary was skipped.
+/// The relay to use if `To` does not reply; 0: one that is planned for the
+/// shards.
 vm_id relay::impl::fallbackFor(const slice &Slice, vm_id To) {
-  return Slice.IsCrossZone || To != Slice.Primary ? vm_id{} : Slice.Backup;
+  if (Slice.IsCrossZone)
+    return Slice.LocalFallback;
+  return To == Slice.Primary ? Slice.Backup : vm_id{};
 }
 
 /// The first of the two relays that is set and not in a backoff, else this
@@ -121,21 +126,84 @@
   }
   Request.SliceRequests[Index].IsRetried = true;
   ++Request.LogEvent.SliceRetries;
-  const vm_id To = pickPeer(Old.Fallback, {});
-  if (To != Settings.Self) {
-    // The first relay may have run one attempt.
-    sendShardRequest(Request, Missing, {To, {}, Old.IsCrossZone, 1});
-    return;
+  while (!Missing.empty()) {
+    const vm_id To = pickRepeater(Request, Missing, Old);
+    const auto IsTaken = [&](std::size_t PartIndex) {
+      const auto &Planned = Request.Parts[PartIndex].Service->PlannedRelays;
+      return To == Old.Fallback || Planned.count(To) > 0 ||
+             Planned.size() == Planned.count(Old.To);
+    };
+    const auto Rest =
+        std::stable_partition(Missing.begin(), Missing.end(), IsTaken);
+    const std::vector<std::size_t> Taken(Missing.begin(), Rest);
+    Missing.erase(Missing.begin(), Rest);
+    if (To == Settings.Self)
+      repeatLocally(Request, Taken);
+    else // The first relay may have run one attempt.
+      sendShardRequest(Request, Taken,
+                       {To, {}, zoneOf(To) != Settings.Zone, 1});
   }
-  for (const std::size_t PartIndex : Missing) {
+}
+
+/// Starts parts here that another relay may have run one attempt of.
+void relay::impl::repeatLocally(request_state &Request,
+                                const std::vector<std::size_t> &Parts) {
+  for (const std::size_t PartIndex : Parts) {
     request_part &Part = Request.Parts[PartIndex];
-    // The first relay may have run one attempt.
     Part.PossibleRuns = Part.Deliveries = 1;
     Part.RepeatReason = repeat_reason::slice;
     startPart(Request, Part);
   }
 }
 
+/// The relay that repeats parts of a slice: the fallback, else one that is
+/// planned for many of them, as only these relays share the retry budgets. One
+/// in a backoff may still be better than this relay, which has no share.
+vm_id relay::impl::pickRepeater(const request_state &Request,
+                                const std::vector<std::size_t> &Parts,
+                                const slice_target &Old) const {
+  if (Old.Fallback.Value != 0 && !isInBackoff(Old.Fallback))
+    return Old.Fallback;
+  return pickPlanned(Request, Parts, Old.To, true);
+}
+
+/// The relay that is planned for most of the parts, apart from `Excluded`;
+/// this relay if there is none. The relays of a zone may fail together, so
+/// those of the zone of `Excluded` come last.
+vm_id relay::impl::pickPlanned(const request_state &Request,
+                               const std::vector<std::size_t> &Parts,
+                               vm_id Excluded, bool TakesUnresponsive) const {
+  std::map<vm_id, std::size_t> PartCounts;
+  for (const std::size_t PartIndex : Parts)
+    for (const vm_id Each : Request.Parts[PartIndex].Service->PlannedRelays)
+      if (Each != Excluded && (TakesUnresponsive || !isInBackoff(Each)))
+        ++PartCounts[Each];
+  const std::string ExcludedZone = zoneOf(Excluded);
+  const auto RankOf = [&](vm_id Each, std::size_t Count) {
+    return std::tuple(!isInBackoff(Each), Count, Each == Settings.Self,
+                      zoneOf(Each) != ExcludedZone);
+  };
+  vm_id Best = Settings.Self;
+  std::size_t BestCount = 0;
+  for (const auto &[Each, Count] : PartCounts)
+    if (BestCount == 0 || RankOf(Each, Count) > RankOf(Best, BestCount)) {
+      Best = Each;
+      BestCount = Count;
+    }
+  return Best;
+}
+
+/// The zone of a relay that reaches endpoints.
+std::string relay::impl::zoneOf(vm_id Relay) const {
+  if (Relay == Settings.Self)
+    return Settings.Zone;
+  const std::vector<relay_peer> &Others = Slices.others();
+  const auto Found =
+      std::find_if(Others.begin(), Others.end(),
+                   [&](const relay_peer &Each) { return Each.Vm == Relay; });
+  return Found == Others.end() ? std::string() : Found->Zone;
+}
+
 /// Marks those parts as failed for which no relay can still reply.
 void relay::impl::failUnansweredParts(request_state &Request,
                                       const std::vector<std::size_t> &Parts) {
@@ -321,6 +389,34 @@
     if (Slices.isSliced(Route.Gather))
       Names.insert(Route.Gather.Shards.begin(), Route.Gather.Shards.end());
   Endpoints.setSlicedServices(Names, Slices.relaysPerShard(), *Out);
+  updatePlannedRelays();
+}
+
+/// Tells the endpoint set which relays query the services that only sliced
+/// queries use.
+void relay::impl::updatePlannedRelays() {
+  if (!Table)
+    return;
+  std::map<service_name, std::set<vm_id>> Planned;
+  std::set<service_name> UsedByAll;
+  std::set<std::vector<service_name>> Known;
+  for (const route &Route : Table->content().Routes) {
+    const std::vector<service_name> &Shards = Route.Gather.Shards;
+    for (const weighted_service &Each : Route.Targets)
+      UsedByAll.insert(Each.Service);
+    if (!Slices.isSliced(Route.Gather)) {
+      UsedByAll.insert(Shards.begin(), Shards.end());
+      continue;
+    }
+    if (!Known.insert(Shards).second)
+      continue;
+    const auto Relays = Slices.relaysOf(Route.Gather, Endpoints);
+    for (std::size_t I = 0; I < Shards.size(); ++I)
+      Planned[Shards[I]].insert(Relays[I].begin(), Relays[I].end());
+  }
+  for (const service_name &Each : UsedByAll)
+    Planned.erase(Each);
+  Endpoints.setPlannedRelays(Planned);
 }
 
 /// Opens connections to the endpoints of the slices whose primary is this
--- a/src/relay/service_budget.h
+++ b/src/relay/service_budget.h
@@ -11,30 +11,40 @@
 /// Token bucket filled by first attempts and over time; each retry or hedge
 /// takes one token. In any window a relay spends at most `Ratio` of its own
 /// first attempts plus its share of the slack, so all relays together stay
-/// within the service's bound.
+/// within the service's bound. A relay without a share spends what its first
+/// attempts have earned in the last moments: there may be many such relays, and
+/// what each had saved up would come on top of the slack.
 class service_budget {
 public:
-  /// Sets the limits; `RelayCount` relays share the slack.
-  void resize(const budget_settings &Settings, std::uint32_t RelayCount) {
+  /// Sets the limits; `SharingRelays` relays share the slack, this one
+  /// included. 0: this relay has no share.
+  void resize(const budget_settings &Settings, std::uint32_t SharingRelays) {
+    HasShare = SharingRelays > 0;
     const double Share =
-        Settings.Slack * SafetyFactor / std::max(RelayCount, 1U);
-    Capacity = Share * BurstShare;
+        HasShare ? Settings.Slack * SafetyFactor / SharingRelays : 0;
+    Capacity = HasShare ? Share * BurstShare : CapacityWithoutShare;
     Rate = Share * (1 - BurstShare) / Settings.Window.Count;
     Ratio = Settings.Ratio * SafetyFactor;
-    if (!IsSized)
-      Tokens = Capacity * InitialFillShare;
-    IsSized = true;
+    if (HasShare && !HasHadShare)
+      Tokens = std::max(Tokens, Capacity * InitialFillShare);
+    HasHadShare = HasHadShare || HasShare;
     Tokens = std::min(Tokens, Capacity);
   }
 
   /// Adds the tokens earned over the time since the previous call.
   void refill(instant Now) {
-    if (HasRefilled)
-      Tokens = std::min(Capacity, Tokens + Rate * (Now - RefilledAt).Count);
+    const double Elapsed = HasRefilled ? (Now - RefilledAt).Count : 0;
+    if (HasShare)
+      Tokens = std::min(Capacity, Tokens + Rate * Elapsed);
+    else
+      Tokens *= std::max(0.0, 1 - Elapsed / LifetimeWithoutShare.Count);
     HasRefilled = true;
     RefilledAt = Now;
   }
 
+  /// Whether tokens come over time, not by first attempts only.
+  bool refillsOverTime() const { return Rate > 0; }
+
   /// Adds the tokens earned by one first attempt.
   void onFirstAttempt() { Tokens = std::min(Capacity, Tokens + Ratio); }
 
@@ -67,6 +77,9 @@
   /// A restarted relay may have spent tokens before the restart, so the bucket
   /// starts partly filled.
   static constexpr double InitialFillShare = 0.5;
+  /// Tokens that a relay without a share can hold, and how long they last.
+  static constexpr double CapacityWithoutShare = 1.5;
+  static constexpr millis LifetimeWithoutShare{2000};
   /// Shares of the capacity that urgent and early hedges leave.
   static constexpr double RetryReserveShare = 0.1;
   static constexpr double UrgentReserveShare = 0.4;
@@ -77,7 +90,8 @@
   double Tokens = 0;
   instant RefilledAt;
   bool HasRefilled = false; ///< time counts from the first call of `refill`
-  bool IsSized = false;
+  bool HasShare = false;
+  bool HasHadShare = false;
 };
 
 } // namespace bulrush::relay
--- a/src/relay/slice_planner.cpp
+++ b/src/relay/slice_planner.cpp
@@ -49,9 +49,10 @@
 /// in each zone a pair of relays is assigned to each partition.
 class slice_planner::builder {
 public:
-  builder(const slice_planner &Planner, const gather_rule &Rule,
-          const zone_lookup &Lookup)
-      : Planner(Planner),
+  /// Slices a query that arrives in the zone.
+  builder(const slice_planner &Planner, std::string QueryZone,
+          const gather_rule &Rule, const zone_lookup &Lookup)
+      : Planner(Planner), Zone(std::move(QueryZone)),
         PartitionCount(partitionCountFor(Rule.Shards.size())) {
     for (std::size_t I = 0; I < Rule.Shards.size(); ++I) {
       Shards.push_back({I, 0, Lookup.zonesOf(Rule.Shards[I])});
@@ -117,15 +118,14 @@
   /// small zone does not query all shards with a few relays.
   std::vector<bool> offloadedPartitions() const {
     std::vector<bool> Offloaded(PartitionCount, false);
-    const auto Local = Planner.RelaysByZone.find(Planner.Zone);
+    const auto Local = Planner.RelaysByZone.find(Zone);
     const std::size_t Relays =
         Local == Planner.RelaysByZone.end() ? 0 : Local->second.size();
     const auto Kept = static_cast<std::size_t>(static_cast<double>(Relays) *
                                                LocalSlicesPerRelay);
     std::vector<std::size_t> Ranked(PartitionCount);
     std::iota(Ranked.begin(), Ranked.end(), std::size_t{0});
-    const std::uint64_t ZoneKey =
-        XXH3_64bits(Planner.Zone.data(), Planner.Zone.size());
+    const std::uint64_t ZoneKey = XXH3_64bits(Zone.data(), Zone.size());
     std::sort(Ranked.begin(), Ranked.end(), [&](std::size_t A, std::size_t B) {
       return rendezvousWeight({static_cast<std::uint32_t>(ZoneKey)}, A) >
              rendezvousWeight({static_cast<std::uint32_t>(ZoneKey)}, B);
@@ -139,21 +139,18 @@
   bool hasEndpointElsewhere(const planned_shard &Shard) const {
     return std::any_of(
         Shard.Zones.begin(), Shard.Zones.end(), [&](const std::string &Each) {
-          return Each != Planner.Zone && Planner.RelaysByZone.count(Each) > 0;
+          return Each != Zone && Planner.RelaysByZone.count(Each) > 0;
         });
   }
 
   /// Whether no local relay can query an endpoint of its own zone, but a relay
   /// of another zone can.
   bool needsOtherZone(const planned_shard &Shard) const {
-    const bool IsLocal =
-        hasLocalRelays() && contains(Shard.Zones, Planner.Zone);
+    const bool IsLocal = hasLocalRelays() && contains(Shard.Zones, Zone);
     return !IsLocal && hasEndpointElsewhere(Shard);
   }
 
-  bool hasLocalRelays() const {
-    return Planner.RelaysByZone.count(Planner.Zone) > 0;
-  }
+  bool hasLocalRelays() const { return Planner.RelaysByZone.count(Zone) > 0; }
 
   std::vector<std::string> zonesWithRelays() const {
     std::vector<std::string> Out;
@@ -165,7 +162,7 @@
   void addLocalSlices(const std::vector<planned_shard> &Local) {
     for (const planned_shard &Each : Local) {
       if (Out.empty() || Each.Partition != LastPartition)
-        addSlice(Planner.Zone, Each.Partition);
+        addSlice(Zone, Each.Partition);
       LastPartition = Each.Partition;
       Out.back().Shards.push_back(Each.Index);
     }
@@ -215,7 +212,7 @@
     std::map<std::string, std::size_t> ShardCounts;
     for (const planned_shard &Each : Group)
       for (const std::string &Name : Each.Zones)
-        if (Name != Planner.Zone && Planner.RelaysByZone.count(Name))
+        if (Name != Zone && Planner.RelaysByZone.count(Name))
           ++ShardCounts[Name];
     std::map<std::string, double> Scores;
     double Best = 0;
@@ -232,25 +229,33 @@
 
   /// 1 while the zone has a relay without a slice of this query; then falls
   /// with the slices per relay.
-  double roomIn(const std::string &Zone) const {
+  double roomIn(const std::string &HostZone) const {
     const auto Relays =
-        static_cast<double>(Planner.RelaysByZone.at(Zone).size());
-    const auto Found = SliceCounts.find(Zone);
+        static_cast<double>(Planner.RelaysByZone.at(HostZone).size());
+    const auto Found = SliceCounts.find(HostZone);
     const auto Slices =
         static_cast<double>(Found == SliceCounts.end() ? 1 : Found->second + 1);
     return std::min(1.0, Relays / Slices);
   }
 
-  void addSlice(const std::string &Zone, std::size_t Partition) {
-    if (!RelayPairs.count(Zone))
-      RelayPairs[Zone] = assignRelays(Planner.RelaysByZone.at(Zone));
-    ++SliceCounts[Zone];
-    relay_pair Pair = RelayPairs[Zone][Partition];
-    const bool IsSmallZone =
-        Planner.RelaysByZone.at(Zone).size() < PartitionCount;
+  /// The relays of each partition in a zone with relays.
+  const std::vector<relay_pair> &pairsOf(const std::string &HostZone) {
+    std::vector<relay_pair> &Pairs = RelayPairs[HostZone];
+    if (Pairs.empty())
+      Pairs = assignRelays(Planner.RelaysByZone.at(HostZone));
+    return Pairs;
+  }
+
+  void addSlice(const std::string &HostZone, std::size_t Partition) {
+    const std::vector<vm_id> &Relays = Planner.RelaysByZone.at(HostZone);
+    ++SliceCounts[HostZone];
+    relay_pair Pair = pairsOf(HostZone)[Partition];
+    const bool IsSmallZone = Relays.size() < PartitionCount;
     if (IsSmallZone && shardsOf(Pair.Backup) < shardsOf(Pair.Primary))
       std::swap(Pair.Primary, Pair.Backup);
-    Out.push_back({Pair.Primary, Pair.Backup, Zone != Planner.Zone, {}});
+    Out.push_back({Pair.Primary, Pair.Backup, HostZone != Zone, {}});
+    if (HostZone != Zone && hasLocalRelays())
+      Out.back().LocalFallback = pairsOf(Zone)[Partition].Primary;
   }
 
   /// Number of shards that the slices so far assign to the relay; the greatest
@@ -309,6 +314,7 @@
   }
 
   const slice_planner &Planner;
+  std::string Zone;
   std::size_t PartitionCount;
   std::vector<planned_shard> Shards;                         ///< sorted by name
   std::map<std::string, std::vector<relay_pair>> RelayPairs; ///< by zone
@@ -335,7 +341,7 @@
 
 void slice_planner::update() {
   std::map<std::string, std::vector<vm_id>> New;
-  std::set<std::string> Zones{Zone};
+  Zones = {Zone};
   if (HasReach)
     New[Zone].push_back(Self);
   Others.clear();
@@ -348,7 +354,6 @@
     New[Each.Zone].push_back(Each.Vm);
     Others.push_back(Each);
   }
-  ZoneCount = Zones.size();
   for (auto &[Name, Vms] : New)
     std::sort(Vms.begin(), Vms.end());
   if (New == RelaysByZone)
@@ -358,7 +363,21 @@
 }
 
 std::size_t slice_planner::relaysPerShard() const {
-  return ZoneCount * RelaysPerShardInZone;
+  return Zones.size() * RelaysPerShardInZone;
+}
+
+std::vector<std::set<vm_id>>
+slice_planner::relaysOf(const gather_rule &Rule,
+                        const zone_lookup &Lookup) const {
+  std::vector<std::set<vm_id>> Out(Rule.Shards.size());
+  for (const std::string &Each : Zones)
+    for (const slice &Slice : builder(*this, Each, Rule, Lookup).build())
+      for (const std::size_t Shard : Slice.Shards)
+        for (const vm_id Relay :
+             {Slice.Primary, Slice.Backup, Slice.LocalFallback})
+          if (Relay.Value != 0)
+            Out[Shard].insert(Relay);
+  return Out;
 }
 
 bool slice_planner::isSliced(const gather_rule &Rule) const {
@@ -383,7 +402,7 @@
     return Found->second;
   if (Cache.size() >= MaxCachedPlans)
     Cache.clear();
-  builder Builder(*this, Rule, Lookup);
+  builder Builder(*this, Zone, Rule, Lookup);
   return Cache[Rule.Shards] =
              IsSliced ? Builder.build() : Builder.buildAcrossZones();
 }
--- a/src/relay/slice_planner.h
+++ b/src/relay/slice_planner.h
@@ -37,6 +37,10 @@
   vm_id Backup;             ///< used if the primary does not reply; 0: none
   bool IsCrossZone = false; ///< the relays are in another zone
   std::vector<std::size_t> Shards; ///< indices in the query
+  /// Of a slice in another zone: the relay of the planning zone that queries
+  /// the shards if the primary does not reply, as all relays of that zone may
+  /// fail together; 0: none.
+  vm_id LocalFallback = {};
 };
 
 struct slice_settings {
@@ -75,6 +79,11 @@
   /// Number of relays, over all zones, that may query the same shard.
   std::size_t relaysPerShard() const;
 
+  /// The relays that the plans of all zones name for each shard of a query that
+  /// is sliced, in the order of its shards.
+  std::vector<std::set<vm_id>> relaysOf(const gather_rule &Rule,
+                                        const zone_lookup &Lookup) const;
+
   /// Whether all shards of the query are divided into slices: it has enough of
   /// them and there is another relay.
   bool isSliced(const gather_rule &Rule) const;
@@ -96,7 +105,7 @@
   std::string Zone;
   bool HasReach = true;
   std::vector<relay_peer> Peers; ///< as last set
-  std::size_t ZoneCount = 1;     ///< zones with a relay, with reach or not
+  std::set<std::string> Zones;   ///< those with a relay, with reach or not
   /// Relays with reach, sorted by id.
   std::map<std::string, std::vector<vm_id>> RelaysByZone;
   std::vector<relay_peer> Others; ///< with reach, sorted by id
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -86,6 +86,12 @@
     step(peer_count_changed{Peers});
     publishDirectory();
   }
+  /// Delivers the same without the relay count.
+  void installWithoutCount() {
+    ++Catalog.Version.Value;
+    step(catalog_arrived{std::make_shared<const catalog>(Catalog)});
+    publishDirectory();
+  }
   /// Delivers the full directory as a new version.
   void publishDirectory() {
     Directory.Version = {1, Directory.Version.Sequence + 1};
--- a/test/unit/relay_slices_test.cpp
+++ b/test/unit/relay_slices_test.cpp
@@ -697,18 +697,31 @@
   CHECK(Relay.answerTo(Request));
 }
 
-TEST_CASE("slices of an unresponsive zone are queried by the relay itself",
+namespace {
+
+/// A relay of the zone "near", one of 24 in two zones. Shards whose name ends
+/// in 0, 4 or 8 have endpoints in the other zone only.
+struct two_zones_fixture : slices_fixture {
+  explicit two_zones_fixture(std::uint32_t Self) : slices_fixture(Self, 24) {
+    std::vector<relay_peer> Peers;
+    for (std::uint32_t I = 1; I <= 24; ++I)
+      Peers.push_back({{I}, I <= 12 ? "near" : "far"});
+    step(peers_changed{Peers});
+    for (listed_endpoint &Each : Directory.Endpoints)
+      if (Each.Service.Value.back() % 4 == 0)
+        Each.Zone = "far";
+    publishDirectory();
+  }
+};
+
+} // namespace
+
+// Guards against shards that are lost with the relays of their zone, and
+// against repeats by relays that have no share of the retry budget.
+TEST_CASE("slices of an unresponsive zone are queried by relays of the own "
+          "zone that are planned for it",
           "[slices][load]") {
-  slices_fixture Relay(1, 24);
-  std::vector<relay_peer> Peers;
-  for (std::uint32_t I = 1; I <= 24; ++I)
-    Peers.push_back({{I}, I <= 12 ? "near" : "far"});
-  Relay.step(peers_changed{Peers});
-  // Shards whose name ends in 0, 4 or 8 have endpoints in the other zone only.
-  for (listed_endpoint &Each : Relay.Directory.Endpoints)
-    if (Each.Service.Value.back() % 4 == 0)
-      Each.Zone = "far";
-  Relay.publishDirectory();
+  two_zones_fixture Relay(1);
   const query_id Request = Relay.sendRequest("/all/x");
   std::set<std::string> Lost;
   for (const send_shard_request &Each : Relay.sentShardRequests()) {
@@ -720,10 +733,21 @@
   }
   REQUIRE(Lost.size() > 10);
   Relay.replyAll();
-  const std::size_t ShardRequests = Relay.sentShardRequests().size();
+  const std::size_t Before = Relay.sentShardRequests().size();
   Relay.advance(51);
-  CHECK(Relay.sentShardRequests().size() == ShardRequests);
-  CHECK(Relay.Sent.size() == Lost.size());
+  const auto ShardRequests = Relay.sentShardRequests();
+  std::size_t Repeated = 0;
+  for (std::size_t I = Before; I < ShardRequests.size(); ++I) {
+    const send_shard_request &Each = ShardRequests[I];
+    REQUIRE(Each.To.Value <= 12);
+    CHECK(Each.Request.IsRetry);
+    two_zones_fixture Other(Each.To.Value);
+    Other.step(shard_request_arrived{{1}, Each.Request});
+    CHECK(Other.Sent.size() == Each.Request.Shards.size());
+    Repeated += Other.Sent.size();
+    Relay.step(shard_reply_arrived{Each.To, Relay.fullReply(Each)});
+  }
+  CHECK(Repeated + Relay.Sent.size() == Lost.size());
   Relay.replyAll();
   REQUIRE(Relay.answerTo(Request));
   CHECK(Relay.answerTo(Request)->Missing == 0);
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -438,6 +438,44 @@
   CHECK(Spent >= First + 4); // refilled without first attempts
 }
 
+// Guards against relays that take the whole slack of a service until they know
+// how many they are.
+TEST_CASE("nothing is sent again before the fleet's size is known",
+          "[relay][budget]") {
+  relay_fixture Relay;
+  Relay.addService("one", 2);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.installWithoutCount();
+  Relay.sendRequest("/one/");
+  Relay.reply(Relay.Sent.begin()->first, 500);
+  CHECK(Relay.Sent.empty());
+  Relay.step(peer_count_changed{1});
+  Relay.sendRequest("/one/");
+  Relay.reply(Relay.Sent.begin()->first, 500);
+  CHECK(Relay.Sent.size() == 1);
+}
+
+// Guards against tokens that many relays without a share save up.
+TEST_CASE("without a share of the slack, tokens are earned and expire",
+          "[relay][budget]") {
+  service_budget Budget;
+  Budget.resize({0.2, 1000, {10'000}}, 0);
+  Budget.refill({0});
+  CHECK(!Budget.canSpend());
+  for (int I = 0; I < 50; ++I)
+    Budget.onFirstAttempt();
+  Budget.refill({1});
+  CHECK(!Budget.spend(0.5));
+  for (int I = 0; I < 50; ++I)
+    Budget.onFirstAttempt();
+  CHECK(Budget.spend());
+  CHECK(!Budget.canSpend());
+  for (int I = 0; I < 50; ++I)
+    Budget.onFirstAttempt();
+  Budget.refill({2001});
+  CHECK(!Budget.canSpend());
+}
+
 TEST_CASE("a budget stays within its share in every window", "[relay]") {
   constexpr double Slack = 100;
   constexpr std::uint32_t Peers = 4;
