--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -144,7 +144,8 @@
   void startPart(request_state &Request, request_part &Part,
                  bool IsNext = false);
   bool sendPart(request_state &Request, request_part &Part,
-                const reply_timing &Timing, double Reserve = 0);
+                const reply_timing &Timing, repeat_reason Reason,
+                double Reserve = 0);
   void sendHedge(request_state &Request, request_part &Part);
   bool mayHedge(const request_state &Request, const request_part &Part) const;
   void handleReply(request_state &Request, request_part &Part, endpoint_no From,
@@ -173,9 +174,19 @@
   // shard requests of other relays
   void scatter(request_state &Request);
   void updateSlicedServices();
+  void updatePlannedRelays();
   void preconnectSlices();
   static vm_id fallbackFor(const slice &Slice, vm_id To);
   vm_id pickPeer(vm_id Primary, vm_id Backup) const;
+  vm_id pickRepeater(const request_state &Request,
+                     const std::vector<std::size_t> &Parts,
+                     const slice_target &Old) const;
+  vm_id pickPlanned(const request_state &Request,
+                    const std::vector<std::size_t> &Parts, vm_id Excluded,
+                    bool TakesUnresponsive) const;
+  std::string zoneOf(vm_id Relay) const;
+  void repeatLocally(request_state &Request,
+                     const std::vector<std::size_t> &Parts);
   void sendShardRequest(request_state &Request,
                         const std::vector<std::size_t> &Parts,
                         const slice_target &Target);
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -394,6 +394,32 @@
   CHECK(ExtraAttempts >= 20);
 }
 
+// Guards against further attempts whose reason and sender no page tells.
+TEST_CASE("a request's log event tells why its parts were sent again",
+          "[relay]") {
+  relay_fixture Relay;
+  Relay.addService("one", 2);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.install();
+  const auto CountOf = [&](repeat_reason Reason) {
+    const auto &Event = std::get<request_log_event>(*std::find_if(
+        Relay.Actions.rbegin(), Relay.Actions.rend(), [](const auto &Each) {
+          return std::holds_alternative<request_log_event>(Each);
+        }));
+    return Event.Repeats[static_cast<std::size_t>(Reason)];
+  };
+  Relay.sendRequest("/one/");
+  Relay.reply(Relay.Sent.begin()->first, 500);
+  Relay.replyAll();
+  CHECK(CountOf(repeat_reason::failure) == repeat_count{1, 0});
+  CHECK(CountOf(repeat_reason::shed) == repeat_count{});
+  Relay.sendRequest("/one/");
+  Relay.replyNotRun(Relay.Sent.begin()->first);
+  Relay.replyAll();
+  CHECK(CountOf(repeat_reason::shed) == repeat_count{1, 0});
+  CHECK(CountOf(repeat_reason::failure) == repeat_count{});
+}
+
 TEST_CASE("a spent budget refills over time", "[relay][load]") {
   service_budget Budget;
   Budget.resize({0.2, 100, {10'000}}, 4);
@@ -412,6 +438,44 @@
   CHECK(Spent >= First + 4); // refilled without first attempts
 }
 
+// Guards against relays that take the whole slack of a service until they know
+// how many they are.
+TEST_CASE("nothing is sent again before the fleet's size is known",
+          "[relay][budget]") {
+  relay_fixture Relay;
+  Relay.addService("one", 2);
+  Relay.addPlainRoute("/one/", "one");
+  Relay.installWithoutCount();
+  Relay.sendRequest("/one/");
+  Relay.reply(Relay.Sent.begin()->first, 500);
+  CHECK(Relay.Sent.empty());
+  Relay.step(peer_count_changed{1});
+  Relay.sendRequest("/one/");
+  Relay.reply(Relay.Sent.begin()->first, 500);
+  CHECK(Relay.Sent.size() == 1);
+}
+
+// Guards against tokens that many relays without a share save up.
+TEST_CASE("without a share of the slack, tokens are earned and expire",
+          "[relay][budget]") {
+  service_budget Budget;
+  Budget.resize({0.2, 1000, {10'000}}, 0);
+  Budget.refill({0});
+  CHECK(!Budget.canSpend());
+  for (int I = 0; I < 50; ++I)
+    Budget.onFirstAttempt();
+  Budget.refill({1});
+  CHECK(!Budget.spend(0.5));
+  for (int I = 0; I < 50; ++I)
+    Budget.onFirstAttempt();
+  CHECK(Budget.spend());
+  CHECK(!Budget.canSpend());
+  for (int I = 0; I < 50; ++I)
+    Budget.onFirstAttempt();
+  Budget.refill({2001});
+  CHECK(!Budget.canSpend());
+}
+
 TEST_CASE("a budget stays within its share in every window", "[relay]") {
   constexpr double Slack = 100;
   constexpr std::uint32_t Peers = 4;
