Listener: its comment says what holds

The comment forbade running the event loop after the listener's end; the handlers are guarded against that, and http::server relies on it. What must not happen is that the accept handler destroys the listener. No change of code.

--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -11,8 +11,8 @@
 
 namespace bulrush::http {
 
-/// Runs on the thread of its `io_context`, which must not run after the
-/// listener's end.
+/// Runs on the thread of its `io_context`. Its handlers are not called after
+/// its end; the accept handler must not destroy it.
 class listener {
 public:
   using accept_handler = std::function<void(boost::asio::ip::tcp::socket)>;
