Registry: log why a node belongs to no group, and each first group that it forms

A registry that waited for its first group logged nothing after registry_started, so that a fleet that never starts could not be told from one that starts slowly or has lost its group. New: log events no_group (cause, vms that it waits for) and group_formed, gauge registry_has_group. No decision changes.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -92,6 +92,7 @@
   Status.Applied = Applied;
   Status.Ready = Ready;
   Status.Group = group();
+  Status.Bootstrap = bootstrapStatus();
   if (Role != replica_role::leader)
     return Status;
   Status.ConfirmedAt = confirmedAt();
@@ -206,7 +207,7 @@
   const log_index FirstIndex{1};
   Snapshot = log_snapshot{FirstIndex, FirstTerm, Event.Group, Event.Bytes};
   Log.reset(FirstIndex, FirstTerm);
-  adoptGroup(FirstIndex, Event.Group);
+  adoptGroup(FirstIndex, Event.Group, true);
   Term = std::max(Term, FirstTerm);
   Commit = FirstIndex;
   DurableIndex = {0};
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -172,6 +172,7 @@
 };
 struct group_changed {
   voter_group Group;
+  bool IsFirst = false; ///< formed by this member from empty data folders
 };
 /// Reports that the data folder is an outdated copy or that its member was
 /// removed. The caller must retire the folder; the replica sends nothing more.
@@ -203,6 +204,20 @@
   bool IsPromotable = false;
 };
 
+/// Why a member without a group forms none.
+enum class bootstrap_wait : std::uint8_t {
+  none,            ///< has a group, or is about to form one
+  not_first_start, ///< `AllowBootstrap` is false
+  not_lowest,      ///< another VM of `Vms` forms the group
+  missing_vms      ///< not all of `Vms` have acknowledged the empty data folder
+};
+
+/// The progress of a member without a group towards the first one.
+struct bootstrap_status {
+  bootstrap_wait Wait = bootstrap_wait::none;
+  std::vector<vm_id> Vms; ///< for which it waits
+};
+
 /// The state of one member, for status pages and leases.
 struct replica_status {
   replica_role Role = replica_role::follower;
@@ -221,6 +236,7 @@
   instant ConfirmedAt;
   voter_group Group;
   std::vector<follower_status> Followers; ///< set on a leader only
+  bootstrap_status Bootstrap;
 };
 
 /// One member of the replicated log. Deterministic: `Seed` is the only source
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -128,7 +128,7 @@
   void recordMemberPosition(voter_id Voter, incarnation_id Incarnation,
                             log_index Match);
   void updateHeldPosition(held_position Position);
-  void adoptGroup(log_index Index, voter_group Group);
+  void adoptGroup(log_index Index, voter_group Group, bool IsFirst = false);
   void dropGroupsFrom(log_index Index);
   const voter_group &group() const { return Groups.back().second; }
   const voter_group &groupAt(log_index Index) const;
@@ -140,6 +140,7 @@
   void promote(const group_member &Learner);
   void promoteLearners();
   void discoverGroup();
+  bootstrap_status bootstrapStatus() const;
 
   replica_options Options;
   voter_id Self;
--- a/src/control/replica_members.cpp
+++ b/src/control/replica_members.cpp
@@ -133,7 +133,8 @@
   emit(identity_lost{});
 }
 
-void replica_core::adoptGroup(log_index Index, voter_group Group) {
+void replica_core::adoptGroup(log_index Index, voter_group Group,
+                              bool IsFirst) {
   if (!Groups.empty() && Groups.back().second.Members.empty())
     Groups.clear();
   Groups.emplace_back(Index, std::move(Group));
@@ -143,7 +144,7 @@
         Progress[Member.Id].Next = {Log.last().Value + 1};
   }
   dropNonMembers();
-  emit(group_changed{group()});
+  emit(group_changed{group(), IsFirst});
 }
 
 void replica_core::dropNonMembers() {
@@ -324,4 +325,19 @@
   on(bootstrap_group{First, shareBytes({})});
 }
 
+bootstrap_status replica_core::bootstrapStatus() const {
+  if (!group().Members.empty())
+    return {};
+  if (!Options.AllowBootstrap)
+    return {bootstrap_wait::not_first_start, {}};
+  const auto Lowest = std::min_element(Options.Vms.begin(), Options.Vms.end());
+  if (Lowest != Options.Vms.end() && *Lowest != Vm)
+    return {bootstrap_wait::not_lowest, {*Lowest}};
+  bootstrap_status Status{bootstrap_wait::missing_vms, {}};
+  for (vm_id Other : Options.Vms)
+    if (Other != Vm && !AcknowledgedBy.count(Other))
+      Status.Vms.push_back(Other);
+  return Status;
+}
+
 } // namespace bulrush::control
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -50,6 +50,22 @@
 constexpr std::size_t SnapshotEvery =
     128; ///< entries; an entry may hold a whole catalog
 constexpr std::size_t CatchUpEntries = 16;
+/// Time between two `no_group` log lines without a change of the cause.
+constexpr millis NoGroupLogInterval{10'000};
+
+std::string_view causeName(control::bootstrap_wait Wait) {
+  switch (Wait) {
+  case control::bootstrap_wait::none:
+    return "none";
+  case control::bootstrap_wait::not_first_start:
+    return "not_first_start";
+  case control::bootstrap_wait::not_lowest:
+    return "not_lowest";
+  case control::bootstrap_wait::missing_vms:
+    return "missing_vms";
+  }
+  return "unknown";
+}
 
 class registry_process final : public operator_handler_host,
                                public voter_folder_host,
@@ -303,6 +319,32 @@
     return Out;
   }
 
+  /// Logs why this node belongs to no group, when the cause changes and once
+  /// per `NoGroupLogInterval`.
+  void logMissingGroup(instant Now) {
+    if (!Node)
+      return;
+    const control::replica_status Status = Node->status();
+    const control::bootstrap_status &Cause = Status.Bootstrap;
+    Metrics.set("registry_has_group", "", Status.Group.Members.empty() ? 0 : 1);
+    if (!Status.Group.Members.empty()) {
+      LoggedWait = control::bootstrap_wait::none;
+      return;
+    }
+    if (Cause.Wait == LoggedWait && Now - NoGroupLoggedAt < NoGroupLogInterval)
+      return;
+    LoggedWait = Cause.Wait;
+    NoGroupLoggedAt = Now;
+    std::string Vms;
+    for (const vm_id Each : Cause.Vms)
+      Vms += (Vms.empty() ? "" : ",") + toText(Each);
+    telemetry::logEvent(severity::warning, "no_group",
+                        {{"node", Settings.Node},
+                         {"cause", causeName(Cause.Wait)},
+                         {"waits_for", Vms},
+                         {"first_start", Settings.IsFirstStart}});
+  }
+
   // Registry node.
 
   void step(const node_event &Event) {
@@ -337,6 +379,8 @@
       VoterLinks.send(Action.Vm, std::move(Action.Message), Clock.now());
   }
   void on(control::group_changed &Action) {
+    if (Action.IsFirst)
+      logFirstGroup(Action.Group);
     Voters.clear();
     std::string Text;
     for (const control::group_member &Each : Action.Group.Members) {
@@ -346,6 +390,14 @@
     }
     telemetry::logEvent(severity::info, "voters_changed", {{"members", Text}});
   }
+  /// Two lines with different groups would show that two groups were formed.
+  static void logFirstGroup(const control::voter_group &Group) {
+    std::string Text;
+    for (const control::group_member &Each : Group.Members)
+      Text += (Text.empty() ? "" : ",") + toText(Each.Vm) + ":" +
+              std::to_string(Each.Id.Value);
+    telemetry::logEvent(severity::info, "group_formed", {{"group", Text}});
+  }
   void on(control::identity_lost &) {
     telemetry::logEvent(severity::warning, "identity_lost",
                         {{"node", Settings.Node}});
@@ -585,6 +637,7 @@
     if (Now - HeartbeatAt < SubscriberHeartbeatInterval)
       return;
     HeartbeatAt = Now;
+    logMissingGroup(Now);
     VoterLinks.closeIdle(Now);
     if (Node && Node->isLeader())
       Subscribers.sendHeartbeat(Node->state().Revision, Node->fleetSize());
@@ -645,6 +698,8 @@
   instant DirectoryReadAt;
   std::uint64_t Sequence = 0; ///< number of directory versions in this term
   instant HeartbeatAt{-1e300};
+  control::bootstrap_wait LoggedWait = control::bootstrap_wait::none;
+  instant NoGroupLoggedAt{-1e300};
   bool IsStopping = false;
   bool HasRefusedRecord = false;
 };
