--- a/src/control/log_entry.h
+++ b/src/control/log_entry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "bulrushtray/ids.h"
+#include "control/bootstrap.h"
 #include "control/voter_group.h"
 
 #include <memory>
@@ -75,6 +76,9 @@
   hard_state Hard;
   std::optional<log_snapshot> Snapshot;
   std::vector<log_entry> Entries; ///< follow the snapshot without gaps
+  std::optional<bootstrap_record> Bootstrap;
+  /// Whether the folder holds files of a member that was given up.
+  bool HasFormerMember = false;
 };
 
 } // namespace bulrush::control
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -22,13 +22,37 @@
 
 replica_status replica::status() const { return Core->status(); }
 
-replica_core::replica_core(replica_options Options, recovered_state State,
+namespace {
+
+bootstrap_settings bootstrapSettings(const replica_options &Options) {
+  bootstrap_settings Out;
+  Out.Electorate = {Options.Vms, Options.FleetSize};
+  Out.IsFirstStart = Options.IsFirstStart;
+  Out.MinAcceptors = Options.MinCommitCopies;
+  Out.InitialSize =
+      Options.InitialSize > 0 ? Options.InitialSize : Options.Vms.size();
+  Out.AllowsUnrecorded = Options.AllowsUnrecorded;
+  Out.UnrecordedDelay = Options.UnrecordedDelay;
+  Out.AnnounceInterval = Options.Heartbeat;
+  return Out;
+}
+
+/// Whether no member of a group was ever in the folder.
+bool isUnused(const recovered_state &State) {
+  return State.Hard.Term.Value == 0 && !State.Snapshot &&
+         State.Entries.empty() && !State.HasFormerMember;
+}
+
+} // namespace
+
+replica_core::replica_core(replica_options Given, recovered_state State,
                            std::uint64_t Seed)
-    : Options(std::move(Options)), Self(State.Self), Vm(State.Vm),
+    : Options(std::move(Given)), Self(State.Self), Vm(State.Vm),
       Boot(State.Boot), Random(Seed), Term(State.Hard.Term),
-      Vote(State.Hard.Vote), Snapshot(std::move(State.Snapshot)) {
+      Vote(State.Hard.Vote), Snapshot(State.Snapshot),
+      Bootstrap(bootstrapSettings(Options), State.Bootstrap, Self, Vm,
+                isUnused(State)) {
   Groups.emplace_back(log_index{0}, voter_group{});
-  KnownVms.insert(this->Options.Vms.begin(), this->Options.Vms.end());
   if (Snapshot) {
     Log.reset(Snapshot->Index, Snapshot->Term);
     Groups.front() = {Snapshot->Index, Snapshot->Group};
@@ -92,7 +116,8 @@
   Status.Applied = Applied;
   Status.Ready = Ready;
   Status.Group = group();
-  Status.Bootstrap = bootstrapStatus();
+  if (group().Members.empty())
+    Status.Bootstrap = Bootstrap.status(Now);
   if (Role != replica_role::leader)
     return Status;
   Status.ConfirmedAt = confirmedAt();
@@ -212,7 +237,9 @@
   Commit = FirstIndex;
   DurableIndex = {0};
   InstallPending = HardChanged = SnapshotChanged = LogDropped = true;
-  ElectionAt = Now;
+  resetElectionTimer();
+  if (Event.ElectsNow)
+    ElectionAt = Now;
 }
 
 void replica_core::applyCommitted() {
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -26,13 +26,21 @@
 using write_id = numeric_id<struct write_tag, std::uint64_t>;
 
 struct replica_options {
-  /// VMs of the initial group. The group bootstraps itself once every one of
-  /// these VMs has an empty data folder. A new data folder on the VM of an
-  /// existing member replaces that member.
+  /// The seeds: VMs where other members are found, and of which a majority must
+  /// agree on the first group (see control/bootstrap.h). A new data folder on
+  /// the VM of an existing member replaces that member.
   std::vector<vm_id> Vms;
-  /// Whether this member may bootstrap the initial group from an empty data
-  /// folder.
-  bool AllowBootstrap = true;
+  /// Whether the fleet starts for the first time, with empty disks.
+  bool IsFirstStart = false;
+  /// Members of the replicated log that start for the first time; 0: unknown.
+  std::uint32_t FleetSize = 0;
+  /// Voters of a complete first group; 0: as many as `Vms`.
+  std::size_t InitialSize = 0;
+  /// Whether data folders that have not recorded a first start form a group
+  /// once `InitialSize` of them, all of `Vms` among them, are known to be
+  /// without one, and for how long they must be.
+  bool AllowsUnrecorded = true;
+  millis UnrecordedDelay{0};
   /// Minimum number of voters that must have an entry on disk before it is
   /// committed, in addition to the majority rule. Capped at the number of
   /// voters.
@@ -109,13 +117,16 @@
 /// empty.
 struct bootstrap_group {
   voter_group Group;
-  shared_bytes Bytes; ///< initial snapshot of the state machine
+  shared_bytes Bytes;    ///< initial snapshot of the state machine
+  bool ElectsNow = true; ///< whether this member campaigns at once
 };
 /// Transfers leadership to the most up-to-date voter before a planned stop.
 struct transfer_leadership {};
 /// Adds VMs to which a member without a group sends `join_request`.
 struct vms_discovered {
   std::vector<vm_id> Vms;
+  /// VM that belongs to a group of these VMs, if they are one.
+  std::optional<vm_id> GroupOn;
 };
 
 using event =
@@ -124,14 +135,15 @@
                  bootstrap_group, transfer_leadership, vms_discovered>;
 
 // Actions.
-/// Asks the caller to write the snapshot first, then the hard state and the
-/// entries, and to sync. An entry replaces all stored entries with the same or
-/// a larger index.
+/// Asks the caller to write the bootstrap record and the snapshot first, then
+/// the hard state and the entries, and to sync. An entry replaces all stored
+/// entries with the same or a larger index.
 struct persist {
   write_id Write;
   hard_state Hard;
   std::vector<log_entry> Entries;
   std::optional<log_snapshot> Snapshot;
+  std::optional<bootstrap_record> Bootstrap;
   bool DropLog = false; ///< discard all entries of earlier writes
 };
 struct send {
@@ -204,20 +216,6 @@
   bool IsPromotable = false;
 };
 
-/// Why a member without a group forms none.
-enum class bootstrap_wait : std::uint8_t {
-  none,            ///< has a group, or is about to form one
-  not_first_start, ///< `AllowBootstrap` is false
-  not_lowest,      ///< another VM of `Vms` forms the group
-  missing_vms      ///< not all of `Vms` have acknowledged the empty data folder
-};
-
-/// The progress of a member without a group towards the first one.
-struct bootstrap_status {
-  bootstrap_wait Wait = bootstrap_wait::none;
-  std::vector<vm_id> Vms; ///< for which it waits
-};
-
 /// The state of one member, for status pages and leases.
 struct replica_status {
   replica_role Role = replica_role::follower;
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -1,6 +1,7 @@
 /// Implementation of `replica`, split into one replica_*.cpp file per topic.
 #pragma once
 
+#include "control/bootstrap.h"
 #include "control/entry_log.h"
 #include "control/replica.h"
 
@@ -139,8 +140,16 @@
   const group_member *formerMemberOf(const group_member &Learner) const;
   void promote(const group_member &Learner);
   void promoteLearners();
+  void noteGroup(const message &Message);
+  template <class body>
+  void onBootstrapMessage(const message &From, const body &Body);
+  void onMessage(const message &From, const bootstrap_prepare &Body);
+  void onMessage(const message &From, const bootstrap_promise &Body);
+  void onMessage(const message &From, const bootstrap_accept &Body);
+  void onMessage(const message &From, const bootstrap_accepted &Body);
+  void onMessage(const message &From, const bootstrap_chosen &Body);
   void discoverGroup();
-  bootstrap_status bootstrapStatus() const;
+  void finishBootstrap();
 
   replica_options Options;
   voter_id Self;
@@ -216,11 +225,8 @@
   instant NextCheckInAt;
   instant CheckInDeadline;
 
-  // Group discovery and bootstrap, while this member has no group.
-  std::map<vm_id, voter_id> EmptyFolders; ///< folders without a group, by VM
-  std::set<vm_id> AcknowledgedBy;         ///< VMs that know this empty folder
-  std::set<vm_id> KnownVms;               ///< receivers of `join_request`
-  instant NextDiscoveryAt;
+  bootstrap_agreement Bootstrap; ///< while this member has no group
+  bool BootstrapChanged = false;
 };
 
 } // namespace bulrush::control
--- a/src/control/replica_members.cpp
+++ b/src/control/replica_members.cpp
@@ -8,6 +8,7 @@
 namespace bulrush::control {
 
 bool replica_core::acceptMessage(const message &Message) {
+  noteGroup(Message);
   const bool IsUnaddressed =
       std::holds_alternative<join_request>(Message.Body) ||
       std::holds_alternative<check_in>(Message.Body);
@@ -183,7 +184,9 @@
 }
 
 void replica_core::on(const vms_discovered &Event) {
-  KnownVms.insert(Event.Vms.begin(), Event.Vms.end());
+  Bootstrap.addVms(Event.Vms);
+  if (Event.GroupOn && group().Members.empty())
+    Bootstrap.onGroupSeen(*Event.GroupOn, Now);
 }
 
 void replica_core::on(const add_member &Event) {
@@ -277,12 +280,7 @@
 
 void replica_core::onMessage(const message &From, const join_request &Body) {
   if (group().Members.empty()) {
-    voter_id &Known = EmptyFolders[From.Vm];
-    if (Known != From.From)
-      AcknowledgedBy.erase(From.Vm);
-    Known = From.From;
-    if (Body.Seen == Self)
-      AcknowledgedBy.insert(From.Vm);
+    onBootstrapMessage(From, Body);
     return;
   }
   if (Role != replica_role::leader || group().find(From.From))
@@ -297,47 +295,67 @@
   changeGroup(Group);
 }
 
-// Discovers an existing group or bootstraps the initial one. Each member
-// without a group announces its empty folder and the empty folder that it knows
-// on the receiver. The initial VM with the lowest id bootstraps the group once
-// all other initial VMs have acknowledged its folder, which proves that none of
-// them belongs to an older group.
-void replica_core::discoverGroup() {
-  if (!group().Members.empty() || Now < NextDiscoveryAt)
-    return;
-  NextDiscoveryAt = Now + Options.Heartbeat * 2;
-  for (vm_id Other : KnownVms)
-    if (Other != Vm)
-      queueMessage(Other, NoVoter, join_request{EmptyFolders[Other]});
-  if (!Options.AllowBootstrap)
-    return;
-  const auto Lowest = std::min_element(Options.Vms.begin(), Options.Vms.end());
-  if (Lowest == Options.Vms.end() || *Lowest != Vm)
+/// Only members of a group send messages of the replicated log.
+void replica_core::noteGroup(const message &Message) {
+  if (!group().Members.empty())
     return;
-  voter_group First = voter_group{}.with({Self, Vm, member_role::voter});
-  for (vm_id Other : Options.Vms) {
-    if (Other == Vm)
-      continue;
-    if (!AcknowledgedBy.count(Other))
-      return;
-    First = First.with({EmptyFolders[Other], Other, member_role::voter});
-  }
-  on(bootstrap_group{First, shareBytes({})});
+  const auto &Body = Message.Body;
+  if (std::holds_alternative<vote_request>(Body) ||
+      std::holds_alternative<append_request>(Body) ||
+      std::holds_alternative<snapshot_chunk>(Body) ||
+      std::holds_alternative<check_in>(Body))
+    Bootstrap.onGroupSeen(Message.Vm, Now);
+}
+
+template <class body>
+void replica_core::onBootstrapMessage(const message &From, const body &Body) {
+  if (group().Members.empty())
+    Bootstrap.on(From.Vm, From.From, Body, Now);
 }
 
-bootstrap_status replica_core::bootstrapStatus() const {
+void replica_core::onMessage(const message &From,
+                             const bootstrap_prepare &Body) {
+  onBootstrapMessage(From, Body);
+}
+
+void replica_core::onMessage(const message &From,
+                             const bootstrap_promise &Body) {
+  onBootstrapMessage(From, Body);
+}
+
+void replica_core::onMessage(const message &From,
+                             const bootstrap_accept &Body) {
+  onBootstrapMessage(From, Body);
+}
+
+void replica_core::onMessage(const message &From,
+                             const bootstrap_accepted &Body) {
+  onBootstrapMessage(From, Body);
+}
+
+void replica_core::onMessage(const message &From,
+                             const bootstrap_chosen &Body) {
+  onBootstrapMessage(From, Body);
+}
+
+/// Looks for a group to join, or takes part in forming the first one.
+void replica_core::discoverGroup() {
+  if (group().Members.empty())
+    Bootstrap.tick(Now, Writes.empty());
+}
+
+/// Carries out what the agreement on the first group asks for.
+void replica_core::finishBootstrap() {
   if (!group().Members.empty())
-    return {};
-  if (!Options.AllowBootstrap)
-    return {bootstrap_wait::not_first_start, {}};
-  const auto Lowest = std::min_element(Options.Vms.begin(), Options.Vms.end());
-  if (Lowest != Options.Vms.end() && *Lowest != Vm)
-    return {bootstrap_wait::not_lowest, {*Lowest}};
-  bootstrap_status Status{bootstrap_wait::missing_vms, {}};
-  for (vm_id Other : Options.Vms)
-    if (Other != Vm && !AcknowledgedBy.count(Other))
-      Status.Vms.push_back(Other);
-  return Status;
+    return;
+  BootstrapChanged = Bootstrap.takeChange() || BootstrapChanged;
+  for (bootstrap_message &Each : Bootstrap.takeMessages())
+    std::visit(
+        [&](auto &Body) { queueMessage(Each.Vm, Each.To, std::move(Body)); },
+        Each.Body);
+  if (Bootstrap.chosen())
+    on(bootstrap_group{*Bootstrap.chosen(), shareBytes({}),
+                       Bootstrap.isProposer()});
 }
 
 } // namespace bulrush::control
--- a/src/control/replica_messages.h
+++ b/src/control/replica_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "bulrushtray/clock.h"
+#include "control/bootstrap.h"
 #include "control/log_entry.h"
 
 #include <variant>
@@ -63,11 +64,6 @@
 /// The leader tells the receiver to start an election immediately.
 struct timeout_now {};
 
-/// Sent for a data folder that belongs to no group, to find a group to join.
-struct join_request {
-  voter_id Seen = NoVoter; ///< last known id of an empty folder on the receiver
-};
-
 /// Sent after a start, before any vote is granted. A receiver that knows of
 /// later entries or terms on the sender's disk than the message shows replies
 /// with `identity_refused`.
@@ -86,7 +82,9 @@
 using message_body =
     std::variant<vote_request, vote_reply, append_request, append_reply,
                  snapshot_chunk, snapshot_reply, timeout_now, join_request,
-                 check_in, check_in_reply, identity_refused>;
+                 check_in, check_in_reply, identity_refused, bootstrap_prepare,
+                 bootstrap_promise, bootstrap_accept, bootstrap_accepted,
+                 bootstrap_chosen>;
 
 /// A message between two members.
 struct message {
--- a/src/control/replica_output.cpp
+++ b/src/control/replica_output.cpp
@@ -38,6 +38,7 @@
 }
 
 void replica_core::finishStep() {
+  finishBootstrap();
   if (Role == replica_role::leader) {
     promoteLearners();
     replicateToAll(false);
@@ -48,7 +49,8 @@
 }
 
 void replica_core::emitPersist() {
-  if (!HardChanged && !SnapshotChanged && !LogDropped && !UnpersistedFrom)
+  if (!HardChanged && !SnapshotChanged && !LogDropped && !UnpersistedFrom &&
+      !BootstrapChanged)
     return;
   persist Write;
   Write.Write = {++LastWrite.Value};
@@ -59,11 +61,13 @@
     Write.Entries = Log.slice(*UnpersistedFrom, SIZE_MAX);
   if (SnapshotChanged)
     Write.Snapshot = Snapshot;
+  if (BootstrapChanged)
+    Write.Bootstrap = Bootstrap.record();
   Write.DropLog = LogDropped;
   Writes.push_back({Write.Write, Term, Log.last()});
   Actions->insert(Actions->begin() + static_cast<std::ptrdiff_t>(FirstAction),
                   std::move(Write));
-  HardChanged = SnapshotChanged = LogDropped = false;
+  HardChanged = SnapshotChanged = LogDropped = BootstrapChanged = false;
   UnpersistedFrom.reset();
 }
 
--- a/src/fleet/adapter.h
+++ b/src/fleet/adapter.h
@@ -34,6 +34,8 @@
   address EndpointList;   ///< the platform's list of endpoints
   /// Number of registry vms whose simultaneous loss is tolerated.
   std::size_t MaxLostVms = 1;
+  /// Registries that start for the first time; 0: unknown.
+  std::uint32_t FleetSize = 0;
   millis GraceTime{5000}; ///< from SIGTERM until the platform kills the process
   relay::relay_settings Relay;
   relay::rollout_limits Rollouts; ///< registry
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -35,6 +35,8 @@
 /// Short, because the platform never restores a disk from an old image, and
 /// other outdated copies of a data folder are detected within a few heartbeats.
 constexpr millis CheckInTimeout{150};
+/// Several heartbeat intervals, so that a group that knows this VM is heard.
+constexpr millis UnrecordedDelay{1000};
 constexpr millis TickInterval{50};
 /// Tick interval while no leader is known. It is short because voters start
 /// their first election in time slots by rank.
@@ -50,6 +52,8 @@
 constexpr std::size_t SnapshotEvery =
     128; ///< entries; an entry may hold a whole catalog
 constexpr std::size_t CatchUpEntries = 16;
+/// Time without a group until it is logged; a new fleet takes less to form one.
+constexpr millis NoGroupLogDelay{1000};
 /// Time between two `no_group` log lines without a change of the cause.
 constexpr millis NoGroupLogInterval{10'000};
 
@@ -57,12 +61,24 @@
   switch (Wait) {
   case control::bootstrap_wait::none:
     return "none";
-  case control::bootstrap_wait::not_first_start:
-    return "not_first_start";
-  case control::bootstrap_wait::not_lowest:
-    return "not_lowest";
-  case control::bootstrap_wait::missing_vms:
-    return "missing_vms";
+  case control::bootstrap_wait::older_build:
+    return "older_build";
+  case control::bootstrap_wait::group_elsewhere:
+    return "group_elsewhere";
+  case control::bootstrap_wait::settings_differ:
+    return "settings_differ";
+  case control::bootstrap_wait::too_many:
+    return "too_many";
+  case control::bootstrap_wait::missing_seeds:
+    return "missing_seeds";
+  case control::bootstrap_wait::too_few:
+    return "too_few";
+  case control::bootstrap_wait::no_record:
+    return "no_record";
+  case control::bootstrap_wait::incomplete:
+    return "incomplete";
+  case control::bootstrap_wait::in_progress:
+    return "in_progress";
   }
   return "unknown";
 }
@@ -242,7 +258,10 @@
     if (!Message || !Node)
       return;
     if (const auto *Known = std::get_if<known_voters>(&*Message))
-      step(control::event(control::vms_discovered{Known->Voters}));
+      step(control::event(control::vms_discovered{
+          Known->Voters, Known->Voters.empty()
+                             ? std::nullopt
+                             : std::optional(Known->Voters.front())}));
   }
 
   void onSubscribe(const frame_link *Key, const subscribe &Request) {
@@ -304,7 +323,12 @@
     for (const std::string &Seed : Settings.Seeds)
       if (const auto Vm = vmFromIp(Seed))
         Out.Log.Vms.push_back(*Vm);
-    Out.Log.AllowBootstrap = Settings.IsFirstStart;
+    Out.Log.IsFirstStart = Settings.IsFirstStart;
+    Out.Log.FleetSize = Settings.FleetSize;
+    Out.Log.InitialSize = 2 * Settings.MaxLostVms + 1;
+    // Without losses to tolerate, an empty folder may be all that is left.
+    Out.Log.AllowsUnrecorded = Settings.MaxLostVms > 0;
+    Out.Log.UnrecordedDelay = UnrecordedDelay;
     Out.Log.MinCommitCopies = Settings.MaxLostVms + 1;
     Out.Log.Heartbeat = VoterHeartbeatInterval;
     Out.Log.ElectionMin = ElectionMin;
@@ -329,8 +353,12 @@
     Metrics.set("registry_has_group", "", Status.Group.Members.empty() ? 0 : 1);
     if (!Status.Group.Members.empty()) {
       LoggedWait = control::bootstrap_wait::none;
+      NoGroupSince = Never;
       return;
     }
+    NoGroupSince = std::min(NoGroupSince, Now);
+    if (Now - NoGroupSince < NoGroupLogDelay)
+      return;
     if (Cause.Wait == LoggedWait && Now - NoGroupLoggedAt < NoGroupLogInterval)
       return;
     LoggedWait = Cause.Wait;
@@ -342,6 +370,8 @@
                         {{"node", Settings.Node},
                          {"cause", causeName(Cause.Wait)},
                          {"waits_for", Vms},
+                         {"known", Cause.Known},
+                         {"needed", Cause.Needed},
                          {"first_start", Settings.IsFirstStart}});
   }
 
@@ -699,6 +729,7 @@
   std::uint64_t Sequence = 0; ///< number of directory versions in this term
   instant HeartbeatAt{-1e300};
   control::bootstrap_wait LoggedWait = control::bootstrap_wait::none;
+  instant NoGroupSince = Never;
   instant NoGroupLoggedAt{-1e300};
   bool IsStopping = false;
   bool HasRefusedRecord = false;
@@ -706,11 +737,14 @@
 
 } // namespace
 
-int runRegistry(const adapter &Adapter) {
+int runRegistry(const adapter &Adapter, std::uint32_t FleetSize) {
   const std::uint64_t Stamp = Adapter.Settings->stamp();
   auto Settings = readSettings(*Adapter.Settings);
   if (!Settings)
     return failStart(Settings.error());
+  // A size that is too small would let two groups form.
+  if (FleetSize == 2 * Settings->MaxLostVms + 1)
+    Settings->FleetSize = FleetSize;
   startProcessLog(Settings->Node);
   if (!vmFromIp(Settings->Ip))
     return failStart({"ip: not an IPv4 address: " + Settings->Ip});
--- a/src/fleet/registry_daemon.h
+++ b/src/fleet/registry_daemon.h
@@ -6,11 +6,13 @@
 
 #include "fleet/adapter.h"
 
-#include <memory>
+#include <cstdint>
 
 namespace bulrush::fleet {
 
-/// Runs until SIGTERM; returns the exit status of the process.
-int runRegistry(const adapter &Adapter);
+/// Runs until SIGTERM; returns the exit status of the process. `FleetSize` is
+/// the number of registries of a new fleet, 0 if unknown; it counts only if it
+/// is that of the voters which tolerate the losses in the settings.
+int runRegistry(const adapter &Adapter, std::uint32_t FleetSize);
 
 } // namespace bulrush::fleet
--- a/src/store/durable_log.cpp
+++ b/src/store/durable_log.cpp
@@ -15,6 +15,7 @@
 
 constexpr char LogName[] = "log";
 constexpr char SnapshotName[] = "snapshot";
+constexpr char BootstrapName[] = "bootstrap";
 constexpr char RetiredSuffix[] = ".former";
 
 /// Appends `Newer` to `Entries`; a newer entry replaces all with the same or a
@@ -136,6 +137,32 @@
   return std::optional<folder_contents>(std::move(Contents));
 }
 
+expected<std::optional<control::bootstrap_record>>
+readBootstrap(disk &Disk, control::voter_id Voter) {
+  auto Bytes = readIfPresent(Disk, BootstrapName);
+  if (!Bytes)
+    return fail(Bytes.error());
+  if (!*Bytes)
+    return std::optional<control::bootstrap_record>();
+  auto Payload = parseSingleRecord(**Bytes, BootstrapName);
+  if (!Payload)
+    return fail(Payload.error());
+  auto Record = decodeBootstrap(*Payload, Voter);
+  if (!Record)
+    return fail(std::string(BootstrapName) + ": " + Record.error().Message);
+  return Record;
+}
+
+/// Whether the folder holds files of a member that was given up.
+expected<bool> hasFormerMember(disk &Disk) {
+  auto Names = Disk.list();
+  if (!Names)
+    return fail(Names.error().Message);
+  return std::any_of(Names->begin(), Names->end(), [](const std::string &Name) {
+    return Name.ends_with(RetiredSuffix);
+  });
+}
+
 /// Whether the log file was written in this folder, as opposed to copied into
 /// it.
 expected<bool> isOriginal(disk &Disk, const folder_options &Options,
@@ -177,6 +204,9 @@
   std::optional<log_snapshot> Snapshot;
   log_batch Buffered; ///< merged writes since the last sync
   std::optional<log_snapshot> BufferedSnapshot;
+  std::optional<control::bootstrap_record> Bootstrap;
+  std::optional<control::bootstrap_record> BufferedBootstrap;
+  bool HasFormerMember = false;
   control::write_id LastWrite;
   bool Pending = false;
   bool DropLog = false;
@@ -201,6 +231,15 @@
   }
 
   disk_result<void> writeBuffered() {
+    if (BufferedBootstrap) {
+      auto Done =
+          replaceFile(Disk, BootstrapName,
+                      encodeBootstrap(Header.Voter, *BufferedBootstrap));
+      if (!Done)
+        return Done;
+      Bootstrap = std::move(BufferedBootstrap);
+      BufferedBootstrap.reset();
+    }
     if (BufferedSnapshot) {
       auto Done =
           replaceFile(Disk, SnapshotName, encodeSnapshot(*BufferedSnapshot));
@@ -256,6 +295,14 @@
   } else {
     Impl->Header.Voter = {Options.NewVoterId};
   }
+  auto Bootstrap = readBootstrap(Disk, Impl->Header.Voter);
+  if (!Bootstrap)
+    return fail(Bootstrap.error());
+  Impl->Bootstrap = std::move(*Bootstrap);
+  expected<bool> HasFormer = hasFormerMember(Disk);
+  if (!HasFormer)
+    return fail(HasFormer.error());
+  Impl->HasFormerMember = *HasFormer;
   Impl->Header.Boot = {
       std::max(Impl->Header.Boot.Value + 1, Options.MinIncarnation)};
   if (auto Done = Impl->rewriteLog(); !Done)
@@ -271,6 +318,8 @@
   State.Hard = Impl->Stored.Hard;
   State.Snapshot = Impl->Snapshot;
   State.Entries = Impl->Stored.Entries;
+  State.Bootstrap = Impl->Bootstrap;
+  State.HasFormerMember = Impl->HasFormerMember;
   return State;
 }
 
@@ -289,6 +338,8 @@
   mergeEntries(Impl->Buffered.Entries, Write.Entries);
   if (Write.Snapshot)
     Impl->BufferedSnapshot = Write.Snapshot;
+  if (Write.Bootstrap)
+    Impl->BufferedBootstrap = Write.Bootstrap;
   Impl->LastWrite = Write.Write;
   Impl->Pending = true;
 }
--- a/src/store/log_records.cpp
+++ b/src/store/log_records.cpp
@@ -102,6 +102,11 @@
   return true;
 }
 
+/// Raised when a build that does not know a field of the record would break a
+/// promise that the field holds.
+constexpr std::uint64_t BootstrapFormat = 1;
+constexpr std::size_t BootstrapNumbers = 9;
+
 } // namespace
 
 std::string encodeFirstRecord(const log_header &Header,
@@ -118,6 +123,24 @@
                control::encodeGroup(Snapshot.Group), binary(*Snapshot.Bytes)});
 }
 
+std::string encodeBootstrap(control::voter_id Voter,
+                            const control::bootstrap_record &Record) {
+  json Seeds = json::array();
+  for (const vm_id Each : Record.Electorate.Seeds)
+    Seeds.push_back(Each.Value);
+  json Out = json::array();
+  for (const std::uint64_t Each :
+       {BootstrapFormat, Voter.Value, std::uint64_t{Record.IsAcceptor},
+        std::uint64_t{Record.HasSeenGroup}, Record.Promised.Round,
+        Record.Promised.Proposer.Value, Record.AcceptedAt.Round,
+        Record.AcceptedAt.Proposer.Value,
+        std::uint64_t{Record.Electorate.FleetSize}})
+    Out.push_back(Each);
+  Out.push_back(std::move(Seeds));
+  Out.push_back(control::encodeGroup(Record.Accepted));
+  return pack(Out);
+}
+
 expected<log_header> decodeHeader(std::string_view Bytes) {
   const json Record = unpack(Bytes);
   if (!Record.is_array() || Record.size() != 2 || !areUnsigned(Record[1], 0, 4))
@@ -157,4 +180,35 @@
                                readBinary(Record[3])};
 }
 
+expected<std::optional<control::bootstrap_record>>
+decodeBootstrap(std::string_view Bytes, control::voter_id Voter) {
+  const json In = unpack(Bytes);
+  if (!areUnsigned(In, 0, 1))
+    return fail("malformed record");
+  if (numberAt(In, 0) > BootstrapFormat)
+    return fail("written by a newer build, format " +
+                std::to_string(numberAt(In, 0)));
+  const bool Valid = areUnsigned(In, 0, BootstrapNumbers) &&
+                     In.size() >= BootstrapNumbers + 2 && In[9].is_array() &&
+                     areUnsigned(In[9], 0, In[9].size()) && In[10].is_string();
+  if (!Valid)
+    return fail("malformed record");
+  if (numberAt(In, 1) != Voter.Value)
+    return std::optional<control::bootstrap_record>();
+  expected<control::voter_group> Accepted =
+      control::decodeGroup(In[10].get<std::string>());
+  if (!Accepted)
+    return fail(Accepted.error());
+  control::bootstrap_record Out;
+  Out.IsAcceptor = numberAt(In, 2) != 0;
+  Out.HasSeenGroup = numberAt(In, 3) != 0;
+  Out.Promised = {numberAt(In, 4), voter_id{numberAt(In, 5)}};
+  Out.AcceptedAt = {numberAt(In, 6), voter_id{numberAt(In, 7)}};
+  Out.Electorate.FleetSize = static_cast<std::uint32_t>(numberAt(In, 8));
+  for (const json &Seed : In[9])
+    Out.Electorate.Seeds.push_back(vm_id{Seed.get<std::uint32_t>()});
+  Out.Accepted = std::move(*Accepted);
+  return std::optional(std::move(Out));
+}
+
 } // namespace bulrush::store
--- a/src/store/log_records.h
+++ b/src/store/log_records.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "bulrushtray/error.h"
+#include "control/bootstrap.h"
 #include "control/log_entry.h"
 
 #include <string>
@@ -35,9 +36,17 @@
 std::string encodeBatch(const log_batch &Batch);
 std::string encodeSnapshot(const control::log_snapshot &Snapshot);
 
+/// The record names the folder's voter, since it is in a file of its own.
+std::string encodeBootstrap(control::voter_id Voter,
+                            const control::bootstrap_record &Record);
+
 expected<log_header> decodeHeader(std::string_view Bytes);
 /// Decodes the batch of any record of a log file, the first one included.
 expected<log_batch> decodeBatch(std::string_view Bytes);
 expected<control::log_snapshot> decodeSnapshot(std::string_view Bytes);
+/// Returns no value for the record of another voter. Fields that a newer build
+/// has added are ignored, a newer format is an error.
+expected<std::optional<control::bootstrap_record>>
+decodeBootstrap(std::string_view Bytes, control::voter_id Voter);
 
 } // namespace bulrush::store
--- a/src/wire/voter_codec.cpp
+++ b/src/wire/voter_codec.cpp
@@ -92,8 +92,71 @@
   To.mutable_timeout_now();
 }
 
+void ballotToProto(const control::ballot &From, Ballot &To) {
+  To.set_round(From.Round);
+  To.set_proposer(From.Proposer.Value);
+}
+
+control::ballot ballotFromProto(const Ballot &From) {
+  return {From.round(), {From.proposer()}};
+}
+
+void electorateToProto(const control::electorate &From, Electorate &To) {
+  for (const vm_id Each : From.Seeds)
+    To.add_seeds(Each.Value);
+  To.set_fleet_size(From.FleetSize);
+}
+
+control::electorate electorateFromProto(const Electorate &From) {
+  control::electorate To;
+  for (const std::uint32_t Each : From.seeds())
+    To.Seeds.push_back({Each});
+  To.FleetSize = From.fleet_size();
+  return To;
+}
+
 void bodyToProto(const control::join_request &From, VoterMessage &To) {
-  To.mutable_join_request()->set_seen(From.Seen.Value);
+  JoinRequest &Out = *To.mutable_join_request();
+  Out.set_seen(From.Seen.Value);
+  Out.set_receiver(From.Receiver.Value);
+  if (!From.Record)
+    return;
+  BootstrapRecord &Record = *Out.mutable_record();
+  Record.set_acceptor(From.Record->IsAcceptor);
+  Record.set_has_seen_group(From.Record->HasSeenGroup);
+  electorateToProto(From.Record->Electorate, *Record.mutable_electorate());
+  ballotToProto(From.Record->Promised, *Record.mutable_promised());
+  ballotToProto(From.Record->AcceptedAt, *Record.mutable_accepted_at());
+  groupToProto(From.Record->Accepted, *Record.mutable_accepted());
+}
+
+void bodyToProto(const control::bootstrap_prepare &From, VoterMessage &To) {
+  BootstrapPrepare &Out = *To.mutable_bootstrap_prepare();
+  ballotToProto(From.Ballot, *Out.mutable_ballot());
+  electorateToProto(From.Electorate, *Out.mutable_electorate());
+}
+
+void bodyToProto(const control::bootstrap_promise &From, VoterMessage &To) {
+  BootstrapPromise &Out = *To.mutable_bootstrap_promise();
+  ballotToProto(From.Ballot, *Out.mutable_ballot());
+  ballotToProto(From.AcceptedAt, *Out.mutable_accepted_at());
+  groupToProto(From.Accepted, *Out.mutable_accepted());
+}
+
+void bodyToProto(const control::bootstrap_accept &From, VoterMessage &To) {
+  BootstrapAccept &Out = *To.mutable_bootstrap_accept();
+  ballotToProto(From.Ballot, *Out.mutable_ballot());
+  electorateToProto(From.Electorate, *Out.mutable_electorate());
+  groupToProto(From.Group, *Out.mutable_group());
+}
+
+void bodyToProto(const control::bootstrap_accepted &From, VoterMessage &To) {
+  ballotToProto(From.Ballot,
+                *To.mutable_bootstrap_accepted()->mutable_ballot());
+}
+
+void bodyToProto(const control::bootstrap_chosen &From, VoterMessage &To) {
+  groupToProto(From.Group, *To.mutable_bootstrap_chosen()->mutable_group());
 }
 
 void bodyToProto(const control::check_in &, VoterMessage &To) {
@@ -160,6 +223,23 @@
           {From.sent_at_ms()}};
 }
 
+control::join_request bodyFromProto(const JoinRequest &From) {
+  control::join_request To;
+  To.Seen.Value = From.seen();
+  To.Receiver.Value = From.receiver();
+  if (!From.has_record())
+    return To;
+  const BootstrapRecord &Record = From.record();
+  To.Record =
+      control::bootstrap_record{Record.acceptor(),
+                                Record.has_seen_group(),
+                                electorateFromProto(Record.electorate()),
+                                ballotFromProto(Record.promised()),
+                                ballotFromProto(Record.accepted_at()),
+                                groupFromProto(Record.accepted())};
+  return To;
+}
+
 expected<control::message_body> bodyFromProto(const VoterMessage &From) {
   switch (From.body_case()) {
   case VoterMessage::kVoteRequest:
@@ -182,13 +262,33 @@
   case VoterMessage::kTimeoutNow:
     return control::timeout_now{};
   case VoterMessage::kJoinRequest:
-    return control::join_request{{From.join_request().seen()}};
+    return bodyFromProto(From.join_request());
   case VoterMessage::kCheckIn:
     return control::check_in{};
   case VoterMessage::kCheckInReply:
     return control::check_in_reply{{From.check_in_reply().boot()}};
   case VoterMessage::kIdentityRefused:
     return control::identity_refused{{From.identity_refused().boot()}};
+  case VoterMessage::kBootstrapPrepare:
+    return control::bootstrap_prepare{
+        ballotFromProto(From.bootstrap_prepare().ballot()),
+        electorateFromProto(From.bootstrap_prepare().electorate())};
+  case VoterMessage::kBootstrapPromise:
+    return control::bootstrap_promise{
+        ballotFromProto(From.bootstrap_promise().ballot()),
+        ballotFromProto(From.bootstrap_promise().accepted_at()),
+        groupFromProto(From.bootstrap_promise().accepted())};
+  case VoterMessage::kBootstrapAccept:
+    return control::bootstrap_accept{
+        ballotFromProto(From.bootstrap_accept().ballot()),
+        electorateFromProto(From.bootstrap_accept().electorate()),
+        groupFromProto(From.bootstrap_accept().group())};
+  case VoterMessage::kBootstrapAccepted:
+    return control::bootstrap_accepted{
+        ballotFromProto(From.bootstrap_accepted().ballot())};
+  case VoterMessage::kBootstrapChosen:
+    return control::bootstrap_chosen{
+        groupFromProto(From.bootstrap_chosen().group())};
   default:
     return fail("voter message: missing or unknown body");
   }
--- a/test/registry_fixture.h
+++ b/test/registry_fixture.h
@@ -55,7 +55,8 @@
     node_settings Settings;
     for (std::uint32_t Seed = 1; Seed <= Seeds; ++Seed)
       Settings.Log.Vms.push_back({Seed});
-    Settings.Log.AllowBootstrap = IsFirst;
+    Settings.Log.IsFirstStart = IsFirst;
+    Settings.Log.InitialSize = 5;
     Settings.Log.MinCommitCopies = 3;
     Settings.Log.HasLeases = false;
     Settings.Log.FirstElectionMax = millis{100};
--- a/test/shell/level0_test.cpp
+++ b/test/shell/level0_test.cpp
@@ -158,6 +158,42 @@
   CHECK(Reader.understood("bulrush.wire.FleetMessage", Bytes) == Bytes);
 }
 
+TEST_CASE("level 0 reads a request to join without what this build adds",
+          "[wire][builds]") {
+  // Guards against an old seed that takes the request for the acknowledgement
+  // on which it forms a group by itself.
+  old_reader Reader;
+  control::message Sent{{1}, {2}, {0}, {4}, {5}, {6}, {7}, {}};
+  Sent.Body = control::join_request{
+      control::NoVoter, control::bootstrap_record{true, true, {{vm_id{3}}, 5}},
+      control::voter_id{8}};
+  const auto Read = wire::decodeFleet(Reader.understood(
+      "bulrush.wire.FleetMessage", wire::encode(fleet::fleet_message(Sent))));
+  REQUIRE(Read);
+  const auto &Body =
+      std::get<control::join_request>(std::get<control::message>(*Read).Body);
+  CHECK(Body.Seen == control::NoVoter);
+  CHECK_FALSE(Body.Record);
+}
+
+TEST_CASE("level 0 refuses the messages of the agreement on the first group",
+          "[wire][builds]") {
+  // Guards against an old voter that takes one for a message that it knows.
+  old_reader Reader;
+  control::message Sent{{1}, {2}, {3}, {4}, {5}, {6}, {7}, {}};
+  for (const control::message_body &Body :
+       {control::message_body(control::bootstrap_prepare{}),
+        control::message_body(control::bootstrap_promise{}),
+        control::message_body(control::bootstrap_accept{}),
+        control::message_body(control::bootstrap_accepted{}),
+        control::message_body(control::bootstrap_chosen{})}) {
+    Sent.Body = Body;
+    CHECK_FALSE(wire::decodeFleet(
+        Reader.understood("bulrush.wire.FleetMessage",
+                          wire::encode(fleet::fleet_message(Sent)))));
+  }
+}
+
 TEST_CASE("level 0 ignores the entry that raises the level", "[wire][builds]") {
   // Guards against a voter that has gone back to level 0 and reads the entry as
   // one that changes its state. It reads an empty command as the catalog of
--- a/test/shell/voter_codec_test.cpp
+++ b/test/shell/voter_codec_test.cpp
@@ -19,6 +19,8 @@
   const voter_group Group{
       {{{7}, {1}, member_role::voter}, {{9}, {2}, member_role::learner}}};
   const std::string Bytes = "chunk";
+  const bootstrap_record Record{true,       true,       {{31}, {32}},
+                                {33, {34}}, {35, {36}}, Group};
   return {vote_request{true, true, {5}, {6}},
           vote_reply{true, true},
           Append,
@@ -26,10 +28,15 @@
           snapshot_chunk{{8}, {9}, Group, 10, 11, 12, Bytes, {13.5}},
           snapshot_reply{{8}, 15, true, {16.5}},
           timeout_now{},
-          join_request{{17}},
+          join_request{{17}, Record, {37}},
           check_in{},
           check_in_reply{{18}},
-          identity_refused{{19}}};
+          identity_refused{{19}},
+          bootstrap_prepare{{41, {42}}, {{{43}, {44}}, 5}},
+          bootstrap_promise{{41, {42}}, {45, {46}}, Group},
+          bootstrap_accept{{41, {42}}, {{{43}, {44}}, 5}, Group},
+          bootstrap_accepted{{41, {42}}},
+          bootstrap_chosen{Group}};
 }
 
 std::string bytesOf(const message &Message) {
@@ -69,6 +76,21 @@
         std::get<append_request>(Sent.Body).Entries);
 }
 
+// Guards against a promise or a group that another machine reads differently.
+TEST_CASE("a bootstrap record survives encoding and decoding", "[wire]") {
+  for (const message_body &Body : sampleBodies()) {
+    const auto *Sent = std::get_if<join_request>(&Body);
+    if (!Sent)
+      continue;
+    wire::VoterMessage Wire;
+    wire::toProto({{1}, {2}, {3}, {4}, {5}, {6}, {7}, Body}, Wire);
+    const auto Got = wire::fromProto(Wire);
+    REQUIRE(Got);
+    CHECK(std::get<join_request>(Got->Body).Record == Sent->Record);
+    CHECK(std::get<join_request>(Got->Body).Receiver == Sent->Receiver);
+  }
+}
+
 TEST_CASE("a voter message of unknown type is rejected", "[wire]") {
   CHECK_FALSE(wire::fromProto(wire::VoterMessage{}));
   wire::VoterMessage Wire;
--- /dev/null
+++ b/test/unit/bootstrap_test.cpp
@@ -0,0 +1,404 @@
+// The first group of a new fleet, whatever happens in its first moments.
+#include "first_start_fleet.h"
+#include "store/log_records.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <set>
+
+using namespace bulrush;
+using namespace bulrush::control;
+using bulrush::test::first_start_fleet;
+
+namespace {
+
+constexpr double PatienceMs = 15'000;
+
+std::size_t seedCount(std::size_t Default) {
+  const char *Given = std::getenv("BOOTSTRAP_SEEDS");
+  return Given ? std::strtoul(Given, nullptr, 10) : Default;
+}
+
+/// Starts all machines and disturbs one of them after `AfterMs`; it comes back
+/// 500 ms later.
+void disturbOne(
+    first_start_fleet &Fleet, std::size_t Index, double AfterMs,
+    void (first_start_fleet::*Fault)(first_start_fleet::machine &)) {
+  Fleet.startAll();
+  Fleet.run(AfterMs);
+  (Fleet.*Fault)(Fleet.at(Index));
+  Fleet.run(500);
+  Fleet.start(Fleet.at(Index));
+}
+
+struct explorer_settings {
+  std::size_t Machines = 5;
+  std::size_t LostDisks = 0;
+  bool KnowsSize = false; ///< whether the machines are told their number
+};
+
+/// Random faults in the first seconds of a fleet.
+class explorer {
+public:
+  explorer(std::uint64_t Seed, const explorer_settings &Settings)
+      : Settings(Settings), Fleet(Seed, Settings.Machines),
+        BackAt(Settings.Machines, Never) {
+    if (Settings.KnowsSize)
+      for (auto &Each : Fleet.All)
+        Each->FleetSize = static_cast<std::uint32_t>(Settings.Machines);
+    Fleet.MaxDelay = pick(2) ? 2 : 60;
+    Fleet.MaxSync = pick(3) ? 2 : 150;
+    for (instant &Each : BackAt)
+      Each = Fleet.Now + millis{Fleet.fraction() * (pick(6) ? 300 : 4000)};
+    const std::size_t Faults = 1 + pick(8);
+    for (std::size_t I = 0; I < Faults; ++I)
+      FaultsAt.insert(Fleet.Now +
+                      millis{Fleet.fraction() * (pick(2) ? 500 : 4000)});
+  }
+
+  /// Returns what went wrong; all machines run and are connected in the end.
+  std::string run() {
+    const instant Start = Fleet.Now;
+    while (Fleet.Now - Start < millis{5000}) {
+      startDue(Fleet.Now - Start < millis{1000});
+      for (; !FaultsAt.empty() && *FaultsAt.begin() <= Fleet.Now;
+           FaultsAt.erase(FaultsAt.begin()))
+        disturb();
+      Fleet.run(5);
+    }
+    heal();
+    const bool IsWhole = Fleet.isWhole(60'000);
+    Fleet.run(5'000);
+    if (Fleet.Formed.size() > 1)
+      return "two groups";
+    return IsWhole || isGroupLost() ? "" : "no group of all machines";
+  }
+
+private:
+  std::size_t pick(std::size_t Count) {
+    return static_cast<std::size_t>(Fleet.Random() % Count);
+  }
+
+  void startDue(bool IsFirst) {
+    for (std::size_t I = 0; I < Settings.Machines; ++I) {
+      if (Fleet.Now < BackAt[I])
+        continue;
+      BackAt[I] = Never;
+      auto &Machine = Fleet.at(I);
+      Machine.HasStarted = Machine.HasStarted || !IsFirst;
+      Fleet.start(Machine);
+    }
+  }
+
+  void end(std::size_t Index,
+           void (first_start_fleet::*Fault)(first_start_fleet::machine &)) {
+    if (!Fleet.at(Index).IsUp)
+      return;
+    (Fleet.*Fault)(Fleet.at(Index));
+    BackAt[Index] = Fleet.Now + millis{pick(2) ? 500 : Fleet.fraction() * 2000};
+  }
+
+  void disturb() {
+    const std::size_t Victim = pick(Settings.Machines);
+    const std::uint32_t Vm = Fleet.at(Victim).Vm.Value;
+    switch (pick(8)) {
+    case 0:
+      end(Victim, &first_start_fleet::kill);
+      break;
+    case 1:
+      end(Victim, &first_start_fleet::losePower);
+      break;
+    case 2:
+      if (LostDisks < Settings.LostDisks && Fleet.at(Victim).IsUp) {
+        ++LostDisks;
+        end(Victim, &first_start_fleet::loseDisk);
+      }
+      break;
+    case 3:
+      for (std::size_t I = 0; I < Settings.Machines; ++I)
+        end(I, &first_start_fleet::losePower);
+      break;
+    case 4:
+      split(Fleet.Random());
+      break;
+    case 5:
+      for (std::uint32_t Other = 1; Other <= Settings.Machines; ++Other)
+        if (pick(2))
+          Fleet.cut(Vm, Other);
+      break;
+    case 6:
+      Fleet.at(Victim).IsDiskStuck = !Fleet.at(Victim).IsDiskStuck;
+      break;
+    case 7:
+      Fleet.CutLinks.clear();
+      break;
+    }
+  }
+
+  /// Cuts the machines in two; bit N of `Side` is the side of VM N.
+  void split(std::uint64_t Side) {
+    for (std::uint32_t A = 1; A <= Settings.Machines; ++A)
+      for (std::uint32_t B = 1; B <= Settings.Machines; ++B)
+        if ((Side >> A & 1) != (Side >> B & 1))
+          Fleet.cut(A, B);
+  }
+
+  void heal() {
+    Fleet.CutLinks.clear();
+    for (auto &Each : Fleet.All) {
+      Each->IsDiskStuck = false;
+      Each->HasStarted = true;
+      Fleet.start(*Each);
+    }
+  }
+
+  /// Whether a majority of the first group's disks is lost. It may have fewer
+  /// voters than tolerate all lost disks while machines are away.
+  bool isGroupLost() {
+    if (Fleet.Formed.empty())
+      return false;
+    std::size_t Left = 0;
+    for (auto &Each : Fleet.All)
+      if (Fleet.Formed[0].hasVoter(Each->Replica->status().Self))
+        ++Left;
+    return Left < Fleet.Formed[0].majority();
+  }
+
+  explorer_settings Settings;
+  first_start_fleet Fleet;
+  std::vector<instant> BackAt; ///< of each machine; first its start
+  std::multiset<instant> FaultsAt;
+  std::size_t LostDisks = 0;
+};
+
+void exploreSeeds(std::size_t Count, const explorer_settings &Settings) {
+  std::map<std::string, std::vector<std::uint64_t>> Found;
+  for (std::uint64_t Seed = 1; Seed <= Count; ++Seed)
+    if (const std::string Fault = explorer(Seed, Settings).run();
+        !Fault.empty())
+      Found[Fault].push_back(Seed);
+  for (const auto &[Fault, Seeds] : Found) {
+    INFO(Fault << " of " << Settings.Machines << " machines, seeds "
+               << Catch::Detail::stringify(Seeds));
+    CHECK(Seeds.empty());
+  }
+}
+
+} // namespace
+
+// Guards against a fleet that never starts because one process ended in its
+// first moments: a single machine decided on the first group.
+TEST_CASE("a fleet starts although a seed ends in its first moments",
+          "[bootstrap]") {
+  for (std::size_t Seed = 0; Seed < 3; ++Seed)
+    for (const double AfterMs : {1., 5., 20., 50., 100., 200., 400.})
+      for (const auto Fault :
+           {&first_start_fleet::kill, &first_start_fleet::losePower,
+            &first_start_fleet::loseDisk}) {
+        first_start_fleet Fleet(Seed + 1);
+        disturbOne(Fleet, Seed, AfterMs, Fault);
+        INFO("seed " << Seed << " after " << AfterMs << " ms");
+        CHECK(Fleet.elects(PatienceMs));
+        CHECK(Fleet.Formed.size() == 1);
+        CHECK(Fleet.isWhole(PatienceMs));
+      }
+}
+
+// Guards against a fleet that never starts because a machine stays away.
+TEST_CASE("a fleet starts although as many machines as may be lost stay away",
+          "[bootstrap]") {
+  for (std::size_t A = 0; A < 5; ++A)
+    for (std::size_t B = A; B < 5; ++B) {
+      if (A != B && B < 3)
+        continue; // two of three seeds: see the next case
+      first_start_fleet Fleet(7);
+      for (std::size_t I = 0; I < 5; ++I)
+        if (I != A && I != B)
+          Fleet.start(Fleet.at(I));
+      INFO("without machines " << A << " and " << B);
+      CHECK(Fleet.elects(PatienceMs));
+      CHECK(Fleet.Formed.size() == 1);
+    }
+}
+
+// Guards against two groups: two seeds that are cut off may agree with machines
+// that the third has never heard of.
+TEST_CASE("one seed of three forms no group before another one is back",
+          "[bootstrap]") {
+  first_start_fleet Fleet(8);
+  for (std::size_t I = 2; I < 5; ++I)
+    Fleet.start(Fleet.at(I));
+  Fleet.run(30'000);
+  CHECK(Fleet.Formed.empty());
+  CHECK(Fleet.wait(2) == bootstrap_wait::missing_seeds);
+  for (std::size_t I = 0; I < 2; ++I) {
+    Fleet.at(I).HasStarted = true; // no longer told of the first start
+    Fleet.start(Fleet.at(I));
+  }
+  CHECK(Fleet.elects(PatienceMs));
+  CHECK(Fleet.Formed.size() == 1);
+}
+
+// Guards against a fleet that does not start without two of its three seeds
+// although its size is known, so that the others are a majority.
+TEST_CASE("a majority of a fleet of known size starts without two seeds",
+          "[bootstrap]") {
+  for (std::size_t A = 0; A < 5; ++A)
+    for (std::size_t B = A + 1; B < 5; ++B) {
+      first_start_fleet Fleet(14);
+      for (std::size_t I = 0; I < 5; ++I) {
+        Fleet.at(I).FleetSize = 5;
+        if (I != A && I != B)
+          Fleet.start(Fleet.at(I));
+      }
+      INFO("without machines " << A << " and " << B);
+      CHECK(Fleet.elects(PatienceMs));
+      for (const std::size_t Late : {A, B}) {
+        Fleet.at(Late).HasStarted = true;
+        Fleet.start(Fleet.at(Late));
+      }
+      CHECK(Fleet.isWhole(PatienceMs));
+      CHECK(Fleet.Formed.size() == 1);
+    }
+}
+
+// Guards against two groups where the stated size is too small, as seen by the
+// machines that are in touch.
+TEST_CASE("no group forms while more machines are known than the stated size",
+          "[bootstrap]") {
+  first_start_fleet Fleet(15, 6);
+  for (auto &Each : Fleet.All)
+    Each->FleetSize = 5;
+  Fleet.MaxSync = 0;
+  Fleet.startAll();
+  Fleet.run(PatienceMs);
+  CHECK(Fleet.Formed.size() <= 1);
+  first_start_fleet Other(16, 6);
+  for (std::size_t I = 0; I < 6; ++I)
+    Other.at(I).FleetSize = I < 3 ? 5 : 7;
+  Other.startAll();
+  Other.run(PatienceMs);
+  CHECK(Other.Formed.empty());
+}
+
+// Guards against a fleet that never starts because all processes were killed
+// before the first of them had a group, or had recorded its first start.
+TEST_CASE("a fleet starts although all processes end in the first moments",
+          "[bootstrap]") {
+  for (const double AfterMs : {0., 5., 50., 120., 200., 400., 1000.}) {
+    first_start_fleet Fleet(9);
+    Fleet.startAll();
+    Fleet.run(AfterMs);
+    for (auto &Each : Fleet.All)
+      Fleet.losePower(*Each);
+    Fleet.run(500);
+    Fleet.startAll();
+    INFO("after " << AfterMs << " ms");
+    CHECK(Fleet.elects(PatienceMs));
+    CHECK(Fleet.Formed.size() == 1);
+  }
+}
+
+// Guards against an empty group beside one that has data: a lost disk must not
+// pass for a new machine, and a spare machine must not vouch for it.
+TEST_CASE("machines that lost their disks form no group without the others",
+          "[bootstrap]") {
+  first_start_fleet Fleet(10);
+  Fleet.startAll();
+  REQUIRE(Fleet.isWhole(PatienceMs));
+  for (std::size_t I = 0; I < 2; ++I)
+    Fleet.loseDisk(Fleet.at(I));
+  for (std::size_t I = 2; I < 5; ++I)
+    Fleet.kill(Fleet.at(I));
+  for (std::size_t I = 0; I < 2; ++I)
+    Fleet.start(Fleet.at(I));
+  Fleet.run(20'000);
+  CHECK(Fleet.Formed.size() == 1);
+  CHECK(Fleet.wait(0) == bootstrap_wait::no_record);
+}
+
+// Guards against two groups where the settings of some machines name other
+// seeds.
+TEST_CASE("machines with other seeds form no second group", "[bootstrap]") {
+  first_start_fleet Fleet(11);
+  for (std::size_t I = 3; I < 5; ++I)
+    Fleet.at(I).Seeds = {vm_id{3}, vm_id{4}, vm_id{5}};
+  Fleet.startAll();
+  CHECK(Fleet.elects(PatienceMs));
+  Fleet.run(PatienceMs);
+  CHECK(Fleet.Formed.size() == 1);
+}
+
+// Guards against a machine of an earlier fleet that is taken into a new one, or
+// that keeps a vote of its own.
+TEST_CASE("a folder of an earlier fleet keeps a new one from forming",
+          "[bootstrap]") {
+  first_start_fleet Former(12);
+  Former.startAll();
+  REQUIRE(Former.isWhole(PatienceMs));
+  first_start_fleet Fleet(13);
+  Fleet.at(3).Disk.restore(Former.at(3).Disk.backup(), true);
+  Fleet.startAll();
+  Fleet.run(PatienceMs);
+  CHECK(Fleet.Formed.empty());
+  CHECK(Fleet.wait(0) == bootstrap_wait::group_elsewhere);
+}
+
+// Guards against a promise that is forgotten in a restart: the group that a
+// quorum may have accepted must be the one that is formed.
+TEST_CASE("a restarted acceptor keeps its promises", "[bootstrap]") {
+  bootstrap_settings Settings;
+  Settings.Electorate.Seeds = {vm_id{1}, vm_id{2}, vm_id{3}};
+  Settings.IsFirstStart = true;
+  bootstrap_agreement First(Settings, std::nullopt, voter_id{11}, vm_id{1},
+                            true);
+  const voter_group Group{{{voter_id{12}, vm_id{2}, member_role::voter}}};
+  const ballot Third{3, voter_id{12}};
+  First.on(vm_id{2}, voter_id{12},
+           bootstrap_accept{Third, Settings.Electorate, Group}, instant{1});
+  bootstrap_agreement Again(Settings, First.record(), voter_id{11}, vm_id{1},
+                            true);
+  Again.on(vm_id{3}, voter_id{13},
+           bootstrap_prepare{{2, voter_id{13}}, Settings.Electorate},
+           instant{2});
+  CHECK(Again.takeMessages().empty());
+  Again.on(vm_id{3}, voter_id{13},
+           bootstrap_prepare{{4, voter_id{13}}, Settings.Electorate},
+           instant{3});
+  const auto Replies = Again.takeMessages();
+  REQUIRE(Replies.size() == 1);
+  const auto &Promise = std::get<bootstrap_promise>(Replies[0].Body);
+  CHECK(Promise.AcceptedAt == Third);
+  CHECK(Promise.Accepted == Group);
+}
+
+// Guards against a record that an older or a newer build misreads.
+TEST_CASE(
+    "a bootstrap record survives encoding, and another voter's is ignored",
+    "[bootstrap]") {
+  const voter_group Group{{{voter_id{12}, vm_id{2}, member_role::voter}}};
+  const bootstrap_record Record{
+      true, true, {{vm_id{1}, vm_id{2}}, 5}, {5, voter_id{6}}, {4, voter_id{7}},
+      Group};
+  const std::string Bytes = store::encodeBootstrap(voter_id{9}, Record);
+  const auto Read = store::decodeBootstrap(Bytes, voter_id{9});
+  REQUIRE(Read);
+  REQUIRE(*Read);
+  CHECK(**Read == Record);
+  const auto Other = store::decodeBootstrap(Bytes, voter_id{10});
+  REQUIRE(Other);
+  CHECK_FALSE(Other->has_value());
+  CHECK_FALSE(store::decodeBootstrap("\x92\x01\x02", voter_id{9}));
+  CHECK_FALSE(store::decodeBootstrap("\x91\x02", voter_id{9})); // newer format
+}
+
+// Guards against schedules that none of the cases above names. Without lost
+// disks the fleets are also larger than the losses alone demand.
+TEST_CASE("one group forms under random faults in the first seconds",
+          "[bootstrap]") {
+  exploreSeeds(seedCount(150), {5, 0});
+  exploreSeeds(seedCount(100), {7, 0});
+  exploreSeeds(seedCount(150), {5, 2});
+  exploreSeeds(seedCount(150), {5, 0, true});
+  exploreSeeds(seedCount(150), {5, 2, true});
+}
--- a/test/unit/durable_log_test.cpp
+++ b/test/unit/durable_log_test.cpp
@@ -173,3 +173,38 @@
   CHECK_FALSE(Log->sync());
   CHECK(durable_log::open(Disk, DefaultOptions)->state().Entries.empty());
 }
+
+// Guards against a promise on the first group that a restart forgets, or that
+// passes to another voter on the same disk.
+TEST_CASE("a bootstrap record is recovered by its own voter only", "[store]") {
+  fake_disk Disk;
+  std::mt19937_64 Random(1);
+  auto Log = durable_log::open(Disk, DefaultOptions);
+  persist Write = persistEntries(1, 1, 0);
+  Write.Bootstrap = bootstrap_record{true, false, {{vm_id{1}, vm_id{2}}, 5}};
+  Write.Bootstrap->Promised = {7, voter_id{77}};
+  Log->write(Write);
+  REQUIRE(Log->sync());
+  Disk.crash(Random);
+  CHECK(durable_log::open(Disk, DefaultOptions)->state().Bootstrap ==
+        Write.Bootstrap);
+  REQUIRE(durable_log::retire(Disk));
+  const recovered_state Next =
+      durable_log::open(Disk, {vm_id{2}, 88, 0})->state();
+  CHECK_FALSE(Next.Bootstrap);
+  CHECK(Next.HasFormerMember);
+}
+
+// Guards against a voter that takes a damaged promise for none.
+TEST_CASE("a damaged bootstrap record is an error", "[store]") {
+  fake_disk Disk;
+  auto Log = durable_log::open(Disk, DefaultOptions);
+  persist Write = persistEntries(1, 1, 0);
+  Write.Bootstrap = bootstrap_record{true, false, {{vm_id{1}}, 0}};
+  Log->write(Write);
+  REQUIRE(Log->sync());
+  Disk.bytes("bootstrap").back() ^= 1;
+  const auto Opened = durable_log::open(Disk, DefaultOptions);
+  REQUIRE_FALSE(Opened);
+  CHECK(Opened.error().Message.find("bootstrap") == 0);
+}
