A voter that asked for votes waits a whole election timeout

Cause: the short timeout held until a leader was heard. The class: a retry that is sooner than the work that it retries.

Change: it holds for up to ten pre-votes, and no longer once votes were asked for.

--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -199,6 +199,8 @@
   instant ElectionAt;
   bool Started = false;
   bool HasHeardLeader = false; ///< since process start; true once leader itself
+  bool HasCampaigned = false;  ///< since process start
+  std::size_t FirstPreVotes = 0; ///< since process start
   bool Retired = false;
   bool InstallPending = false;
   log_index Commit;
--- a/src/control/replica_election.cpp
+++ b/src/control/replica_election.cpp
@@ -7,6 +7,14 @@
 
 namespace bulrush::control {
 
+namespace {
+
+/// Pre-votes with the short first timeout. They come to nothing while the other
+/// voters have not started, but also if replies take longer than the timeout.
+constexpr std::size_t MaxFirstPreVotes = 10;
+
+} // namespace
+
 double replica_core::randomFraction() {
   constexpr std::uint64_t Steps = 1'000'000;
   return static_cast<double>(Random() % Steps) / Steps;
@@ -19,8 +27,11 @@
     ElectionAt = Now + *Options.FirstElectionMax * firstElectionFraction();
 }
 
+/// Votes wait for disks and may take longer than the first timeouts, so a voter
+/// that has asked for them waits as in any other election.
 bool replica_core::awaitsFirstLeader() const {
-  return Options.FirstElectionMax && !HasHeardLeader;
+  return Options.FirstElectionMax && !HasHeardLeader && !HasCampaigned &&
+         FirstPreVotes < MaxFirstPreVotes;
 }
 
 /// Spreads the first election timeouts by each voter's rank in the group, so
@@ -71,8 +82,11 @@
   Votes.clear();
   Role = PreVote ? replica_role::pre_candidate : replica_role::candidate;
   if (PreVote) {
+    ++FirstPreVotes;
     Votes.insert(Self);
   } else {
+    HasCampaigned = true;
+    resetElectionTimer();
     ++Term.Value;
     Vote = Self;
     HardChanged = true;
--- a/test/unit/bootstrap_test.cpp
+++ b/test/unit/bootstrap_test.cpp
@@ -402,3 +402,17 @@
   exploreSeeds(seedCount(150), {5, 0, true});
   exploreSeeds(seedCount(150), {5, 2, true});
 }
+
+// Guards against a fleet that elects no leader because votes wait for disks
+// longer than the first election timeouts.
+TEST_CASE("a fleet with slow disks and links elects its first leader",
+          "[bootstrap]") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    first_start_fleet Fleet(Seed);
+    Fleet.MaxDelay = 60;
+    Fleet.MaxSync = 150;
+    Fleet.startAll();
+    INFO("seed " << Seed);
+    CHECK(Fleet.elects(PatienceMs));
+  }
+}
