Copies on learners count towards those that an entry needs

What callers saw: a registry of three voters that tolerates two losses commits nothing once one of the three has lost its disk, for good: its replacement is an entry as well. A fleet reaches this state if two machines are away at its first start and a third loses its disk.

Cause: an entry needs f + 1 copies on voters, and a learner could be added only after the leader had committed an entry of its own. The class: a repair that waits for what it repairs.

Change: copies on all members count beside the majority of the voters, and a leader adds learners at any time, as the voters stay the same.

--- a/src/control/replica_append.cpp
+++ b/src/control/replica_append.cpp
@@ -177,23 +177,34 @@
   queueMessage(Member.Vm, Member.Id, std::move(Request));
 }
 
-std::size_t replica_core::copiesToCommit() const {
-  const std::size_t Wanted =
-      std::min(Options.MinCommitCopies, group().voterCount());
-  return std::max(group().majority(), Wanted);
+namespace {
+
+/// Returns the largest index that `Copies` of the members have on disk.
+log_index replicatedTo(std::vector<log_index> Matches, std::size_t Copies) {
+  if (Matches.size() < Copies)
+    return {};
+  std::sort(Matches.begin(), Matches.end(), std::greater<>());
+  return Matches[Copies - 1];
 }
 
+} // namespace
+
+/// Copies on learners count towards `MinCommitCopies`: otherwise a group of
+/// three voters that must have three copies could not replace a lost one.
 void replica_core::advanceCommit() {
-  std::vector<log_index> Matches;
-  for (const group_member &Member : group().Members)
+  std::vector<log_index> Voters;
+  std::vector<log_index> Members;
+  for (const group_member &Member : group().Members) {
+    const log_index Match =
+        Member.Id == Self ? DurableIndex : Progress[Member.Id].Match;
+    Members.push_back(Match);
     if (Member.Role == member_role::voter)
-      Matches.push_back(Member.Id == Self ? DurableIndex
-                                          : Progress[Member.Id].Match);
-  const std::size_t Copies = copiesToCommit();
-  if (Matches.size() < Copies)
-    return;
-  std::sort(Matches.begin(), Matches.end(), std::greater<>());
-  const log_index Replicated = Matches[Copies - 1];
+      Voters.push_back(Match);
+  }
+  const std::size_t Copies = std::min(Options.MinCommitCopies, Voters.size());
+  const log_index Replicated =
+      std::min(replicatedTo(std::move(Members), Copies),
+               replicatedTo(std::move(Voters), group().majority()));
   if (Replicated <= Commit || Log.termAt(Replicated) != Term)
     return;
   Commit = Replicated;
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -105,7 +105,6 @@
   void replicateToAll(bool Heartbeat);
   void advanceCommit();
   log_index conflictHint(log_index Index) const;
-  std::size_t copiesToCommit() const;
 
   // replica_snapshot.cpp
   void onMessage(const message &From, const snapshot_chunk &Body);
--- a/src/control/replica_members.cpp
+++ b/src/control/replica_members.cpp
@@ -189,10 +189,12 @@
     Bootstrap.onGroupSeen(*Event.GroupOn, Now);
 }
 
+/// A new learner leaves the voters as they are, so it need not wait until
+/// earlier changes are committed; they may depend on its copy.
 void replica_core::on(const add_member &Event) {
   const auto Request = JoinRequests.find(Event.Vm);
-  if (!acceptsProposals() || groupChangePending() ||
-      Request == JoinRequests.end() || group().findByVm(Event.Vm)) {
+  if (!acceptsProposals() || Request == JoinRequests.end() ||
+      group().findByVm(Event.Vm)) {
     rejectProposal(Event.Proposal);
     return;
   }
@@ -286,7 +288,7 @@
   if (Role != replica_role::leader || group().find(From.From))
     return;
   JoinRequests[From.Vm] = From.From;
-  if (!acceptsProposals() || groupChangePending() || !group().findByVm(From.Vm))
+  if (!acceptsProposals() || !group().findByVm(From.Vm))
     return;
   voter_group Group = group().with({From.From, From.Vm, member_role::learner});
   for (const group_member &Member : group().Members)
--- a/src/control/voter_manager.cpp
+++ b/src/control/voter_manager.cpp
@@ -6,12 +6,20 @@
 
 std::optional<membership_change>
 voter_manager::nextChange(const replica_status &Status, instant Now) {
-  if (Status.Role != replica_role::leader || !Status.Ready)
+  if (Status.Role != replica_role::leader)
     return std::nullopt;
   const std::optional<voter_id> Lost = lostLearner(Status, Now);
   const std::size_t Voters = Status.Group.voterCount();
   const std::size_t Learners = Status.Group.Members.size() - Voters;
   const std::optional<vm_id> Silent = longestSilentVoter(Status, Now);
+  if (!Status.Ready) {
+    // The entries that the leader has yet to commit may need one more copy.
+    const std::optional<vm_id> Joiner = joinCandidate(Status, Now);
+    if (Joiner && Learners < Settings.MaxLearners &&
+        (Silent || Voters < Settings.TargetVoters))
+      return add_member{{}, *Joiner};
+    return std::nullopt;
+  }
   if (Silent && Voters > Settings.TargetVoters)
     return remove_member{{}, *Silent};
   if (Silent || Voters < Settings.TargetVoters) {
--- a/test/unit/bootstrap_test.cpp
+++ b/test/unit/bootstrap_test.cpp
@@ -416,3 +416,20 @@
     CHECK(Fleet.elects(PatienceMs));
   }
 }
+
+// Guards against a group that never commits again: with three voters, three
+// copies were needed of voters alone, so that a lost disk could not be
+// replaced.
+TEST_CASE("a group of three voters replaces a lost disk", "[bootstrap]") {
+  for (std::size_t Lost = 0; Lost < 3; ++Lost) {
+    first_start_fleet Fleet(20 + Lost);
+    for (std::size_t I = 0; I < 3; ++I)
+      Fleet.start(Fleet.at(I));
+    REQUIRE(Fleet.elects(PatienceMs));
+    Fleet.loseDisk(Fleet.at(Lost));
+    Fleet.run(500);
+    Fleet.start(Fleet.at(Lost));
+    INFO("machine " << Lost);
+    CHECK(Fleet.isWhole(PatienceMs));
+  }
+}
