First group: what a review of the agreement found

The rank is the place among the seeds now. They take part only where its size is known, and only those of seeds. - A proposer that had heard no one for a while could propose itself alone. - Where the size of the fleet is known, differing seeds no longer keep folders apart, as the quorum does not use them. - Copies on two folders of one vm counted twice; a registry whose folder was closed went on to name its former group; a process whose folder is another one than at its start no longer takes its start for the first one.

--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -67,7 +67,7 @@
 void bootstrap_agreement::on(vm_id From, voter_id,
                              const bootstrap_prepare &Body, instant Now) {
   const bool TakesPart =
-      Record.IsAcceptor && Body.Electorate == Record.Electorate;
+      Record.IsAcceptor && Body.Electorate.agreesWith(Record.Electorate);
   if (!TakesPart || Body.Ballot < Record.Promised)
     return;
   set(Record.Promised, Body.Ballot);
@@ -79,7 +79,7 @@
 void bootstrap_agreement::on(vm_id From, voter_id, const bootstrap_accept &Body,
                              instant Now) {
   const bool TakesPart =
-      Record.IsAcceptor && Body.Electorate == Record.Electorate;
+      Record.IsAcceptor && Body.Electorate.agreesWith(Record.Electorate);
   if (!TakesPart || Body.Ballot < Record.Promised)
     return;
   set(Record.Promised, Body.Ballot);
@@ -163,7 +163,7 @@
     Found.push_back(Vm);
   for (const auto &[Other, Peer] : Peers)
     if (isFresh(Peer, Now) && Peer.Record && Peer.Record->IsAcceptor &&
-        Peer.Record->Electorate == Record.Electorate)
+        Peer.Record->Electorate.agreesWith(Record.Electorate))
       Found.push_back(Other);
   return sorted(std::move(Found));
 }
@@ -174,7 +174,7 @@
   std::vector<vm_id> Found;
   for (const auto &[Other, Peer] : Peers)
     if (isFresh(Peer, Now) && Peer.Record && Peer.Record->IsAcceptor &&
-        Peer.Record->Electorate != Record.Electorate)
+        !Peer.Record->Electorate.agreesWith(Record.Electorate))
       Found.push_back(Other);
   return Found;
 }
@@ -196,29 +196,39 @@
   return Size > 0 && acceptors(Now).size() > Size;
 }
 
-/// Returns the electorate on which all acceptors that are known agree, if
-/// `InitialSize` folders, all seeds among them, are known to be without a
-/// group.
+/// Returns the electorate on which all acceptors agree, if this is the folder
+/// of a seed, and all folders of a fleet of known size are known to be without
+/// a group.
 std::optional<electorate>
 bootstrap_agreement::unanimousElectorate(instant Now) const {
-  std::vector<vm_id> Heard{Vm};
   electorate Found = Settings.Electorate;
+  bool HasRecord = false;
+  bool HasAccepted = false;
+  bool HasSeenGroup = Record.HasSeenGroup;
+  std::vector<vm_id> Heard{Vm};
   for (const auto &[Other, Peer] : Peers) {
     if (!isFresh(Peer, Now))
       continue;
-    if (!Peer.Record || !Peer.KnowsThisFolder || Peer.Record->HasSeenGroup)
+    if (!Peer.Record || !Peer.KnowsThisFolder)
       return std::nullopt;
     Heard.push_back(Other);
-    if (Peer.Record->IsAcceptor)
-      Found = Peer.Record->Electorate;
+    HasSeenGroup = HasSeenGroup || Peer.Record->HasSeenGroup;
+    HasAccepted = HasAccepted || Peer.Record->AcceptedAt != ballot{};
+    if (!Peer.Record->IsAcceptor)
+      continue;
+    if (HasRecord && !Peer.Record->Electorate.agreesWith(Found))
+      return std::nullopt;
+    Found = Peer.Record->Electorate;
+    HasRecord = true;
   }
-  bool IsAgreed = !Found.Seeds.empty() && Heard.size() >= Settings.InitialSize;
-  for (const auto &[Other, Peer] : Peers)
-    if (isFresh(Peer, Now) && Peer.Record->IsAcceptor)
-      IsAgreed = IsAgreed && Peer.Record->Electorate == Found;
+  // The group that was seen is the one that was accepted, and is adopted.
+  if (HasSeenGroup && !HasAccepted)
+    return std::nullopt;
+  bool IsUnanimous = contains(Found.Seeds, Vm) && Found.FleetSize > 0 &&
+                     Heard.size() >= Found.FleetSize;
   for (const vm_id Seed : Found.Seeds)
-    IsAgreed = IsAgreed && contains(Heard, Seed);
-  if (!IsAgreed)
+    IsUnanimous = IsUnanimous && contains(Heard, Seed);
+  if (!IsUnanimous)
     return std::nullopt;
   return Found;
 }
@@ -226,8 +236,8 @@
 /// Records that this folder takes part, with the promises and the group that
 /// the others remember, since it may have lost its own record.
 void bootstrap_agreement::recordIfUnanimous(instant Now) {
-  const bool IsAllowed = Settings.AllowsUnrecorded && !Record.IsAcceptor &&
-                         !Record.HasSeenGroup && !isGroupElsewhere(Now);
+  const bool IsAllowed =
+      Settings.AllowsUnrecorded && !Record.IsAcceptor && !isGroupElsewhere(Now);
   const auto Electorate = IsAllowed ? unanimousElectorate(Now) : std::nullopt;
   if (!Electorate) {
     UnanimousSince = Never;
@@ -250,12 +260,11 @@
   set(Record.IsAcceptor, true);
 }
 
-std::size_t bootstrap_agreement::rank(instant Now) const {
-  std::size_t Rank = 0;
-  for (const vm_id Each : acceptors(Now))
-    if (isSeed(Each) && Each < Vm)
-      ++Rank;
-  return Rank;
+/// Seeds that do not hear each other must not have the same rank.
+std::size_t bootstrap_agreement::rank() const {
+  const std::vector<vm_id> &Seeds = Record.Electorate.Seeds;
+  return static_cast<std::size_t>(std::count_if(
+      Seeds.begin(), Seeds.end(), [&](vm_id Each) { return Each < Vm; }));
 }
 
 /// Whether an attempt is due: only seeds start attempts, the lowest first.
@@ -274,7 +283,7 @@
   if (!IsComplete && Now - QuorumSince < IncompleteDelay)
     return false;
   if (NextAttemptAt == Never)
-    NextAttemptAt = Now + RankDelay * static_cast<double>(rank(Now));
+    NextAttemptAt = Now + RankDelay * static_cast<double>(rank());
   return Now >= NextAttemptAt;
 }
 
@@ -290,7 +299,7 @@
   Attempt->BestAt = Record.AcceptedAt;
   Attempt->Group = Record.Accepted;
   NextAttemptAt =
-      Now + AttemptTimeout + RankDelay * static_cast<double>(rank(Now));
+      Now + AttemptTimeout + RankDelay * static_cast<double>(rank());
   AttemptTimeout = std::min(AttemptTimeout * 2, MaxAttemptTimeout);
   sendAttempt(Now);
 }
@@ -316,9 +325,14 @@
   if (!HasQuorum)
     return;
   if (!Attempt->IsAccepting) {
+    const bool IsNew = Attempt->BestAt == ballot{};
+    if (IsNew && !isQuorum(acceptors(Now))) {
+      Attempt.reset();
+      return;
+    }
     Attempt->IsAccepting = true;
     Attempt->Granted = {Vm};
-    if (Attempt->BestAt == ballot{})
+    if (IsNew)
       Attempt->Group = newGroup(Now);
     set(Record.AcceptedAt, Attempt->Ballot);
     set(Record.Accepted, Attempt->Group);
@@ -356,7 +370,7 @@
   YieldedTo = Ballot;
   Attempt.reset();
   NextAttemptAt = Now + std::min(AttemptTimeout, MaxYieldTime) +
-                  RankDelay * static_cast<double>(rank(Now));
+                  RankDelay * static_cast<double>(rank());
 }
 
 bootstrap_status bootstrap_agreement::status(instant Now) const {
@@ -387,7 +401,7 @@
   } else if (!Record.IsAcceptor) {
     Set(bootstrap_wait::no_record, Missing);
     Status.Known = Heard;
-    Status.Needed = Settings.InitialSize;
+    Status.Needed = Record.Electorate.FleetSize;
   } else if (!differing(Now).empty()) {
     Set(bootstrap_wait::settings_differ, differing(Now));
   } else if (exceedsFleetSize(Now)) {
--- a/src/control/bootstrap.h
+++ b/src/control/bootstrap.h
@@ -8,8 +8,8 @@
 /// whoever proposes.
 ///
 /// A folder without a record may have lost its disk after it had accepted a
-/// group. It takes part only once it has heard, since its start, from
-/// `InitialSize` folders, all seeds among them, of which none has seen a group.
+/// group. If the size of the fleet is known, a seed's folder takes part once it
+/// has heard, since its start, from all folders, and none belongs to a group.
 /// As at most `MinAcceptors - 1` disks are lost at a time, one of them would
 /// remember any group that was chosen; the folder adopts what they remember.
 #pragma once
@@ -26,14 +26,19 @@
 
 namespace bulrush::control {
 
-/// Who chooses the first group. Folders with different electorates take no part
-/// in each other's attempts.
+/// Who chooses the first group.
 struct electorate {
   std::vector<vm_id> Seeds; ///< ascending
-  /// Registries that start for the first time; 0: unknown.
+  /// Data folders that start for the first time; 0: unknown.
   std::uint32_t FleetSize = 0;
 
   bool operator==(const electorate &) const = default;
+  /// Whether folders with these electorates have the same quorums. Otherwise
+  /// they take no part in each other's attempts.
+  bool agreesWith(const electorate &Other) const {
+    return FleetSize == Other.FleetSize &&
+           (FleetSize > 0 || Seeds == Other.Seeds);
+  }
 };
 
 /// Identifies an attempt to choose the first group; ordered by round.
@@ -63,7 +68,7 @@
   /// Former builds formed a group once all seeds had sent the id of its folder
   /// here; now always `NoVoter`.
   voter_id Seen = NoVoter;
-  std::optional<bootstrap_record> Record; ///< none from former builds
+  std::optional<bootstrap_record> Record = {}; ///< none from former builds
   /// The receiver's folder, if the sender has heard from it.
   voter_id Receiver = NoVoter;
 };
@@ -115,8 +120,8 @@
   std::size_t MinAcceptors = 1;
   /// Voters of a complete first group.
   std::size_t InitialSize = 1;
-  /// Whether folders without a record may take part once `InitialSize` of them
-  /// are known to be without a group.
+  /// Whether seeds without a record may take part once all folders of a fleet
+  /// of known size are known to be without a group.
   bool AllowsUnrecorded = true;
   /// Time for which a folder without a record must have known them.
   millis UnrecordedDelay{0};
@@ -197,7 +202,8 @@
 
   bool isFresh(const peer &Peer, instant Now) const;
   bool isSeed(vm_id Other) const;
-  /// The VMs of the acceptors that agree on the seeds, this one included.
+  /// The VMs that have announced an acceptor with this electorate, this one
+  /// included.
   std::vector<vm_id> acceptors(instant Now) const;
   std::vector<vm_id> differing(instant Now) const;
   bool exceedsFleetSize(instant Now) const;
@@ -212,7 +218,7 @@
   void sendAttempt(instant Now);
   voter_group newGroup(instant Now) const;
   void yieldTo(const ballot &Ballot, instant Now);
-  std::size_t rank(instant Now) const;
+  std::size_t rank() const;
   template <class body> void send(vm_id To, body Body) {
     const auto Known = Peers.find(To);
     Messages.push_back({To, Known == Peers.end() ? NoVoter : Known->second.Id,
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -36,9 +36,9 @@
   std::uint32_t FleetSize = 0;
   /// Voters of a complete first group; 0: as many as `Vms`.
   std::size_t InitialSize = 0;
-  /// Whether data folders that have not recorded a first start form a group
-  /// once `InitialSize` of them, all of `Vms` among them, are known to be
-  /// without one, and for how long they must be.
+  /// Whether data folders that have not recorded a first start take part once
+  /// all `FleetSize` folders are known to be without a group, and for how long
+  /// they must be.
   bool AllowsUnrecorded = true;
   millis UnrecordedDelay{0};
   /// Minimum number of voters that must have an entry on disk before it is
--- a/src/control/replica_append.cpp
+++ b/src/control/replica_append.cpp
@@ -193,17 +193,20 @@
 /// three voters that must have three copies could not replace a lost one.
 void replica_core::advanceCommit() {
   std::vector<log_index> Voters;
-  std::vector<log_index> Members;
+  std::map<vm_id, log_index> Disks; ///< a learner may replace a lost voter
   for (const group_member &Member : group().Members) {
     const log_index Match =
         Member.Id == Self ? DurableIndex : Progress[Member.Id].Match;
-    Members.push_back(Match);
+    Disks[Member.Vm] = std::max(Disks[Member.Vm], Match);
     if (Member.Role == member_role::voter)
       Voters.push_back(Match);
   }
+  std::vector<log_index> Copied;
+  for (const auto &[On, Match] : Disks)
+    Copied.push_back(Match);
   const std::size_t Copies = std::min(Options.MinCommitCopies, Voters.size());
   const log_index Replicated =
-      std::min(replicatedTo(std::move(Members), Copies),
+      std::min(replicatedTo(std::move(Copied), Copies),
                replicatedTo(std::move(Voters), group().majority()));
   if (Replicated <= Commit || Log.termAt(Replicated) != Term)
     return;
--- a/src/control/replica_output.cpp
+++ b/src/control/replica_output.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Whether a message may be sent while writes are pending: append requests of a
-// leader, and messages that promise nothing about durable state.
+// leader, and messages whose receivers do not rely on the sender's disk.
 bool needsNoWrite(const message_body &Body) {
   if (const auto *Request = std::get_if<vote_request>(&Body))
     return Request->PreVote;
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -37,6 +37,7 @@
   for (const vm &Vm : Settings.Deployment.Vms)
     if (Vm.HasDisk)
       Out.Vms.push_back(Vm.Id);
+  Out.FleetSize = static_cast<std::uint32_t>(Out.Vms.size());
   Out.SnapshotEvery = Settings.SnapshotEvery;
   return Out;
 }
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -303,6 +303,10 @@
   // Data folder.
 
   void onFolderOpened(control::recovered_state State) override {
+    // Another folder than the first one of this process may be a lost disk.
+    if (FirstVoter != control::NoVoter && FirstVoter != State.Self)
+      Settings.IsFirstStart = false;
+    FirstVoter = State.Self;
     Node.emplace(nodeSettings(), std::move(State), drawSeed());
     step(control::event(control::tick{}));
   }
@@ -315,6 +319,7 @@
     if (Node && Node->isLeader())
       onLeadership(false);
     Node.reset();
+    Voters.clear();
     OperatorHandler.completeAll(call_end::unclear);
   }
 
@@ -721,6 +726,7 @@
   voter_links VoterLinks;
   endpoint_reader Reader;
   std::optional<registry_node> Node;
+  control::voter_id FirstVoter; ///< of the first folder that was opened
   std::vector<vm_id> Voters;
   relay::directory LastDirectory; ///< as published
   /// The last reading if it lists endpoints that are withheld from relays.
@@ -742,10 +748,14 @@
   auto Settings = readSettings(*Adapter.Settings);
   if (!Settings)
     return failStart(Settings.error());
+  startProcessLog(Settings->Node);
   // A size that is too small would let two groups form.
-  if (FleetSize == 2 * Settings->MaxLostVms + 1)
+  const std::size_t Voters = 2 * Settings->MaxLostVms + 1;
+  if (FleetSize == Voters)
     Settings->FleetSize = FleetSize;
-  startProcessLog(Settings->Node);
+  else if (FleetSize > 0)
+    telemetry::logEvent(severity::warning, "registries_ignored",
+                        {{"registries", FleetSize}, {"voters", Voters}});
   if (!vmFromIp(Settings->Ip))
     return failStart({"ip: not an IPv4 address: " + Settings->Ip});
   return registry_process(Adapter, std::move(*Settings), Stamp).run();
--- a/test/replica_group.h
+++ b/test/replica_group.h
@@ -84,6 +84,7 @@
     replica_options Options;
     for (auto &Other : Nodes)
       Options.Vms.push_back(Other->Vm);
+    Options.FleetSize = static_cast<std::uint32_t>(Nodes.size());
     Options.SnapshotEvery = Settings.SnapshotEvery;
     Options.CatchUpEntries = Settings.CatchUpEntries;
     Options.ChunkBytes = Settings.ChunkBytes;
