A voter's message does not close the link that connects to it

What callers saw: a fleet whose registries are all killed as they start, and are back within a millisecond of each other, forms its group late or never.

Cause: each message of a peer closed a link to it that was not connected yet. Processes that start at one moment announce themselves at the same times, so the message always came first, and links stayed one-way. The class: a sign of life that undoes the work which waits for it.

Change: a link is closed only once it has not connected for ConnectTimeout.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -241,7 +241,7 @@
   void onVoterMessage(const frame_link *Key, control::message Message) {
     if (!Node)
       return;
-    VoterLinks.onMessageFrom(Message.Vm);
+    VoterLinks.onMessageFrom(Message.Vm, Clock.now());
     const bool IsJoining =
         std::holds_alternative<control::join_request>(Message.Body);
     if (IsJoining && !Voters.empty())
--- a/src/fleet/voter_links.cpp
+++ b/src/fleet/voter_links.cpp
@@ -59,12 +59,13 @@
   Entry.Link->send(wire::encode(Message));
 }
 
-void voter_links::onMessageFrom(vm_id From) {
+void voter_links::onMessageFrom(vm_id From, instant Now) {
   const auto Known = Links.find(From);
   if (Known == Links.end())
     return;
   vm_link &Entry = Known->second;
-  if (Entry.Link && Entry.Link->isOpen())
+  const bool MayConnect = Now - Entry.RetryAt <= ConnectTimeout;
+  if (Entry.Link && (Entry.Link->isOpen() || MayConnect))
     return;
   if (Entry.Link)
     Entry.Link->close();
--- a/src/fleet/voter_links.h
+++ b/src/fleet/voter_links.h
@@ -26,9 +26,11 @@
       : Io(Io), Port(Port), OnFrame(std::move(OnFrame)) {}
 
   void send(vm_id To, const fleet_message &Message, instant Now);
-  /// To be called when a message from a vm has arrived: a link to it that is
-  /// not connected yet is closed, so that the next `send` connects at once.
-  void onMessageFrom(vm_id From);
+  /// To be called when a message from a vm has arrived: a link to it that has
+  /// not connected in time is closed, so that the next `send` connects at once.
+  /// A younger one is kept: vms that start at one moment hear from each other
+  /// before any of their links is connected.
+  void onMessageFrom(vm_id From, instant Now);
   /// Closes the links on which nothing was sent for `IdleTimeout`.
   void closeIdle(instant Now);
 
