Orders wait three seconds for missing voters, not eight

Cause: a leader with fewer voters than tolerate the losses ends each order as unclear for 8 s after its election. A machine that is away at a start is lost already; those that only come later do so within fractions of a second.

--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -120,8 +120,8 @@
   /// another node after one second.
   millis CallTimeout{900};
   /// Time from the election after which the leader accepts commands with fewer
-  /// than `TargetVoters` voters.
-  millis VoterWaitTimeout{8000};
+  /// than `TargetVoters` voters. Operators wait about five seconds for an order.
+  millis VoterWaitTimeout{3000};
   /// A leader transfers its leadership once disk writes have been pending
   /// without interruption for this long.
   millis SlowWriteThreshold{600};
