A broken invariant of the log ends no process

What callers saw: a registry that ended by itself with SIGABRT; the reason was on stderr only. Also a follower that got no entries any more. Cause: `control::invariant` aborted, and a message of a peer reaches it: an append in the term of a leader. Class: input that ends a process. Change: an invariant throws `invariant_violation`. A rejection counts at most up to the end of the log.

--- a/src/control/invariant.h
+++ b/src/control/invariant.h
@@ -1,18 +1,24 @@
-/// Assertions that stay enabled in release builds. A violated invariant aborts
-/// the process; all other failures are returned as values.
+/// Assertions that stay enabled in release builds.
 #pragma once
 
-#include <cstdio>
-#include <cstdlib>
+#include <stdexcept>
+#include <string>
 
 namespace bulrush::control {
 
-/// Prints `Description` and aborts the process unless `Holds`.
+/// The state in memory is not to be relied on any more: the object that threw
+/// must be built anew from what is on disk. All other failures are returned as
+/// values.
+class invariant_violation : public std::logic_error {
+public:
+  using std::logic_error::logic_error;
+};
+
+/// Throws an `invariant_violation` with `Description` unless `Holds`.
 inline void invariant(bool Holds, const char *Description) {
-  if (Holds)
-    return;
-  std::fprintf(stderr, "invariant violated: %s\n", Description);
-  std::abort();
+  if (!Holds)
+    throw invariant_violation(std::string("invariant violated: ") +
+                              Description);
 }
 
 } // namespace bulrush::control
--- a/src/control/replica_append.cpp
+++ b/src/control/replica_append.cpp
@@ -126,8 +126,10 @@
                              : Body.Match <= Member.Match;
   if (Stale || Member.Mode == member_progress::mode::snapshot)
     return;
+  // The reply may name entries that this log never had.
   const log_index NextGuess =
-      std::min(Body.Match, log_index{Body.Hint.Value + 1});
+      std::min({Body.Match, log_index{Body.Hint.Value + 1},
+                log_index{Log.last().Value + 1}});
   Member.Next = std::max(log_index{Member.Match.Value + 1}, NextGuess);
   Member.Mode = member_progress::mode::probe;
   Member.Waiting = false;
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -1,8 +1,10 @@
 #include "daemon/control_node.h"
 
+#include "control/invariant.h"
 #include "wire/control_codec.h"
 
 #include <algorithm>
+#include <exception>
 
 namespace bulrush::daemon {
 
@@ -39,7 +41,12 @@
 
 void control_node::stepLog(const control::event &Event) {
   std::vector<control::action> Actions;
-  Replica.step(Event, Now, Actions);
+  try {
+    Replica.step(Event, Now, Actions);
+  } catch (const control::invariant_violation &) {
+    // This daemon's actors would go on without the replica.
+    std::terminate();
+  }
   for (control::action &Action : Actions)
     std::visit([this](auto &Each) { on(Each); }, Action);
 }
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -315,6 +315,7 @@
     if (Node && Node->isLeader())
       onLeadership(false);
     Node.reset();
+    MustReopen = false;
     OperatorHandler.completeAll(call_end::unclear);
   }
 
@@ -378,7 +379,7 @@
   // Registry node.
 
   void step(const node_event &Event) {
-    if (!Node)
+    if (!Node || MustReopen)
       return;
     std::vector<node_action> Actions;
     if (!Guard.call([&] { Node->step(Event, Clock.now(), Actions); })) {
@@ -393,6 +394,7 @@
   /// A failed step may have lost a write that the node counts on. The node is
   /// built anew from what the folder holds.
   void reopenFolder() {
+    MustReopen = true;
     asio::post(Io, [this] {
       Folder.close();
       if (!IsStopping)
@@ -733,6 +735,7 @@
   instant NoGroupLoggedAt{-1e300};
   bool IsStopping = false;
   bool HasRefusedRecord = false;
+  bool MustReopen = false; ///< the node is not stepped until it is built anew
 };
 
 } // namespace
--- a/test/unit/replica_test.cpp
+++ b/test/unit/replica_test.cpp
@@ -347,3 +347,50 @@
   Replica.step(persisted{write_id{2}}, instant{1002}, Out);
   CHECK(Replica.status().Commit == log_index{2});
 }
+
+// Guards against a message of a peer that ends the process: another leader in
+// the term of this one broke an invariant, which aborted.
+TEST_CASE("a message that breaks an invariant is an exception that names it",
+          "[replica]") {
+  replica_group Group({});
+  REQUIRE(Group.elect());
+  auto &Leader = *Group.leader();
+  const replica_status Status = Leader.Replica->status();
+  const auto &Members = Status.Group.Members;
+  const auto &Other = Members[0].Id == Status.Self ? Members[1] : Members[0];
+  const message Second{
+      Other.Id,    Other.Vm,         Status.Self, incarnation_id{1000},
+      Status.Term, Status.LastIndex, Status.Term, append_request{}};
+  std::vector<action> Out;
+  CHECK_THROWS_WITH(
+      Leader.Replica->step(message_received{Second}, Group.Now, Out),
+      "invariant violated: two leaders in one term");
+}
+
+// Guards against a rejection that names entries this leader never had: it took
+// them for compacted and read a snapshot that did not exist.
+TEST_CASE("a rejection beyond the leader's log sends no snapshot",
+          "[replica]") {
+  group_settings Settings;
+  Settings.SnapshotEvery = 1000;
+  replica_group Group(Settings);
+  REQUIRE(Group.elect());
+  proposeChanges(Group, 3);
+  auto &Leader = *Group.leader();
+  const replica_status Status = Leader.Replica->status();
+  for (const auto &Member : Status.Group.Members) {
+    if (Member.Id == Status.Self)
+      continue;
+    const log_index Beyond{Status.LastIndex.Value + 1000};
+    const message Rejection{
+        Member.Id,   Member.Vm,
+        Status.Self, incarnation_id{1000},
+        Status.Term, Status.LastIndex,
+        Status.Term, append_reply{false, Beyond, Beyond, Group.Now}};
+    Group.step(Leader, message_received{Rejection});
+  }
+  CHECK(Leader.Replica->status().Role == replica_role::leader);
+  proposeChanges(Group, 3);
+  Group.run(100);
+  CHECK(Group.converged());
+}
