Signals that no daemon uses do not end one without a line

What callers saw: a daemon that was gone without a line in its log. Cause: SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGSTKFLT and SIGPWR had their default action, which ends the process; so had SIGQUIT and SIGXCPU. Class: a default action that was never thought of. Change: the former are ignored; the latter still end the process, as whoever sends them wants that, and leave `process_ended`.

--- a/src/telemetry/process_guard.cpp
+++ b/src/telemetry/process_guard.cpp
@@ -19,7 +19,13 @@
 
 namespace {
 
-constexpr std::array FatalSignals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
+constexpr std::array FatalSignals{SIGSEGV, SIGBUS,  SIGFPE, SIGILL,
+                                  SIGABRT, SIGQUIT, SIGXCPU};
+/// Not used by the daemons; the default action would end them without a line.
+/// SIGSYS, SIGTRAP and the real-time signals are left to what runs the process.
+constexpr std::array IgnoredSignals{SIGPIPE,   SIGXFSZ,   SIGUSR1, SIGUSR2,
+                                    SIGALRM,   SIGVTALRM, SIGPROF, SIGIO,
+                                    SIGSTKFLT, SIGPWR};
 constexpr std::array RecordedSignals{SIGHUP, SIGTERM, SIGINT};
 constexpr std::size_t MaxNameBytes = 64;
 /// Stack of the handler, so that a stack overflow is reported too.
@@ -144,8 +150,8 @@
 } // namespace
 
 void protectProcess() {
-  setAction(SIGPIPE, SIG_IGN, 0);
-  setAction(SIGXFSZ, SIG_IGN, 0);
+  for (const int Number : IgnoredSignals)
+    setAction(Number, SIG_IGN, 0);
   openStandardDescriptors();
   stack_t Stack{};
   Stack.ss_sp = HandlerStack.data();
--- a/src/telemetry/process_guard.h
+++ b/src/telemetry/process_guard.h
@@ -6,7 +6,8 @@
 namespace bulrush::telemetry {
 
 /// Call it first in a daemon. Refused writes become errors instead of SIGPIPE
-/// and SIGXFSZ; standard descriptors that are closed are opened on /dev/null,
+/// and SIGXFSZ; signals that no daemon uses, such as SIGUSR1 and SIGALRM, are
+/// ignored; standard descriptors that are closed are opened on /dev/null,
 /// so that no socket or data file gets their number; a fatal signal and an
 /// exception that nobody catches leave a log line `process_ended`. Calls no
 /// function that needs initialization of other modules.
