Settings are awaited for as long as they take

What callers saw: a process that did not start: it ended with status 1 since its settings came 3 s late, were half written for longer than a second, or held an address that was none yet. Cause: the start read the settings for one second, and took an `ip` or an address to listen on that is no address for final. Class: a start that takes a condition that passes for one that does not. Change: the settings are read until they can be used. `settings_waiting` says what is waited for, at once and each 5 s; the log starts before it, under the name of the program. SIGTERM and SIGINT end the wait with status 0. A supervisor would start the process again with the same settings, so an error that does not pass costs a log line instead of a series of ends.

--- a/src/fleet/process_start.cpp
+++ b/src/fleet/process_start.cpp
@@ -1,8 +1,11 @@
 #include "fleet/process_start.h"
 
+#include "fleet/voter_links.h"
 #include "telemetry/log.h"
 #include "telemetry/process_guard.h"
 
+#include <boost/asio/ip/address.hpp>
+#include <csignal>
 #include <random>
 #include <thread>
 
@@ -11,17 +14,64 @@
 namespace {
 
 constexpr std::chrono::milliseconds SettingsRetryDelay{50};
-constexpr int MaxSettingsReads = 20;
+/// Time between two log lines on settings that are waited for.
+constexpr std::chrono::seconds WaitLogInterval{5};
 
-} // namespace
+/// Whether the process can use its addresses.
+expected<void> checkAddresses(const process_settings &Settings,
+                              const listen_addresses &Listens) {
+  if (!vmFromIp(Settings.Ip))
+    return fail("ip: not an IPv4 address: " + Settings.Ip);
+  for (const auto Each : Listens) {
+    boost::system::error_code Error;
+    const std::string &Host = (Settings.*Each).Host;
+    boost::asio::ip::make_address(Host, Error);
+    if (Error)
+      return fail("listen: not an IP address: " + Host);
+  }
+  return {};
+}
 
-expected<process_settings> readSettings(settings_source &Source) {
+expected<process_settings> readUsable(settings_source &Source,
+                                      const listen_addresses &Listens) {
   auto Settings = Source.read();
-  for (int Reads = 1; !Settings && Reads < MaxSettingsReads; ++Reads) {
+  if (!Settings)
+    return Settings;
+  if (auto Checked = checkAddresses(*Settings, Listens); !Checked)
+    return fail(Checked.error());
+  return Settings;
+}
+
+bool takeStopSignal() {
+  for (const int Number : {SIGTERM, SIGINT}) {
+    if (!telemetry::takeSignal(Number))
+      continue;
+    telemetry::logEvent(telemetry::severity::info, "stop_signal",
+                        {{"signal", Number}});
+    return true;
+  }
+  return false;
+}
+
+} // namespace
+
+std::optional<process_settings> awaitSettings(settings_source &Source,
+                                              const listen_addresses &Listens) {
+  std::chrono::steady_clock::time_point NextLogAt{};
+  for (;;) {
+    auto Settings = readUsable(Source, Listens);
+    if (Settings)
+      return std::move(*Settings);
+    const auto Now = std::chrono::steady_clock::now();
+    if (Now >= NextLogAt) {
+      NextLogAt = Now + WaitLogInterval;
+      telemetry::logEvent(telemetry::severity::warning, "settings_waiting",
+                          {{"error", Settings.error().Message}});
+    }
+    if (takeStopSignal())
+      return std::nullopt;
     std::this_thread::sleep_for(SettingsRetryDelay);
-    Settings = Source.read();
   }
-  return Settings;
 }
 
 int failStart(const error &Error) {
--- a/src/fleet/process_start.h
+++ b/src/fleet/process_start.h
@@ -5,14 +5,23 @@
 #include "fleet/metrics_page.h"
 
 #include <chrono>
+#include <optional>
+#include <vector>
 
 namespace bulrush::fleet {
 
-/// Reads the settings at the start. A file that cannot be read may be about to
-/// be replaced, so it is read again for a second.
-expected<process_settings> readSettings(settings_source &Source);
+/// Addresses of the settings that a process listens on.
+using listen_addresses = std::vector<address process_settings::*>;
+
+/// Reads the settings at the start. Settings that cannot be read or used may be
+/// late or about to be replaced, so they are read again until they can be; a
+/// log line says what is waited for. Returns no value if SIGTERM or SIGINT
+/// arrives before.
+std::optional<process_settings> awaitSettings(settings_source &Source,
+                                              const listen_addresses &Listens);
 /// Logs why the process cannot start and returns its exit status.
 int failStart(const error &Error);
+/// Starts the log, or names the process in it if it has been started.
 void startProcessLog(const std::string &Process);
 /// Returns a random seed from the operating system.
 std::uint64_t drawSeed();
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -741,16 +741,16 @@
 } // namespace
 
 int runRegistry(const adapter &Adapter, std::uint32_t FleetSize) {
+  startProcessLog("registry");
   const std::uint64_t Stamp = Adapter.Settings->stamp();
-  auto Settings = readSettings(*Adapter.Settings);
+  auto Settings =
+      awaitSettings(*Adapter.Settings, {&process_settings::Operators});
   if (!Settings)
-    return failStart(Settings.error());
+    return 0;
   // A size that is too small would let two groups form.
   if (FleetSize == 2 * Settings->MaxLostVms + 1)
     Settings->FleetSize = FleetSize;
   startProcessLog(Settings->Node);
-  if (!vmFromIp(Settings->Ip))
-    return failStart({"ip: not an IPv4 address: " + Settings->Ip});
   return registry_process(Adapter, std::move(*Settings), Stamp).run();
 }
 
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -439,15 +439,15 @@
 } // namespace
 
 int runRelay(const adapter &Adapter) {
+  startProcessLog("relay");
   const std::uint64_t Stamp = Adapter.Settings->stamp();
-  auto Settings = readSettings(*Adapter.Settings);
+  auto Settings =
+      awaitSettings(*Adapter.Settings,
+                    {&process_settings::Clients, &process_settings::Readiness});
   if (!Settings)
-    return failStart(Settings.error());
+    return 0;
   startProcessLog(Settings->Node);
-  const auto Self = vmFromIp(Settings->Ip);
-  if (!Self)
-    return failStart({"ip: not an IPv4 address: " + Settings->Ip});
-  Settings->Relay.Self = *Self;
+  Settings->Relay.Self = *vmFromIp(Settings->Ip);
   return relay_process(Adapter, std::move(*Settings), Stamp).run();
 }
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -91,6 +91,7 @@
                    << expr::format_date_time<boost::posix_time::ptime>(
                           "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
                    << " process=" << Settings.Process << ' ' << expr::smessage;
+  boost::log::core::get()->remove_all_sinks();
   if (Settings.ToStandardOutput) {
     using output_sink = boost::log::sinks::synchronous_sink<output_backend>;
     const auto Sink = boost::make_shared<output_sink>();
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -38,7 +38,8 @@
   severity MinSeverity = severity::info;
 };
 
-/// Sets up the log. Must be called once, before the first call of `logEvent`.
+/// Sets up the log. Must be called before the first call of `logEvent`; another
+/// call replaces the settings, while no other thread logs.
 void startLog(const log_settings &Settings);
 
 /// Writes one log event. Example: `logEvent(severity::info, "zone_out",
