A listener waits for any condition that may pass

What callers saw: a process that did not start: `start_failed`, status 1. Cause: the errors of bind and listen that may pass were a list; EACCES, EPERM, ENETDOWN and others were not on it. Class: a start that takes a condition that passes for one that does not. Change: the list names those that cannot pass instead, which say that the address or the socket is of a kind that the system does not have. Evidence: the new case of listener_test (a port that is not permitted at first) failed on the former listener (open returned an error), and passes.

--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -23,17 +23,17 @@
 constexpr int Backlog = 1024;
 
 /// Whether the same call may succeed later without a change of the settings.
-bool isTransient(const error_code &Error) {
+/// Waiting for a condition that does not pass costs a log line; ending for one
+/// that does costs the process.
+bool mayPass(const error_code &Error) {
   switch (Error.value()) {
-  case EADDRINUSE:
-  case EADDRNOTAVAIL:
-  case EMFILE:
-  case ENFILE:
-  case ENOBUFS:
-  case ENOMEM:
-    return true;
-  default:
+  case EAFNOSUPPORT:
+  case EPROTONOSUPPORT:
+  case EOPNOTSUPP:
+  case EINVAL:
     return false;
+  default:
+    return true;
   }
 }
 
@@ -173,7 +173,7 @@
   const error_code Error = State->tryOpen();
   if (!Error)
     State->onOpened();
-  else if (isTransient(Error))
+  else if (mayPass(Error))
     State->waitFor(Error);
   else
     return fail("cannot listen on " + toText(Address) + ": " + Error.message());
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -28,10 +28,10 @@
   listener &operator=(const listener &) = delete;
   listener &operator=(listener &&) = delete;
 
-  /// Binds, listens and accepts. While the address is in use or not there yet,
-  /// or a resource has run out, tries again until it succeeds or `stop` is
-  /// called; then calls `OnOpen`. Returns an error, which includes the address,
-  /// only for a condition that does not pass.
+  /// Binds, listens and accepts. While the address is in use, not there yet or
+  /// not permitted, or a resource has run out, tries again until it succeeds or
+  /// `stop` is called; then calls `OnOpen`. Returns an error, which includes
+  /// the address, only for a condition that does not pass.
   expected<void> open(const boost::asio::ip::tcp::endpoint &Address,
                       open_handler OnOpen = {});
   bool isOpen() const;
--- a/test/shell/listener_test.cpp
+++ b/test/shell/listener_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <stdexcept>
+#include <unistd.h>
 
 using namespace bulrush;
 
@@ -51,6 +52,36 @@
   CHECK(Test.Accepted == 1);
 }
 
+// Guards against a start that gives up on an address that it may not use yet,
+// as before a security policy or a limit on ports is in place.
+TEST_CASE("a listener waits for an address that is not permitted",
+          "[listener]") {
+  constexpr std::uint16_t PrivilegedPort = 21;
+  constexpr uid_t Nobody = 65'534;
+  const uid_t Former = ::geteuid();
+  const tcp::endpoint Refused(Address.address(), PrivilegedPort);
+  fixture Test;
+  if (Former == 0)
+    REQUIRE(::seteuid(Nobody) == 0);
+  // Some containers permit all ports to everyone.
+  boost::system::error_code Error;
+  {
+    tcp::acceptor Probe(Test.Io, tcp::v4());
+    Probe.bind(Refused, Error);
+  }
+  const bool IsPermitted = !Error;
+  const bool IsOpened = Test.open(Refused).has_value();
+  const bool HasWaited = !Test.Listener.isOpen();
+  if (Former == 0)
+    REQUIRE(::seteuid(Former) == 0);
+  CHECK(IsOpened);
+  CHECK(HasWaited == !IsPermitted);
+  Test.runFor(std::chrono::milliseconds(250));
+  const bool IsOpenNow = IsPermitted || Former == 0;
+  CHECK(Test.Listener.isOpen() == IsOpenNow);
+  CHECK(Test.Opened == (IsOpenNow ? 1 : 0));
+}
+
 // Guards against a stop that is undone by an attempt to listen.
 TEST_CASE("a listener that is stopped while it waits stays closed",
           "[listener]") {
