A registry that refuses a record goes on without a voter

What callers saw: with an old build on a newer log, a process that ended with status 1 after each restart; three such ends count as a process that ends by itself. Cause: `record_refused` stopped the event loop, so that operators notice. Class: an end that the code asks for, for a condition that a restart does not change.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -56,6 +56,8 @@
 constexpr millis NoGroupLogDelay{1000};
 /// Time between two `no_group` log lines without a change of the cause.
 constexpr millis NoGroupLogInterval{10'000};
+/// Time between two `record_refused` log lines.
+constexpr millis RefusedRecordInterval{10'000};
 
 std::string_view causeName(control::bootstrap_wait Wait) {
   switch (Wait) {
@@ -127,7 +129,7 @@
     Guard.run(Io);
     telemetry::logEvent(severity::info, "registry_stopped",
                         {{"node", Settings.Node}});
-    return HasRefusedRecord ? 1 : 0;
+    return 0;
   }
 
 private:
@@ -268,6 +270,11 @@
     const auto Link = findLink(Key);
     if (!Link)
       return;
+    if (RefusedRecord) {
+      // The relay asks another registry.
+      asio::post(Io, [Link] { Link->close(); });
+      return;
+    }
     PendingSubscriptions.push_back({Link, Request});
     answerSubscriptions();
   }
@@ -397,7 +404,7 @@
     MustReopen = true;
     asio::post(Io, [this] {
       Folder.close();
-      if (!IsStopping)
+      if (!IsStopping && !RefusedRecord)
         Folder.open();
     });
   }
@@ -454,22 +461,31 @@
     Subscribers.sendState(State, Voters);
     publishWithheld();
   }
-  /// Stops the process: after a restart with the same build it stops again, so
-  /// that the operators notice and start the newer build.
+  /// The process stays without a voter and says so until operators start the
+  /// newer build: a supervisor would only start this one again and again.
   void on(record_refused &Action) {
-    telemetry::logEvent(severity::error, "record_refused",
-                        {{"record", Action.Record},
-                         {"index", Action.Index.Value},
-                         {"kind", Action.Kind},
-                         {"level", Action.Level},
-                         {"build_level", control::BuildLevel},
-                         {"error", Action.Reason}});
-    HasRefusedRecord = true;
+    RefusedRecord = Action;
     asio::post(Io, [this] {
       Folder.close();
-      Io.stop();
+      logRefusedRecord(Clock.now());
+      for (const auto &[Weak, Request] :
+           std::exchange(PendingSubscriptions, {}))
+        if (const auto Link = Weak.lock())
+          Link->close();
     });
   }
+  void logRefusedRecord(instant Now) {
+    if (!RefusedRecord || Now - RefusedRecordLoggedAt < RefusedRecordInterval)
+      return;
+    RefusedRecordLoggedAt = Now;
+    telemetry::logEvent(severity::error, "record_refused",
+                        {{"record", RefusedRecord->Record},
+                         {"index", RefusedRecord->Index.Value},
+                         {"kind", RefusedRecord->Kind},
+                         {"level", RefusedRecord->Level},
+                         {"build_level", control::BuildLevel},
+                         {"error", RefusedRecord->Reason}});
+  }
   void on(level_raised &Action) {
     telemetry::logEvent(severity::info, "level_raised",
                         {{"level", Action.Level}});
@@ -618,6 +634,7 @@
     Set("listening_operators", Operators->isListening() ? 1 : 0);
     Set("listening_registries", Listener.isOpen() ? 1 : 0);
     Set("registry_has_folder", Node ? 1 : 0);
+    Set("registry_record_refused", RefusedRecord ? 1 : 0);
     Set("registry_subscribers", Subscribers.count());
     Set("registry_endpoint_limits", Subscribers.limitCount());
     const bool IsLeader = Node && Node->isLeader();
@@ -670,6 +687,7 @@
       return;
     HeartbeatAt = Now;
     logMissingGroup(Now);
+    logRefusedRecord(Now);
     VoterLinks.closeIdle(Now);
     if (Node && Node->isLeader())
       Subscribers.sendHeartbeat(Node->state().Revision, Node->fleetSize());
@@ -734,7 +752,9 @@
   instant NoGroupSince = Never;
   instant NoGroupLoggedAt{-1e300};
   bool IsStopping = false;
-  bool HasRefusedRecord = false;
+  /// The folder stays closed once this is set.
+  std::optional<record_refused> RefusedRecord;
+  instant RefusedRecordLoggedAt{-1e300};
   bool MustReopen = false; ///< the node is not stepped until it is built anew
 };
 
--- a/test/registry_fixture.h
+++ b/test/registry_fixture.h
@@ -24,7 +24,7 @@
     std::vector<call_ended> EndedCalls;
     std::uint32_t Level = 0; ///< that it announces; 0: none, as old builds
     std::vector<join_refused> RefusedJoins;
-    std::vector<record_refused> RefusedRecords; ///< the first ends the process
+    std::vector<record_refused> RefusedRecords; ///< nothing follows the first
     bool HasLostIdentity = false;
   };
 
