--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -99,8 +99,7 @@
   void dropEntriesFrom(log_index Index);
   void updateMatch(const message &From, member_progress &Member,
                    log_index Match);
-  void handleRejection(member_progress &Member,
-                              const append_reply &Body);
+  void handleRejection(member_progress &Member, const append_reply &Body);
   void replicateTo(const group_member &Member, bool Heartbeat);
   void replicateToAll(bool Heartbeat);
   void advanceCommit();
