The replicated log is compacted by bytes as well as by entries

Callers saw: 300 configurations of 970 KB took 163 MB of a registry's memory (185 after a restart; limit 256) and 48 MB of its disk (128).

Class: a bound on items where the cost is by byte.

The registry sets 8 MB for both.

`unit_tests "[replica]"`: 19 cases pass; `fuzz_tests "[replica]"`, now with small bounds on bytes too, passes. The trial with real processes was not repeated.

--- a/src/control/entry_log.cpp
+++ b/src/control/entry_log.cpp
@@ -42,6 +42,15 @@
   }
 }
 
+std::size_t entry_log::payloadBytes(log_index From, log_index To) const {
+  std::size_t Bytes = 0;
+  while (From < To) {
+    ++From.Value;
+    Bytes += at(From).Payload->size();
+  }
+  return Bytes;
+}
+
 std::vector<log_entry> entry_log::slice(log_index From,
                                         std::size_t MaxBytes) const {
   std::vector<log_entry> Result;
--- a/src/control/entry_log.h
+++ b/src/control/entry_log.h
@@ -33,6 +33,8 @@
   /// total. The last entry may exceed that limit, so at least one is returned
   /// if `From <= last()`.
   std::vector<log_entry> slice(log_index From, std::size_t MaxBytes) const;
+  /// Returns the total payload of the entries after `From`, up to `To`.
+  std::size_t payloadBytes(log_index From, log_index To) const;
 
 private:
   log_index Base;
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -221,8 +221,28 @@
   SnapshotChanged = true;
   while (Groups.size() > 1 && Groups[1].first <= Event.Index)
     Groups.erase(Groups.begin());
-  if (Event.Index.Value > Options.CatchUpEntries)
-    Log.compactTo({Event.Index.Value - Options.CatchUpEntries});
+  AppliedBytes = Log.payloadBytes(Event.Index, Applied);
+  compactBefore(Event.Index);
+}
+
+/// Keeps as many entries up to the snapshot's as the options allow.
+void replica_core::compactBefore(log_index Index) {
+  log_index From = Index;
+  std::size_t KeptBytes = 0;
+  while (From > Log.base() &&
+         Index.Value - From.Value < Options.CatchUpEntries) {
+    KeptBytes += Log.at(From).Payload->size();
+    if (KeptBytes > Options.CatchUpBytes)
+      break;
+    --From.Value;
+  }
+  Log.compactTo(From);
+}
+
+bool replica_core::isSnapshotDue() const {
+  const log_index SnapshotIndex = Snapshot ? Snapshot->Index : log_index{0};
+  return Applied.Value - SnapshotIndex.Value >= Options.SnapshotEvery ||
+         AppliedBytes >= Options.SnapshotBytes;
 }
 
 void replica_core::on(const bootstrap_group &Event) {
@@ -248,6 +268,7 @@
       return;
     InstallPending = false;
     Applied = Snapshot->Index;
+    AppliedBytes = 0;
     emit(install_snapshot{Snapshot->Index, Snapshot->Bytes});
   }
   const log_index End = std::min(Commit, DurableIndex);
@@ -259,15 +280,14 @@
     Ready = true;
     emit(leader_ready{Term});
   }
-  const log_index SnapshotIndex = Snapshot ? Snapshot->Index : log_index{0};
-  if (!SnapshotRequested &&
-      Applied.Value - SnapshotIndex.Value >= Options.SnapshotEvery) {
+  if (!SnapshotRequested && isSnapshotDue()) {
     SnapshotRequested = true;
     emit(snapshot_requested{});
   }
 }
 
 void replica_core::applyEntry(const log_entry &Entry) {
+  AppliedBytes += Entry.Payload->size();
   if (Entry.Kind == entry_kind::command)
     emit(apply{Entry.Index, Entry.Term, Entry.Payload});
   const auto Proposal = Proposals.find(Entry.Index);
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -59,8 +59,14 @@
   /// its data folder is not an outdated copy, or until this timeout if they
   /// cannot be reached.
   millis CheckInTimeout{5000};
-  std::size_t SnapshotEvery = 4096;    ///< applied entries between snapshots
-  std::size_t CatchUpEntries = 1024;   ///< entries kept before the snapshot
+  std::size_t SnapshotEvery = 4096;  ///< applied entries between snapshots
+  std::size_t CatchUpEntries = 1024; ///< entries kept before the snapshot
+  /// Payload of the applied entries since the last snapshot, in bytes, at which
+  /// the next one is taken even if they are fewer than `SnapshotEvery`.
+  std::size_t SnapshotBytes = 64 << 20;
+  /// Maximum payload, in bytes, of the entries kept before the snapshot. A
+  /// member that lacks more than these receives the snapshot.
+  std::size_t CatchUpBytes = 16 << 20;
   std::size_t BatchBytes = 256 * 1024; ///< payload per append request
   std::size_t ChunkBytes = 256 * 1024; ///< payload per snapshot chunk
   std::size_t MaxInFlight = 64; ///< unacknowledged append requests per member
--- a/src/control/replica_core.h
+++ b/src/control/replica_core.h
@@ -62,6 +62,8 @@
   void rejectProposal(proposal_id Proposal);
   void applyCommitted();
   void applyEntry(const log_entry &Entry);
+  bool isSnapshotDue() const;
+  void compactBefore(log_index Index);
   void replyTo(const message &From, message_body Body);
 
   // replica_output.cpp
@@ -204,6 +206,7 @@
   bool InstallPending = false;
   log_index Commit;
   log_index Applied;
+  std::size_t AppliedBytes = 0; ///< payload applied since the snapshot
   bool SnapshotRequested = false;
   std::set<voter_id> Votes;
   std::optional<incoming_snapshot> Incoming;
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -49,9 +49,11 @@
 /// Maximum number of log lines per directory change; the log event
 /// `endpoints_changed` has the full counts.
 constexpr std::size_t MaxEndpointLogLines = 1000;
-constexpr std::size_t SnapshotEvery =
-    128; ///< entries; an entry may hold a whole catalog
+constexpr std::size_t SnapshotEvery = 128; ///< entries
 constexpr std::size_t CatchUpEntries = 16;
+/// Bytes; an entry may hold a whole catalog.
+constexpr std::size_t SnapshotBytes = 8 << 20;
+constexpr std::size_t CatchUpBytes = 8 << 20;
 /// Time without a group until it is logged; a new fleet takes less to form one.
 constexpr millis NoGroupLogDelay{1000};
 /// Time between two `no_group` log lines without a change of the cause.
@@ -338,6 +340,8 @@
     Out.Log.CheckInTimeout = CheckInTimeout;
     Out.Log.SnapshotEvery = SnapshotEvery;
     Out.Log.CatchUpEntries = CatchUpEntries;
+    Out.Log.SnapshotBytes = SnapshotBytes;
+    Out.Log.CatchUpBytes = CatchUpBytes;
     Out.Log.Level = control::BuildLevel;
     Out.VoterManager.TargetVoters = 2 * Settings.MaxLostVms + 1;
     return Out;
--- a/test/fuzz/replica_fuzz.cpp
+++ b/test/fuzz/replica_fuzz.cpp
@@ -255,6 +255,8 @@
     Settings.Seed = *rc::gen::arbitrary<std::uint64_t>();
     Settings.SnapshotEvery = *rc::gen::element<std::size_t>(5, 16, 1000);
     Settings.CatchUpEntries = *rc::gen::element<std::size_t>(0, 3, 100);
+    Settings.SnapshotBytes = *rc::gen::element<std::size_t>(40, 1 << 20);
+    Settings.CatchUpBytes = *rc::gen::element<std::size_t>(0, 30, 1 << 20);
     replica_group Group(Settings);
     if (!Group.elect())
       RC_FAIL("empty folders bootstrapped no group");
--- a/test/replica_group.h
+++ b/test/replica_group.h
@@ -26,6 +26,8 @@
   double MaxSync = 1;   ///< maximum duration of a sync in milliseconds
   std::size_t SnapshotEvery = 16;
   std::size_t CatchUpEntries = 4;
+  std::size_t SnapshotBytes = replica_options{}.SnapshotBytes;
+  std::size_t CatchUpBytes = replica_options{}.CatchUpBytes;
   std::size_t ChunkBytes = 64;
 };
 
@@ -86,6 +88,8 @@
       Options.Vms.push_back(Other->Vm);
     Options.SnapshotEvery = Settings.SnapshotEvery;
     Options.CatchUpEntries = Settings.CatchUpEntries;
+    Options.SnapshotBytes = Settings.SnapshotBytes;
+    Options.CatchUpBytes = Settings.CatchUpBytes;
     Options.ChunkBytes = Settings.ChunkBytes;
     Node.Replica.emplace(Options, Node.Folder->state(), Random());
     Node.State.clear();
--- a/test/unit/replica_test.cpp
+++ b/test/unit/replica_test.cpp
@@ -347,3 +347,52 @@
   Replica.step(persisted{write_id{2}}, instant{1002}, Out);
   CHECK(Replica.status().Commit == log_index{2});
 }
+
+// Guards against a log of few large entries that fills the memory and the disk
+// of its members, as only its number of entries is bounded.
+TEST_CASE("a log of large entries is compacted by bytes", "[replica]") {
+  constexpr std::size_t EntryBytes = 1000;
+  group_settings Settings;
+  Settings.SnapshotEvery = 1000;
+  Settings.CatchUpEntries = 1000;
+  Settings.SnapshotBytes = 10 * EntryBytes;
+  Settings.CatchUpBytes = 4 * EntryBytes;
+  replica_group Group(Settings);
+  REQUIRE(Group.elect());
+  for (int I = 0; I < 100; ++I) {
+    Group.proposeAt(*Group.leader(), std::string(EntryBytes, 'a' + I % 26));
+    Group.run(10);
+    for (auto &Node : Group.Nodes)
+      REQUIRE(Node->Folder->state().Entries.size() <= 16);
+  }
+  Group.run(200);
+  CHECK(Group.Confirmed.size() == 100);
+  CHECK(Group.converged());
+  CHECK(Group.Violations.empty());
+}
+
+// Guards against a member that stays behind for good, as the entries that it
+// lacks were dropped for their bytes.
+TEST_CASE("a member that lacks more bytes than are kept gets the snapshot",
+          "[replica]") {
+  constexpr std::size_t EntryBytes = 1000;
+  group_settings Settings;
+  Settings.SnapshotEvery = 1000;
+  Settings.CatchUpEntries = 1000;
+  Settings.SnapshotBytes = 5 * EntryBytes;
+  Settings.CatchUpBytes = GENERATE(std::size_t{0}, 2 * EntryBytes);
+  Settings.ChunkBytes = 4096;
+  replica_group Group(Settings);
+  REQUIRE(Group.elect());
+  auto &Behind = *(Group.leader() == Group.Nodes[0].get() ? Group.Nodes[1]
+                                                          : Group.Nodes[0]);
+  Group.crash(Behind);
+  for (int I = 0; I < 40; ++I) {
+    Group.proposeAt(*Group.leader(), std::string(EntryBytes, 'x'));
+    Group.run(10);
+  }
+  Group.start(Behind);
+  CHECK(Group.runUntil(5000, [&] { return Group.converged(); }));
+  CHECK(Group.Confirmed.size() == 40);
+  CHECK(Group.Violations.empty());
+}
