--- a/test/replica_group.h
+++ b/test/replica_group.h
@@ -26,6 +26,8 @@
   double MaxSync = 1;   ///< maximum duration of a sync in milliseconds
   std::size_t SnapshotEvery = 16;
   std::size_t CatchUpEntries = 4;
+  std::size_t SnapshotBytes = replica_options{}.SnapshotBytes;
+  std::size_t CatchUpBytes = replica_options{}.CatchUpBytes;
   std::size_t ChunkBytes = 64;
 };
 
@@ -87,6 +89,8 @@
     Options.FleetSize = static_cast<std::uint32_t>(Nodes.size());
     Options.SnapshotEvery = Settings.SnapshotEvery;
     Options.CatchUpEntries = Settings.CatchUpEntries;
+    Options.SnapshotBytes = Settings.SnapshotBytes;
+    Options.CatchUpBytes = Settings.CatchUpBytes;
     Options.ChunkBytes = Settings.ChunkBytes;
     Node.Replica.emplace(Options, Node.Folder->state(), Random());
     Node.State.clear();
