--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -120,7 +120,8 @@
   /// another node after one second.
   millis CallTimeout{900};
   /// Time from the election after which the leader accepts commands with fewer
-  /// than `TargetVoters` voters. Operators wait about five seconds for an order.
+  /// than `TargetVoters` voters. Operators wait about five seconds for an
+  /// order.
   millis VoterWaitTimeout{3000};
   /// A leader transfers its leadership once disk writes have been pending
   /// without interruption for this long.
