Bodies that a registry reads at once are bounded in total

Callers saw: nothing yet; by reading, 1,000 connections may each upload 8 MB to a registry of 256 MB, and orders that await the log are held besides.

Cause: the server bounds the size of one body and the number of connections, not the sum of the bodies.

Class: a bound on each where the limit is on the sum.

Change: `MaxTotalBodyBytes` of the HTTP server. The size is taken from the header; a request beyond the bound gets 503 with `Retry-After: 1` before its body is read. A body counts until its response is written. The registry sets 24 MB for operators; other servers set none and read as before.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -49,6 +49,8 @@
 /// Maximum number of log lines per directory change; the log event
 /// `endpoints_changed` has the full counts.
 constexpr std::size_t MaxEndpointLogLines = 1000;
+constexpr std::size_t MaxOrderBytes = 8 << 20;
+constexpr std::size_t MaxTotalOrderBytes = 3 * MaxOrderBytes;
 constexpr std::size_t SnapshotEvery = 128; ///< entries
 constexpr std::size_t CatchUpEntries = 16;
 /// Bytes; an entry may hold a whole catalog.
@@ -142,7 +144,8 @@
   expected<void> startServers() {
     http::server_settings Http;
     Http.Listen = Settings.Operators;
-    Http.MaxBodyBytes = 8 << 20;
+    Http.MaxBodyBytes = MaxOrderBytes;
+    Http.MaxTotalBodyBytes = MaxTotalOrderBytes;
     Operators.emplace(Io, Http, OperatorHandler, Metrics);
     auto Started = Operators->start();
     if (!Started)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,6 +14,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <unordered_set>
+#include <utility>
 
 namespace bulrush::http {
 
@@ -32,6 +33,8 @@
 /// How long a connection whose last response was sent waits for the client to
 /// close it.
 constexpr millis CloseTimeout{1000};
+/// In seconds, for requests whose body does not fit beside others.
+constexpr char BodyRetryAfter[] = "1";
 
 /// The smoothed round-trip time measured by the kernel; 0 if unavailable.
 millis roundTripTime(tcp::socket &Socket) {
@@ -56,6 +59,7 @@
   asio::steady_timer SweepTimer;
   std::unordered_set<std::shared_ptr<session>> Sessions;
   std::size_t InFlightRequests = 0;
+  std::size_t TotalBodyBytes = 0; ///< see `MaxTotalBodyBytes`
   request_token LastToken = 0;
   bool ClosesAfterResponses = false;
 
@@ -84,6 +88,9 @@
     if (!Owner)
       return;
     Owner->InFlightRequests -= Pending.size();
+    Owner->TotalBodyBytes -= ReadBodyBytes;
+    for (const response_slot &Slot : Pending)
+      Owner->TotalBodyBytes -= Slot.BodyBytes;
     if (Owner->Settings.CancelOnDisconnect)
       for (const response_slot &Slot : Pending)
         if (Slot.Token != 0 && !Slot.Response)
@@ -134,6 +141,7 @@
   struct response_slot {
     std::uint64_t Number = 0;
     request_token Token = 0;
+    std::size_t BodyBytes = 0; ///< counted in `TotalBodyBytes`
     bool KeepAlive = true;
     unsigned Version = 11;
     std::optional<response> Response;
@@ -150,6 +158,18 @@
     Parser->body_limit(Owner->Settings.MaxBodyBytes);
     Parser->header_limit(
         static_cast<std::uint32_t>(Owner->Settings.MaxHeaderBytes));
+    if (Owner->Settings.MaxTotalBodyBytes == 0) {
+      readMessage();
+      return;
+    }
+    beast::http::async_read_header(
+        Socket, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Error, std::size_t) {
+          Self->onHeaderRead(Error);
+        });
+  }
+
+  void readMessage() {
     beast::http::async_read(
         Socket, Buffer, *Parser,
         [Self = shared_from_this()](error_code Error, std::size_t) {
@@ -157,6 +177,28 @@
         });
   }
 
+  void onHeaderRead(error_code Error) {
+    const auto Owner = Server.lock();
+    if (!Owner || IsClosed)
+      return;
+    if (Error || Parser->is_done() || IsReadFinished) {
+      onRead(Error);
+      return;
+    }
+    const std::size_t BodyBytes =
+        Parser->content_length().value_or(Owner->Settings.MaxBodyBytes);
+    if (Owner->TotalBodyBytes + BodyBytes > Owner->Settings.MaxTotalBodyBytes) {
+      IsReading = false;
+      refuse(*Owner, 503, "too many large requests at once",
+             {{"Retry-After", BodyRetryAfter}});
+      discardInput();
+      return;
+    }
+    Owner->TotalBodyBytes += BodyBytes;
+    ReadBodyBytes = BodyBytes;
+    readMessage();
+  }
+
   void onRead(error_code Error) {
     IsReading = false;
     const auto Owner = Server.lock();
@@ -172,6 +214,7 @@
       return;
     }
     auto Message = Parser->release();
+    Owner->TotalBodyBytes -= std::exchange(ReadBodyBytes, 0);
     // RFC 9110, 9.3.8; such a request cannot be forwarded.
     if (Message.method() == beast::http::verb::trace &&
         !Message.body().empty()) {
@@ -182,6 +225,8 @@
     IsReadFinished = !KeepAlive;
     const std::uint64_t Number = addSlot(*Owner, KeepAlive, Message.version());
     Pending.back().Token = ++Owner->LastToken;
+    Pending.back().BodyBytes = Message.body().size();
+    Owner->TotalBodyBytes += Message.body().size();
     request Request{detail::toString(Message.method_string()),
                     detail::toString(Message.target()),
                     detail::copyHeaders(Message),
@@ -273,13 +318,14 @@
 
   /// Refuses what was read; it is the last request on this connection.
   void refuse(detail::server_state &Owner, unsigned Status,
-              const std::string &Message) {
+              const std::string &Message, std::vector<header> Headers = {}) {
     Owner.Metrics.add("http_refused", std::to_string(Status));
     response Response;
     Response.Status = Status;
     Response.Body =
         R"({"outcome":"not_run","reason":"bad_request","message":")" + Message +
         "\"}";
+    Response.Headers = std::move(Headers);
     IsReadFinished = true;
     setResponse(addSlot(Owner, false, 11), std::move(Response));
   }
@@ -355,9 +401,11 @@
       return;
     LastActivity = std::chrono::steady_clock::now();
     const bool KeepAlive = Pending.front().KeepAlive;
-    Pending.pop_front();
-    if (const auto Owner = Server.lock())
+    if (const auto Owner = Server.lock()) {
       --Owner->InFlightRequests;
+      Owner->TotalBodyBytes -= Pending.front().BodyBytes;
+    }
+    Pending.pop_front();
     const bool IsLast = IsReadFinished && Pending.empty();
     if (Error) {
       close();
@@ -379,6 +427,7 @@
   wire_response WireResponse;
   std::deque<response_slot> Pending;
   std::uint64_t NextNumber = 0;
+  std::size_t ReadBodyBytes = 0; ///< of the body that is being read
   std::chrono::steady_clock::time_point LastActivity;
   std::array<char, 512> Discarded;
   bool IsReading = false;
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1028,3 +1028,80 @@
   CHECK(Response.find("HTTP/1.1 200") != std::string::npos);
   CHECK(Response.find("/next") != std::string::npos);
 }
+
+namespace {
+
+std::string headOf(const std::string &Target, std::size_t Bytes) {
+  return "PUT " + Target +
+         " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(Bytes) +
+         "\r\nConnection: close\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against slow uploads that together take over the limit of memory, as
+// only the size of each is bounded.
+TEST_CASE("bodies that are read at once are bounded in total", "[http]") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 1000;
+  Settings.MaxTotalBodyBytes = 2000;
+  fixture Test(Settings);
+  std::vector<tcp::socket> Slow;
+  for (int I = 0; I < 2; ++I) {
+    Slow.emplace_back(Test.Io).connect(
+        {boost::asio::ip::make_address("127.0.0.1"), Port});
+    boost::asio::write(Slow.back(),
+                       boost::asio::buffer(headOf("/slow", 900) + "x"));
+    Test.Io.restart();
+    Test.Io.run_for(std::chrono::milliseconds(50));
+  }
+  const std::string Body(900, 'x');
+  const std::string Refused =
+      Test.exchangeRaw(headOf("/third", 900) + Body, 1 << 20);
+  CHECK(Refused.rfind("HTTP/1.1 503", 0) == 0);
+  CHECK(Refused.find("Retry-After: 1") != std::string::npos);
+  CHECK(Test.Metrics.count("http_refused", "503") == 1);
+  // Its size is known only at its end.
+  const std::string Chunked = Test.exchangeRaw(
+      "PUT /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\nx\r\n0\r\n\r\n",
+      1 << 20);
+  CHECK(Chunked.rfind("HTTP/1.1 503", 0) == 0);
+  const std::string Small =
+      Test.exchangeRaw(headOf("/small", 100) + std::string(100, 'x'), 1 << 20);
+  CHECK(Small.rfind("HTTP/1.1 200", 0) == 0);
+  const std::string Empty = Test.exchangeRaw(
+      "GET /empty HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", 1 << 20);
+  CHECK(Empty.rfind("HTTP/1.1 200", 0) == 0);
+  Slow.pop_back();
+  const std::string Later =
+      Test.exchangeRaw(headOf("/later-on", 900) + Body, 1 << 20);
+  CHECK(Later.rfind("HTTP/1.1 200", 0) == 0);
+}
+
+// Guards against a body that counts for ever after its response, or not at all
+// while its response is outstanding.
+TEST_CASE("a body counts until its response was written", "[http]") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 1000;
+  Settings.MaxTotalBodyBytes = 1000;
+  fixture Test(Settings);
+  const std::string Body(900, 'x');
+  for (int I = 0; I < 5; ++I)
+    CHECK(Test.exchangeRaw(headOf("/one", 900) + Body, 1 << 20)
+              .rfind("HTTP/1.1 200", 0) == 0);
+  tcp::socket Waiting(Test.Io);
+  Waiting.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+  boost::asio::write(Waiting,
+                     boost::asio::buffer(headOf("/later", 900) + Body));
+  Test.Io.restart();
+  Test.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(Test.exchangeRaw(headOf("/two", 900) + Body, 1 << 20)
+            .rfind("HTTP/1.1 503", 0) == 0);
+  Test.exchangeRaw(
+      "GET /release HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", 1 << 20);
+  Test.Io.restart();
+  Test.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(Test.exchangeRaw(headOf("/three", 900) + Body, 1 << 20)
+            .rfind("HTTP/1.1 200", 0) == 0);
+}
