--- a/src/control/bootstrap.h
+++ b/src/control/bootstrap.h
@@ -52,8 +52,9 @@
 /// What a data folder without a group knows and has promised. On disk before
 /// any message that depends on it is sent.
 struct bootstrap_record {
-  bool IsAcceptor = false;    ///< takes part in the agreement
-  bool HasSeenGroup = false;  ///< has heard from a member of a group
+  bool IsAcceptor = false; ///< takes part in the agreement
+  /// Has held, or heard from, a member of a group.
+  bool HasSeenGroup = false;
   electorate Electorate = {}; ///< of an acceptor it never changes
   ballot Promised = {};       ///< takes part in no attempt before this one
   ballot AcceptedAt = {};
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -63,6 +63,7 @@
   std::size_t CatchUpEntries = 1024; ///< entries kept before the snapshot
   /// Payload of the applied entries since the last snapshot, in bytes, at which
   /// the next one is taken even if they are fewer than `SnapshotEvery`.
+  /// Not 0.
   std::size_t SnapshotBytes = 64 << 20;
   /// Maximum payload, in bytes, of the entries kept before the snapshot. A
   /// member that lacks more than these receives the snapshot.
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -280,6 +280,8 @@
       asio::post(Io, [Link] { Link->close(); });
       return;
     }
+    std::erase_if(PendingSubscriptions,
+                  [](const auto &Each) { return Each.first.expired(); });
     PendingSubscriptions.push_back({Link, Request});
     answerSubscriptions();
   }
@@ -366,8 +368,10 @@
   /// Logs why this node belongs to no group, when the cause changes and once
   /// per `NoGroupLogInterval`.
   void logMissingGroup(instant Now) {
-    if (!Node)
+    if (!Node) {
+      Metrics.set("registry_has_group", "", 0);
       return;
+    }
     const control::replica_status Status = Node->status();
     const control::bootstrap_status &Cause = Status.Bootstrap;
     Metrics.set("registry_has_group", "", Status.Group.Members.empty() ? 0 : 1);
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -120,9 +120,9 @@
   /// another node after one second.
   millis CallTimeout{900};
   /// Time from the election after which the leader accepts commands with fewer
-  /// than `TargetVoters` voters. Operators wait about five seconds for an
-  /// order.
-  millis VoterWaitTimeout{3000};
+  /// than `TargetVoters` voters. More than the time for which a VM that is back
+  /// may lag behind, and less than operators wait for an order.
+  millis VoterWaitTimeout{4500};
   /// A leader transfers its leadership once disk writes have been pending
   /// without interruption for this long.
   millis SlowWriteThreshold{600};
--- a/src/fleet/voter_links.cpp
+++ b/src/fleet/voter_links.cpp
@@ -9,6 +9,9 @@
 constexpr millis RetryDelay{60};
 /// A link that is still not connected this long after `RetryAt` is closed.
 constexpr millis ConnectTimeout{400};
+/// A younger link is kept when a message arrives from the vm that it connects
+/// to. An older one may be an attempt from before the vm was back.
+constexpr millis ConnectGrace{100};
 constexpr millis IdleTimeout{10'000};
 
 } // namespace
@@ -64,7 +67,7 @@
   if (Known == Links.end())
     return;
   vm_link &Entry = Known->second;
-  const bool MayConnect = Now - Entry.RetryAt <= ConnectTimeout;
+  const bool MayConnect = Now - Entry.RetryAt <= ConnectGrace;
   if (Entry.Link && (Entry.Link->isOpen() || MayConnect))
     return;
   if (Entry.Link)
--- a/test/shell/registry_node_test.cpp
+++ b/test/shell/registry_node_test.cpp
@@ -45,6 +45,19 @@
   CHECK(Registry.submitCommand(1, makeCatalog(1, "one")) == call_end::unclear);
 }
 
+// Guards against orders that are acknowledged before machines that are back
+// have caught up, and against operators that wait longer than they do.
+TEST_CASE("with fewer voters a command is accepted after a wait",
+          "[registry]") {
+  registry_fixture Registry(3, 0);
+  while (!Registry.leader())
+    Registry.run(10);
+  Registry.run(4000);
+  CHECK(Registry.submitCommand(1, makeCatalog(1, "one")) == call_end::unclear);
+  Registry.run(1000);
+  CHECK(Registry.submitCommand(2, makeCatalog(1, "one")) == call_end::done);
+}
+
 TEST_CASE("a command waits for subscribers to apply it, up to a timeout",
           "[registry]") {
   registry_fixture Registry;
--- a/test/unit/replica_test.cpp
+++ b/test/unit/replica_test.cpp
@@ -367,8 +367,8 @@
       "invariant violated: two leaders in one term");
 }
 
-// Guards against a rejection that names entries this leader never had: it took
-// them for compacted and read a snapshot that did not exist.
+// Guards against a rejection that names entries this leader never had: it went
+// on beyond its log, and the member stayed behind.
 TEST_CASE("a rejection beyond the leader's log sends no snapshot",
           "[replica]") {
   group_settings Settings;
