--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -293,11 +293,12 @@
     if (Peer.Record)
       Round = std::max(Round, Peer.Record->Promised.Round);
   set(Record.Promised, ballot{Round + 1, Self});
-  Attempt.emplace();
-  Attempt->Ballot = Record.Promised;
-  Attempt->Granted = {Vm};
-  Attempt->BestAt = Record.AcceptedAt;
-  Attempt->Group = Record.Accepted;
+  attempt Started;
+  Started.Ballot = Record.Promised;
+  Started.Granted = {Vm};
+  Started.BestAt = Record.AcceptedAt;
+  Started.Group = Record.Accepted;
+  Attempt = std::move(Started);
   NextAttemptAt =
       Now + AttemptTimeout + RankDelay * static_cast<double>(rank());
   AttemptTimeout = std::min(AttemptTimeout * 2, MaxAttemptTimeout);
--- a/src/control/replica_append.cpp
+++ b/src/control/replica_append.cpp
@@ -204,6 +204,7 @@
       Voters.push_back(Match);
   }
   std::vector<log_index> Copied;
+  Copied.reserve(Disks.size());
   for (const auto &[On, Match] : Disks)
     Copied.push_back(Match);
   const std::size_t Copies = std::min(Options.MinCommitCopies, Voters.size());
