Log how many voters a leader lacks and for how long orders wait

While a leader has fewer voters than tolerate the losses, orders end without a clear answer, and no line of the log tells this from a registry that is slow. Change: event voters_missing with the voters, those wanted and the time left. No decision changes.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -522,6 +522,7 @@
                          {"revision", Node->state().Revision.Value}});
     Metrics.set("registry_leads", "", IsLeader ? 1 : 0);
     if (IsLeader) {
+      logMissingVoters(Status.Group.voterCount());
       Sequence = 0;
       CatalogUpdates.update(Node->state());
       Rollouts.onState(Clock.now());
@@ -536,6 +537,17 @@
     asio::post(Io, [this] { Subscribers.clear(); });
   }
 
+  void logMissingVoters(std::size_t Voters) {
+    const std::size_t Wanted = 2 * Settings.MaxLostVms + 1;
+    const millis Wait = Node->voterWait();
+    if (Voters < Wanted)
+      telemetry::logEvent(severity::warning, "voters_missing",
+                          {{"node", Settings.Node},
+                           {"voters", Voters},
+                           {"wanted", Wanted},
+                           {"orders_wait_ms", Wait.Count}});
+  }
+
   // Endpoint list of the platform.
 
   void onDirectory(std::vector<relay::listed_endpoint> Found,
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -266,13 +266,13 @@
   propose(control::set_fleet_size{Count});
 }
 
-/// Returns whether commands may be accepted. With fewer than `TargetVoters`
-/// voters, the loss of as many disks as the registry must tolerate could lose
-/// an acknowledged command; this is accepted only after `VoterWaitTimeout`.
-bool registry_node::hasEnoughVoters() const {
-  return Log.status().Group.voterCount() >=
-             Settings.VoterManager.TargetVoters ||
-         Now - ElectedAt >= Settings.VoterWaitTimeout;
+/// With fewer than `TargetVoters` voters, the loss of as many disks as the
+/// registry must tolerate could lose an acknowledged command; this is accepted
+/// only after `VoterWaitTimeout`.
+millis registry_node::voterWait() const {
+  if (Log.status().Group.voterCount() >= Settings.VoterManager.TargetVoters)
+    return {};
+  return std::max(Settings.VoterWaitTimeout - (Now - ElectedAt), millis{0});
 }
 
 void registry_node::on(const read_received &Event) {
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -153,6 +153,9 @@
   /// Returns the number of relay daemons that share the endpoints: the larger
   /// of the replicated fleet size and the current number of subscribers.
   std::uint32_t fleetSize() const;
+  /// Returns for how long a leader accepts no commands yet because voters are
+  /// missing.
+  millis voterWait() const;
   /// Returns whether all members of the group understand the commands of
   /// control/rollout.h.
   bool canStoreRollouts() const;
@@ -215,7 +218,7 @@
   void completeCommands();
   void completeReads();
   bool isPropagated(revision Revision) const;
-  bool hasEnoughVoters() const;
+  bool hasEnoughVoters() const { return voterWait() <= millis{0}; }
   void setIsLeader(bool Value);
   void complete(call_id Call, call_end End) {
     Out->push_back(call_ended{Call, End, {}});
