Count the wait for missing voters from when they are known to be missing

What callers saw: with one machine of five away at the first start the first configuration was acknowledged after 5.6 to 5.9 s; operators wait 5 s.

Cause: a leader with fewer voters than tolerate the losses takes no order for 4.5 s. It counted them from its election, while the group had already waited for the same machines for a second before it was formed.

Change: the wait runs from the election or from the time since when the node has known that voters are missing, whichever is earlier; without a group that is its start. A machine that starts with the others still has more than the 4 s in which it may lag behind. A leader that has led for long waits no longer than before.

--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -79,6 +79,7 @@
   stepLog(Event);
   if (!std::holds_alternative<control::tick>(Event))
     return;
+  updateMissingVoters();
   stepDownOnSlowDisk();
   proposeMembershipChange();
   updateFleetSize();
@@ -272,7 +273,15 @@
 millis registry_node::voterWait() const {
   if (Log.status().Group.voterCount() >= Settings.VoterManager.TargetVoters)
     return {};
-  return std::max(Settings.VoterWaitTimeout - (Now - ElectedAt), millis{0});
+  const instant Since = std::min(VotersMissingSince, ElectedAt);
+  return std::max(Settings.VoterWaitTimeout - (Now - Since), millis{0});
+}
+
+void registry_node::updateMissingVoters() {
+  if (Log.status().Group.voterCount() >= Settings.VoterManager.TargetVoters)
+    VotersMissingSince = Never;
+  else
+    VotersMissingSince = std::min(VotersMissingSince, Now);
 }
 
 void registry_node::on(const read_received &Event) {
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -119,9 +119,10 @@
   /// that is not confirmed, ends as `unclear`. Operators send the call to
   /// another node after one second.
   millis CallTimeout{900};
-  /// Time from the election after which the leader accepts commands with fewer
-  /// than `TargetVoters` voters. More than the time for which a VM that is back
-  /// may lag behind, and less than operators wait for an order.
+  /// Time after which a leader accepts commands with fewer than `TargetVoters`
+  /// voters: since its election, or since it has known that voters are missing.
+  /// More than the time for which a VM that is back may lag behind, and less
+  /// than operators wait for an order.
   millis VoterWaitTimeout{4500};
   /// A leader transfers its leadership once disk writes have been pending
   /// without interruption for this long.
@@ -209,6 +210,7 @@
   void recordJoinRequest(const control::event &Event);
   void proposeMembershipChange();
   void stepDownOnSlowDisk();
+  void updateMissingVoters();
   void updateFleetSize();
   void proposeLevel();
   bool admitsJoin(const control::message &Request);
@@ -232,6 +234,9 @@
   bool IsLeader = false;
   bool HasRefused = false; ///< a record; ignores all events since
   instant ElectedAt;
+  /// Since when this node has known fewer than `TargetVoters` voters; without a
+  /// group since its start.
+  instant VotersMissingSince = Never;
   control::proposal_id LastProposal;
   std::vector<pending_command> Commands;
   std::vector<pending_read> Reads;
