A registry outside the group redirects operators to a member of it

What callers saw: a registry that no group needs, such as a spare one or a sixth of a new fleet, answered each call of an operator with 503 for as long as it ran.

Cause: it redirects to the leader only, of which a registry outside the group hears nothing. It does know the member that answers its requests to join.

Change: it redirects to that member, which redirects to the leader; operators follow two redirects.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -314,6 +314,17 @@
     return Status.LeaderVm;
   }
 
+  /// A registry outside the group hears no leader, but knows a member, which
+  /// redirects to the leader.
+  static std::optional<vm_id>
+  leaderOrMember(const control::replica_status &Status) {
+    const control::bootstrap_status &Outside = Status.Bootstrap;
+    const bool IsOutside =
+        Outside.Wait == control::bootstrap_wait::group_elsewhere &&
+        !Outside.Vms.empty();
+    return IsOutside ? Outside.Vms.front() : leaderOf(Status);
+  }
+
   // Data folder.
 
   void onFolderOpened(control::recovered_state State) override {
@@ -636,7 +647,7 @@
       OperatorHandler.complete(Call, call_end::unclear);
   }
   std::optional<address> leader() const override {
-    const auto Vm = Node ? leaderOf(Node->status()) : std::nullopt;
+    const auto Vm = Node ? leaderOrMember(Node->status()) : std::nullopt;
     if (!Vm || *Vm == Self)
       return std::nullopt;
     return address{toText(*Vm), Settings.Operators.Port};
