A wrong fleet size keeps no fleet from starting

What callers saw: a fleet of six or more registries that were told `--registries 5` took no configuration, at most starts, and so served nothing.

Cause: the stated size decided on the quorum, so no registry started an attempt while it knew of more registries than stated. Whether five formed a group before they heard of the sixth was a race. The class: a decision that rests on a number that nobody can check, of a size of one deployment, where a rule that needs no number exists.

Change: a majority of the seeds with f + 1 folders is a quorum for any fleet, and any two of these share a seed. A majority of the stated size counts only after a majority of the seeds has been out of reach, in either direction, for 5 s; so two of three seeds may still be away. A folder that hears of more registries than stated, or of another size, drops the size on disk for good, logs registries_contradicted and goes on with the seeds. A group that any known folder has accepted is proposed again. A folder without a record takes part only if it hears exactly as many folders as stated.

What remains: a size that is too small and that nothing contradicts, with a split that lasts for more than 5 s from the first moment (replicated-log.md).

--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -13,6 +13,10 @@
 constexpr millis GroupSeenTimeout{2000};
 /// Time from a quorum of acceptors to an attempt with fewer than `InitialSize`.
 constexpr millis IncompleteDelay{1000};
+/// Time for which a majority of the seeds must be out of reach before a
+/// majority of the stated fleet size suffices. Outlasts a short cut between
+/// machines that start.
+constexpr millis LoneSeedDelay{5000};
 /// Time between the first attempts of two seeds.
 constexpr millis RankDelay{250};
 constexpr millis MaxAttemptTimeout{8000};
@@ -121,6 +125,7 @@
 }
 
 void bootstrap_agreement::tick(instant Now, bool IsDurable) {
+  dropWrongSize();
   recordIfUnanimous(Now);
   continueAttempt(Now, IsDurable && !HasChanged);
   if (isReady(Now))
@@ -179,25 +184,92 @@
   return Found;
 }
 
-bool bootstrap_agreement::isQuorum(const std::vector<vm_id> &Vms) const {
-  if (Vms.size() < Settings.MinAcceptors)
-    return false;
-  if (Record.Electorate.FleetSize > 0)
-    return Vms.size() > Record.Electorate.FleetSize / 2;
-  const auto Seeds = static_cast<std::size_t>(std::count_if(
-      Vms.begin(), Vms.end(), [&](vm_id Each) { return isSeed(Each); }));
-  return Seeds > Record.Electorate.Seeds.size() / 2;
+/// Those that also hear this folder.
+std::vector<vm_id>
+bootstrap_agreement::reachable(std::vector<vm_id> Acceptors) const {
+  std::erase_if(Acceptors, [&](vm_id Each) {
+    const auto Known = Peers.find(Each);
+    return Each != Vm &&
+           (Known == Peers.end() || !Known->second.KnowsThisFolder);
+  });
+  return Acceptors;
+}
+
+const electorate *bootstrap_agreement::electorateOf(vm_id Acceptor) const {
+  if (Acceptor == Vm)
+    return &Record.Electorate;
+  const auto Known = Peers.find(Acceptor);
+  const bool IsKnown = Known != Peers.end() && Known->second.Record;
+  return IsKnown ? &Known->second.Record->Electorate : nullptr;
+}
+
+bool bootstrap_agreement::hasSeedMajority(
+    const std::vector<vm_id> &Acceptors) const {
+  const electorate &Own = Record.Electorate;
+  const auto Same = [&](vm_id Each) {
+    const electorate *Theirs = electorateOf(Each);
+    return Theirs && Theirs->Seeds == Own.Seeds;
+  };
+  const auto Count = std::count_if(Acceptors.begin(), Acceptors.end(), Same);
+  const auto Seeds =
+      std::count_if(Acceptors.begin(), Acceptors.end(),
+                    [&](vm_id Each) { return isSeed(Each) && Same(Each); });
+  return static_cast<std::size_t>(Count) >= Settings.MinAcceptors &&
+         static_cast<std::size_t>(Seeds) > Own.Seeds.size() / 2;
 }
 
-/// Whether more acceptors are known than the fleet size, on which the quorum
-/// relies.
-bool bootstrap_agreement::exceedsFleetSize(instant Now) const {
+bool bootstrap_agreement::hasSizeMajority(
+    const std::vector<vm_id> &Acceptors) const {
   const std::uint32_t Size = Record.Electorate.FleetSize;
-  return Size > 0 && acceptors(Now).size() > Size;
+  const auto Count = static_cast<std::size_t>(
+      std::count_if(Acceptors.begin(), Acceptors.end(), [&](vm_id Each) {
+        const electorate *Theirs = electorateOf(Each);
+        return Theirs && Theirs->FleetSize == Size;
+      }));
+  return Size > 0 && Count >= Settings.MinAcceptors && Count > Size / 2;
+}
+
+bool bootstrap_agreement::isQuorum(const std::vector<vm_id> &Acceptors,
+                                   bool MayLackSeeds) const {
+  return hasSeedMajority(Acceptors) ||
+         (MayLackSeeds && hasSizeMajority(Acceptors));
+}
+
+std::size_t bootstrap_agreement::acceptorsEverHeard() const {
+  const auto Heard =
+      std::count_if(Peers.begin(), Peers.end(), [](const auto &Each) {
+        return Each.second.Record && Each.second.Record->IsAcceptor;
+      });
+  return static_cast<std::size_t>(Heard) + (Record.IsAcceptor ? 1 : 0);
+}
+
+/// A size that is too small would let two groups form. Once dropped, it stays
+/// dropped, also after a restart in which fewer folders are heard.
+void bootstrap_agreement::dropWrongSize() {
+  std::uint32_t &Size = Record.Electorate.FleetSize;
+  if (!Record.IsAcceptor || Size == 0)
+    return;
+  const bool IsContradicted =
+      std::any_of(Peers.begin(), Peers.end(), [&](const auto &Each) {
+        const auto &Heard = Each.second.Record;
+        return Heard && Heard->IsAcceptor &&
+               Heard->Electorate.FleetSize != Size;
+      });
+  if (IsContradicted || acceptorsEverHeard() > Size)
+    set(Size, std::uint32_t{0});
+}
+
+std::optional<dropped_size> bootstrap_agreement::droppedSize() const {
+  const std::uint32_t Stated = Settings.Electorate.FleetSize;
+  const bool IsDropped =
+      Record.IsAcceptor && Stated > 0 && Record.Electorate.FleetSize == 0;
+  if (!IsDropped)
+    return std::nullopt;
+  return dropped_size{Stated, acceptorsEverHeard()};
 }
 
 /// Returns the electorate on which all acceptors agree, if this is the folder
-/// of a seed, and all folders of a fleet of known size are known to be without
+/// of a seed, and all folders of a fleet of stated size are known to be without
 /// a group.
 std::optional<electorate>
 bootstrap_agreement::unanimousElectorate(instant Now) const {
@@ -216,7 +288,9 @@
     HasAccepted = HasAccepted || Peer.Record->AcceptedAt != ballot{};
     if (!Peer.Record->IsAcceptor)
       continue;
-    if (HasRecord && !Peer.Record->Electorate.agreesWith(Found))
+    const electorate &Theirs = Peer.Record->Electorate;
+    if (HasRecord &&
+        (!Theirs.agreesWith(Found) || Theirs.FleetSize != Found.FleetSize))
       return std::nullopt;
     Found = Peer.Record->Electorate;
     HasRecord = true;
@@ -224,8 +298,9 @@
   // The group that was seen is the one that was accepted, and is adopted.
   if (HasSeenGroup && !HasAccepted)
     return std::nullopt;
+  // With more folders than stated, others may exist that are not heard.
   bool IsUnanimous = contains(Found.Seeds, Vm) && Found.FleetSize > 0 &&
-                     Heard.size() >= Found.FleetSize;
+                     Heard.size() == Found.FleetSize;
   for (const vm_id Seed : Found.Seeds)
     IsUnanimous = IsUnanimous && contains(Heard, Seed);
   if (!IsUnanimous)
@@ -270,9 +345,12 @@
 /// Whether an attempt is due: only seeds start attempts, the lowest first.
 bool bootstrap_agreement::isReady(instant Now) {
   const std::vector<vm_id> Vms = acceptors(Now);
+  const std::vector<vm_id> Reachable = reachable(Vms);
+  const bool IsLone = !hasSeedMajority(Reachable) && hasSizeMajority(Reachable);
+  LoneSince = IsLone ? std::min(LoneSince, Now) : Never;
   const bool MayPropose = Record.IsAcceptor && isSeed(Vm) && !Chosen &&
-                          !isGroupElsewhere(Now) && isQuorum(Vms) &&
-                          !exceedsFleetSize(Now) &&
+                          !isGroupElsewhere(Now) &&
+                          isQuorum(Vms, mayLackSeeds(Now)) &&
                           differing(Now).size() < Settings.MinAcceptors;
   if (!MayPropose) {
     QuorumSince = NextAttemptAt = Never;
@@ -280,24 +358,38 @@
   }
   QuorumSince = std::min(QuorumSince, Now);
   const bool IsComplete = Vms.size() >= Settings.InitialSize;
-  if (!IsComplete && Now - QuorumSince < IncompleteDelay)
+  if (!IsComplete && !mayLackSeeds(Now) && Now - QuorumSince < IncompleteDelay)
     return false;
   if (NextAttemptAt == Never)
     NextAttemptAt = Now + RankDelay * static_cast<double>(rank());
   return Now >= NextAttemptAt;
 }
 
+bool bootstrap_agreement::mayLackSeeds(instant Now) const {
+  return Now - LoneSince >= LoneSeedDelay;
+}
+
+/// Any group that a folder has accepted is proposed again, also if that folder
+/// is not in the quorum: that is always sound, and keeps to a group that was
+/// chosen by a quorum of a wrong size.
 void bootstrap_agreement::startAttempt(instant Now) {
-  std::uint64_t Round = Record.Promised.Round;
-  for (const auto &[Other, Peer] : Peers)
-    if (Peer.Record)
-      Round = std::max(Round, Peer.Record->Promised.Round);
-  set(Record.Promised, ballot{Round + 1, Self});
   attempt Started;
-  Started.Ballot = Record.Promised;
+  Started.MayLackSeeds = mayLackSeeds(Now);
   Started.Granted = {Vm};
   Started.BestAt = Record.AcceptedAt;
   Started.Group = Record.Accepted;
+  std::uint64_t Round = Record.Promised.Round;
+  for (const auto &[Other, Peer] : Peers) {
+    if (!Peer.Record)
+      continue;
+    Round = std::max(Round, Peer.Record->Promised.Round);
+    if (Peer.Record->AcceptedAt <= Started.BestAt)
+      continue;
+    Started.BestAt = Peer.Record->AcceptedAt;
+    Started.Group = Peer.Record->Accepted;
+  }
+  set(Record.Promised, ballot{Round + 1, Self});
+  Started.Ballot = Record.Promised;
   Attempt = std::move(Started);
   NextAttemptAt =
       Now + AttemptTimeout + RankDelay * static_cast<double>(rank());
@@ -322,12 +414,13 @@
 void bootstrap_agreement::continueAttempt(instant Now, bool IsDurable) {
   const bool HasQuorum =
       Attempt && IsDurable &&
-      isQuorum({Attempt->Granted.begin(), Attempt->Granted.end()});
+      isQuorum({Attempt->Granted.begin(), Attempt->Granted.end()},
+               Attempt->MayLackSeeds);
   if (!HasQuorum)
     return;
   if (!Attempt->IsAccepting) {
     const bool IsNew = Attempt->BestAt == ballot{};
-    if (IsNew && !isQuorum(acceptors(Now))) {
+    if (IsNew && !isQuorum(acceptors(Now), Attempt->MayLackSeeds)) {
       Attempt.reset();
       return;
     }
@@ -397,7 +490,8 @@
     Status.Wait = Wait;
     Status.Vms = For;
   };
-  if (!isQuorum(Vms) && !Former.empty()) {
+  const bool HasQuorum = isQuorum(Vms, mayLackSeeds(Now));
+  if (!HasQuorum && !Former.empty()) {
     Set(bootstrap_wait::older_build, Former);
   } else if (!Record.IsAcceptor) {
     Set(bootstrap_wait::no_record, Missing);
@@ -405,12 +499,9 @@
     Status.Needed = Record.Electorate.FleetSize;
   } else if (!differing(Now).empty()) {
     Set(bootstrap_wait::settings_differ, differing(Now));
-  } else if (exceedsFleetSize(Now)) {
-    Set(bootstrap_wait::too_many, {});
-    Status.Needed = Record.Electorate.FleetSize;
   } else if (Vms.size() < Settings.MinAcceptors) {
     Set(bootstrap_wait::too_few, Missing);
-  } else if (!isQuorum(Vms)) {
+  } else if (!HasQuorum) {
     Set(bootstrap_wait::missing_seeds, Missing);
   } else if (Vms.size() < Settings.InitialSize) {
     Set(bootstrap_wait::incomplete, Missing);
--- a/src/control/bootstrap.h
+++ b/src/control/bootstrap.h
@@ -2,16 +2,22 @@
 /// among the data folders that have recorded their first start.
 ///
 /// A group is chosen once a quorum of folders has it on disk: at least
-/// `MinAcceptors`, and a majority of all folders if the size of the fleet is
-/// known, else of the seeds. Any two quorums share a folder, so at most one
-/// group is ever chosen, whichever folders fail, restart or are cut off, and
-/// whoever proposes.
+/// `MinAcceptors`, among them a majority of the seeds. Any two quorums share a
+/// seed, so at most one group is ever chosen, however many folders there are,
+/// whichever of them fail, restart or are cut off, and whoever proposes.
+///
+/// If the size of the fleet is stated, a majority of its folders is a quorum
+/// too, once a majority of the seeds has been out of reach for `LoneSeedDelay`:
+/// then any `MinAcceptors - 1` machines may be away. Quorums of both kinds
+/// share a folder if the fleet is not larger than stated. Folders that hear of
+/// a larger fleet, or of another stated size, drop the size for good.
 ///
 /// A folder without a record may have lost its disk after it had accepted a
-/// group. If the size of the fleet is known, a seed's folder takes part once it
-/// has heard, since its start, from all folders, and none belongs to a group.
-/// As at most `MinAcceptors - 1` disks are lost at a time, one of them would
-/// remember any group that was chosen; the folder adopts what they remember.
+/// group. If the size of the fleet is stated, a seed's folder takes part once
+/// it has heard, since its start, from all folders, and none belongs to a
+/// group. As at most `MinAcceptors - 1` disks are lost at a time, one of them
+/// would remember any group that was chosen; the folder adopts what they
+/// remember.
 #pragma once
 
 #include "bulrushtray/clock.h"
@@ -29,15 +35,15 @@
 /// Who chooses the first group.
 struct electorate {
   std::vector<vm_id> Seeds; ///< ascending
-  /// Data folders that start for the first time; 0: unknown.
+  /// Data folders that start for the first time, as stated; 0: unknown.
   std::uint32_t FleetSize = 0;
 
   bool operator==(const electorate &) const = default;
-  /// Whether folders with these electorates have the same quorums. Otherwise
+  /// Whether folders with these electorates have quorums in common. Otherwise
   /// they take no part in each other's attempts.
   bool agreesWith(const electorate &Other) const {
-    return FleetSize == Other.FleetSize &&
-           (FleetSize > 0 || Seeds == Other.Seeds);
+    return Seeds == Other.Seeds ||
+           (FleetSize > 0 && FleetSize == Other.FleetSize);
   }
 };
 
@@ -55,8 +61,9 @@
   bool IsAcceptor = false; ///< takes part in the agreement
   /// Has held, or heard from, a member of a group.
   bool HasSeenGroup = false;
-  electorate Electorate = {}; ///< of an acceptor it never changes
-  ballot Promised = {};       ///< takes part in no attempt before this one
+  /// Of an acceptor it changes only if the fleet size is dropped.
+  electorate Electorate = {};
+  ballot Promised = {}; ///< takes part in no attempt before this one
   ballot AcceptedAt = {};
   voter_group Accepted = {}; ///< valid if `AcceptedAt` is an attempt
 
@@ -134,9 +141,8 @@
   none,            ///< has a group
   older_build,     ///< a seed's build does not take part in the agreement
   group_elsewhere, ///< another VM belongs to a group; waits to join it
-  settings_differ, ///< other VMs have other seeds or another fleet size
-  too_many,        ///< more data folders take part than the fleet size
-  missing_seeds,   ///< too few seeds take part, the fleet size is unknown
+  settings_differ, ///< other VMs have other seeds
+  missing_seeds,   ///< too few seeds take part
   too_few,         ///< too few data folders take part
   no_record,       ///< the folder has not recorded a first start
   incomplete,      ///< waits a short time for more folders
@@ -152,6 +158,12 @@
   std::size_t Needed = 0;
 };
 
+/// A stated fleet size that this or another data folder has found to be wrong.
+struct dropped_size {
+  std::uint32_t Stated = 0;
+  std::size_t Known = 0; ///< data folders that take part
+};
+
 /// One folder's part in the agreement. Deterministic, without I/O or clock.
 class bootstrap_agreement {
 public:
@@ -185,6 +197,8 @@
   /// Whether this member's own attempt has chosen the group.
   bool isProposer() const { return IsProposer; }
   bootstrap_status status(instant Now) const;
+  /// Set if this folder takes part without the size that it was told.
+  std::optional<dropped_size> droppedSize() const;
 
 private:
   struct peer {
@@ -196,6 +210,8 @@
   struct attempt {
     ballot Ballot;
     bool IsAccepting = false; ///< whether all promises are there
+    /// Whether a majority of the stated size suffices.
+    bool MayLackSeeds = false;
     std::set<vm_id> Granted;
     ballot BestAt; ///< of the latest group that an acceptor has accepted
     voter_group Group;
@@ -207,13 +223,19 @@
   /// included.
   std::vector<vm_id> acceptors(instant Now) const;
   std::vector<vm_id> differing(instant Now) const;
-  bool exceedsFleetSize(instant Now) const;
-  bool isQuorum(const std::vector<vm_id> &Vms) const;
+  std::vector<vm_id> reachable(std::vector<vm_id> Acceptors) const;
+  void dropWrongSize();
+  std::size_t acceptorsEverHeard() const;
+  const electorate *electorateOf(vm_id Acceptor) const;
+  bool hasSeedMajority(const std::vector<vm_id> &Vms) const;
+  bool hasSizeMajority(const std::vector<vm_id> &Vms) const;
+  bool isQuorum(const std::vector<vm_id> &Vms, bool MayLackSeeds) const;
   bool isGroupElsewhere(instant Now) const;
   std::optional<electorate> unanimousElectorate(instant Now) const;
   void recordIfUnanimous(instant Now);
   void announce(instant Now);
   bool isReady(instant Now);
+  bool mayLackSeeds(instant Now) const;
   void startAttempt(instant Now);
   void continueAttempt(instant Now, bool IsDurable);
   void sendAttempt(instant Now);
@@ -247,6 +269,7 @@
   vm_id GroupSeenOn;
   instant UnanimousSince = Never;
   instant QuorumSince = Never;
+  instant LoneSince = Never; ///< a majority of the size without the seeds'
   instant NextAttemptAt = Never;
   millis AttemptTimeout{1000};
 };
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -118,6 +118,7 @@
   Status.Group = group();
   if (group().Members.empty())
     Status.Bootstrap = Bootstrap.status(Now);
+  Status.DroppedSize = Bootstrap.droppedSize();
   if (Role != replica_role::leader)
     return Status;
   Status.ConfirmedAt = confirmedAt();
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -32,7 +32,8 @@
   std::vector<vm_id> Vms;
   /// Whether the fleet starts for the first time, with empty disks.
   bool IsFirstStart = false;
-  /// Members of the replicated log that start for the first time; 0: unknown.
+  /// Members of the replicated log that start for the first time, as stated; 0:
+  /// unknown.
   std::uint32_t FleetSize = 0;
   /// Voters of a complete first group; 0: as many as `Vms`.
   std::size_t InitialSize = 0;
@@ -241,7 +242,8 @@
   instant ConfirmedAt;
   voter_group Group;
   std::vector<follower_status> Followers; ///< set on a leader only
-  bootstrap_status Bootstrap;
+  bootstrap_status Bootstrap;             ///< set without a group only
+  std::optional<dropped_size> DroppedSize;
 };
 
 /// One member of the replicated log. Deterministic: `Seed` is the only source
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -73,8 +73,6 @@
     return "group_elsewhere";
   case control::bootstrap_wait::settings_differ:
     return "settings_differ";
-  case control::bootstrap_wait::too_many:
-    return "too_many";
   case control::bootstrap_wait::missing_seeds:
     return "missing_seeds";
   case control::bootstrap_wait::too_few:
@@ -385,6 +383,7 @@
     }
     const control::replica_status Status = Node->status();
     const control::bootstrap_status &Cause = Status.Bootstrap;
+    logDroppedSize(Status.DroppedSize);
     Metrics.set("registry_has_group", "", Status.Group.Members.empty() ? 0 : 1);
     if (!Status.Group.Members.empty()) {
       LoggedWait = control::bootstrap_wait::none;
@@ -410,6 +409,15 @@
                          {"first_start", Settings.IsFirstStart}});
   }
 
+  void logDroppedSize(const std::optional<control::dropped_size> &Dropped) {
+    if (!Dropped || std::exchange(IsSizeDropped, true))
+      return;
+    telemetry::logEvent(severity::warning, "registries_contradicted",
+                        {{"node", Settings.Node},
+                         {"registries", Dropped->Stated},
+                         {"known", Dropped->Known}});
+  }
+
   // Registry node.
 
   void step(const node_event &Event) {
@@ -791,6 +799,7 @@
   control::bootstrap_wait LoggedWait = control::bootstrap_wait::none;
   instant NoGroupSince = Never;
   instant NoGroupLoggedAt{-1e300};
+  bool IsSizeDropped = false; ///< logged
   bool IsStopping = false;
   /// The folder stays closed once this is set.
   std::optional<record_refused> RefusedRecord;
