--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -13,10 +13,9 @@
 constexpr millis GroupSeenTimeout{2000};
 /// Time from a quorum of acceptors to an attempt with fewer than `InitialSize`.
 constexpr millis IncompleteDelay{1000};
-/// Time for which a majority of the seeds must be out of reach before a
-/// majority of the stated fleet size suffices. Outlasts a short cut between
-/// machines that start.
-constexpr millis LoneSeedDelay{5000};
+/// Time from a majority of the stated fleet size in reach to an attempt for
+/// which it suffices. Outlasts a short cut between machines that start.
+constexpr millis SizeQuorumDelay{5000};
 /// Time between the first attempts of two seeds.
 constexpr millis RankDelay{250};
 constexpr millis MaxAttemptTimeout{8000};
@@ -68,11 +67,19 @@
   Peers[From] = {Id, Body.Record, Body.Receiver == Self, Now};
 }
 
+/// Whether to take part in an attempt for `Given`. A proposer without the size
+/// has found it to be wrong.
+bool bootstrap_agreement::takesPart(const electorate &Given) {
+  if (!Record.IsAcceptor || !Given.agreesWith(Record.Electorate))
+    return false;
+  if (Given.FleetSize != Record.Electorate.FleetSize)
+    dropSize();
+  return true;
+}
+
 void bootstrap_agreement::on(vm_id From, voter_id,
                              const bootstrap_prepare &Body, instant Now) {
-  const bool TakesPart =
-      Record.IsAcceptor && Body.Electorate.agreesWith(Record.Electorate);
-  if (!TakesPart || Body.Ballot < Record.Promised)
+  if (!takesPart(Body.Electorate) || Body.Ballot < Record.Promised)
     return;
   set(Record.Promised, Body.Ballot);
   yieldTo(Body.Ballot, Now);
@@ -82,9 +89,7 @@
 
 void bootstrap_agreement::on(vm_id From, voter_id, const bootstrap_accept &Body,
                              instant Now) {
-  const bool TakesPart =
-      Record.IsAcceptor && Body.Electorate.agreesWith(Record.Electorate);
-  if (!TakesPart || Body.Ballot < Record.Promised)
+  if (!takesPart(Body.Electorate) || Body.Ballot < Record.Promised)
     return;
   set(Record.Promised, Body.Ballot);
   set(Record.AcceptedAt, Body.Ballot);
@@ -246,7 +251,7 @@
 /// A size that is too small would let two groups form. Once dropped, it stays
 /// dropped, also after a restart in which fewer folders are heard.
 void bootstrap_agreement::dropWrongSize() {
-  std::uint32_t &Size = Record.Electorate.FleetSize;
+  const std::uint32_t Size = Record.Electorate.FleetSize;
   if (!Record.IsAcceptor || Size == 0)
     return;
   const bool IsContradicted =
@@ -256,7 +261,7 @@
                Heard->Electorate.FleetSize != Size;
       });
   if (IsContradicted || acceptorsEverHeard() > Size)
-    set(Size, std::uint32_t{0});
+    dropSize();
 }
 
 std::optional<dropped_size> bootstrap_agreement::droppedSize() const {
@@ -298,9 +303,8 @@
   // The group that was seen is the one that was accepted, and is adopted.
   if (HasSeenGroup && !HasAccepted)
     return std::nullopt;
-  // With more folders than stated, others may exist that are not heard.
   bool IsUnanimous = contains(Found.Seeds, Vm) && Found.FleetSize > 0 &&
-                     Heard.size() == Found.FleetSize;
+                     Heard.size() >= Found.FleetSize;
   for (const vm_id Seed : Found.Seeds)
     IsUnanimous = IsUnanimous && contains(Heard, Seed);
   if (!IsUnanimous)
@@ -345,9 +349,8 @@
 /// Whether an attempt is due: only seeds start attempts, the lowest first.
 bool bootstrap_agreement::isReady(instant Now) {
   const std::vector<vm_id> Vms = acceptors(Now);
-  const std::vector<vm_id> Reachable = reachable(Vms);
-  const bool IsLone = !hasSeedMajority(Reachable) && hasSizeMajority(Reachable);
-  LoneSince = IsLone ? std::min(LoneSince, Now) : Never;
+  const bool HasSizeMajority = hasSizeMajority(reachable(Vms));
+  SizeQuorumSince = HasSizeMajority ? std::min(SizeQuorumSince, Now) : Never;
   const bool MayPropose = Record.IsAcceptor && isSeed(Vm) && !Chosen &&
                           !isGroupElsewhere(Now) &&
                           isQuorum(Vms, mayLackSeeds(Now)) &&
@@ -366,30 +369,20 @@
 }
 
 bool bootstrap_agreement::mayLackSeeds(instant Now) const {
-  return Now - LoneSince >= LoneSeedDelay;
+  return Now - SizeQuorumSince >= SizeQuorumDelay;
 }
 
-/// Any group that a folder has accepted is proposed again, also if that folder
-/// is not in the quorum: that is always sound, and keeps to a group that was
-/// chosen by a quorum of a wrong size.
 void bootstrap_agreement::startAttempt(instant Now) {
+  std::uint64_t Round = Record.Promised.Round;
+  for (const auto &[Other, Peer] : Peers)
+    if (Peer.Record)
+      Round = std::max(Round, Peer.Record->Promised.Round);
+  set(Record.Promised, ballot{Round + 1, Self});
   attempt Started;
-  Started.MayLackSeeds = mayLackSeeds(Now);
+  Started.Ballot = Record.Promised;
   Started.Granted = {Vm};
   Started.BestAt = Record.AcceptedAt;
   Started.Group = Record.Accepted;
-  std::uint64_t Round = Record.Promised.Round;
-  for (const auto &[Other, Peer] : Peers) {
-    if (!Peer.Record)
-      continue;
-    Round = std::max(Round, Peer.Record->Promised.Round);
-    if (Peer.Record->AcceptedAt <= Started.BestAt)
-      continue;
-    Started.BestAt = Peer.Record->AcceptedAt;
-    Started.Group = Peer.Record->Accepted;
-  }
-  set(Record.Promised, ballot{Round + 1, Self});
-  Started.Ballot = Record.Promised;
   Attempt = std::move(Started);
   NextAttemptAt =
       Now + AttemptTimeout + RankDelay * static_cast<double>(rank());
@@ -412,6 +405,10 @@
 }
 
 void bootstrap_agreement::continueAttempt(instant Now, bool IsDurable) {
+  if (isGroupElsewhere(Now))
+    Attempt.reset();
+  if (Attempt)
+    Attempt->MayLackSeeds = Attempt->MayLackSeeds || mayLackSeeds(Now);
   const bool HasQuorum =
       Attempt && IsDurable &&
       isQuorum({Attempt->Granted.begin(), Attempt->Granted.end()},
@@ -484,8 +481,11 @@
   for (const vm_id Each : Record.Electorate.Seeds)
     if (!contains(Vms, Each))
       Missing.push_back(Each);
-  bootstrap_status Status{
-      bootstrap_wait::in_progress, {}, Vms.size(), Settings.MinAcceptors};
+  bootstrap_status Status{bootstrap_wait::in_progress,
+                          {},
+                          Vms.size(),
+                          Settings.MinAcceptors,
+                          isQuorum(Vms, true)};
   const auto Set = [&](bootstrap_wait Wait, const std::vector<vm_id> &For) {
     Status.Wait = Wait;
     Status.Vms = For;
--- a/src/control/bootstrap.h
+++ b/src/control/bootstrap.h
@@ -7,10 +7,11 @@
 /// whichever of them fail, restart or are cut off, and whoever proposes.
 ///
 /// If the size of the fleet is stated, a majority of its folders is a quorum
-/// too, once a majority of the seeds has been out of reach for `LoneSeedDelay`:
-/// then any `MinAcceptors - 1` machines may be away. Quorums of both kinds
-/// share a folder if the fleet is not larger than stated. Folders that hear of
-/// a larger fleet, or of another stated size, drop the size for good.
+/// too, once it has been in reach for `SizeQuorumDelay` without a group: then
+/// any `MinAcceptors - 1` machines may be away, or their disks hang. Quorums of
+/// both kinds share a folder if the fleet is not larger than stated. Folders
+/// that hear of a larger fleet, or of another stated size, drop the size for
+/// good.
 ///
 /// A folder without a record may have lost its disk after it had accepted a
 /// group. If the size of the fleet is stated, a seed's folder takes part once
@@ -156,6 +157,8 @@
   /// that are known to have no group.
   std::size_t Known = 0;
   std::size_t Needed = 0;
+  /// Whether a quorum of folders is heard, of the seeds or of the stated size.
+  bool HearsQuorum = false;
 };
 
 /// A stated fleet size that this or another data folder has found to be wrong.
@@ -224,7 +227,9 @@
   std::vector<vm_id> acceptors(instant Now) const;
   std::vector<vm_id> differing(instant Now) const;
   std::vector<vm_id> reachable(std::vector<vm_id> Acceptors) const;
+  bool takesPart(const electorate &Given);
   void dropWrongSize();
+  void dropSize() { set(Record.Electorate.FleetSize, std::uint32_t{0}); }
   std::size_t acceptorsEverHeard() const;
   const electorate *electorateOf(vm_id Acceptor) const;
   bool hasSeedMajority(const std::vector<vm_id> &Vms) const;
@@ -269,7 +274,7 @@
   vm_id GroupSeenOn;
   instant UnanimousSince = Never;
   instant QuorumSince = Never;
-  instant LoneSince = Never; ///< a majority of the size without the seeds'
+  instant SizeQuorumSince = Never; ///< in reach, in both directions
   instant NextAttemptAt = Never;
   millis AttemptTimeout{1000};
 };
--- a/test/unit/bootstrap_test.cpp
+++ b/test/unit/bootstrap_test.cpp
@@ -316,6 +316,66 @@
   }
 }
 
+// Guards against a fleet of known size that does not start because two seeds
+// are heard, but cannot write.
+TEST_CASE("a fleet of known size starts although the disks of two seeds hang",
+          "[bootstrap]") {
+  for (const double AfterMs : {0., 20., 60., 110.})
+    for (std::size_t Left = 0; Left < 3; ++Left) {
+      first_start_fleet Fleet(30 + Left);
+      for (auto &Each : Fleet.All)
+        Each->FleetSize = 5;
+      Fleet.startAll();
+      Fleet.run(AfterMs);
+      for (std::size_t I = 0; I < 3; ++I)
+        Fleet.at(I).IsDiskStuck = I != Left;
+      INFO("after " << AfterMs << " ms, all seeds but " << Left);
+      CHECK(Fleet.elects(PatienceMs));
+      CHECK(Fleet.Formed.size() == 1);
+    }
+}
+
+// Guards against a fleet without records that does not start because a spare
+// machine is there.
+TEST_CASE("a spare machine keeps no fleet without records from starting",
+          "[bootstrap]") {
+  first_start_fleet Fleet(31, 6);
+  for (auto &Each : Fleet.All) {
+    Each->FleetSize = 5;
+    Each->HasStarted = true;
+  }
+  Fleet.startAll();
+  CHECK(Fleet.elects(PatienceMs));
+  CHECK(Fleet.Formed.size() == 1);
+}
+
+// Guards against two groups: without the size, one seed of three cannot know
+// whether the others have agreed with machines that it never heard of.
+TEST_CASE("one seed of a fleet that is larger than stated forms no group",
+          "[bootstrap]") {
+  first_start_fleet Fleet(32, 6);
+  for (auto &Each : Fleet.All) {
+    Each->FleetSize = 5;
+    Each->IsDiskStuck = true;
+  }
+  Fleet.startAll();
+  Fleet.run(300);
+  for (std::uint32_t Other = 3; Other <= 6; ++Other)
+    for (const std::uint32_t Seed : {1U, 2U})
+      Fleet.cutBoth(Seed, Other);
+  for (auto &Each : Fleet.All)
+    Each->IsDiskStuck = false;
+  Fleet.run(30'000);
+  CHECK(Fleet.Formed.empty());
+  CHECK(Fleet.wait(2) == bootstrap_wait::missing_seeds);
+  for (std::uint32_t Other = 3; Other <= 6; ++Other) {
+    Fleet.CutLinks.erase({2, Other});
+    Fleet.CutLinks.erase({Other, 2});
+  }
+  CHECK(Fleet.elects(PatienceMs));
+  CHECK(Fleet.Formed.size() == 1);
+}
+
 // Guards against two groups where a lasting split follows after the machines
 // have learned that the stated size is too small, and they forget it in a
 // restart.
@@ -467,6 +527,61 @@
   CHECK(Proposer.record().AcceptedAt == ballot{});
 }
 
+namespace {
+
+/// Vm 1 of five that are told their number, with an attempt that lacks the
+/// promises of two others.
+bootstrap_agreement startedAttempt() {
+  bootstrap_settings Settings;
+  Settings.Electorate = {{vm_id{1}, vm_id{2}, vm_id{3}}, 5};
+  Settings.IsFirstStart = true;
+  Settings.MinAcceptors = Settings.InitialSize = 3;
+  bootstrap_agreement Proposer(Settings, std::nullopt, voter_id{11}, vm_id{1},
+                               true);
+  Proposer.takeChange();
+  for (std::uint32_t Vm = 2; Vm <= 3; ++Vm)
+    Proposer.on(vm_id{Vm}, voter_id{10 + Vm},
+                join_request{NoVoter,
+                             bootstrap_record{true, false, Settings.Electorate},
+                             voter_id{11}},
+                instant{1});
+  Proposer.tick(instant{2}, true);
+  Proposer.takeChange();
+  return Proposer;
+}
+
+} // namespace
+
+// Guards against two groups where an attempt from before a split ended goes on
+// although a group has formed meanwhile.
+TEST_CASE("an attempt ends when a group is seen", "[bootstrap]") {
+  for (const bool IsGroupSeen : {false, true}) {
+    bootstrap_agreement Proposer = startedAttempt();
+    const ballot Ballot = Proposer.record().Promised;
+    if (IsGroupSeen)
+      Proposer.onGroupSeen(vm_id{4}, instant{3});
+    Proposer.takeChange();
+    for (std::uint32_t Vm = 2; Vm <= 3; ++Vm)
+      Proposer.on(vm_id{Vm}, voter_id{10 + Vm},
+                  bootstrap_promise{Ballot, {}, {}}, instant{4});
+    Proposer.tick(instant{5}, true);
+    CHECK((Proposer.record().AcceptedAt == ballot{}) == IsGroupSeen);
+  }
+}
+
+// Guards against two groups where a machine promises to one that has found the
+// stated size to be wrong, and relies on the size itself afterwards.
+TEST_CASE("a proposer without the size tells the acceptors that it is wrong",
+          "[bootstrap]") {
+  bootstrap_agreement Acceptor = startedAttempt();
+  const electorate Dropped{{vm_id{1}, vm_id{2}, vm_id{3}}, 0};
+  Acceptor.on(vm_id{2}, voter_id{12},
+              bootstrap_prepare{{9, voter_id{12}}, Dropped}, instant{3});
+  CHECK(Acceptor.record().Promised == ballot{9, voter_id{12}});
+  CHECK(Acceptor.record().Electorate == Dropped);
+  CHECK(Acceptor.droppedSize());
+}
+
 // Guards against a promise that is forgotten in a restart: the group that a
 // quorum may have accepted must be the one that is formed.
 TEST_CASE("a restarted acceptor keeps its promises", "[bootstrap]") {
