Wait for missing voters only from when a group can form

Change: without a group the wait begins when a quorum of registries is heard. Evidence: the new unit case fails on the change before and passes now; one machine away at the start is still acknowledged within 5 s (first_start).

--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -278,7 +278,12 @@
 }
 
 void registry_node::updateMissingVoters() {
-  if (Log.status().Group.voterCount() >= Settings.VoterManager.TargetVoters)
+  const control::replica_status Status = Log.status();
+  const bool IsComplete =
+      Status.Group.voterCount() >= Settings.VoterManager.TargetVoters;
+  const bool IsAlone =
+      Status.Group.Members.empty() && !Status.Bootstrap.HearsQuorum;
+  if (IsComplete || IsAlone)
     VotersMissingSince = Never;
   else
     VotersMissingSince = std::min(VotersMissingSince, Now);
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -235,7 +235,7 @@
   bool HasRefused = false; ///< a record; ignores all events since
   instant ElectedAt;
   /// Since when this node has known fewer than `TargetVoters` voters; without a
-  /// group since its start.
+  /// group, since it has heard enough registries to form one.
   instant VotersMissingSince = Never;
   control::proposal_id LastProposal;
   std::vector<pending_command> Commands;
--- a/test/shell/registry_node_test.cpp
+++ b/test/shell/registry_node_test.cpp
@@ -61,6 +61,21 @@
   }
 }
 
+// Guards against orders that are acknowledged by too few voters at once, as the
+// leader had waited for other machines before any of them was there.
+TEST_CASE("a leader that started long before the others waits for voters",
+          "[registry]") {
+  registry_fixture Registry(3, 0);
+  Registry.Voters[1].IsUp = Registry.Voters[2].IsUp = false;
+  Registry.run(10'000);
+  Registry.Voters[1].IsUp = Registry.Voters[2].IsUp = true;
+  Registry.run(4300);
+  REQUIRE(Registry.leader());
+  CHECK(Registry.submitCommand(1, makeCatalog(1, "one")) == call_end::unclear);
+  Registry.run(600);
+  CHECK(Registry.submitCommand(2, makeCatalog(1, "one")) == call_end::done);
+}
+
 TEST_CASE("a command waits for subscribers to apply it, up to a timeout",
           "[registry]") {
   registry_fixture Registry;
