Log whether a data folder is damaged or its disk has failed

What callers saw: a registry whose files are damaged logs disk_failed twice a second for ever, as one whose disk refuses writes does, so that an operator cannot tell a machine that needs a repair from one that needs patience.

Change: opening a folder fails with one of three causes: an operation failed, the files don't hold what was written to them (checksum, missing records, a folder in the place of a file), or they are intact and another build's. `disk_failed` names it in `cause`. Nothing is decided by it yet.

--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -135,7 +135,7 @@
   Options.MinIncarnation = static_cast<std::uint64_t>(wallNow().Ms);
   auto Log = store::durable_log::open(*Disk, Options);
   if (!Log)
-    return fail(Log.error());
+    return fail(Log.error().Message);
   for (const store::folder_notice Notice : Log->notices())
     logEvent(severity::warning, eventName(Notice),
              {{"folder", Settings.DataFolder}, {"bytes", Log->tornBytes()}});
--- a/src/fleet/voter_folder.cpp
+++ b/src/fleet/voter_folder.cpp
@@ -13,6 +13,18 @@
 
 constexpr millis RetryDelay{500};
 
+std::string_view causeName(store::folder_fault Cause) {
+  switch (Cause) {
+  case store::folder_fault::disk:
+    return "disk";
+  case store::folder_fault::damaged:
+    return "damaged";
+  case store::folder_fault::unknown_format:
+    return "unknown_format";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 voter_folder::voter_folder(boost::asio::io_context &Io, std::string Path,
@@ -22,13 +34,13 @@
 void voter_folder::open() {
   auto Folder = store::openPosixDisk(Path);
   if (!Folder) {
-    onDiskError(Folder.error().Message);
+    onDiskError(store::folder_fault::disk, Folder.error().Message);
     return;
   }
   Disk = std::move(*Folder);
   if (MustRetire) {
     if (const auto Retired = store::durable_log::retire(*Disk); !Retired) {
-      onDiskError(Retired.error().Message);
+      onDiskError(store::folder_fault::disk, Retired.error().Message);
       return;
     }
     MustRetire = false;
@@ -43,7 +55,7 @@
   if (Log)
     onOpened(std::move(*Log));
   else
-    onDiskError(Log.error().Message);
+    onDiskError(Log.error().Fault, Log.error().Message);
 }
 
 void voter_folder::onOpened(store::durable_log Log) {
@@ -68,15 +80,17 @@
       [this, Opened](const store::disk_error &Error) {
         boost::asio::post(Io, [this, Opened, Message = Error.Message] {
           if (Opened == Generation)
-            onDiskError(Message);
+            onDiskError(store::folder_fault::disk, Message);
         });
       });
   Host.onFolderOpened(std::move(State));
 }
 
 /// The process keeps running but cannot vote until the folder is open again.
-void voter_folder::onDiskError(const std::string &Message) {
-  telemetry::logEvent(severity::error, "disk_failed", {{"error", Message}});
+void voter_folder::onDiskError(store::folder_fault Cause,
+                               const std::string &Message) {
+  telemetry::logEvent(severity::error, "disk_failed",
+                      {{"cause", causeName(Cause)}, {"error", Message}});
   close();
   RetryTimer.expires_after(toChrono(RetryDelay));
   RetryTimer.async_wait([this, Closed = Generation](auto Error) {
--- a/src/fleet/voter_folder.h
+++ b/src/fleet/voter_folder.h
@@ -36,7 +36,7 @@
 
 private:
   void onOpened(store::durable_log Log);
-  void onDiskError(const std::string &Message);
+  void onDiskError(store::folder_fault Cause, const std::string &Message);
 
   boost::asio::io_context &Io;
   std::string Path;
--- a/src/store/disk.h
+++ b/src/store/disk.h
@@ -11,7 +11,13 @@
 
 namespace bulrush::store {
 
-enum class disk_fault : std::uint8_t { not_found, full, read_only, other };
+enum class disk_fault : std::uint8_t {
+  not_found,
+  not_a_file, ///< the name is that of a folder
+  full,
+  read_only,
+  other
+};
 
 /// Why a file operation failed; `Message` is meant for operators.
 struct disk_error {
--- a/src/store/durable_log.cpp
+++ b/src/store/durable_log.cpp
@@ -54,15 +54,27 @@
   return false;
 }
 
+tl::unexpected<folder_error> damaged(std::string Message) {
+  return failFolder(folder_fault::damaged, std::move(Message));
+}
+
+/// The checksum of a record holds, so a build has written it like this.
+tl::unexpected<folder_error> unknownFormat(const std::string &Name,
+                                           const error &Error) {
+  return failFolder(folder_fault::unknown_format, Name + ": " + Error.Message);
+}
+
 /// Returns the contents of a file, or no value if it doesn't exist.
-expected<std::optional<std::string>> readIfPresent(disk &Disk,
-                                                   const std::string &Name) {
+folder_result<std::optional<std::string>>
+readIfPresent(disk &Disk, const std::string &Name) {
   auto Bytes = Disk.read(Name);
   if (Bytes)
     return std::optional<std::string>(std::move(*Bytes));
   if (Bytes.error().Fault == disk_fault::not_found)
     return std::optional<std::string>();
-  return fail(Bytes.error().Message);
+  if (Bytes.error().Fault == disk_fault::not_a_file)
+    return damaged(Bytes.error().Message);
+  return failFolder(folder_fault::disk, Bytes.error().Message);
 }
 
 /// Decoded contents of the log and snapshot files.
@@ -73,91 +85,93 @@
   std::uint64_t TornBytes = 0;
 };
 
-expected<void> readLog(const std::string &Bytes, folder_contents &Out) {
+folder_result<void> readLog(const std::string &Bytes, folder_contents &Out) {
   expected<log_contents> Contents = parseLog(Bytes, LogName);
   if (!Contents)
-    return fail(Contents.error());
+    return damaged(Contents.error().Message);
   if (Contents->Records.empty())
-    return fail(std::string(LogName) + ": damaged record at byte 0");
+    return damaged(std::string(LogName) + ": damaged record at byte 0");
   Out.TornBytes = Contents->TornBytes;
   expected<log_header> Header = decodeHeader(Contents->Records.front());
   if (!Header)
-    return fail(std::string(LogName) + ": " + Header.error().Message);
+    return unknownFormat(LogName, Header.error());
   Out.Header = *Header;
   for (const std::string &Record : Contents->Records) {
     expected<log_batch> Batch = decodeBatch(Record);
     if (!Batch)
-      return fail(std::string(LogName) + ": " + Batch.error().Message);
+      return unknownFormat(LogName, Batch.error());
     Out.Log.Hard = std::move(Batch->Hard);
     mergeEntries(Out.Log.Entries, Batch->Entries);
   }
   return {};
 }
 
-expected<void> readSnapshot(const std::string &Bytes, folder_contents &Out) {
+folder_result<void> readSnapshot(const std::string &Bytes,
+                                 folder_contents &Out) {
   expected<std::string> Payload = parseSingleRecord(Bytes, SnapshotName);
   if (!Payload)
-    return fail(Payload.error());
+    return damaged(Payload.error().Message);
   expected<log_snapshot> Snapshot = decodeSnapshot(*Payload);
   if (!Snapshot)
-    return fail(std::string(SnapshotName) + ": " + Snapshot.error().Message);
+    return unknownFormat(SnapshotName, Snapshot.error());
   Out.Snapshot = std::move(*Snapshot);
   return {};
 }
 
-expected<void> mergeLogAndSnapshot(folder_contents &Out) {
+folder_result<void> mergeLogAndSnapshot(folder_contents &Out) {
   const log_index Base = Out.Snapshot ? Out.Snapshot->Index : log_index{0};
   if (Base < Out.Header.SnapshotIndex)
-    return fail(std::string(SnapshotName) + ": missing or older than the log");
+    return damaged(std::string(SnapshotName) +
+                   ": missing or older than the log");
   if (Out.Snapshot)
     dropCoveredEntries(Out.Log.Entries, *Out.Snapshot);
   if (hasGap(Out.Log.Entries, Base))
-    return fail(std::string(LogName) + ": entries are missing");
+    return damaged(std::string(LogName) + ": entries are missing");
   return {};
 }
 
 /// Returns no value if the folder has no log file.
-expected<std::optional<folder_contents>> readFolder(disk &Disk) {
+folder_result<std::optional<folder_contents>> readFolder(disk &Disk) {
   auto Log = readIfPresent(Disk, LogName);
   if (!Log)
-    return fail(Log.error());
+    return tl::unexpected<folder_error>(Log.error());
   auto Snapshot = readIfPresent(Disk, SnapshotName);
   if (!Snapshot)
-    return fail(Snapshot.error());
+    return tl::unexpected<folder_error>(Snapshot.error());
   if (!*Log)
     return std::optional<folder_contents>();
   folder_contents Contents;
   if (auto Read = readLog(**Log, Contents); !Read)
-    return fail(Read.error());
+    return tl::unexpected<folder_error>(Read.error());
   if (*Snapshot)
     if (auto Read = readSnapshot(**Snapshot, Contents); !Read)
-      return fail(Read.error());
+      return tl::unexpected<folder_error>(Read.error());
   if (auto Joined = mergeLogAndSnapshot(Contents); !Joined)
-    return fail(Joined.error());
+    return tl::unexpected<folder_error>(Joined.error());
   return std::optional<folder_contents>(std::move(Contents));
 }
 
-expected<std::optional<control::bootstrap_record>>
+folder_result<std::optional<control::bootstrap_record>>
 readBootstrap(disk &Disk, control::voter_id Voter) {
   auto Bytes = readIfPresent(Disk, BootstrapName);
   if (!Bytes)
-    return fail(Bytes.error());
+    return tl::unexpected<folder_error>(Bytes.error());
   if (!*Bytes)
     return std::optional<control::bootstrap_record>();
   auto Payload = parseSingleRecord(**Bytes, BootstrapName);
   if (!Payload)
-    return fail(Payload.error());
+    return damaged(Payload.error().Message);
   auto Record = decodeBootstrap(*Payload, Voter);
   if (!Record)
-    return fail(std::string(BootstrapName) + ": " + Record.error().Message);
-  return Record;
+    return unknownFormat(BootstrapName, Record.error());
+  return *Record;
 }
 
 /// Whether the folder holds files of a member that was given up.
-expected<bool> hasFormerMember(disk &Disk) {
+folder_result<bool> hasFormerMember(disk &Disk) {
   auto Names = Disk.list();
   if (!Names)
-    return fail(Names.error().Message);
+    return failFolder(folder_fault::disk, Names.error().Message);
   return std::any_of(Names->begin(), Names->end(), [](const std::string &Name) {
     return Name.ends_with(RetiredSuffix);
   });
@@ -165,24 +179,24 @@
 
 /// Whether the log file was written in this folder, as opposed to copied into
 /// it.
-expected<bool> isOriginal(disk &Disk, const folder_options &Options,
-                          const std::optional<folder_contents> &Contents) {
+folder_result<bool> isOriginal(disk &Disk, const folder_options &Options,
+                               const std::optional<folder_contents> &Contents) {
   if (!Contents)
     return false;
   if (!Options.HasStableFileIds)
     return true;
   auto FileId = Disk.fileId(LogName);
   if (!FileId)
-    return fail(FileId.error().Message);
+    return failFolder(folder_fault::disk, FileId.error().Message);
   return *FileId == Contents->Header.FileId;
 }
 
 /// Retires files that were not written by this folder's member, if there are
 /// any, and returns the notice that describes the folder.
-expected<folder_notice> retireFiles(disk &Disk) {
+folder_result<folder_notice> retireFiles(disk &Disk) {
   auto Names = Disk.list();
   if (!Names)
-    return fail(Names.error().Message);
+    return failFolder(folder_fault::disk, Names.error().Message);
   const bool Empty =
       std::none_of(Names->begin(), Names->end(), [](const std::string &Name) {
         return Name == LogName || Name == SnapshotName;
@@ -190,7 +204,7 @@
   if (Empty)
     return folder_notice::created;
   if (auto Done = durable_log::retire(Disk); !Done)
-    return fail(Done.error().Message);
+    return failFolder(folder_fault::disk, Done.error().Message);
   return folder_notice::copied_files;
 }
 
@@ -268,21 +282,21 @@
 durable_log &durable_log::operator=(durable_log &&) noexcept = default;
 durable_log::~durable_log() = default;
 
-expected<durable_log> durable_log::open(disk &Disk,
-                                        const folder_options &Options) {
+folder_result<durable_log> durable_log::open(disk &Disk,
+                                             const folder_options &Options) {
   auto Impl = std::make_unique<impl>(Disk);
   Impl->Vm = Options.Vm;
   auto Contents = readFolder(Disk);
   if (!Contents)
-    return fail(Contents.error());
-  expected<bool> Original = isOriginal(Disk, Options, *Contents);
+    return tl::unexpected<folder_error>(Contents.error());
+  folder_result<bool> Original = isOriginal(Disk, Options, *Contents);
   if (!Original)
-    return fail(Original.error());
+    return tl::unexpected<folder_error>(Original.error());
   const bool IsOriginal = *Original;
   if (!IsOriginal) {
-    expected<folder_notice> Notice = retireFiles(Disk);
+    folder_result<folder_notice> Notice = retireFiles(Disk);
     if (!Notice)
-      return fail(Notice.error());
+      return tl::unexpected<folder_error>(Notice.error());
     Impl->Notices.push_back(*Notice);
   }
   if (IsOriginal) {
@@ -297,16 +311,16 @@
   }
   auto Bootstrap = readBootstrap(Disk, Impl->Header.Voter);
   if (!Bootstrap)
-    return fail(Bootstrap.error());
+    return tl::unexpected<folder_error>(Bootstrap.error());
   Impl->Bootstrap = std::move(*Bootstrap);
-  expected<bool> HasFormer = hasFormerMember(Disk);
+  folder_result<bool> HasFormer = hasFormerMember(Disk);
   if (!HasFormer)
-    return fail(HasFormer.error());
+    return tl::unexpected<folder_error>(HasFormer.error());
   Impl->HasFormerMember = *HasFormer;
   Impl->Header.Boot = {
       std::max(Impl->Header.Boot.Value + 1, Options.MinIncarnation)};
   if (auto Done = Impl->rewriteLog(); !Done)
-    return fail(Done.error().Message);
+    return failFolder(folder_fault::disk, Done.error().Message);
   return durable_log(std::move(Impl));
 }
 
--- a/src/store/durable_log.h
+++ b/src/store/durable_log.h
@@ -5,6 +5,7 @@
 #include "bulrushtray/error.h"
 #include "control/replica.h"
 #include "store/disk.h"
+#include "store/folder_error.h"
 
 #include <memory>
 #include <string>
@@ -39,9 +40,9 @@
   durable_log &operator=(durable_log &&) noexcept;
   ~durable_log();
 
-  /// Reads the folder and starts a new log file. Returns an error that names
-  /// the file if a file is damaged or the disk is full or read-only.
-  static expected<durable_log> open(disk &Disk, const folder_options &Options);
+  /// Reads the folder and starts a new log file.
+  static folder_result<durable_log> open(disk &Disk,
+                                         const folder_options &Options);
 
   /// The state on disk, from which a replica starts.
   control::recovered_state state() const;
--- a/src/store/posix_disk.cpp
+++ b/src/store/posix_disk.cpp
@@ -20,6 +20,8 @@
   disk_fault Fault = disk_fault::other;
   if (Code == ENOENT)
     Fault = disk_fault::not_found;
+  else if (Code == EISDIR)
+    Fault = disk_fault::not_a_file;
   else if (Code == ENOSPC || Code == EDQUOT || Code == EFBIG)
     Fault = disk_fault::full;
   else if (Code == EROFS || Code == EACCES || Code == EPERM)
--- a/test/fake_disk.h
+++ b/test/fake_disk.h
@@ -19,6 +19,7 @@
     std::string Current;
     std::string Synced;
     std::uint64_t FileId = 0;
+    bool IsFolder = false;
   };
   using folder = std::map<std::string, std::shared_ptr<content>>;
 
@@ -73,6 +74,12 @@
   std::string &bytes(const std::string &Name) {
     return Names.at(Name)->Current;
   }
+  /// Puts a folder in the place of a file.
+  void makeFolder(const std::string &Name) {
+    const auto Folder = std::make_shared<content>();
+    Folder->IsFolder = true;
+    Names[Name] = SyncedNames[Name] = Folder;
+  }
   bool has(const std::string &Name) const { return Names.count(Name) > 0; }
 
   disk_result<std::unique_ptr<store::disk_file>>
@@ -91,6 +98,9 @@
       return failed();
     if (!has(Name))
       return missing(Name);
+    if (Names[Name]->IsFolder)
+      return tl::unexpected<disk_error>(
+          disk_error{disk_fault::not_a_file, Name + ": is a folder"});
     return Names[Name]->Current;
   }
   disk_result<void> rename(const std::string &From,
--- a/test/unit/refused_writes_test.cpp
+++ b/test/unit/refused_writes_test.cpp
@@ -67,7 +67,7 @@
   return Out;
 }
 
-expected<durable_log> open(fake_disk &Disk, voter_id NewVoter = Former) {
+folder_result<durable_log> open(fake_disk &Disk, voter_id NewVoter = Former) {
   return durable_log::open(Disk, {vm_id{2}, NewVoter.Value, 0, false});
 }
 
