A registry whose data folder is damaged rejoins as a new member

What callers saw: a registry that found a damaged file in its data folder at its start logged disk_failed twice a second for ever and answered each call with 503. The group went on without it; two such machines use up the losses that must be borne, and the next one ends the service.

Cause: a file that can't be read as it was written was handled as a disk that refuses writes, by another try. The class: a retry of what no time mends. The control daemon had it as well: it ended, and its supervisor started it again.

Change: on damage the folder's files are renamed to *.damaged, one set is kept, and the folder becomes that of a new member, as an empty disk does; the leader replaces the former voter. The new member never counts as unused, so it takes no part in a first group as if its start were the first one, and announces that it has seen a group: folders that are all damaged at once form no empty group, and renaming the files back brings the group back. What is not damage stays where it is: failed operations, torn tails, and files of another build, whose checksums hold. Files set aside earlier are replaced only by as many bytes, since a folder may be damaged again before it is back in a group.

--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -55,6 +55,10 @@
     return "torn_tail_cut";
   case store::folder_notice::copied_files:
     return "data_folder_is_copy";
+  case store::folder_notice::damaged_files:
+    return "data_folder_set_aside";
+  case store::folder_notice::damaged_bootstrap:
+    return "bootstrap_record_damaged";
   }
   return "data_folder";
 }
@@ -133,12 +137,14 @@
   Options.Vm = Settings.Self.Id;
   Options.NewVoterId = drawSeed();
   Options.MinIncarnation = static_cast<std::uint64_t>(wallNow().Ms);
-  auto Log = store::durable_log::open(*Disk, Options);
+  auto Log = store::durable_log::openRepaired(*Disk, Options);
   if (!Log)
     return fail(Log.error().Message);
   for (const store::folder_notice Notice : Log->notices())
     logEvent(severity::warning, eventName(Notice),
-             {{"folder", Settings.DataFolder}, {"bytes", Log->tornBytes()}});
+             {{"folder", Settings.DataFolder},
+              {"bytes", Log->tornBytes()},
+              {"why", Log->damage()}});
   control_node Node(Settings.Self.Id, Settings.Deployment,
                     replicaOptions(Settings), Log->state(), drawSeed());
   Actors.emplace(
--- a/src/fleet/voter_folder.cpp
+++ b/src/fleet/voter_folder.cpp
@@ -3,6 +3,7 @@
 #include "fleet/process_start.h"
 #include "telemetry/log.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 namespace bulrush::fleet {
@@ -25,6 +26,12 @@
   return "unknown";
 }
 
+bool isSetAside(const store::durable_log &Log) {
+  const auto &Notices = Log.notices();
+  return std::find(Notices.begin(), Notices.end(),
+                   store::folder_notice::damaged_files) != Notices.end();
+}
+
 } // namespace
 
 voter_folder::voter_folder(boost::asio::io_context &Io, std::string Path,
@@ -51,7 +58,7 @@
   Options.MinIncarnation = unixMillis();
   Options.HasStableFileIds =
       false; // not every platform keeps them across a restart
-  auto Log = store::durable_log::open(*Disk, Options);
+  auto Log = store::durable_log::openRepaired(*Disk, Options);
   if (Log)
     onOpened(std::move(*Log));
   else
@@ -64,6 +71,11 @@
                         {{"notice", static_cast<int>(Notice)},
                          {"torn_bytes", Log.tornBytes()}});
   control::recovered_state State = Log.state();
+  if (!Log.damage().empty())
+    telemetry::logEvent(severity::error, "folder_damaged",
+                        {{"error", Log.damage()},
+                         {"set_aside", isSetAside(Log)},
+                         {"voter", State.Self.Value}});
   telemetry::logEvent(severity::info, "folder_opened",
                       {{"voter", State.Self.Value},
                        {"boot", State.Boot.Value},
--- a/src/store/disk.h
+++ b/src/store/disk.h
@@ -47,7 +47,7 @@
   virtual disk_result<std::string> read(const std::string &Name) = 0;
   virtual disk_result<void> rename(const std::string &From,
                                    const std::string &To) = 0;
-  /// Removes a file; succeeds if it doesn't exist.
+  /// Removes a file or a folder; succeeds if it doesn't exist.
   virtual disk_result<void> remove(const std::string &Name) = 0;
   virtual disk_result<std::vector<std::string>> list() = 0;
   virtual disk_result<void> syncDirectory() = 0;
--- a/src/store/durable_log.cpp
+++ b/src/store/durable_log.cpp
@@ -17,6 +17,7 @@
 constexpr char SnapshotName[] = "snapshot";
 constexpr char BootstrapName[] = "bootstrap";
 constexpr char RetiredSuffix[] = ".former";
+constexpr char DamagedSuffix[] = ".damaged";
 
 /// Appends `Newer` to `Entries`; a newer entry replaces all with the same or a
 /// larger index.
@@ -167,13 +168,14 @@
   return *Record;
 }
 
-/// Whether the folder holds files of a member that was given up.
+/// Whether the folder holds files of a member that was given up, or of one that
+/// was damaged.
 folder_result<bool> hasFormerMember(disk &Disk) {
   auto Names = Disk.list();
   if (!Names)
     return failFolder(folder_fault::disk, Names.error().Message);
   return std::any_of(Names->begin(), Names->end(), [](const std::string &Name) {
-    return Name.ends_with(RetiredSuffix);
+    return Name.ends_with(RetiredSuffix) || Name.ends_with(DamagedSuffix);
   });
 }
 
@@ -208,6 +210,21 @@
   return folder_notice::copied_files;
 }
 
+/// Size in bytes of the log and the snapshot under the names that end in
+/// `Suffix`. What can't be read as a file counts as empty.
+disk_result<std::size_t> sizeOfEntries(disk &Disk, const std::string &Suffix) {
+  std::size_t Size = 0;
+  for (const std::string Name : {LogName, SnapshotName}) {
+    const auto Bytes = Disk.read(Name + Suffix);
+    if (Bytes)
+      Size += Bytes->size();
+    else if (Bytes.error().Fault != disk_fault::not_found &&
+             Bytes.error().Fault != disk_fault::not_a_file)
+      return tl::unexpected<disk_error>(Bytes.error());
+  }
+  return Size;
+}
+
 } // namespace
 
 struct durable_log::impl {
@@ -227,9 +244,14 @@
   vm_id Vm;
   std::vector<folder_notice> Notices;
   std::uint64_t TornBytes = 0;
+  std::string Damage;
 
   explicit impl(disk &Disk) : Disk(Disk) {}
 
+  /// Whether the folder's member has joined a group, so that its bootstrap
+  /// record isn't used any more.
+  bool hasGroup() const { return Snapshot && !Snapshot->Group.Members.empty(); }
+
   /// Replaces the log file by a new one that holds `Header` and `Stored`.
   disk_result<void> rewriteLog() {
     if (Snapshot)
@@ -310,9 +332,15 @@
     Impl->Header.Voter = {Options.NewVoterId};
   }
   auto Bootstrap = readBootstrap(Disk, Impl->Header.Voter);
-  if (!Bootstrap)
+  if (Bootstrap) {
+    Impl->Bootstrap = std::move(*Bootstrap);
+  } else if (Bootstrap.error().Fault == folder_fault::damaged &&
+             Impl->hasGroup()) {
+    Impl->Damage = Bootstrap.error().Message;
+    Impl->Notices.push_back(folder_notice::damaged_bootstrap);
+  } else {
     return tl::unexpected<folder_error>(Bootstrap.error());
-  Impl->Bootstrap = std::move(*Bootstrap);
+  }
   folder_result<bool> HasFormer = hasFormerMember(Disk);
   if (!HasFormer)
     return tl::unexpected<folder_error>(HasFormer.error());
@@ -324,6 +352,51 @@
   return durable_log(std::move(Impl));
 }
 
+folder_result<durable_log>
+durable_log::openRepaired(disk &Disk, const folder_options &Options) {
+  auto Log = open(Disk, Options);
+  if (Log || Log.error().Fault != folder_fault::damaged)
+    return Log;
+  const std::string Damage = Log.error().Message;
+  if (const auto Done = setAside(Disk); !Done)
+    return failFolder(folder_fault::disk,
+                      Damage + "; not set aside: " + Done.error().Message);
+  Log = open(Disk, Options);
+  if (!Log)
+    return failFolder(Log.error().Fault,
+                      Damage + "; set aside, then: " + Log.error().Message);
+  std::vector<folder_notice> &Notices = Log->Impl->Notices;
+  Notices.insert(Notices.begin(), folder_notice::damaged_files);
+  Log->Impl->Damage = Damage;
+  return Log;
+}
+
+/// Files that were set aside earlier are replaced, unless they hold more: a
+/// folder may be damaged again before its member has joined a group, and the
+/// earlier files are the ones that hold entries then. The log goes first, as in
+/// `retire`.
+disk_result<void> durable_log::setAside(disk &Disk) {
+  const auto Found = sizeOfEntries(Disk, "");
+  if (!Found)
+    return tl::unexpected<disk_error>(Found.error());
+  const auto Kept = sizeOfEntries(Disk, DamagedSuffix);
+  if (!Kept)
+    return tl::unexpected<disk_error>(Kept.error());
+  const bool Replaces = *Found >= *Kept;
+  for (const std::string Name : {LogName, SnapshotName, BootstrapName}) {
+    const std::string KeptName = Name + DamagedSuffix;
+    if (auto Done = Disk.remove(Replaces ? KeptName : Name); !Done)
+      return Done;
+    if (Replaces)
+      if (auto Done = Disk.rename(Name, KeptName);
+          !Done && Done.error().Fault != disk_fault::not_found)
+        return Done;
+    if (auto Synced = Disk.syncDirectory(); !Synced)
+      return Synced;
+  }
+  return {};
+}
+
 control::recovered_state durable_log::state() const {
   control::recovered_state State;
   State.Self = Impl->Header.Voter;
@@ -343,6 +416,8 @@
 
 std::uint64_t durable_log::tornBytes() const { return Impl->TornBytes; }
 
+const std::string &durable_log::damage() const { return Impl->Damage; }
+
 void durable_log::write(const control::persist &Write) {
   if (Write.DropLog) {
     Impl->DropLog = true;
--- a/src/store/durable_log.h
+++ b/src/store/durable_log.h
@@ -27,10 +27,14 @@
 
 /// A condition found at start that operators should know about.
 enum class folder_notice : std::uint8_t {
-  created,     ///< the folder was empty
-  torn_tail,   ///< an incomplete last write was discarded
-  copied_files ///< the files were copied, restored or incomplete and have been
-               ///< retired; the folder becomes a new member
+  created,      ///< the folder was empty
+  torn_tail,    ///< an incomplete last write was discarded
+  copied_files, ///< the files were copied, restored or incomplete and have been
+                ///< retired; the folder becomes a new member
+  damaged_files,    ///< damaged files were set aside; the folder becomes a new
+                    ///< member
+  damaged_bootstrap ///< the bootstrap record is damaged; it isn't needed, as
+                    ///< the snapshot holds a group
 };
 
 /// A data folder that is open for writing.
@@ -44,10 +48,17 @@
   static folder_result<durable_log> open(disk &Disk,
                                          const folder_options &Options);
 
+  /// As `open`, but sets damaged files aside: the folder then counts as one
+  /// that has lost its files and becomes a new member.
+  static folder_result<durable_log> openRepaired(disk &Disk,
+                                                 const folder_options &Options);
+
   /// The state on disk, from which a replica starts.
   control::recovered_state state() const;
   const std::vector<folder_notice> &notices() const;
   std::uint64_t tornBytes() const;
+  /// Describes what `damaged_files` and `damaged_bootstrap` notify of.
+  const std::string &damage() const;
 
   /// Buffers a write in memory.
   void write(const control::persist &Write);
@@ -64,6 +75,7 @@
 
 private:
   struct impl;
+  static disk_result<void> setAside(disk &Disk);
   explicit durable_log(std::unique_ptr<impl> Impl);
   std::unique_ptr<impl> Impl;
 };
--- a/src/store/posix_disk.cpp
+++ b/src/store/posix_disk.cpp
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <dirent.h>
 #include <fcntl.h>
+#include <filesystem>
 #include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -130,8 +131,14 @@
   }
 
   disk_result<void> remove(const std::string &Name) override {
-    if (::unlink(pathOf(Name).c_str()) != 0 && errno != ENOENT)
+    if (::unlink(pathOf(Name).c_str()) == 0 || errno == ENOENT)
+      return {};
+    if (errno != EISDIR)
       return systemError("remove " + pathOf(Name), errno);
+    std::error_code Error;
+    std::filesystem::remove_all(pathOf(Name), Error);
+    if (Error)
+      return systemError("remove " + pathOf(Name), Error.value());
     return {};
   }
 
--- a/test/fake_disk.h
+++ b/test/fake_disk.h
@@ -74,6 +74,13 @@
   std::string &bytes(const std::string &Name) {
     return Names.at(Name)->Current;
   }
+  /// Makes all files and names durable as they are.
+  void syncAll() {
+    for (auto &[Name, File] : Names)
+      File->Synced = File->Current;
+    SyncedNames = Names;
+    UnsyncedChanges.clear();
+  }
   /// Puts a folder in the place of a file.
   void makeFolder(const std::string &Name) {
     const auto Folder = std::make_shared<content>();
--- a/test/unit/damaged_folder_test.cpp
+++ b/test/unit/damaged_folder_test.cpp
@@ -5,7 +5,10 @@
 #include "store/log_records.h"
 
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
 #include <functional>
+#include <sys/resource.h>
 
 using namespace bulrush;
 using namespace bulrush::store;
@@ -114,6 +117,31 @@
        }}};
 }
 
+/// A folder of the file system that is removed with this object.
+class temporary_folder {
+public:
+  temporary_folder() {
+    std::string Name =
+        std::filesystem::temp_directory_path() / "bulrush-folder-XXXXXX";
+    REQUIRE(::mkdtemp(Name.data()));
+    Path = Name;
+  }
+  ~temporary_folder() {
+    std::error_code Ignored;
+    std::filesystem::remove_all(Path, Ignored);
+  }
+  temporary_folder(const temporary_folder &) = delete;
+  temporary_folder &operator=(const temporary_folder &) = delete;
+
+  std::filesystem::path Path;
+};
+
+/// Puts a folder with a file in it in the place of a file.
+void replaceByFolder(const std::filesystem::path &Path) {
+  std::filesystem::remove_all(Path);
+  std::filesystem::create_directories(Path / "inside");
+}
+
 } // namespace
 
 // Guards against damage that the log calls a failed disk, which is tried again
@@ -124,6 +152,7 @@
     fake_disk Disk;
     fill(Disk);
     Each.Apply(Disk);
+    Disk.syncAll();
     const auto Opened = durable_log::open(Disk, optionsOf(Successor));
     REQUIRE_FALSE(Opened);
     CHECK(Opened.error().Fault == folder_fault::damaged);
@@ -148,8 +177,239 @@
     fake_disk Disk;
     fill(Disk);
     Each.Apply(Disk);
+    Disk.syncAll();
     const auto Opened = durable_log::open(Disk, optionsOf(Successor));
     REQUIRE_FALSE(Opened);
     CHECK(Opened.error().Fault == folder_fault::unknown_format);
   }
 }
+
+// Guards against a damaged folder that keeps its machine out of the group, and
+// against a member that goes on under an id whose votes and entries it lost.
+TEST_CASE("a damaged folder becomes that of a new member", "[store]") {
+  for (const kind_of_damage &Each : allKinds()) {
+    INFO(Each.Name);
+    fake_disk Disk;
+    std::mt19937_64 Random(1);
+    fill(Disk);
+    Each.Apply(Disk);
+    Disk.syncAll();
+    {
+      const auto Opened = durable_log::openRepaired(Disk, optionsOf(Successor));
+      REQUIRE(Opened);
+      CHECK(Opened->notices().front() == folder_notice::damaged_files);
+      CHECK_FALSE(Opened->damage().empty());
+    }
+    Disk.crash(Random);
+    const auto Again = durable_log::openRepaired(Disk, optionsOf(voter_id{99}));
+    REQUIRE(Again);
+    CHECK(Again->notices().empty());
+    const recovered_state State = Again->state();
+    CHECK(State.Self == Successor);
+    CHECK(State.Hard.Term == term_id{0});
+    CHECK(State.Entries.empty());
+    CHECK_FALSE(State.Snapshot);
+    CHECK_FALSE(State.Bootstrap);
+    CHECK(State.HasFormerMember);
+  }
+}
+
+// Guards against damaged files that nobody can examine any more.
+TEST_CASE("damaged files are kept as they were found", "[store]") {
+  for (const kind_of_damage &Each : allKinds()) {
+    INFO(Each.Name);
+    fake_disk Disk;
+    fill(Disk);
+    Each.Apply(Disk);
+    Disk.syncAll();
+    const auto Found = Disk.backup();
+    REQUIRE(durable_log::openRepaired(Disk, optionsOf(Successor)));
+    for (const auto &[Name, File] : Found) {
+      INFO(Name);
+      REQUIRE(Disk.has(Name + ".damaged"));
+      CHECK(Disk.bytes(Name + ".damaged") == File.Current);
+    }
+  }
+}
+
+// Guards against damage that is found again before the machine is back in a
+// group, and whose files replace those that still hold its entries.
+TEST_CASE("only a folder with as much in it replaces files set aside",
+          "[store]") {
+  fake_disk Disk;
+  fill(Disk);
+  Disk.bytes("log")[20] ^= 0x55;
+  const std::string Log = Disk.bytes("log");
+  const std::string Snapshot = Disk.bytes("snapshot");
+  REQUIRE(durable_log::openRepaired(Disk, optionsOf(Successor)));
+  Disk.bytes("log")[20] ^= 0x55;
+  const auto Second = durable_log::openRepaired(Disk, optionsOf(voter_id{99}));
+  REQUIRE(Second);
+  CHECK(Second->state().Self == voter_id{99});
+  CHECK(Second->state().HasFormerMember);
+  CHECK(Disk.bytes("log.damaged") == Log);
+  CHECK(Disk.bytes("snapshot.damaged") == Snapshot);
+  const std::size_t Files = Disk.backup().size();
+
+  {
+    auto Joined = durable_log::openRepaired(Disk, optionsOf(voter_id{99}));
+    Joined->write(makeWrite(1, 40));
+    REQUIRE(Joined->sync());
+  }
+  Disk.bytes("log")[20] ^= 0x55;
+  const std::string Later = Disk.bytes("log");
+  REQUIRE(durable_log::openRepaired(Disk, optionsOf(Successor)));
+  CHECK(Disk.bytes("log.damaged") == Later);
+  CHECK_FALSE(Disk.has("snapshot.damaged"));
+  CHECK(Disk.backup().size() <= Files);
+}
+
+// Guards against a folder that a refused write or a power failure leaves half
+// set aside, and that then counts as unused or is never opened.
+TEST_CASE("setting damaged files aside is completed after any interruption",
+          "[store]") {
+  for (const kind_of_damage &Each : allKinds())
+    for (const bool HasEarlierFiles : {false, true})
+      for (const bool LosesPower : {false, true})
+        for (std::size_t N = 0;; ++N) {
+          INFO(Each.Name << ", refused from operation " << N << ", power lost "
+                         << LosesPower << ", for the second time "
+                         << HasEarlierFiles);
+          fake_disk Disk;
+          std::mt19937_64 Random(N);
+          for (int Times = HasEarlierFiles ? 2 : 1; Times > 0; --Times) {
+            if (Disk.has("log"))
+              REQUIRE(durable_log::openRepaired(Disk, optionsOf(voter_id{66})));
+            fill(Disk);
+            Each.Apply(Disk);
+            Disk.syncAll();
+          }
+          Disk.CallsUntilFault = N;
+          const auto First =
+              durable_log::openRepaired(Disk, optionsOf(Successor));
+          Disk.CallsUntilFault.reset();
+          Disk.Fault.reset();
+          if (!First)
+            CHECK(First.error().Fault == folder_fault::disk);
+          if (LosesPower)
+            Disk.crash(Random);
+          const auto Second =
+              durable_log::openRepaired(Disk, optionsOf(Successor));
+          REQUIRE(Second);
+          CHECK(Second->state().Self == Successor);
+          CHECK(Second->state().Entries.empty());
+          CHECK(Second->state().HasFormerMember);
+          if (First)
+            break;
+        }
+}
+
+// Guards against a repair that takes away what another disk state or another
+// build can still use.
+TEST_CASE("a folder that is not damaged is never set aside", "[store]") {
+  for (const kind_of_damage &Each : otherBuilds()) {
+    INFO(Each.Name);
+    fake_disk Disk;
+    fill(Disk);
+    Each.Apply(Disk);
+    Disk.syncAll();
+    const auto Opened = durable_log::openRepaired(Disk, optionsOf(Successor));
+    REQUIRE_FALSE(Opened);
+    CHECK(Opened.error().Fault == folder_fault::unknown_format);
+    for (const auto &[Name, File] : Disk.backup())
+      CHECK_FALSE(Name.ends_with(".damaged"));
+  }
+  for (const disk_fault Fault :
+       {disk_fault::full, disk_fault::read_only, disk_fault::other}) {
+    fake_disk Disk;
+    fill(Disk);
+    Disk.FaultsReads = true;
+    Disk.Fault = Fault;
+    REQUIRE_FALSE(durable_log::openRepaired(Disk, optionsOf(Successor)));
+    Disk.Fault.reset();
+    const auto Opened = durable_log::openRepaired(Disk, optionsOf(Successor));
+    REQUIRE(Opened);
+    CHECK(Opened->state().Self == Former);
+    CHECK(Opened->state().Entries.size() == 6);
+  }
+}
+
+// Guards against a repair that gives up synced entries for a torn tail.
+TEST_CASE("a torn tail is cut and the folder keeps its member", "[store]") {
+  for (const bool IsZeros : {false, true}) {
+    fake_disk Whole;
+    fill(Whole);
+    const std::size_t Size = Whole.bytes("log").size();
+    const std::size_t Last = Whole.bytes("log").find("entry 10") + 8;
+    for (std::size_t Cut = Last; Cut < Size; ++Cut) {
+      INFO("cut at " << Cut << ", zeros " << IsZeros);
+      fake_disk Disk;
+      fill(Disk);
+      Disk.bytes("log").resize(Cut);
+      if (IsZeros)
+        Disk.bytes("log").resize(Size + 4096);
+      const auto Opened = durable_log::openRepaired(Disk, optionsOf(Successor));
+      REQUIRE(Opened);
+      CHECK(Opened->state().Self == Former);
+      CHECK(Opened->state().Entries.size() == 4);
+      CHECK(Opened->notices() == std::vector{folder_notice::torn_tail});
+    }
+  }
+}
+
+// Guards against a member that gives up its entries since a file is damaged
+// that it does not need any more.
+TEST_CASE("a member of a group does without a damaged bootstrap record",
+          "[store]") {
+  fake_disk Disk;
+  fill(Disk);
+  Disk.bytes("bootstrap").back() ^= 1;
+  const auto Opened = durable_log::openRepaired(Disk, optionsOf(Successor));
+  REQUIRE(Opened);
+  CHECK(Opened->state().Self == Former);
+  CHECK(Opened->state().Entries.size() == 6);
+  CHECK_FALSE(Opened->state().Bootstrap);
+  CHECK(Opened->notices() == std::vector{folder_notice::damaged_bootstrap});
+}
+
+// Guards against a folder in the place of a file of ours, which can neither be
+// read nor written over.
+TEST_CASE("folders in the place of files are set aside", "[store]") {
+  const temporary_folder Folder;
+  for (const std::uint64_t Voter : {77U, 88U, 99U}) {
+    auto Disk = openPosixDisk(Folder.Path);
+    REQUIRE(Disk);
+    {
+      auto Log = durable_log::openRepaired(**Disk, optionsOf(voter_id{Voter}));
+      REQUIRE(Log);
+      CHECK(Log->state().Self == voter_id{Voter});
+      persist Write = makeWrite(6, 7);
+      Write.Snapshot =
+          log_snapshot{log_index{5}, term_id{2}, {}, shareBytes("s")};
+      Write.Bootstrap = bootstrap_record{true, false, {{vm_id{1}}, 0}};
+      Log->write(Write);
+      REQUIRE(Log->sync());
+    }
+    for (const char *Name :
+         {"log", "log.new", "log.damaged", "snapshot", "bootstrap"})
+      replaceByFolder(Folder.Path / Name);
+  }
+}
+
+// Guards against a file that cannot be read for now and counts as damaged.
+TEST_CASE("a file that no descriptor is left for is not damaged", "[store]") {
+  const temporary_folder Folder;
+  auto Disk = openPosixDisk(Folder.Path);
+  REQUIRE(durable_log::open(**Disk, optionsOf(Former)));
+  rlimit Given{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &Given) == 0);
+  const rlimit None{0, Given.rlim_max};
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &None) == 0);
+  const auto Opened = durable_log::openRepaired(**Disk, optionsOf(Successor));
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &Given) == 0);
+  REQUIRE_FALSE(Opened);
+  CHECK(Opened.error().Fault == folder_fault::disk);
+  const auto Again = durable_log::openRepaired(**Disk, optionsOf(Successor));
+  REQUIRE(Again);
+  CHECK(Again->state().Self == Former);
+}
