A folder in the place of the lock keeps no data folder closed

What callers saw: a registry whose `lock` was a folder logged disk_failed for ever ("open .../lock: Is a directory") and answered each call with 503.

Cause: the lock file is opened for writing, which a folder refuses.

Change: a folder in the place of the lock is locked itself. It is not replaced, as another process might lock it meanwhile.

--- a/src/store/posix_disk.cpp
+++ b/src/store/posix_disk.cpp
@@ -188,14 +188,22 @@
   descriptor Lock;
 };
 
+/// A folder in the place of the lock file is locked instead: to replace it
+/// would race with another process.
+descriptor openLock(const std::string &Path) {
+  descriptor File(::open(Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+  if (File.valid() || errno != EISDIR)
+    return File;
+  return descriptor(::open(Path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+}
+
 } // namespace
 
 disk_result<std::unique_ptr<disk>> openPosixDisk(const std::string &Path) {
   if (::mkdir(Path.c_str(), FolderMode) != 0 && errno != EEXIST)
     return systemError("create " + Path, errno);
   const std::string LockPath = Path + "/" + LockName;
-  descriptor Lock(
-      ::open(LockPath.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+  descriptor Lock = openLock(LockPath);
   if (!Lock.valid())
     return systemError("open " + LockPath, errno);
   if (::flock(Lock.get(), LOCK_EX | LOCK_NB) != 0)
--- a/test/unit/damaged_folder_test.cpp
+++ b/test/unit/damaged_folder_test.cpp
@@ -396,6 +396,18 @@
   }
 }
 
+// Guards against a folder in the place of the lock, which kept the data folder
+// closed, and against two processes that use it at once.
+TEST_CASE("a folder in the place of the lock locks the data folder",
+          "[store]") {
+  const temporary_folder Folder;
+  REQUIRE(openPosixDisk(Folder.Path));
+  replaceByFolder(Folder.Path / "lock");
+  const auto First = openPosixDisk(Folder.Path);
+  REQUIRE(First);
+  CHECK_FALSE(openPosixDisk(Folder.Path));
+}
+
 // Guards against a file that cannot be read for now and counts as damaged.
 TEST_CASE("a file that no descriptor is left for is not damaged", "[store]") {
   const temporary_folder Folder;
