A data folder that has lost its log is not unused

What could happen: a folder of the first moments loses its log, and its process is told of a first start once more. It took part in the agreement on the first group as a new folder, although its former voter may have promised, or accepted, another one. Found by reading, as the same class as damaged files; not observed.

Cause: a folder counted as unused if it held no log, whatever else it held.

Change: a bootstrap record of another voter shows that a member was there.

Evidence: "a folder that has lost its log is not unused" fails without the change.

--- a/src/control/log_entry.h
+++ b/src/control/log_entry.h
@@ -77,7 +77,8 @@
   std::optional<log_snapshot> Snapshot;
   std::vector<log_entry> Entries; ///< follow the snapshot without gaps
   std::optional<bootstrap_record> Bootstrap;
-  /// Whether the folder holds files of a member that was given up.
+  /// Whether the folder holds files of a member that was given up, was damaged,
+  /// or has lost its log.
   bool HasFormerMember = false;
 };
 
--- a/src/store/durable_log.cpp
+++ b/src/store/durable_log.cpp
@@ -168,15 +168,17 @@
   return *Record;
 }
 
-/// Whether the folder holds files of a member that was given up, or of one that
-/// was damaged.
-folder_result<bool> hasFormerMember(disk &Disk) {
+/// Whether the folder holds files of a member other than its own: one that was
+/// given up, was damaged, or has lost its log.
+folder_result<bool> hasFormerMember(disk &Disk, bool HasOwnRecord) {
   auto Names = Disk.list();
   if (!Names)
     return failFolder(folder_fault::disk, Names.error().Message);
-  return std::any_of(Names->begin(), Names->end(), [](const std::string &Name) {
-    return Name.ends_with(RetiredSuffix) || Name.ends_with(DamagedSuffix);
-  });
+  return std::any_of(
+      Names->begin(), Names->end(), [&](const std::string &Name) {
+        return Name.ends_with(RetiredSuffix) || Name.ends_with(DamagedSuffix) ||
+               (Name == BootstrapName && !HasOwnRecord);
+      });
 }
 
 /// Whether the log file was written in this folder, as opposed to copied into
@@ -341,7 +343,8 @@
   } else {
     return tl::unexpected<folder_error>(Bootstrap.error());
   }
-  folder_result<bool> HasFormer = hasFormerMember(Disk);
+  folder_result<bool> HasFormer =
+      hasFormerMember(Disk, Impl->Bootstrap.has_value());
   if (!HasFormer)
     return tl::unexpected<folder_error>(HasFormer.error());
   Impl->HasFormerMember = *HasFormer;
--- a/test/unit/damaged_folder_test.cpp
+++ b/test/unit/damaged_folder_test.cpp
@@ -214,6 +214,27 @@
   }
 }
 
+// Guards against a folder without its log that takes part in a first group as
+// an unused one, and forgets what its member has promised and accepted.
+TEST_CASE("a folder that has lost its log is not unused", "[store]") {
+  fake_disk Disk;
+  {
+    auto Log = durable_log::open(Disk, optionsOf(Former));
+    persist Write = makeWrite(1, 0);
+    Write.Bootstrap = bootstrap_record{true, false, {{vm_id{1}}, 0}};
+    Log->write(Write);
+    REQUIRE(Log->sync());
+  }
+  REQUIRE(Disk.remove("log"));
+  for (const voter_id Started : {Successor, voter_id{99}}) {
+    const auto Opened = durable_log::openRepaired(Disk, optionsOf(Started));
+    REQUIRE(Opened);
+    CHECK(Opened->state().Self == Successor);
+    CHECK_FALSE(Opened->state().Bootstrap);
+    CHECK(Opened->state().HasFormerMember);
+  }
+}
+
 // Guards against damaged files that nobody can examine any more.
 TEST_CASE("damaged files are kept as they were found", "[store]") {
   for (const kind_of_damage &Each : allKinds()) {
