Refuse a log without a valid first record at once

What could happen: a registry that finds a large log of other bytes stands still while it looks for valid records at each byte, on the thread that also serves. Not observed at callers; measured while the repair of damaged folders was checked.

Cause: a tail is searched for valid records to tell damage from a torn write. Without a valid first record it is damage in any case, as that record is synced before the file gets its name.

Change: such a log is refused without a search.

Evidence: "a log without a valid first record is refused without a search" fails on the code before (its error tells that records follow).

--- a/src/store/durable_log.cpp
+++ b/src/store/durable_log.cpp
@@ -90,8 +90,6 @@
   expected<log_contents> Contents = parseLog(Bytes, LogName);
   if (!Contents)
     return damaged(Contents.error().Message);
-  if (Contents->Records.empty())
-    return damaged(std::string(LogName) + ": damaged record at byte 0");
   Out.TornBytes = Contents->TornBytes;
   expected<log_header> Header = decodeHeader(Contents->Records.front());
   if (!Header)
--- a/src/store/log_file.cpp
+++ b/src/store/log_file.cpp
@@ -75,6 +75,10 @@
     Contents.Records.emplace_back(*Payload);
     Contents.ValidBytes += HeaderBytes + Payload->size();
   }
+  // The first record is synced before the file gets its name, so it is never
+  // torn. A search for others would hash most of a large file at each byte.
+  if (Contents.Records.empty())
+    return fail(Name + ": damaged record at byte 0");
   Contents.TornBytes = Bytes.size() - Contents.ValidBytes;
   if (Contents.TornBytes > 0 && hasRecordAfter(Bytes, Contents.ValidBytes))
     return fail(Name + ": damaged record at byte " +
--- a/src/store/log_file.h
+++ b/src/store/log_file.h
@@ -23,7 +23,8 @@
 /// Encodes a record that starts at byte `Offset` of its file.
 std::string frameRecord(std::string_view Payload, std::uint64_t Offset);
 
-/// Splits a log file into its records. `Name` is only used in errors.
+/// Splits a log file into its records, at least one. `Name` is only used in
+/// errors.
 expected<log_contents> parseLog(std::string_view Bytes,
                                 const std::string &Name);
 
--- a/test/unit/log_file_test.cpp
+++ b/test/unit/log_file_test.cpp
@@ -55,6 +55,21 @@
   }
 }
 
+// Guards against a process that stands still while it searches a large damaged
+// file for valid records, although it is damaged in any case.
+TEST_CASE("a log without a valid first record is refused without a search",
+          "[store]") {
+  const std::string Whole = encodeLog({"one", "two", "three"});
+  for (std::size_t At = 0; At < encodeLog({"one"}).size(); ++At) {
+    std::string Damaged = Whole;
+    Damaged[At] ^= 1;
+    const auto Contents = parseLog(Damaged, "log");
+    REQUIRE_FALSE(Contents);
+    CHECK(Contents.error().Message == "log: damaged record at byte 0");
+  }
+  CHECK_FALSE(parseLog("", "log"));
+}
+
 TEST_CASE("a record is not valid at another offset", "[store]") {
   const std::string Record = frameRecord("one", 0);
   const auto Contents = parseLog(Record + Record, "log");
