--- a/src/fleet/voter_folder.cpp
+++ b/src/fleet/voter_folder.cpp
@@ -3,6 +3,7 @@
 #include "fleet/process_start.h"
 #include "telemetry/log.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 namespace bulrush::fleet {
@@ -13,6 +14,24 @@
 
 constexpr millis RetryDelay{500};
 
+std::string_view causeName(store::folder_fault Cause) {
+  switch (Cause) {
+  case store::folder_fault::disk:
+    return "disk";
+  case store::folder_fault::damaged:
+    return "damaged";
+  case store::folder_fault::unknown_format:
+    return "unknown_format";
+  }
+  return "unknown";
+}
+
+bool isSetAside(const store::durable_log &Log) {
+  const auto &Notices = Log.notices();
+  return std::find(Notices.begin(), Notices.end(),
+                   store::folder_notice::damaged_files) != Notices.end();
+}
+
 } // namespace
 
 voter_folder::voter_folder(boost::asio::io_context &Io, std::string Path,
@@ -22,13 +41,13 @@
 void voter_folder::open() {
   auto Folder = store::openPosixDisk(Path);
   if (!Folder) {
-    onDiskError(Folder.error().Message);
+    onDiskError(store::folder_fault::disk, Folder.error().Message);
     return;
   }
   Disk = std::move(*Folder);
   if (MustRetire) {
     if (const auto Retired = store::durable_log::retire(*Disk); !Retired) {
-      onDiskError(Retired.error().Message);
+      onDiskError(store::folder_fault::disk, Retired.error().Message);
       return;
     }
     MustRetire = false;
@@ -39,11 +58,11 @@
   Options.MinIncarnation = unixMillis();
   Options.HasStableFileIds =
       false; // not every platform keeps them across a restart
-  auto Log = store::durable_log::open(*Disk, Options);
+  auto Log = store::durable_log::openRepaired(*Disk, Options);
   if (Log)
     onOpened(std::move(*Log));
   else
-    onDiskError(Log.error().Message);
+    onDiskError(Log.error().Fault, Log.error().Message);
 }
 
 void voter_folder::onOpened(store::durable_log Log) {
@@ -52,6 +71,11 @@
                         {{"notice", static_cast<int>(Notice)},
                          {"torn_bytes", Log.tornBytes()}});
   control::recovered_state State = Log.state();
+  if (!Log.damage().empty())
+    telemetry::logEvent(severity::error, "folder_damaged",
+                        {{"error", Log.damage()},
+                         {"set_aside", isSetAside(Log)},
+                         {"voter", State.Self.Value}});
   telemetry::logEvent(severity::info, "folder_opened",
                       {{"voter", State.Self.Value},
                        {"boot", State.Boot.Value},
@@ -68,15 +92,17 @@
       [this, Opened](const store::disk_error &Error) {
         boost::asio::post(Io, [this, Opened, Message = Error.Message] {
           if (Opened == Generation)
-            onDiskError(Message);
+            onDiskError(store::folder_fault::disk, Message);
         });
       });
   Host.onFolderOpened(std::move(State));
 }
 
 /// The process keeps running but cannot vote until the folder is open again.
-void voter_folder::onDiskError(const std::string &Message) {
-  telemetry::logEvent(severity::error, "disk_failed", {{"error", Message}});
+void voter_folder::onDiskError(store::folder_fault Cause,
+                               const std::string &Message) {
+  telemetry::logEvent(severity::error, "disk_failed",
+                      {{"cause", causeName(Cause)}, {"error", Message}});
   close();
   RetryTimer.expires_after(toChrono(RetryDelay));
   RetryTimer.async_wait([this, Closed = Generation](auto Error) {
--- a/src/store/disk.h
+++ b/src/store/disk.h
@@ -11,7 +11,13 @@
 
 namespace bulrush::store {
 
-enum class disk_fault : std::uint8_t { not_found, full, read_only, other };
+enum class disk_fault : std::uint8_t {
+  not_found,
+  not_a_file, ///< the name is that of a folder
+  full,
+  read_only,
+  other
+};
 
 /// Why a file operation failed; `Message` is meant for operators.
 struct disk_error {
@@ -41,7 +47,7 @@
   virtual disk_result<std::string> read(const std::string &Name) = 0;
   virtual disk_result<void> rename(const std::string &From,
                                    const std::string &To) = 0;
-  /// Removes a file; succeeds if it doesn't exist.
+  /// Removes a file or a folder; succeeds if it doesn't exist.
   virtual disk_result<void> remove(const std::string &Name) = 0;
   virtual disk_result<std::vector<std::string>> list() = 0;
   virtual disk_result<void> syncDirectory() = 0;
--- a/src/store/posix_disk.cpp
+++ b/src/store/posix_disk.cpp
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <dirent.h>
 #include <fcntl.h>
+#include <filesystem>
 #include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -20,6 +21,8 @@
   disk_fault Fault = disk_fault::other;
   if (Code == ENOENT)
     Fault = disk_fault::not_found;
+  else if (Code == EISDIR)
+    Fault = disk_fault::not_a_file;
   else if (Code == ENOSPC || Code == EDQUOT || Code == EFBIG)
     Fault = disk_fault::full;
   else if (Code == EROFS || Code == EACCES || Code == EPERM)
@@ -128,8 +131,14 @@
   }
 
   disk_result<void> remove(const std::string &Name) override {
-    if (::unlink(pathOf(Name).c_str()) != 0 && errno != ENOENT)
+    if (::unlink(pathOf(Name).c_str()) == 0 || errno == ENOENT)
+      return {};
+    if (errno != EISDIR)
       return systemError("remove " + pathOf(Name), errno);
+    std::error_code Error;
+    std::filesystem::remove_all(pathOf(Name), Error);
+    if (Error)
+      return systemError("remove " + pathOf(Name), Error.value());
     return {};
   }
 
@@ -179,14 +188,22 @@
   descriptor Lock;
 };
 
+/// A folder in the place of the lock file is locked instead: to replace it
+/// would race with another process.
+descriptor openLock(const std::string &Path) {
+  descriptor File(::open(Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+  if (File.valid() || errno != EISDIR)
+    return File;
+  return descriptor(::open(Path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+}
+
 } // namespace
 
 disk_result<std::unique_ptr<disk>> openPosixDisk(const std::string &Path) {
   if (::mkdir(Path.c_str(), FolderMode) != 0 && errno != EEXIST)
     return systemError("create " + Path, errno);
   const std::string LockPath = Path + "/" + LockName;
-  descriptor Lock(
-      ::open(LockPath.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+  descriptor Lock = openLock(LockPath);
   if (!Lock.valid())
     return systemError("open " + LockPath, errno);
   if (::flock(Lock.get(), LOCK_EX | LOCK_NB) != 0)
