Read the endpoint list again after an exception

What callers see: the list of endpoints is read no more, so that after a release requests are sent to endpoints that are gone and none to new ones, until another registry leads. The process lives and says nothing further. Cause: the timer of the next reading was armed after the work of this one. An exception of the codec or of the handler left no timer. Class: a loop that is continued only by the success of its own step. Change: the next reading is scheduled before the handler is called, the timeout of a page before its request is sent, and an exception of the codec counts as a page that cannot be read.

--- a/src/fleet/endpoint_reader.cpp
+++ b/src/fleet/endpoint_reader.cpp
@@ -71,23 +71,34 @@
 
 void endpoint_reader::readPage() {
   IsWaitingForPage = true;
-  Exchange = Client.send(Codec->page(PageToken), [this](auto Result) {
-    if (IsRunning)
-      onPage(Result);
-  });
   Timer.expires_after(toChrono(Settings.PageTimeout));
   Timer.async_wait([this](boost::system::error_code Error) {
     if (!Error && IsRunning)
       onTimer();
   });
+  Exchange = Client.send(Codec->page(PageToken), [this](auto Result) {
+    if (IsRunning)
+      onPage(Result);
+  });
+}
+
+/// An exception of the codec is an unreadable page: the next reading may
+/// succeed.
+expected<endpoint_page>
+endpoint_reader::decode(const http::exchange_result &Result) const {
+  if (Result.Status != http::exchange_status::done)
+    return fail("no response");
+  try {
+    return Codec->decode(Result.Response);
+  } catch (const std::exception &Error) {
+    return fail(Error.what());
+  }
 }
 
 void endpoint_reader::onPage(const http::exchange_result &Result) {
   Exchange = 0;
   Timer.cancel();
-  const bool IsDone = Result.Status == http::exchange_status::done;
-  auto Page = IsDone ? Codec->decode(Result.Response)
-                     : expected<endpoint_page>(fail("no response"));
+  auto Page = decode(Result);
   if (!Page) {
     if (!IsUnavailable)
       telemetry::logEvent(severity::warning, "endpoint_list_lost",
@@ -111,8 +122,10 @@
     telemetry::logEvent(severity::warning, "endpoint_list_unreadable_entries",
                         {{"count", Unreadable}});
   LoggedUnreadable = Unreadable;
-  OnRead(std::move(Endpoints), StartedAt);
+  std::vector<relay::listed_endpoint> Found = std::move(Endpoints);
+  // Scheduled first: the handler may throw or stop the reader.
   schedule(Settings.Interval, true);
+  OnRead(std::move(Found), StartedAt);
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/endpoint_reader.h
+++ b/src/fleet/endpoint_reader.h
@@ -35,6 +35,7 @@
 private:
   void readPage();
   void onPage(const http::exchange_result &Result);
+  expected<endpoint_page> decode(const http::exchange_result &Result) const;
   void schedule(millis Delay, bool Restart);
   void onTimer();
 
