Keep an exception in the writer thread from ending a registry

What callers see: a registry ends by itself (SIGABRT) when a write of its log runs out of memory, where an address space or a control group is limited. Cause: nothing caught an exception on the thread that writes the folder; the guard of the event loop covers the main thread only. Class: an exception that leaves a thread. Change: it is reported like a disk error, so that the folder is closed and opened again after a delay. By reading before; not seen in a deployment.

--- a/src/fleet/disk_thread.cpp
+++ b/src/fleet/disk_thread.cpp
@@ -34,9 +34,7 @@
         return;
       Batch.swap(Pending);
     }
-    for (const control::persist &Each : Batch)
-      Log.write(Each);
-    const auto Synced = Log.sync();
+    const auto Synced = sync(Batch);
     if (!Synced) {
       OnFailed(Synced.error());
       return;
@@ -45,4 +43,18 @@
   }
 }
 
+/// An exception, as without memory, is a disk error: it would end the process
+/// if it left the thread.
+store::disk_result<control::write_id>
+disk_thread::sync(const std::vector<control::persist> &Batch) {
+  try {
+    for (const control::persist &Each : Batch)
+      Log.write(Each);
+    return Log.sync();
+  } catch (const std::exception &Error) {
+    return tl::unexpected<store::disk_error>(
+        {store::disk_fault::other, Error.what()});
+  }
+}
+
 } // namespace bulrush::fleet
--- a/src/fleet/disk_thread.h
+++ b/src/fleet/disk_thread.h
@@ -30,6 +30,8 @@
 
 private:
   void run();
+  store::disk_result<control::write_id>
+  sync(const std::vector<control::persist> &Batch);
 
   store::durable_log Log;
   synced_handler OnSynced;
