Open a data folder again after an exception

What callers see: a registry that lives and never votes again; where as many others are away as may be lost, orders are taken no more. Cause: only an error that the disk returned armed the retry. An exception, such as no memory for the state or no thread for the writer, left the folder closed for good, or open without a node. Class: a retry that only expected failures arm. Change: an exception in an opening is handled like a disk error, and the retry is armed before the host is told, which may throw as well. Result: the new case of voter_folder_test fails on the old code (not open after 0.7 s) and passes. By reading before; not seen in a deployment.

--- a/src/fleet/voter_folder.cpp
+++ b/src/fleet/voter_folder.cpp
@@ -19,7 +19,18 @@
                            vm_id Vm, voter_folder_host &Host)
     : Io(Io), Path(std::move(Path)), Vm(Vm), Host(Host), RetryTimer(Io) {}
 
+/// An exception, as without memory or threads, is retried like a disk error.
 void voter_folder::open() {
+  try {
+    tryOpen();
+  } catch (const std::exception &Error) {
+    onDiskError(Error.what());
+  }
+}
+
+void voter_folder::tryOpen() {
+  Writer.reset();
+  Disk.reset();
   auto Folder = store::openPosixDisk(Path);
   if (!Folder) {
     onDiskError(Folder.error().Message);
@@ -77,12 +88,13 @@
 /// The process keeps running but cannot vote until the folder is open again.
 void voter_folder::onDiskError(const std::string &Message) {
   telemetry::logEvent(severity::error, "disk_failed", {{"error", Message}});
-  close();
+  // Scheduled first: the host may throw.
   RetryTimer.expires_after(toChrono(RetryDelay));
-  RetryTimer.async_wait([this, Closed = Generation](auto Error) {
+  RetryTimer.async_wait([this, Closed = ++Generation](auto Error) {
     if (!Error && Closed == Generation)
       open();
   });
+  release();
 }
 
 void voter_folder::write(control::persist Write) {
@@ -92,6 +104,10 @@
 
 void voter_folder::close() {
   ++Generation;
+  release();
+}
+
+void voter_folder::release() {
   Host.onFolderClosed();
   Writer.reset();
   Disk.reset();
--- a/src/fleet/voter_folder.h
+++ b/src/fleet/voter_folder.h
@@ -35,6 +35,8 @@
   void replace();
 
 private:
+  void tryOpen();
+  void release();
   void onOpened(store::durable_log Log);
   void onDiskError(const std::string &Message);
 
--- a/test/shell/voter_folder_test.cpp
+++ b/test/shell/voter_folder_test.cpp
@@ -4,7 +4,9 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <optional>
+#include <stdexcept>
 #include <unistd.h>
+#include <utility>
 
 using namespace bulrush;
 
@@ -18,6 +20,8 @@
   boost::asio::io_context Io;
   std::optional<control::recovered_state> State;
   control::write_id Persisted;
+  int Openings = 0;
+  bool ThrowsOnce = false; ///< in the next `onFolderOpened`
   fleet::voter_folder Folder{Io, Path.string(), vm_id{1}, *this};
 
   ~fixture() override {
@@ -29,6 +33,9 @@
   fixture &operator=(const fixture &) = delete;
 
   void onFolderOpened(control::recovered_state Opened) override {
+    ++Openings;
+    if (std::exchange(ThrowsOnce, false))
+      throw std::runtime_error("no memory");
     State = std::move(Opened);
   }
   void onPersisted(control::write_id Write) override { Persisted = Write; }
@@ -77,3 +84,17 @@
   Test.runFor(MoreThanRetryDelay);
   CHECK_FALSE(Test.State);
 }
+
+// Guards against a voter that never votes again, since an exception kept its
+// folder from being opened and no retry was due.
+TEST_CASE("a folder is opened again after an exception", "[folder]") {
+  fixture Test;
+  Test.ThrowsOnce = true;
+  try {
+    Test.Folder.open();
+  } catch (const std::runtime_error &) { // the event loop goes on
+  }
+  CHECK_FALSE(Test.State);
+  Test.runFor(MoreThanRetryDelay);
+  CHECK(Test.State);
+}
