Pause between two openings of a folder after failed steps

What callers see: while each step of a registry fails, for instance beside a peer that breaks an invariant each time it leads, the registry takes the processor and the disk: its folder is opened, and a new file synced, 20 times a second and more. Cause: a failed step closed the folder and opened it in the same turn of the event loop, however soon the step before had failed. Class: a retry without a delay. Change: the first reopening is made at once, a further one not sooner after the previous opening than after a disk error (0.5 s). A case of voter_folder_test covers the same without a process.

--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -438,9 +438,10 @@
   void reopenFolder() {
     MustReopen = true;
     asio::post(Io, [this] {
-      Folder.close();
-      if (!IsStopping && !RefusedRecord)
-        Folder.open();
+      if (IsStopping || RefusedRecord)
+        Folder.close();
+      else
+        Folder.reopen();
     });
   }
 
--- a/src/fleet/voter_folder.cpp
+++ b/src/fleet/voter_folder.cpp
@@ -21,6 +21,7 @@
 
 /// An exception, as without memory or threads, is retried like a disk error.
 void voter_folder::open() {
+  LastOpening = std::chrono::steady_clock::now();
   try {
     tryOpen();
   } catch (const std::exception &Error) {
@@ -89,12 +90,16 @@
 void voter_folder::onDiskError(const std::string &Message) {
   telemetry::logEvent(severity::error, "disk_failed", {{"error", Message}});
   // Scheduled first: the host may throw.
-  RetryTimer.expires_after(toChrono(RetryDelay));
+  scheduleOpen(std::chrono::steady_clock::now() + toChrono(RetryDelay));
+  release();
+}
+
+void voter_folder::scheduleOpen(std::chrono::steady_clock::time_point At) {
+  RetryTimer.expires_at(At);
   RetryTimer.async_wait([this, Closed = ++Generation](auto Error) {
     if (!Error && Closed == Generation)
       open();
   });
-  release();
 }
 
 void voter_folder::write(control::persist Write) {
@@ -113,6 +118,11 @@
   Disk.reset();
 }
 
+void voter_folder::reopen() {
+  scheduleOpen(LastOpening + toChrono(RetryDelay));
+  release();
+}
+
 void voter_folder::replace() {
   close();
   MustRetire = true;
--- a/src/fleet/voter_folder.h
+++ b/src/fleet/voter_folder.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -30,12 +31,17 @@
   void open();
   void write(control::persist Write);
   void close();
+  /// Closes the folder and opens it again: at once, but not sooner after the
+  /// previous opening than a failed one is retried.
+  void reopen();
   /// Retires the folder, because it is an outdated copy or its member was
   /// removed, and opens a new one; on an error, retries until both succeed.
   void replace();
 
 private:
   void tryOpen();
+  /// Opens the folder at `At` unless it is opened or closed before.
+  void scheduleOpen(std::chrono::steady_clock::time_point At);
   void release();
   void onOpened(store::durable_log Log);
   void onDiskError(const std::string &Message);
@@ -48,6 +54,7 @@
   std::unique_ptr<store::disk> Disk;
   std::unique_ptr<disk_thread> Writer;
   bool MustRetire = false; ///< before the folder is opened
+  std::chrono::steady_clock::time_point LastOpening{};
   std::uint64_t Generation =
       0; ///< increases with each opening and closing; callbacks of an earlier
          ///< generation are ignored
--- a/test/shell/voter_folder_test.cpp
+++ b/test/shell/voter_folder_test.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <optional>
 #include <stdexcept>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -98,3 +99,21 @@
   Test.runFor(MoreThanRetryDelay);
   CHECK(Test.State);
 }
+
+// Guards against a loop without a pause that takes the processor and the disk,
+// when each step after an opening fails.
+TEST_CASE("a folder that is reopened again and again is opened with pauses",
+          "[folder]") {
+  fixture Test;
+  Test.Folder.open();
+  std::this_thread::sleep_for(MoreThanRetryDelay);
+  Test.Folder.reopen();
+  Test.runFor(std::chrono::milliseconds(50));
+  CHECK(Test.Openings == 2);
+  Test.Folder.reopen();
+  Test.runFor(std::chrono::milliseconds(50));
+  CHECK_FALSE(Test.State);
+  Test.runFor(MoreThanRetryDelay);
+  CHECK(Test.State);
+  CHECK(Test.Openings == 3);
+}
