Go on with the timeouts of connections after an exception

What callers see: connections that are idle or do not read are closed no more; once as many are open as are allowed, new clients are closed at once. Cause: the periodic check armed its timer after its work. An exception of the handler that is told of a disconnected client left no timer. Class: a loop that is continued only by the success of its own step, as in endpoint_reader. Change: the timer is armed first, in the server and in the client. The client's check tells no handler directly; it was changed for the same reason, and has no case of its own. By reading before; not seen in a deployment.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -550,8 +550,8 @@
     const auto Self = Weak.lock();
     if (Error || !Self)
       return;
+    Self->scheduleSweep(); // first, since handlers may throw
     Self->closeOverdue();
-    Self->scheduleSweep();
   });
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -458,6 +458,7 @@
     const auto State = Weak.lock();
     if (Error || !State)
       return;
+    scheduleSweep(State); // first, since handlers may throw
     std::vector<std::shared_ptr<session>> Overdue;
     for (const auto &Session : State->Sessions)
       if (Session->isOverdue(State->Settings))
@@ -470,7 +471,6 @@
         Session->close();
       }
     }
-    scheduleSweep(State);
   });
 }
 
