Remove a closed connection before its handler is told

What callers see: after an exception in the handling of a client that left, its connection counts against the limit for good, and a relay that is stopped waits for it until the end of the grace period. Cause: the connection was removed after the handler had returned. Class: work that is due in any case comes after a call that may throw. Change: it is removed first. By reading before; not seen in a deployment.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -91,11 +91,12 @@
     Owner->TotalBodyBytes -= ReadBodyBytes;
     for (const response_slot &Slot : Pending)
       Owner->TotalBodyBytes -= Slot.BodyBytes;
+    const auto Self = shared_from_this();
+    Owner->Sessions.erase(Self); // first, since the handler may throw
     if (Owner->Settings.CancelOnDisconnect)
       for (const response_slot &Slot : Pending)
         if (Slot.Token != 0 && !Slot.Response)
           Owner->Handler.onClientDisconnected(Slot.Token);
-    Owner->Sessions.erase(shared_from_this());
   }
 
   bool isOverdue(const server_settings &Settings) const {
--- a/test/shell/http_sweep_test.cpp
+++ b/test/shell/http_sweep_test.cpp
@@ -78,3 +78,26 @@
   Guard.run(Io);
   CHECK(IsClosed);
 }
+
+// Guards against connections that count against the limit after they were
+// closed, since an exception of the handler kept them from being removed.
+TEST_CASE("a connection is removed before its handler is told", "[http]") {
+  asio::io_context Io;
+  telemetry::metrics Metrics;
+  throwing_handler Handler;
+  http::server Server(Io, settings(), Handler, Metrics);
+  REQUIRE(Server.start());
+  Handler.Requests = 1;
+  {
+    tcp::socket Client(Io);
+    Client.connect({asio::ip::make_address("127.0.0.1"), Port});
+    asio::write(Client,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    Io.run_for(std::chrono::milliseconds(100));
+    REQUIRE(Handler.Requests == 2);
+    REQUIRE(Server.connectionCount() == 1);
+  }
+  Io.restart();
+  CHECK_THROWS(Io.run_for(std::chrono::milliseconds(300)));
+  CHECK(Server.connectionCount() == 0);
+}
