Refuse shard requests that name no shard

What callers see: a relay ends by itself (SIGSEGV, no exception), and all requests on its connections are lost. Any process that reaches its port for other relays can do so with one frame of eight bytes. Cause: a shard request becomes a request with a part for each shard; the first part is used without a look whether there is one. No build sends such a request, but a build that names shards in a field of its own, or a stray sender, would. Class: input of another process that is used beyond what it holds. Change: the link refuses the frame, counts it and logs it as it does other messages that it cannot use. The new case of peer_links_test fails on the old code (0 refused) and passes.

--- a/src/fleet/peer_links.cpp
+++ b/src/fleet/peer_links.cpp
@@ -60,7 +60,10 @@
     OnRefused(Bytes, Message.error());
     return;
   }
-  if (auto *ShardRequest = std::get_if<relay::shard_request>(&*Message))
+  if (auto *ShardRequest = std::get_if<relay::shard_request>(&*Message);
+      ShardRequest && ShardRequest->Shards.empty())
+    OnRefused(Bytes, {"fleet message: a shard request without shards"});
+  else if (ShardRequest)
     OnEvent(relay::shard_request_arrived{From, std::move(*ShardRequest)});
   else if (const auto *Cancel = std::get_if<shard_request_cancel>(&*Message))
     OnEvent(relay::shard_request_cancelled{From, Cancel->ShardRequest,
--- a/test/shell/peer_links_test.cpp
+++ b/test/shell/peer_links_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet/peer_links.h"
+#include "fleet/voter_links.h"
 #include "relay_fixture.h"
+#include "wire/fleet_codec.h"
 
 #include <boost/asio.hpp>
 #include <memory>
@@ -234,3 +236,33 @@
           ShardCount);
   }
 }
+
+// Guards against a relay that ends by itself (SIGSEGV) on a shard request that
+// names no shard.
+TEST_CASE("a shard request without shards is refused", "[peer_links]") {
+  asio::io_context Io;
+  int Arrived = 0;
+  int Refused = 0;
+  fleet::peer_links Links(
+      Io, ResponderVm, Port,
+      [&](const relay_event &Event) {
+        Arrived += std::holds_alternative<shard_request_arrived>(Event) ? 1 : 0;
+      },
+      [&](const std::string &, const error &) { ++Refused; });
+  REQUIRE(Links.listen());
+  shard_request Request;
+  Request.Content = std::make_shared<opaque_request>();
+  const auto Link =
+      std::make_shared<fleet::frame_link>(asio::ip::tcp::socket(Io));
+  Link->connect(
+      fleet::tcpEndpoint(ResponderVm, Port), [](const std::string &) {}, [] {});
+  for (const bool IsQuery : {true, false}) {
+    Request.IsQuery = IsQuery;
+    Link->send(wire::encode(Request));
+  }
+  Request.Shards = {{"s100"}};
+  Link->send(wire::encode(Request));
+  Io.run_for(std::chrono::milliseconds(200));
+  CHECK(Refused == 2);
+  CHECK(Arrived == 1);
+}
