--- a/src/fleet/voter_folder.cpp
+++ b/src/fleet/voter_folder.cpp
@@ -38,7 +38,19 @@
                            vm_id Vm, voter_folder_host &Host)
     : Io(Io), Path(std::move(Path)), Vm(Vm), Host(Host), RetryTimer(Io) {}
 
+/// An exception, as without memory or threads, is retried like a disk error.
 void voter_folder::open() {
+  LastOpening = std::chrono::steady_clock::now();
+  try {
+    tryOpen();
+  } catch (const std::exception &Error) {
+    onDiskError(store::folder_fault::disk, Error.what());
+  }
+}
+
+void voter_folder::tryOpen() {
+  Writer.reset();
+  Disk.reset();
   auto Folder = store::openPosixDisk(Path);
   if (!Folder) {
     onDiskError(store::folder_fault::disk, Folder.error().Message);
@@ -103,9 +115,14 @@
                                const std::string &Message) {
   telemetry::logEvent(severity::error, "disk_failed",
                       {{"cause", causeName(Cause)}, {"error", Message}});
-  close();
-  RetryTimer.expires_after(toChrono(RetryDelay));
-  RetryTimer.async_wait([this, Closed = Generation](auto Error) {
+  // Scheduled first: the host may throw.
+  scheduleOpen(std::chrono::steady_clock::now() + toChrono(RetryDelay));
+  release();
+}
+
+void voter_folder::scheduleOpen(std::chrono::steady_clock::time_point At) {
+  RetryTimer.expires_at(At);
+  RetryTimer.async_wait([this, Closed = ++Generation](auto Error) {
     if (!Error && Closed == Generation)
       open();
   });
@@ -118,11 +135,20 @@
 
 void voter_folder::close() {
   ++Generation;
+  release();
+}
+
+void voter_folder::release() {
   Host.onFolderClosed();
   Writer.reset();
   Disk.reset();
 }
 
+void voter_folder::reopen() {
+  scheduleOpen(LastOpening + toChrono(RetryDelay));
+  release();
+}
+
 void voter_folder::replace() {
   close();
   MustRetire = true;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -91,11 +91,12 @@
     Owner->TotalBodyBytes -= ReadBodyBytes;
     for (const response_slot &Slot : Pending)
       Owner->TotalBodyBytes -= Slot.BodyBytes;
+    const auto Self = shared_from_this();
+    Owner->Sessions.erase(Self); // first, since the handler may throw
     if (Owner->Settings.CancelOnDisconnect)
       for (const response_slot &Slot : Pending)
         if (Slot.Token != 0 && !Slot.Response)
           Owner->Handler.onClientDisconnected(Slot.Token);
-    Owner->Sessions.erase(shared_from_this());
   }
 
   bool isOverdue(const server_settings &Settings) const {
@@ -458,6 +459,7 @@
     const auto State = Weak.lock();
     if (Error || !State)
       return;
+    scheduleSweep(State); // first, since handlers may throw
     std::vector<std::shared_ptr<session>> Overdue;
     for (const auto &Session : State->Sessions)
       if (Session->isOverdue(State->Settings))
@@ -470,7 +472,6 @@
         Session->close();
       }
     }
-    scheduleSweep(State);
   });
 }
 
--- a/test/shell/voter_folder_test.cpp
+++ b/test/shell/voter_folder_test.cpp
@@ -5,7 +5,10 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <stdexcept>
+#include <thread>
 #include <unistd.h>
+#include <utility>
 
 using namespace bulrush;
 
@@ -19,6 +22,8 @@
   boost::asio::io_context Io;
   std::optional<control::recovered_state> State;
   control::write_id Persisted;
+  int Openings = 0;
+  bool ThrowsOnce = false; ///< in the next `onFolderOpened`
   fleet::voter_folder Folder{Io, Path.string(), vm_id{1}, *this};
 
   ~fixture() override {
@@ -30,6 +35,9 @@
   fixture &operator=(const fixture &) = delete;
 
   void onFolderOpened(control::recovered_state Opened) override {
+    ++Openings;
+    if (std::exchange(ThrowsOnce, false))
+      throw std::runtime_error("no memory");
     State = std::move(Opened);
   }
   void onPersisted(control::write_id Write) override { Persisted = Write; }
@@ -94,3 +102,35 @@
   CHECK(Test.State->HasFormerMember);
   CHECK(files::exists(Test.Path / "log.damaged"));
 }
+
+// Guards against a voter that never votes again, since an exception kept its
+// folder from being opened and no retry was due.
+TEST_CASE("a folder is opened again after an exception", "[folder]") {
+  fixture Test;
+  Test.ThrowsOnce = true;
+  try {
+    Test.Folder.open();
+  } catch (const std::runtime_error &) { // the event loop goes on
+  }
+  CHECK_FALSE(Test.State);
+  Test.runFor(MoreThanRetryDelay);
+  CHECK(Test.State);
+}
+
+// Guards against a loop without a pause that takes the processor and the disk,
+// when each step after an opening fails.
+TEST_CASE("a folder that is reopened again and again is opened with pauses",
+          "[folder]") {
+  fixture Test;
+  Test.Folder.open();
+  std::this_thread::sleep_for(MoreThanRetryDelay);
+  Test.Folder.reopen();
+  Test.runFor(std::chrono::milliseconds(50));
+  CHECK(Test.Openings == 2);
+  Test.Folder.reopen();
+  Test.runFor(std::chrono::milliseconds(50));
+  CHECK_FALSE(Test.State);
+  Test.runFor(MoreThanRetryDelay);
+  CHECK(Test.State);
+  CHECK(Test.Openings == 3);
+}
