Bound what a connection buffers of trailers and chunk headers

What callers saw: a process ran out of memory, as a client sent trailers without end behind a chunked body.

Cause: the parser needs a chunk header and the trailers in one piece, and lets the connection's buffer grow until it has them. Its limit on headers applies to the head only, its limit on bodies to the content of chunks only. The class: a limit on a part of a message that is taken for one on the whole. The same parser reads at every HTTP server of all programs: clients, readiness, operators, metrics, callers.

Change: the buffer of a connection holds a head and 4 KB; a chunk header or trailers that need more are refused with 400, a head with 431 as before. The bytes of one message are bounded too, by eight for a byte of the largest body, which chunks of one byte with their sizes do not reach. The server parses each piece as it arrives, so that the bytes are known in between; until now one call of the library read a whole message.

Tests: on the old code "trailers and chunk headers without end are refused" and "chunks with long extensions are refused in total" fail, with no response; both pass, as does a body in chunks of one byte up to its limit.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -33,6 +33,12 @@
 /// How long a connection whose last response was sent waits for the client to
 /// close it.
 constexpr millis CloseTimeout{1000};
+constexpr std::size_t MinReadBytes = 512;
+/// Input beyond the size limit of a head that a connection may hold: a chunk
+/// header, or the trailers of a request.
+constexpr std::size_t MaxFramingBytes = 4096;
+/// Largest size on the wire of one byte of content, in a chunk of its own.
+constexpr std::size_t MaxBytesPerContentByte = 8;
 /// In seconds, for requests whose body does not fit beside others.
 constexpr char BodyRetryAfter[] = "1";
 
@@ -154,49 +160,95 @@
     if (Pending.size() >= Owner->Settings.MaxPipelined)
       return;
     IsReading = true;
+    MessageBytes = 0;
     Parser.emplace();
+    Parser->eager(true);
     Parser->body_limit(Owner->Settings.MaxBodyBytes);
     Parser->header_limit(
         static_cast<std::uint32_t>(Owner->Settings.MaxHeaderBytes));
-    if (Owner->Settings.MaxTotalBodyBytes == 0) {
-      readMessage();
+    MaxMessageBytes = Owner->Settings.MaxHeaderBytes + MaxFramingBytes +
+                      Owner->Settings.MaxBodyBytes * MaxBytesPerContentByte;
+    Buffer.max_size(std::max(Owner->Settings.MaxHeaderBytes, Buffer.size()) +
+                    MaxFramingBytes);
+    if (Buffer.size() == 0) {
+      readSome();
       return;
     }
-    beast::http::async_read_header(
-        Socket, Buffer, *Parser,
-        [Self = shared_from_this()](error_code Error, std::size_t) {
-          Self->onHeaderRead(Error);
-        });
+    asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+      if (!Self->IsClosed)
+        Self->parse({});
+    });
   }
 
-  void readMessage() {
-    beast::http::async_read(
-        Socket, Buffer, *Parser,
-        [Self = shared_from_this()](error_code Error, std::size_t) {
-          Self->onRead(Error);
+  void readSome() {
+    const std::size_t Free = Buffer.max_size() - Buffer.size();
+    if (Free == 0) {
+      onRead(beast::http::error::buffer_overflow);
+      return;
+    }
+    const std::size_t Size =
+        std::max(MinReadBytes, Buffer.capacity() - Buffer.size());
+    Socket.async_read_some(
+        Buffer.prepare(std::min(Size, Free)),
+        [Self = shared_from_this()](error_code Error, std::size_t Bytes) {
+          if (Self->IsClosed)
+            return;
+          Self->Buffer.commit(Bytes);
+          Self->parse(Error);
         });
   }
 
-  void onHeaderRead(error_code Error) {
+  /// Parses what has arrived, up to the end of one request.
+  void parse(error_code Error) {
     const auto Owner = Server.lock();
-    if (!Owner || IsClosed)
+    if (!Owner)
       return;
-    if (Error || Parser->is_done() || IsReadFinished) {
-      onRead(Error);
+    if (Error == asio::error::eof) {
+      Error = beast::http::error::end_of_stream;
+      if (Parser->got_some())
+        Parser->put_eof(Error);
+    } else if (!Error) {
+      const std::size_t Used = Parser->put(Buffer.data(), Error);
+      Buffer.consume(Used);
+      MessageBytes += Used;
+    }
+    const bool NeedsMore = Error == beast::http::error::need_more;
+    if ((Error && !NeedsMore) || IsReadFinished) {
+      onRead(NeedsMore ? error_code() : Error);
       return;
     }
-    const std::size_t BodyBytes =
-        Parser->content_length().value_or(Owner->Settings.MaxBodyBytes);
-    if (Owner->TotalBodyBytes + BodyBytes > Owner->Settings.MaxTotalBodyBytes) {
+    if (!countBody(*Owner)) {
       IsReading = false;
       refuse(*Owner, 503, "too many large requests at once",
              {{"Retry-After", BodyRetryAfter}});
       discardInput();
       return;
     }
-    Owner->TotalBodyBytes += BodyBytes;
+    if (Parser->is_done()) {
+      onRead({});
+      return;
+    }
+    if (MessageBytes > MaxMessageBytes) {
+      onRead(beast::http::error::bad_chunk_extension);
+      return;
+    }
+    readSome();
+  }
+
+  /// Counts the body that is being read; false if it does not fit beside
+  /// others.
+  bool countBody(detail::server_state &Owner) {
+    const bool HasBody = Parser->is_header_done() &&
+                         (Parser->chunked() || Parser->content_length());
+    if (Owner.Settings.MaxTotalBodyBytes == 0 || !HasBody || ReadBodyBytes > 0)
+      return true;
+    const std::size_t BodyBytes =
+        Parser->content_length().value_or(Owner.Settings.MaxBodyBytes);
+    if (Owner.TotalBodyBytes + BodyBytes > Owner.Settings.MaxTotalBodyBytes)
+      return false;
+    Owner.TotalBodyBytes += BodyBytes;
     ReadBodyBytes = BodyBytes;
-    readMessage();
+    return true;
   }
 
   void onRead(error_code Error) {
@@ -311,7 +363,9 @@
     unsigned Status = 400;
     if (Error == error::body_limit)
       Status = 413;
-    if (Error == error::header_limit)
+    const bool IsHeadTooLarge =
+        Error == error::buffer_overflow && !Parser->is_header_done();
+    if (Error == error::header_limit || IsHeadTooLarge)
       Status = 431;
     refuse(Owner, Status, Error.message());
   }
@@ -427,7 +481,9 @@
   wire_response WireResponse;
   std::deque<response_slot> Pending;
   std::uint64_t NextNumber = 0;
-  std::size_t ReadBodyBytes = 0; ///< of the body that is being read
+  std::size_t ReadBodyBytes = 0;   ///< of the body that is being read
+  std::size_t MessageBytes = 0;    ///< read of this message
+  std::size_t MaxMessageBytes = 0; ///< including the framing of its chunks
   std::chrono::steady_clock::time_point LastActivity;
   std::array<char, 512> Discarded;
   bool IsReading = false;
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1105,3 +1105,64 @@
   CHECK(Test.exchangeRaw(headOf("/three", 900) + Body, 1 << 20)
             .rfind("HTTP/1.1 200", 0) == 0);
 }
+
+namespace {
+
+const std::string ChunkedHead =
+    "PUT /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string trailers(int Count) {
+  std::string Out;
+  for (int I = 0; I < Count; ++I)
+    Out += "X-T" + std::to_string(I) + ": " + std::string(900, 'v') + "\r\n";
+  return Out;
+}
+
+} // namespace
+
+// Guards against a process that runs out of memory: the parser buffers trailers
+// and chunk headers until their end, and its limit on headers is not one on
+// these.
+TEST_CASE("trailers and chunk headers without end are refused", "[http]") {
+  const std::string LongText(64 << 10, '0');
+  const std::string Framing = GENERATE_COPY(
+      "1\r\na\r\n0\r\n" + trailers(64), "1\r\na\r\n0\r\nX-T: " + LongText,
+      "1;e=" + LongText, LongText, "1;e=\"" + LongText, "0;e=" + LongText);
+  fixture Test;
+  const std::string Response = Test.exchangeRaw(ChunkedHead + Framing, 1 << 20);
+  CHECK(Response.rfind("HTTP/1.1 400", 0) == 0);
+  CHECK(Test.Server.inFlightRequests() == 0);
+  CHECK(Test.Metrics.count("http_refused", "400") == 1);
+}
+
+// Guards against a client that makes the server read without end, as only the
+// content of chunks counts against the limit on bodies.
+TEST_CASE("chunks with long extensions are refused in total", "[http]") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 1000;
+  fixture Test(Settings);
+  std::string Chunks;
+  for (int I = 0; I < 100; ++I)
+    Chunks += "1;e=" + std::string(2000, 'v') + "\r\na\r\n";
+  const std::string Response = Test.exchangeRaw(ChunkedHead + Chunks, 1 << 20);
+  CHECK(Response.rfind("HTTP/1.1 400", 0) == 0);
+}
+
+// Guards against a bound on framing that refuses requests inside the limits.
+TEST_CASE("a body in chunks of one byte is served up to its limit", "[http]") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 50'000;
+  fixture Test(Settings);
+  std::string Chunks;
+  for (int I = 0; I < 50'000; ++I)
+    Chunks += "1\r\na\r\n";
+  const std::string Response = Test.exchangeRaw(
+      ChunkedHead + Chunks + "0;e=x\r\n" + trailers(2) +
+          "\r\nGET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+      1 << 20);
+  CHECK(Response.rfind("HTTP/1.1 200", 0) == 0);
+  CHECK(Response.find("/next") != std::string::npos);
+  const std::string TooLarge =
+      Test.exchangeRaw(ChunkedHead + Chunks + "1\r\na\r\n0\r\n\r\n", 1 << 20);
+  CHECK(TooLarge.rfind("HTTP/1.1 413", 0) == 0);
+}
