Free a response once it has been written

What callers saw: a relay ran out of memory, as clients asked for long answers and read them slowly.

Cause: a connection kept the memory of its last response until its next one: a short string that is assigned to a long one leaves the long one's memory in place. The kernel had taken the responses, so the connections counted as idle. The class: memory that is kept by an object which looks empty.

Change: the message exists only while it is being written.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -420,20 +420,20 @@
       Slot.KeepAlive = false;
     if (!Slot.KeepAlive)
       IsReadFinished = true;
-    WireResponse = {};
-    WireResponse.version(Slot.Version);
-    WireResponse.result(Slot.Response->Status);
+    WireResponse.emplace();
+    WireResponse->version(Slot.Version);
+    WireResponse->result(Slot.Response->Status);
     if (!Slot.Response->ContentType.empty())
-      WireResponse.set(beast::http::field::content_type,
-                       Slot.Response->ContentType);
-    detail::addHeaders(WireResponse, Slot.Response->Headers);
-    WireResponse.keep_alive(Slot.KeepAlive);
+      WireResponse->set(beast::http::field::content_type,
+                        Slot.Response->ContentType);
+    detail::addHeaders(*WireResponse, Slot.Response->Headers);
+    WireResponse->keep_alive(Slot.KeepAlive);
     if (Owner && Slot.KeepAlive)
       announceIdleTimeout(Owner->Settings.IdleTimeout);
-    WireResponse.body() = std::move(Slot.Response->Body);
-    WireResponse.prepare_payload();
+    WireResponse->body() = std::move(Slot.Response->Body);
+    WireResponse->prepare_payload();
     beast::http::async_write(
-        Socket, WireResponse,
+        Socket, *WireResponse,
         [Self = shared_from_this()](error_code Error, std::size_t) {
           Self->onWritten(Error);
         });
@@ -445,8 +445,8 @@
     const auto Seconds =
         static_cast<long>(Timeout.Count * AnnouncedIdleShare / 1000);
     if (Seconds > 0)
-      WireResponse.set(beast::http::field::keep_alive,
-                       "timeout=" + std::to_string(Seconds));
+      WireResponse->set(beast::http::field::keep_alive,
+                        "timeout=" + std::to_string(Seconds));
   }
 
   void onWritten(error_code Error) {
@@ -460,6 +460,7 @@
       Owner->TotalBodyBytes -= Pending.front().BodyBytes;
     }
     Pending.pop_front();
+    WireResponse.reset();
     const bool IsLast = IsReadFinished && Pending.empty();
     if (Error) {
       close();
@@ -478,7 +479,7 @@
   std::weak_ptr<detail::server_state> Server;
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
-  wire_response WireResponse;
+  std::optional<wire_response> WireResponse; ///< that is being written
   std::deque<response_slot> Pending;
   std::uint64_t NextNumber = 0;
   std::size_t ReadBodyBytes = 0;   ///< of the body that is being read
