One bound on the memory that clients make a process hold

What callers saw: a process ran out of memory, as many clients sent bodies that never ended, each below its limit, or sent requests in a row and did not read the responses.

Cause: each body, response and buffer was bounded, their sum was not; the relay takes 3,000 connections of 64 requests. The class: a bound on each of many is taken for one on all.

Change: all HTTP servers of a process share a memory_budget, which decides and does no I/O. It counts bytes of requests as they arrive and until their response, and of responses until they are written: a quarter of `memoryMb` at relays and registries, `callers.maxMemoryBytes` at entry daemons, else 64 MiB. A request that does not fit is refused with 503 and Retry-After before it is handled, so it has not run. Requests of more than 16 KB get half, all requests three quarters, so that uploads leave room for small requests and these for responses. First, connections give way whose request has been arriving for 3 s or whose response has been written for 1 s; a response that does not fit closes the connection that has been writing for longest, and its requests are cancelled as after a disconnect. A connection that holds an eighth of the bound reads no further request. A client that is nearly alone is spared, so that a single message inside the limits is served whatever its size. No request scans the connections. New: http_refused{memory}, http_closed{memory}, two gauges, and http_memory_short in the log at most once a second.

--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -55,6 +55,8 @@
   Http.MaxConnections = Settings.Callers.MaxConnections;
   Http.MaxPipelined = Settings.Callers.MaxPipelined;
   Http.MaxBodyBytes = Settings.Callers.MaxBodyBytes;
+  Http.Budget =
+      std::make_shared<http::memory_budget>(Settings.Callers.MaxMemoryBytes);
   Http.IdleTimeout = Settings.Callers.IdleTimeout;
   Http.WriteTimeout = Settings.Callers.WriteTimeout;
   Server.emplace(Io, Http, Api, Metrics);
--- a/src/fleet/process_start.cpp
+++ b/src/fleet/process_start.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds SettingsRetryDelay{50};
 /// Time between two log lines on settings that are waited for.
 constexpr std::chrono::seconds WaitLogInterval{5};
+/// Part of the memory of a process that its clients' requests and responses may
+/// take; the rest is for copies of them and for state.
+constexpr std::size_t ClientMemoryShare = 4;
 
 /// Whether the process can use its addresses.
 expected<void> checkAddresses(const process_settings &Settings,
@@ -99,8 +102,18 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Now).count());
 }
 
-http::server_settings metricsSettings(const process_settings &Settings) {
+std::shared_ptr<http::memory_budget>
+makeMemoryBudget(const process_settings &Settings) {
+  const std::size_t Bytes = Settings.MemoryBytes / ClientMemoryShare;
+  return std::make_shared<http::memory_budget>(
+      Bytes > 0 ? Bytes : http::DefaultMemoryBytes);
+}
+
+http::server_settings
+metricsSettings(const process_settings &Settings,
+                std::shared_ptr<http::memory_budget> Budget) {
   http::server_settings Out;
+  Out.Budget = std::move(Budget);
   Out.Listen = {Settings.Ip, Settings.MetricsPort};
   Out.MaxConnections = 16;
   return Out;
--- a/src/fleet/process_start.h
+++ b/src/fleet/process_start.h
@@ -26,7 +26,12 @@
 /// Returns a random seed from the operating system.
 std::uint64_t drawSeed();
 std::uint64_t unixMillis();
-http::server_settings metricsSettings(const process_settings &Settings);
+/// Returns what the clients of the process may make its servers hold.
+std::shared_ptr<http::memory_budget>
+makeMemoryBudget(const process_settings &Settings);
+http::server_settings
+metricsSettings(const process_settings &Settings,
+                std::shared_ptr<http::memory_budget> Budget);
 
 inline std::chrono::microseconds toChrono(millis Time) {
   return std::chrono::microseconds(static_cast<std::int64_t>(Time.Count * 1e3));
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -146,12 +146,13 @@
     Http.Listen = Settings.Operators;
     Http.MaxBodyBytes = MaxOrderBytes;
     Http.MaxTotalBodyBytes = MaxTotalOrderBytes;
+    Http.Budget = Budget;
     Operators.emplace(Io, Http, OperatorHandler, Metrics);
     auto Started = Operators->start();
     if (!Started)
       return Started;
     if (Settings.MetricsPort != 0) {
-      MetricsServer.emplace(Io, metricsSettings(Settings), MetricsPage,
+      MetricsServer.emplace(Io, metricsSettings(Settings, Budget), MetricsPage,
                             Metrics);
       if (auto Other = MetricsServer->start(); !Other)
         return Other;
@@ -691,6 +692,8 @@
     Set("registry_quarantines", Subscribers.quarantineCount(Clock.now()));
     Set("registry_endpoints", LastDirectory.Endpoints.size());
     Set("registry_list_age_ms", (Clock.now() - DirectoryReadAt).Count);
+    Set("http_memory_bytes", Budget->usedBytes());
+    Set("http_memory_max_bytes", Budget->maxBytes());
     Set("log_lines_dropped", telemetry::droppedLines());
     Rollouts.setGauges();
     if (!Node)
@@ -772,6 +775,8 @@
   metrics_page MetricsPage{Metrics, [this] { setGauges(); }};
   refused_messages Refused{Metrics};
   operator_handler OperatorHandler;
+  const std::shared_ptr<http::memory_budget> Budget =
+      makeMemoryBudget(Settings);
   std::optional<http::server> Operators;
   std::optional<http::server> MetricsServer;
   http::listener Listener;
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -110,9 +110,11 @@
     ClientSettings.Listen = Settings.Clients;
     ClientSettings.CancelOnDisconnect = true;
     ClientSettings.MaxConnections = 3000;
+    ClientSettings.Budget = Budget;
     Clients.emplace(Io, ClientSettings, *this, Metrics);
     http::server_settings ReadinessSettings;
     ReadinessSettings.Listen = Settings.Readiness;
+    ReadinessSettings.Budget = Budget;
     Readiness.emplace(Io, ReadinessSettings, ReadinessHandler, Metrics);
     for (http::server *Server : {&*Clients, &*Readiness})
       if (auto Started = Server->start(); !Started)
@@ -126,7 +128,8 @@
       return Listening;
     if (Settings.MetricsPort == 0)
       return {};
-    MetricsServer.emplace(Io, metricsSettings(Settings), MetricsPage, Metrics);
+    MetricsServer.emplace(Io, metricsSettings(Settings, Budget), MetricsPage,
+                          Metrics);
     return MetricsServer->start();
   }
 
@@ -340,6 +343,8 @@
     Set("log_lines_dropped", telemetry::droppedLines());
     Set("listening_clients", Clients->isListening() ? 1 : 0);
     Set("listening_relays", PeerLinks.isListening() ? 1 : 0);
+    Set("http_memory_bytes", Budget->usedBytes());
+    Set("http_memory_max_bytes", Budget->maxBytes());
     Set("stopping", IsStopping ? 1 : 0);
   }
 
@@ -426,6 +431,8 @@
       std::make_shared<const relay::catalog>();
   decision_log Log;
   std::unordered_map<query_id, http::responder> Responders;
+  const std::shared_ptr<http::memory_budget> Budget =
+      makeMemoryBudget(Settings);
   std::optional<http::server> Clients;
   std::optional<http::server> Readiness;
   std::optional<http::server> MetricsServer;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -34,6 +34,12 @@
 /// close it.
 constexpr millis CloseTimeout{1000};
 constexpr std::size_t MinReadBytes = 512;
+/// A connection without a request frees a larger input buffer.
+constexpr std::size_t MaxIdleBufferBytes = 4096;
+/// Part of the budget of memory that one connection may take before it reads
+/// no further requests.
+constexpr std::size_t ConnectionShare = 8;
+constexpr millis MemoryLogInterval{1000};
 /// Input beyond the size limit of a head that a connection may hold: a chunk
 /// header, or the trailers of a request.
 constexpr std::size_t MaxFramingBytes = 4096;
@@ -68,18 +74,42 @@
   std::size_t TotalBodyBytes = 0; ///< see `MaxTotalBodyBytes`
   request_token LastToken = 0;
   bool ClosesAfterResponses = false;
+  std::shared_ptr<memory_budget> Budget;
+  steady_clock_source Clock;
+  std::optional<instant> MemoryLoggedAt;
 
   server_state(asio::io_context &Io, server_settings Settings, handler &Handler,
                telemetry::metrics &Metrics)
       : Io(Io), Settings(std::move(Settings)), Handler(Handler),
-        Metrics(Metrics), SweepTimer(Io) {}
+        Metrics(Metrics), SweepTimer(Io), Budget(this->Settings.Budget) {
+    if (!Budget)
+      Budget = std::make_shared<memory_budget>(DefaultMemoryBytes);
+  }
+
+  /// Counts a request that is refused, or a connection that is closed, as
+  /// memory is short.
+  void onMemoryShort(const char *Metric) {
+    Metrics.add(Metric, "memory");
+    const instant Now = Clock.now();
+    if (MemoryLoggedAt && Now - *MemoryLoggedAt < MemoryLogInterval)
+      return;
+    MemoryLoggedAt = Now;
+    telemetry::logEvent(telemetry::severity::warning, "http_memory_short",
+                        {{"action", Metric},
+                         {"used_bytes", Budget->usedBytes()},
+                         {"max_bytes", Budget->maxBytes()},
+                         {"connections", Sessions.size()}});
+  }
 };
 
 /// One connection of a client.
-class session : public std::enable_shared_from_this<session> {
+class session : public std::enable_shared_from_this<session>,
+                public memory_holder {
 public:
-  session(tcp::socket Socket, std::weak_ptr<detail::server_state> Server)
-      : Socket(std::move(Socket)), Server(std::move(Server)),
+  session(tcp::socket Socket,
+          const std::shared_ptr<detail::server_state> &Server)
+      : Socket(std::move(Socket)), Server(Server),
+        Memory(Server->Budget, *this),
         LastActivity(std::chrono::steady_clock::now()) {}
 
   void start() { readNext(); }
@@ -93,6 +123,7 @@
     const auto Owner = Server.lock();
     if (!Owner)
       return;
+    Memory.release();
     Owner->InFlightRequests -= Pending.size();
     Owner->TotalBodyBytes -= ReadBodyBytes;
     for (const response_slot &Slot : Pending)
@@ -104,6 +135,13 @@
     Owner->Sessions.erase(shared_from_this());
   }
 
+  void evict() override {
+    if (const auto Owner = Server.lock())
+      Owner->onMemoryShort("http_closed");
+    const auto Self = shared_from_this();
+    close();
+  }
+
   bool isOverdue(const server_settings &Settings) const {
     const auto SinceActivity = std::chrono::steady_clock::now() - LastActivity;
     if (IsSendingFinished)
@@ -147,7 +185,9 @@
   struct response_slot {
     std::uint64_t Number = 0;
     request_token Token = 0;
-    std::size_t BodyBytes = 0; ///< counted in `TotalBodyBytes`
+    std::size_t BodyBytes = 0;     ///< counted in `TotalBodyBytes`
+    std::size_t RequestBytes = 0;  ///< of a request without a response
+    std::size_t ResponseBytes = 0; ///< of a response that is not written
     bool KeepAlive = true;
     unsigned Version = 11;
     std::optional<response> Response;
@@ -159,6 +199,11 @@
       return;
     if (Pending.size() >= Owner->Settings.MaxPipelined)
       return;
+    if (!Pending.empty() &&
+        Memory.bytes() > Owner->Budget->maxBytes() / ConnectionShare)
+      return;
+    if (Buffer.size() == 0 && Buffer.capacity() > MaxIdleBufferBytes)
+      Buffer.shrink_to_fit();
     IsReading = true;
     MessageBytes = 0;
     Parser.emplace();
@@ -218,10 +263,7 @@
       return;
     }
     if (!countBody(*Owner)) {
-      IsReading = false;
-      refuse(*Owner, 503, "too many large requests at once",
-             {{"Retry-After", BodyRetryAfter}});
-      discardInput();
+      refuseRead(*Owner, "too many large requests at once");
       return;
     }
     if (Parser->is_done()) {
@@ -232,7 +274,50 @@
       onRead(beast::http::error::bad_chunk_extension);
       return;
     }
-    readSome();
+    Memory.beginReading(Owner->Clock.now());
+    if (fitsRead(*Owner, Parser->get().body().size()))
+      readSome();
+    else
+      refuseForMemory(*Owner);
+  }
+
+  void refuseForMemory(detail::server_state &Owner) {
+    Owner.onMemoryShort("http_refused");
+    refuseRead(Owner, "too many requests at once");
+  }
+
+  /// Refuses the request that is being read.
+  void refuseRead(detail::server_state &Owner, const char *Message) {
+    IsReading = false;
+    refuse(Owner, 503, Message, {{"Retry-After", BodyRetryAfter}});
+    discardInput();
+  }
+
+  /// Frees what was read of a request that is not handled.
+  void dropRead() {
+    Parser.reset();
+    Buffer.clear();
+    Buffer.shrink_to_fit();
+    Memory.endReading();
+    ReadBytes = 0;
+    updateMemory();
+  }
+
+  /// Counts what has been read of a request.
+  bool fitsRead(detail::server_state &Owner, std::size_t BodyBytes) {
+    ReadBytes = requestBytes(Owner, BodyBytes);
+    updateMemory();
+    return Owner.Budget->fitsRequest(Memory, ReadBytes, Owner.Clock.now());
+  }
+
+  std::size_t requestBytes(const detail::server_state &Owner,
+                           std::size_t BodyBytes) const {
+    return std::min(MessageBytes, Owner.Settings.MaxHeaderBytes) + BodyBytes;
+  }
+
+  void updateMemory() {
+    Memory.setRequestBytes(PendingRequestBytes + ReadBytes + Buffer.capacity());
+    Memory.setResponseBytes(PendingResponseBytes);
   }
 
   /// Counts the body that is being read; false if it does not fit beside
@@ -273,11 +358,19 @@
       refuse(*Owner, 400, "TRACE with content");
       return;
     }
+    if (!fitsRead(*Owner, Message.body().size())) {
+      refuseForMemory(*Owner);
+      return;
+    }
+    Memory.endReading();
     const bool KeepAlive = Message.keep_alive();
     IsReadFinished = !KeepAlive;
     const std::uint64_t Number = addSlot(*Owner, KeepAlive, Message.version());
     Pending.back().Token = ++Owner->LastToken;
     Pending.back().BodyBytes = Message.body().size();
+    Pending.back().RequestBytes = ReadBytes;
+    PendingRequestBytes += std::exchange(ReadBytes, 0);
+    updateMemory();
     Owner->TotalBodyBytes += Message.body().size();
     request Request{detail::toString(Message.method_string()),
                     detail::toString(Message.target()),
@@ -374,6 +467,7 @@
   void refuse(detail::server_state &Owner, unsigned Status,
               const std::string &Message, std::vector<header> Headers = {}) {
     Owner.Metrics.add("http_refused", std::to_string(Status));
+    dropRead();
     response Response;
     Response.Status = Status;
     Response.Body =
@@ -387,6 +481,7 @@
   /// Reads no more requests; pending responses are still written.
   void finishReading() {
     IsReadFinished = true;
+    dropRead();
     if (Pending.empty())
       close();
   }
@@ -405,8 +500,22 @@
     if (IsClosed || Pending.empty() || Number < Pending.front().Number)
       return;
     response_slot &Slot = Pending[Number - Pending.front().Number];
+    PendingRequestBytes -= std::exchange(Slot.RequestBytes, 0);
+    Slot.ResponseBytes = responseBytes(Response);
+    PendingResponseBytes += Slot.ResponseBytes;
     Slot.Response = std::move(Response);
+    updateMemory();
     writeNext();
+    const auto Owner = Server.lock();
+    if (Owner && !IsClosed)
+      Owner->Budget->fitsResponse(Memory, Owner->Clock.now());
+  }
+
+  static std::size_t responseBytes(const response &Response) {
+    std::size_t Bytes = Response.Body.size();
+    for (const header &Each : Response.Headers)
+      Bytes += Each.Name.size() + Each.Value.size();
+    return Bytes;
   }
 
   void writeNext() {
@@ -432,6 +541,8 @@
       announceIdleTimeout(Owner->Settings.IdleTimeout);
     WireResponse->body() = std::move(Slot.Response->Body);
     WireResponse->prepare_payload();
+    if (Owner)
+      Memory.beginWriting(Owner->Clock.now());
     beast::http::async_write(
         Socket, *WireResponse,
         [Self = shared_from_this()](error_code Error, std::size_t) {
@@ -459,8 +570,11 @@
       --Owner->InFlightRequests;
       Owner->TotalBodyBytes -= Pending.front().BodyBytes;
     }
-    Pending.pop_front();
     WireResponse.reset();
+    PendingResponseBytes -= Pending.front().ResponseBytes;
+    Pending.pop_front();
+    Memory.endWriting();
+    updateMemory();
     const bool IsLast = IsReadFinished && Pending.empty();
     if (Error) {
       close();
@@ -477,14 +591,18 @@
 
   tcp::socket Socket;
   std::weak_ptr<detail::server_state> Server;
+  memory_account Memory;
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
   std::optional<wire_response> WireResponse; ///< that is being written
   std::deque<response_slot> Pending;
   std::uint64_t NextNumber = 0;
-  std::size_t ReadBodyBytes = 0;   ///< of the body that is being read
-  std::size_t MessageBytes = 0;    ///< read of this message
-  std::size_t MaxMessageBytes = 0; ///< including the framing of its chunks
+  std::size_t ReadBodyBytes = 0;        ///< of the body that is being read
+  std::size_t ReadBytes = 0;            ///< held of a request being read
+  std::size_t PendingRequestBytes = 0;  ///< of requests without a response
+  std::size_t PendingResponseBytes = 0; ///< of responses that are not written
+  std::size_t MessageBytes = 0;         ///< read of this message
+  std::size_t MaxMessageBytes = 0;      ///< including the framing of its chunks
   std::chrono::steady_clock::time_point LastActivity;
   std::array<char, 512> Discarded;
   bool IsReading = false;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -4,6 +4,7 @@
 #include "bulrushtray/clock.h"
 #include "bulrushtray/error.h"
 #include "bulrushtray/world.h"
+#include "http/memory_budget.h"
 #include "http/message.h"
 
 #include <cstddef>
@@ -24,6 +25,8 @@
 struct server_state;
 } // namespace detail
 
+constexpr std::size_t DefaultMemoryBytes = 64 << 20;
+
 /// Address and limits of a server. Connections and requests rejected because
 /// of a limit are counted in the metric `http_refused`.
 struct server_settings {
@@ -41,6 +44,10 @@
   millis WriteTimeout{5'000}; ///< clients that do not read responses
   /// Treats the requests of a client that closes its connection as cancelled.
   bool CancelOnDisconnect = false;
+  /// Shared by the servers of a process; none: one of its own of
+  /// `DefaultMemoryBytes`. Beyond it the newest requests are refused with 503,
+  /// and slow clients lose their connections.
+  std::shared_ptr<memory_budget> Budget;
 };
 
 /// Sends the response to one request; must be called exactly once, on the
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -24,6 +24,10 @@
       "maxBodyBytes", {.Least = 1,
                        .Most = MaxBytes,
                        .Fallback = static_cast<double>(Out.MaxBodyBytes)});
+  Out.MaxMemoryBytes = Reader.whole<std::size_t>(
+      "maxMemoryBytes", {.Least = 1,
+                         .Most = MaxBytes,
+                         .Fallback = static_cast<double>(Out.MaxMemoryBytes)});
   Out.IdleTimeout = Reader.duration(
       "idleTimeoutMs",
       {.Least = 100, .Most = MaxMillis, .Fallback = Out.IdleTimeout.Count});
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -17,6 +17,7 @@
   std::size_t MaxConnections = 2'000;
   std::size_t MaxPipelined = 64;
   std::size_t MaxBodyBytes = 1 << 20;
+  std::size_t MaxMemoryBytes = 64 << 20; ///< of all requests and responses
   millis IdleTimeout{60'000};
   millis WriteTimeout{5'000};
 };
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1166,3 +1166,152 @@
       Test.exchangeRaw(ChunkedHead + Chunks + "1\r\na\r\n0\r\n\r\n", 1 << 20);
   CHECK(TooLarge.rfind("HTTP/1.1 413", 0) == 0);
 }
+
+namespace {
+
+/// Answers each request with as many bytes as its target says.
+class sizing_handler final : public http::handler {
+public:
+  void handle(http::request Request, http::responder Respond) override {
+    http::response Response;
+    Response.Body = std::string(std::stoul(Request.Target.substr(1)), 'x');
+    if (IsHolding)
+      Held.push_back([Respond, Response] { Respond(Response); });
+    else
+      Respond(Response);
+  }
+  void onClientDisconnected(http::request_token) override { ++Disconnects; }
+  bool IsHolding = false;
+  int Disconnects = 0;
+  std::vector<std::function<void()>> Held;
+};
+
+constexpr std::size_t BudgetBytes = 4 << 20;
+
+struct bounded_server {
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  sizing_handler Handler;
+  std::shared_ptr<http::memory_budget> Budget =
+      std::make_shared<http::memory_budget>(BudgetBytes);
+  std::optional<http::server> Server;
+
+  bounded_server() {
+    http::server_settings Settings;
+    Settings.Listen = {"127.0.0.1", Port};
+    Settings.CancelOnDisconnect = true;
+    Settings.Budget = Budget;
+    Server.emplace(Io, Settings, Handler, Metrics);
+    REQUIRE(Server->start());
+  }
+
+  /// Sends while the server runs, until all has been sent or it is too slow.
+  void send(tcp::socket &Socket, const std::string &Bytes) {
+    const auto Copy = std::make_shared<std::string>(Bytes);
+    boost::asio::async_write(Socket, boost::asio::buffer(*Copy),
+                             [Copy](auto, std::size_t) {});
+    runFor(Io, 20);
+  }
+
+  /// A client that sends the bytes and reads nothing.
+  tcp::socket sendOnly(const std::string &Bytes) {
+    tcp::socket Socket(Io);
+    Socket.open(tcp::v4());
+    Socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+    send(Socket, Bytes);
+    return Socket;
+  }
+};
+
+std::string get(const std::string &Target) {
+  return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against responses that many clients do not read and that fill the
+// memory of the process.
+TEST_CASE("responses that nobody reads stay within the budget", "[http]") {
+  bounded_server Test;
+  std::vector<tcp::socket> Clients;
+  for (int I = 0; I < 20; ++I) {
+    Clients.push_back(Test.sendOnly(get("/1000000")));
+    CHECK(Test.Budget->usedBytes() <= BudgetBytes);
+  }
+  raw_client Ordinary(Test.Io);
+  Ordinary.send(get("/100000"));
+  runFor(Test.Io, 50);
+  CHECK(Ordinary.Received.size() > 100'000);
+}
+
+// Guards against pipelined requests whose responses are held in any number.
+TEST_CASE("a connection with much unread data reads no further request",
+          "[http]") {
+  bounded_server Test;
+  std::string Requests;
+  for (int I = 0; I < 60; ++I)
+    Requests += get("/400000");
+  const tcp::socket Client = Test.sendOnly(Requests);
+  CHECK(Test.Budget->usedBytes() <= BudgetBytes / 4);
+  CHECK(Test.Server->inFlightRequests() < 10);
+}
+
+// Guards against a backlog of responses that is never read to its end.
+TEST_CASE("a connection that has read its responses goes on", "[http]") {
+  bounded_server Test;
+  raw_client Client(Test.Io);
+  for (int I = 0; I < 20; ++I)
+    Client.send(get("/400000"));
+  runFor(Test.Io, 500);
+  CHECK(Client.Received.size() > 20 * 400'000);
+  CHECK(Test.Server->inFlightRequests() == 0);
+  CHECK(Test.Budget->usedBytes() < 10'000);
+}
+
+// Guards against a request that runs on for a client that was dropped.
+TEST_CASE("the requests of a client that is dropped are cancelled", "[http]") {
+  bounded_server Test;
+  tcp::socket First = Test.sendOnly(get("/3000000"));
+  Test.Handler.IsHolding = true;
+  Test.send(First, get("/16"));
+  const tcp::socket Second = Test.sendOnly(get("/3000000"));
+  REQUIRE(!Test.Handler.Held.empty());
+  Test.Handler.Held.back()();
+  CHECK(Test.Metrics.count("http_closed", "memory") == 1);
+}
+
+// Guards against bodies that never end, each below the limit, which together
+// fill the memory of the process.
+TEST_CASE("uploads that never end stay within the budget", "[http]") {
+  bounded_server Test;
+  const std::string Upload = headOf("/16", 500'000) + std::string(499'000, 'b');
+  std::vector<tcp::socket> Clients;
+  for (int I = 0; I < 20; ++I)
+    Clients.push_back(Test.sendOnly(Upload));
+  runFor(Test.Io, 50);
+  CHECK(Test.Budget->usedBytes() <= BudgetBytes / 4 * 3);
+  CHECK(Test.Metrics.count("http_refused", "memory") > 0);
+  raw_client Ordinary(Test.Io);
+  Ordinary.send(headOf("/16", 1000) + std::string(1000, 'b'));
+  runFor(Test.Io, 50);
+  CHECK(Ordinary.Received.rfind("HTTP/1.1 200", 0) == 0);
+}
+
+// Guards against a refusal that is no promise: the request must not be handled.
+TEST_CASE("a request that does not fit gets 503 and does not run", "[http]") {
+  bounded_server Test;
+  Test.Handler.IsHolding = true;
+  const std::string Body(900'000, 'b');
+  std::vector<tcp::socket> Clients;
+  for (int I = 0; I < 2; ++I)
+    Clients.push_back(Test.sendOnly(headOf("/16", 900'000) + Body));
+  runFor(Test.Io, 50);
+  REQUIRE(Test.Handler.Held.size() == 2);
+  raw_client Newest(Test.Io);
+  Test.send(Newest.Socket, headOf("/16", 900'000) + Body);
+  runFor(Test.Io, 100);
+  CHECK(Newest.Received.rfind("HTTP/1.1 503", 0) == 0);
+  CHECK(Newest.Received.find("Retry-After: 1") != std::string::npos);
+  CHECK(Test.Handler.Held.size() == 2);
+}
