New connections take the place of idle ones, within the descriptors

What callers saw: nobody yet; by the test, clients that open connections and send nothing keep all others out of a server until the idle timeout, and a relay with few descriptors opens more connections than it may.

Cause: a connection beyond the limit was closed at once, however long others had been silent. The limits of 3,000 clients and 1,000 connections each for readiness and operators were no parts of the descriptors that the process has. The class: a resource that those who hold it keep for nothing while others need it.

Change: a new connection beyond the limit takes the place of the one that has waited for a complete request for longest, at least 1 s; connections with an unanswered request stay. Clients and operators get at most three quarters of `maxFds`, which leaves 3,000 and 1,000 where it is 4,100; readiness gets 64. The connections that wait are kept in order, so none is searched for.

--- a/src/fleet/adapter.h
+++ b/src/fleet/adapter.h
@@ -36,7 +36,8 @@
   std::size_t MaxLostVms = 1;
   /// Registries that start for the first time; 0: unknown.
   std::uint32_t FleetSize = 0;
-  std::size_t MemoryBytes = 0; ///< of the process; 0: unknown
+  std::size_t MemoryBytes = 0;    ///< of the process; 0: unknown
+  std::size_t MaxDescriptors = 0; ///< of the process; 0: unknown
   millis GraceTime{5000}; ///< from SIGTERM until the platform kills the process
   relay::relay_settings Relay;
   relay::rollout_limits Rollouts; ///< registry
--- a/src/fleet/process_start.cpp
+++ b/src/fleet/process_start.cpp
@@ -4,6 +4,7 @@
 #include "telemetry/log.h"
 #include "telemetry/process_guard.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <csignal>
 #include <random>
@@ -109,6 +110,13 @@
       Bytes > 0 ? Bytes : http::DefaultMemoryBytes);
 }
 
+std::size_t maxConnections(const process_settings &Settings, std::size_t Most) {
+  if (Settings.MaxDescriptors == 0)
+    return Most;
+  const std::size_t Share = Settings.MaxDescriptors / 4 * 3;
+  return std::clamp<std::size_t>(Share, 1, Most);
+}
+
 http::server_settings
 metricsSettings(const process_settings &Settings,
                 std::shared_ptr<http::memory_budget> Budget) {
--- a/src/fleet/process_start.h
+++ b/src/fleet/process_start.h
@@ -29,6 +29,9 @@
 /// Returns what the clients of the process may make its servers hold.
 std::shared_ptr<http::memory_budget>
 makeMemoryBudget(const process_settings &Settings);
+/// Returns how many connections a server may have: `Most`, or less where the
+/// process may open few descriptors.
+std::size_t maxConnections(const process_settings &Settings, std::size_t Most);
 http::server_settings
 metricsSettings(const process_settings &Settings,
                 std::shared_ptr<http::memory_budget> Budget);
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -146,6 +146,7 @@
     Http.Listen = Settings.Operators;
     Http.MaxBodyBytes = MaxOrderBytes;
     Http.MaxTotalBodyBytes = MaxTotalOrderBytes;
+    Http.MaxConnections = maxConnections(Settings, Http.MaxConnections);
     Http.Budget = Budget;
     Operators.emplace(Io, Http, OperatorHandler, Metrics);
     auto Started = Operators->start();
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -29,6 +29,8 @@
 /// The process exits this long before the platform kills it, so that the last
 /// responses are sent.
 constexpr millis ShutdownMargin{400};
+constexpr std::size_t MaxClientConnections = 3000;
+constexpr std::size_t MaxReadinessConnections = 64;
 /// Accounts with a quota that have metrics of their own.
 constexpr std::size_t MaxAccountSeries = 100;
 
@@ -109,11 +111,13 @@
     http::server_settings ClientSettings;
     ClientSettings.Listen = Settings.Clients;
     ClientSettings.CancelOnDisconnect = true;
-    ClientSettings.MaxConnections = 3000;
+    ClientSettings.MaxConnections =
+        maxConnections(Settings, MaxClientConnections);
     ClientSettings.Budget = Budget;
     Clients.emplace(Io, ClientSettings, *this, Metrics);
     http::server_settings ReadinessSettings;
     ReadinessSettings.Listen = Settings.Readiness;
+    ReadinessSettings.MaxConnections = MaxReadinessConnections;
     ReadinessSettings.Budget = Budget;
     Readiness.emplace(Io, ReadinessSettings, ReadinessHandler, Metrics);
     for (http::server *Server : {&*Clients, &*Readiness})
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <deque>
+#include <list>
 #include <netinet/tcp.h>
 #include <optional>
 #include <unordered_set>
@@ -40,6 +41,9 @@
 /// no further requests.
 constexpr std::size_t ConnectionShare = 8;
 constexpr millis MemoryLogInterval{1000};
+/// A connection that has waited for a request for less time is not closed for a
+/// new one.
+constexpr millis MinIdleTime{1000};
 /// Input beyond the size limit of a head that a connection may hold: a chunk
 /// header, or the trailers of a request.
 constexpr std::size_t MaxFramingBytes = 4096;
@@ -70,6 +74,8 @@
   std::optional<listener> Listener; ///< set by `server::start`
   asio::steady_timer SweepTimer;
   std::unordered_set<std::shared_ptr<session>> Sessions;
+  /// Those without an unanswered request, in the order in which they became so.
+  std::list<session *> IdleSessions;
   std::size_t InFlightRequests = 0;
   std::size_t TotalBodyBytes = 0; ///< see `MaxTotalBodyBytes`
   request_token LastToken = 0;
@@ -112,7 +118,11 @@
         Memory(Server->Budget, *this),
         LastActivity(std::chrono::steady_clock::now()) {}
 
-  void start() { readNext(); }
+  void start() {
+    if (const auto Owner = Server.lock())
+      setIdle(*Owner, true);
+    readNext();
+  }
 
   void close() {
     if (IsClosed)
@@ -124,6 +134,7 @@
     if (!Owner)
       return;
     Memory.release();
+    setIdle(*Owner, false);
     Owner->InFlightRequests -= Pending.size();
     Owner->TotalBodyBytes -= ReadBodyBytes;
     for (const response_slot &Slot : Pending)
@@ -156,6 +167,12 @@
     return Pending.empty() && !IsWriting && !IsSendingFinished;
   }
 
+  /// Whether it may be closed in favour of a new connection.
+  bool givesWay() const {
+    return std::chrono::steady_clock::now() - LastActivity >=
+           detail::toChrono(MinIdleTime);
+  }
+
   /// Whether bytes of a further request have arrived.
   bool hasInput() const {
     error_code Ignored;
@@ -489,6 +506,7 @@
   std::uint64_t addSlot(detail::server_state &Owner, bool KeepAlive,
                         unsigned Version) {
     ++Owner.InFlightRequests;
+    setIdle(Owner, false);
     response_slot &Slot = Pending.emplace_back();
     Slot.Number = NextNumber++;
     Slot.KeepAlive = KeepAlive;
@@ -511,6 +529,14 @@
       Owner->Budget->fitsResponse(Memory, Owner->Clock.now());
   }
 
+  /// Keeps its place among the connections that wait for a request.
+  void setIdle(detail::server_state &Owner, bool IsIdle) {
+    if (IdlePosition && !IsIdle)
+      Owner.IdleSessions.erase(*std::exchange(IdlePosition, std::nullopt));
+    if (!IdlePosition && IsIdle)
+      IdlePosition = Owner.IdleSessions.insert(Owner.IdleSessions.end(), this);
+  }
+
   static std::size_t responseBytes(const response &Response) {
     std::size_t Bytes = Response.Body.size();
     for (const header &Each : Response.Headers)
@@ -568,6 +594,8 @@
     const bool KeepAlive = Pending.front().KeepAlive;
     if (const auto Owner = Server.lock()) {
       --Owner->InFlightRequests;
+      if (Pending.size() == 1)
+        setIdle(*Owner, true);
       Owner->TotalBodyBytes -= Pending.front().BodyBytes;
     }
     WireResponse.reset();
@@ -596,6 +624,7 @@
   std::optional<parser> Parser;
   std::optional<wire_response> WireResponse; ///< that is being written
   std::deque<response_slot> Pending;
+  std::optional<std::list<session *>::iterator> IdlePosition;
   std::uint64_t NextNumber = 0;
   std::size_t ReadBodyBytes = 0;        ///< of the body that is being read
   std::size_t ReadBytes = 0;            ///< held of a request being read
@@ -614,9 +643,19 @@
 
 namespace {
 
+/// Closes the connection that has waited for a request for longest.
+bool makeRoom(detail::server_state &State) {
+  if (State.IdleSessions.empty() || !State.IdleSessions.front()->givesWay())
+    return false;
+  State.Metrics.add("http_closed", "connections");
+  State.IdleSessions.front()->close();
+  return true;
+}
+
 void startSession(const std::shared_ptr<detail::server_state> &State,
                   tcp::socket Socket) {
-  if (State->Sessions.size() >= State->Settings.MaxConnections) {
+  if (State->Sessions.size() >= State->Settings.MaxConnections &&
+      !makeRoom(*State)) {
     State->Metrics.add("http_refused", "too_many_connections");
     return;
   }
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1315,3 +1315,32 @@
   CHECK(Newest.Received.find("Retry-After: 1") != std::string::npos);
   CHECK(Test.Handler.Held.size() == 2);
 }
+
+// Guards against silent connections that keep all others out.
+TEST_CASE("a new connection takes the place of the one idle for longest",
+          "[http]") {
+  http::server_settings Settings;
+  Settings.MaxConnections = 3;
+  fixture F(Settings);
+  raw_client Busy(F.Io);
+  Busy.send(HeldRequest);
+  raw_client Oldest(F.Io);
+  Oldest.send("GET /unfinished");
+  runFor(F.Io, 50);
+  raw_client Younger(F.Io);
+  runFor(F.Io, 50);
+  raw_client TooEarly(F.Io); // nobody has been idle for long
+  runFor(F.Io, 50);
+  CHECK(TooEarly.HasEnded);
+  CHECK(F.Metrics.count("http_refused", "too_many_connections") == 1);
+  runFor(F.Io, 1100);
+  raw_client Newest(F.Io);
+  Newest.send(KeepAliveRequest);
+  runFor(F.Io, 50);
+  CHECK(Newest.Received.find("/now") != std::string::npos);
+  CHECK(Oldest.HasEnded);
+  CHECK_FALSE(Younger.HasEnded);
+  CHECK_FALSE(Busy.HasEnded);
+  CHECK(F.Server.connectionCount() == 3);
+  CHECK(F.Metrics.count("http_closed", "connections") == 1);
+}
