Slow uploads to a registry give way to others

What callers saw: nobody yet; by the test, three uploads of 8 MB that stop keep every order with a body out, with 503, until the idle timeout of 60 s. This was known by reading.

Cause: the bound on the bodies that are read at once counts them as announced, so that uploads which send nothing hold all of it.

Change: an upload that does not fit takes the place of those that have taken longest, if that is at least 3 s. A refused upload stops counting at once, not when its connection has closed.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -41,6 +41,8 @@
 /// no further requests.
 constexpr std::size_t ConnectionShare = 8;
 constexpr millis MemoryLogInterval{1000};
+/// An upload that takes longer gives way to another one.
+constexpr std::chrono::seconds SlowUploadTime{3};
 /// A connection that has waited for a request for less time is not closed for a
 /// new one.
 constexpr millis MinIdleTime{1000};
@@ -76,6 +78,9 @@
   std::unordered_set<std::shared_ptr<session>> Sessions;
   /// Those without an unanswered request, in the order in which they became so.
   std::list<session *> IdleSessions;
+  /// Those with a body in `TotalBodyBytes` that is being read, in the order in
+  /// which they began.
+  std::list<session *> Uploads;
   std::size_t InFlightRequests = 0;
   std::size_t TotalBodyBytes = 0; ///< see `MaxTotalBodyBytes`
   request_token LastToken = 0;
@@ -136,7 +141,7 @@
     Memory.release();
     setIdle(*Owner, false);
     Owner->InFlightRequests -= Pending.size();
-    Owner->TotalBodyBytes -= ReadBodyBytes;
+    endUpload(*Owner);
     for (const response_slot &Slot : Pending)
       Owner->TotalBodyBytes -= Slot.BodyBytes;
     if (Owner->Settings.CancelOnDisconnect)
@@ -346,13 +351,36 @@
       return true;
     const std::size_t BodyBytes =
         Parser->content_length().value_or(Owner.Settings.MaxBodyBytes);
-    if (Owner.TotalBodyBytes + BodyBytes > Owner.Settings.MaxTotalBodyBytes)
-      return false;
+    if (BodyBytes == 0)
+      return true;
+    while (Owner.TotalBodyBytes + BodyBytes > Owner.Settings.MaxTotalBodyBytes)
+      if (!closeSlowUpload(Owner))
+        return false;
     Owner.TotalBodyBytes += BodyBytes;
     ReadBodyBytes = BodyBytes;
+    UploadStart = std::chrono::steady_clock::now();
+    UploadPosition = Owner.Uploads.insert(Owner.Uploads.end(), this);
     return true;
   }
 
+  /// Closes the connection of the upload that has taken longest.
+  static bool closeSlowUpload(detail::server_state &Owner) {
+    if (Owner.Uploads.empty())
+      return false;
+    session &Slowest = *Owner.Uploads.front();
+    if (std::chrono::steady_clock::now() - Slowest.UploadStart < SlowUploadTime)
+      return false;
+    Owner.Metrics.add("http_closed", "slow_upload");
+    Slowest.close();
+    return true;
+  }
+
+  void endUpload(detail::server_state &Owner) {
+    Owner.TotalBodyBytes -= std::exchange(ReadBodyBytes, 0);
+    if (UploadPosition)
+      Owner.Uploads.erase(*std::exchange(UploadPosition, std::nullopt));
+  }
+
   void onRead(error_code Error) {
     IsReading = false;
     const auto Owner = Server.lock();
@@ -368,7 +396,7 @@
       return;
     }
     auto Message = Parser->release();
-    Owner->TotalBodyBytes -= std::exchange(ReadBodyBytes, 0);
+    endUpload(*Owner);
     // RFC 9110, 9.3.8; such a request cannot be forwarded.
     if (Message.method() == beast::http::verb::trace &&
         !Message.body().empty()) {
@@ -484,6 +512,7 @@
   void refuse(detail::server_state &Owner, unsigned Status,
               const std::string &Message, std::vector<header> Headers = {}) {
     Owner.Metrics.add("http_refused", std::to_string(Status));
+    endUpload(Owner);
     dropRead();
     response Response;
     Response.Status = Status;
@@ -625,6 +654,8 @@
   std::optional<wire_response> WireResponse; ///< that is being written
   std::deque<response_slot> Pending;
   std::optional<std::list<session *>::iterator> IdlePosition;
+  std::optional<std::list<session *>::iterator> UploadPosition;
+  std::chrono::steady_clock::time_point UploadStart;
   std::uint64_t NextNumber = 0;
   std::size_t ReadBodyBytes = 0;        ///< of the body that is being read
   std::size_t ReadBytes = 0;            ///< held of a request being read
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -38,8 +38,8 @@
   std::size_t MaxBodyBytes = 1 << 20;
   /// Total size of the bodies that are being read or whose response has not
   /// been written; a request beyond it is refused with 503 at its header. A
-  /// body of unknown size counts as `MaxBodyBytes` while it is read. 0: no
-  /// bound.
+  /// body of unknown size counts as `MaxBodyBytes` while it is read. Uploads
+  /// that take long give way to it. 0: no bound.
   std::size_t MaxTotalBodyBytes = 0;
   std::size_t MaxHeaderBytes = 16 << 10;
   millis IdleTimeout{60'000}; ///< connections without unanswered requests
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1344,3 +1344,25 @@
   CHECK(F.Server.connectionCount() == 3);
   CHECK(F.Metrics.count("http_closed", "connections") == 1);
 }
+
+// Guards against uploads without end that keep all others out until the idle
+// timeout.
+TEST_CASE("a slow upload gives way to another one", "[http]") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 1000;
+  Settings.MaxTotalBodyBytes = 2000;
+  fixture F(Settings);
+  raw_client Oldest(F.Io);
+  Oldest.send(headOf("/slow", 900) + "x");
+  runFor(F.Io, 50);
+  raw_client Second(F.Io);
+  Second.send(headOf("/slow", 900) + "x");
+  runFor(F.Io, 3100);
+  raw_client Newest(F.Io);
+  Newest.send(headOf("/now", 900) + std::string(900, 'x'));
+  runFor(F.Io, 50);
+  CHECK(Newest.Received.rfind("HTTP/1.1 200", 0) == 0);
+  CHECK(Oldest.HasEnded);
+  CHECK_FALSE(Second.HasEnded);
+  CHECK(F.Metrics.count("http_closed", "slow_upload") == 1);
+}
