Count responses that clients do not read in the bound on memory

What callers saw: nobody yet. In a test the kernel took all of 20 MB of responses that clients did not read, so the bound on memory had no effect on them, and a client that stopped reading was not noticed: its connection counted as idle. The kernel's buffers are part of a machine's memory.

Cause: the kernel's send buffer grows to several megabytes a connection. The class: memory that is held outside of what is counted.

Change: of a response the kernel takes 128 KB beyond what is on its way to the client (TCP_NOTSENT_LOWAT), which does not limit the rate. As the write now lasts as long as the client reads, the timeout of writes runs from the last progress; until now it was one for the whole response that the kernel hid.

Tests: "responses that nobody reads stay within the budget", which now asks that connections were closed, and "a client that stops reading loses its connection" fail on the old code; "a client that reads slowly gets its whole response" guards the change of the timeout.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -27,6 +27,7 @@
 using error_code = boost::system::error_code;
 using parser = beast::http::request_parser<beast::http::string_body>;
 using wire_response = beast::http::response<beast::http::string_body>;
+using serializer = beast::http::response_serializer<beast::http::string_body>;
 
 constexpr auto SweepInterval = std::chrono::milliseconds(500);
 /// Share of the idle timeout that clients are told.
@@ -43,6 +44,9 @@
 constexpr millis MemoryLogInterval{1000};
 /// An upload that takes longer gives way to another one.
 constexpr std::chrono::seconds SlowUploadTime{3};
+/// Bytes that the kernel takes of a response beyond those on their way to the
+/// client. What it takes is not in the budget of memory.
+constexpr int MaxUnsentBytes = 128 << 10;
 /// A connection that has waited for a request for less time is not closed for a
 /// new one.
 constexpr millis MinIdleTime{1000};
@@ -598,13 +602,26 @@
     WireResponse->prepare_payload();
     if (Owner)
       Memory.beginWriting(Owner->Clock.now());
-    beast::http::async_write(
-        Socket, *WireResponse,
+    Serializer.emplace(*WireResponse);
+    writeSome();
+  }
+
+  void writeSome() {
+    beast::http::async_write_some(
+        Socket, *Serializer,
         [Self = shared_from_this()](error_code Error, std::size_t) {
-          Self->onWritten(Error);
+          Self->onSomeWritten(Error);
         });
   }
 
+  void onSomeWritten(error_code Error) {
+    LastActivity = std::chrono::steady_clock::now();
+    if (IsClosed || Error || Serializer->is_done())
+      onWritten(Error);
+    else
+      writeSome();
+  }
+
   /// Tells the client how long it may keep the connection idle: less than the
   /// timeout itself, so that its next request does not cross the close.
   void announceIdleTimeout(millis Timeout) {
@@ -627,6 +644,7 @@
         setIdle(*Owner, true);
       Owner->TotalBodyBytes -= Pending.front().BodyBytes;
     }
+    Serializer.reset();
     WireResponse.reset();
     PendingResponseBytes -= Pending.front().ResponseBytes;
     Pending.pop_front();
@@ -652,6 +670,7 @@
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
   std::optional<wire_response> WireResponse; ///< that is being written
+  std::optional<serializer> Serializer;      ///< of `WireResponse`
   std::deque<response_slot> Pending;
   std::optional<std::list<session *>::iterator> IdlePosition;
   std::optional<std::list<session *>::iterator> UploadPosition;
@@ -692,6 +711,8 @@
   }
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               &MaxUnsentBytes, sizeof MaxUnsentBytes);
   auto Session = std::make_shared<session>(std::move(Socket), State);
   State->Sessions.insert(Session);
   Session->start();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -43,7 +43,7 @@
   std::size_t MaxTotalBodyBytes = 0;
   std::size_t MaxHeaderBytes = 16 << 10;
   millis IdleTimeout{60'000}; ///< connections without unanswered requests
-  millis WriteTimeout{5'000}; ///< clients that do not read responses
+  millis WriteTimeout{5'000}; ///< clients that read nothing of a response
   /// Treats the requests of a client that closes its connection as cancelled.
   bool CancelOnDisconnect = false;
   /// Shared by the servers of a process; none: one of its own of
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1239,6 +1239,7 @@
     Clients.push_back(Test.sendOnly(get("/1000000")));
     CHECK(Test.Budget->usedBytes() <= BudgetBytes);
   }
+  CHECK(Test.Metrics.count("http_closed", "memory") > 0);
   raw_client Ordinary(Test.Io);
   Ordinary.send(get("/100000"));
   runFor(Test.Io, 50);
@@ -1366,3 +1367,53 @@
   CHECK_FALSE(Second.HasEnded);
   CHECK(F.Metrics.count("http_closed", "slow_upload") == 1);
 }
+
+// Guards against a timeout of the whole response, which would cut a client that
+// reads a long one slowly.
+TEST_CASE("a client that reads slowly gets its whole response", "[http]") {
+  http::server_settings Settings;
+  Settings.WriteTimeout = {600};
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  sizing_handler Handler;
+  Settings.Listen = {"127.0.0.1", Port};
+  http::server Server(Io, Settings, Handler, Metrics);
+  REQUIRE(Server.start());
+  constexpr std::size_t Size = 3 << 20;
+  tcp::socket Client(Io);
+  Client.open(tcp::v4());
+  Client.set_option(boost::asio::socket_base::receive_buffer_size(64 << 10));
+  Client.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+  boost::asio::write(Client,
+                     boost::asio::buffer(get("/" + std::to_string(Size))));
+  std::size_t Received = 0;
+  std::vector<char> Chunk(256 << 10);
+  for (int I = 0; I < 40 && Received < Size; ++I) {
+    runFor(Io, 100);
+    boost::system::error_code Error;
+    while (!Error && Client.available(Error) > 0)
+      Received += Client.read_some(boost::asio::buffer(Chunk), Error);
+  }
+  CHECK(Received > Size);
+}
+
+// Guards against a client that reads nothing and holds its response for ever.
+TEST_CASE("a client that stops reading loses its connection", "[http]") {
+  http::server_settings Settings;
+  Settings.WriteTimeout = {300};
+  Settings.Listen = {"127.0.0.1", Port};
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  sizing_handler Handler;
+  http::server Server(Io, Settings, Handler, Metrics);
+  REQUIRE(Server.start());
+  tcp::socket Client(Io);
+  Client.open(tcp::v4());
+  Client.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  Client.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+  boost::asio::write(Client, boost::asio::buffer(get("/1000000")));
+  runFor(Io, 100);
+  CHECK(Server.inFlightRequests() == 1);
+  runFor(Io, 1500);
+  CHECK(Server.connectionCount() == 0);
+}
