--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -29,6 +29,8 @@
 /// The process exits this long before the platform kills it, so that the last
 /// responses are sent.
 constexpr millis ShutdownMargin{400};
+constexpr std::size_t MaxClientConnections = 3000;
+constexpr std::size_t MaxReadinessConnections = 64;
 /// Accounts with a quota that have metrics of their own.
 constexpr std::size_t MaxAccountSeries = 100;
 
@@ -109,10 +111,14 @@
     http::server_settings ClientSettings;
     ClientSettings.Listen = Settings.Clients;
     ClientSettings.CancelOnDisconnect = true;
-    ClientSettings.MaxConnections = 3000;
+    ClientSettings.MaxConnections =
+        maxConnections(Settings, MaxClientConnections);
+    ClientSettings.Budget = Budget;
     Clients.emplace(Io, ClientSettings, *this, Metrics);
     http::server_settings ReadinessSettings;
     ReadinessSettings.Listen = Settings.Readiness;
+    ReadinessSettings.MaxConnections = MaxReadinessConnections;
+    ReadinessSettings.Budget = Budget;
     Readiness.emplace(Io, ReadinessSettings, ReadinessHandler, Metrics);
     for (http::server *Server : {&*Clients, &*Readiness})
       if (auto Started = Server->start(); !Started)
@@ -126,7 +132,8 @@
       return Listening;
     if (Settings.MetricsPort == 0)
       return {};
-    MetricsServer.emplace(Io, metricsSettings(Settings), MetricsPage, Metrics);
+    MetricsServer.emplace(Io, metricsSettings(Settings, Budget), MetricsPage,
+                          Metrics);
     return MetricsServer->start();
   }
 
@@ -340,6 +347,8 @@
     Set("log_lines_dropped", telemetry::droppedLines());
     Set("listening_clients", Clients->isListening() ? 1 : 0);
     Set("listening_relays", PeerLinks.isListening() ? 1 : 0);
+    Set("http_memory_bytes", Budget->usedBytes());
+    Set("http_memory_max_bytes", Budget->maxBytes());
     Set("stopping", IsStopping ? 1 : 0);
   }
 
@@ -426,6 +435,8 @@
       std::make_shared<const relay::catalog>();
   decision_log Log;
   std::unordered_map<query_id, http::responder> Responders;
+  const std::shared_ptr<http::memory_budget> Budget =
+      makeMemoryBudget(Settings);
   std::optional<http::server> Clients;
   std::optional<http::server> Readiness;
   std::optional<http::server> MetricsServer;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <deque>
+#include <list>
 #include <netinet/tcp.h>
 #include <optional>
 #include <unordered_set>
@@ -26,6 +27,7 @@
 using error_code = boost::system::error_code;
 using parser = beast::http::request_parser<beast::http::string_body>;
 using wire_response = beast::http::response<beast::http::string_body>;
+using serializer = beast::http::response_serializer<beast::http::string_body>;
 
 constexpr auto SweepInterval = std::chrono::milliseconds(500);
 /// Share of the idle timeout that clients are told.
@@ -33,6 +35,26 @@
 /// How long a connection whose last response was sent waits for the client to
 /// close it.
 constexpr millis CloseTimeout{1000};
+constexpr std::size_t MinReadBytes = 512;
+/// A connection without a request frees a larger input buffer.
+constexpr std::size_t MaxIdleBufferBytes = 4096;
+/// Part of the budget of memory that one connection may take before it reads
+/// no further requests.
+constexpr std::size_t ConnectionShare = 8;
+constexpr millis MemoryLogInterval{1000};
+/// An upload that takes longer gives way to another one.
+constexpr std::chrono::seconds SlowUploadTime{3};
+/// Bytes that the kernel takes of a response beyond those on their way to the
+/// client. What it takes is not in the budget of memory.
+constexpr int MaxUnsentBytes = 128 << 10;
+/// A connection that has waited for a request for less time is not closed for a
+/// new one.
+constexpr millis MinIdleTime{1000};
+/// Input beyond the size limit of a head that a connection may hold: a chunk
+/// header, or the trailers of a request.
+constexpr std::size_t MaxFramingBytes = 4096;
+/// Largest size on the wire of one byte of content, in a chunk of its own.
+constexpr std::size_t MaxBytesPerContentByte = 8;
 /// In seconds, for requests whose body does not fit beside others.
 constexpr char BodyRetryAfter[] = "1";
 
@@ -58,25 +80,58 @@
   std::optional<listener> Listener; ///< set by `server::start`
   asio::steady_timer SweepTimer;
   std::unordered_set<std::shared_ptr<session>> Sessions;
+  /// Those without an unanswered request, in the order in which they became so.
+  std::list<session *> IdleSessions;
+  /// Those with a body in `TotalBodyBytes` that is being read, in the order in
+  /// which they began.
+  std::list<session *> Uploads;
   std::size_t InFlightRequests = 0;
   std::size_t TotalBodyBytes = 0; ///< see `MaxTotalBodyBytes`
   request_token LastToken = 0;
   bool ClosesAfterResponses = false;
+  std::shared_ptr<memory_budget> Budget;
+  steady_clock_source Clock;
+  std::optional<instant> MemoryLoggedAt;
 
   server_state(asio::io_context &Io, server_settings Settings, handler &Handler,
                telemetry::metrics &Metrics)
       : Io(Io), Settings(std::move(Settings)), Handler(Handler),
-        Metrics(Metrics), SweepTimer(Io) {}
+        Metrics(Metrics), SweepTimer(Io), Budget(this->Settings.Budget) {
+    if (!Budget)
+      Budget = std::make_shared<memory_budget>(DefaultMemoryBytes);
+  }
+
+  /// Counts a request that is refused, or a connection that is closed, as
+  /// memory is short.
+  void onMemoryShort(const char *Metric) {
+    Metrics.add(Metric, "memory");
+    const instant Now = Clock.now();
+    if (MemoryLoggedAt && Now - *MemoryLoggedAt < MemoryLogInterval)
+      return;
+    MemoryLoggedAt = Now;
+    telemetry::logEvent(telemetry::severity::warning, "http_memory_short",
+                        {{"action", Metric},
+                         {"used_bytes", Budget->usedBytes()},
+                         {"max_bytes", Budget->maxBytes()},
+                         {"connections", Sessions.size()}});
+  }
 };
 
 /// One connection of a client.
-class session : public std::enable_shared_from_this<session> {
+class session : public std::enable_shared_from_this<session>,
+                public memory_holder {
 public:
-  session(tcp::socket Socket, std::weak_ptr<detail::server_state> Server)
-      : Socket(std::move(Socket)), Server(std::move(Server)),
+  session(tcp::socket Socket,
+          const std::shared_ptr<detail::server_state> &Server)
+      : Socket(std::move(Socket)), Server(Server),
+        Memory(Server->Budget, *this),
         LastActivity(std::chrono::steady_clock::now()) {}
 
-  void start() { readNext(); }
+  void start() {
+    if (const auto Owner = Server.lock())
+      setIdle(*Owner, true);
+    readNext();
+  }
 
   void close() {
     if (IsClosed)
@@ -87,8 +142,10 @@
     const auto Owner = Server.lock();
     if (!Owner)
       return;
+    Memory.release();
+    setIdle(*Owner, false);
     Owner->InFlightRequests -= Pending.size();
-    Owner->TotalBodyBytes -= ReadBodyBytes;
+    endUpload(*Owner);
     for (const response_slot &Slot : Pending)
       Owner->TotalBodyBytes -= Slot.BodyBytes;
     const auto Self = shared_from_this();
@@ -99,6 +156,13 @@
           Owner->Handler.onClientDisconnected(Slot.Token);
   }
 
+  void evict() override {
+    if (const auto Owner = Server.lock())
+      Owner->onMemoryShort("http_closed");
+    const auto Self = shared_from_this();
+    close();
+  }
+
   bool isOverdue(const server_settings &Settings) const {
     const auto SinceActivity = std::chrono::steady_clock::now() - LastActivity;
     if (IsSendingFinished)
@@ -113,6 +177,12 @@
     return Pending.empty() && !IsWriting && !IsSendingFinished;
   }
 
+  /// Whether it may be closed in favour of a new connection.
+  bool givesWay() const {
+    return std::chrono::steady_clock::now() - LastActivity >=
+           detail::toChrono(MinIdleTime);
+  }
+
   /// Whether bytes of a further request have arrived.
   bool hasInput() const {
     error_code Ignored;
@@ -142,7 +212,9 @@
   struct response_slot {
     std::uint64_t Number = 0;
     request_token Token = 0;
-    std::size_t BodyBytes = 0; ///< counted in `TotalBodyBytes`
+    std::size_t BodyBytes = 0;     ///< counted in `TotalBodyBytes`
+    std::size_t RequestBytes = 0;  ///< of a request without a response
+    std::size_t ResponseBytes = 0; ///< of a response that is not written
     bool KeepAlive = true;
     unsigned Version = 11;
     std::optional<response> Response;
@@ -154,50 +226,164 @@
       return;
     if (Pending.size() >= Owner->Settings.MaxPipelined)
       return;
+    if (!Pending.empty() &&
+        Memory.bytes() > Owner->Budget->maxBytes() / ConnectionShare)
+      return;
+    if (Buffer.size() == 0 && Buffer.capacity() > MaxIdleBufferBytes)
+      Buffer.shrink_to_fit();
     IsReading = true;
+    MessageBytes = 0;
     Parser.emplace();
+    Parser->eager(true);
     Parser->body_limit(Owner->Settings.MaxBodyBytes);
     Parser->header_limit(
         static_cast<std::uint32_t>(Owner->Settings.MaxHeaderBytes));
-    if (Owner->Settings.MaxTotalBodyBytes == 0) {
-      readMessage();
+    MaxMessageBytes = Owner->Settings.MaxHeaderBytes + MaxFramingBytes +
+                      Owner->Settings.MaxBodyBytes * MaxBytesPerContentByte;
+    Buffer.max_size(std::max(Owner->Settings.MaxHeaderBytes, Buffer.size()) +
+                    MaxFramingBytes);
+    if (Buffer.size() == 0) {
+      readSome();
       return;
     }
-    beast::http::async_read_header(
-        Socket, Buffer, *Parser,
-        [Self = shared_from_this()](error_code Error, std::size_t) {
-          Self->onHeaderRead(Error);
-        });
+    asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+      if (!Self->IsClosed)
+        Self->parse({});
+    });
   }
 
-  void readMessage() {
-    beast::http::async_read(
-        Socket, Buffer, *Parser,
-        [Self = shared_from_this()](error_code Error, std::size_t) {
-          Self->onRead(Error);
+  void readSome() {
+    const std::size_t Free = Buffer.max_size() - Buffer.size();
+    if (Free == 0) {
+      onRead(beast::http::error::buffer_overflow);
+      return;
+    }
+    const std::size_t Size =
+        std::max(MinReadBytes, Buffer.capacity() - Buffer.size());
+    Socket.async_read_some(
+        Buffer.prepare(std::min(Size, Free)),
+        [Self = shared_from_this()](error_code Error, std::size_t Bytes) {
+          if (Self->IsClosed)
+            return;
+          Self->Buffer.commit(Bytes);
+          Self->parse(Error);
         });
   }
 
-  void onHeaderRead(error_code Error) {
+  /// Parses what has arrived, up to the end of one request.
+  void parse(error_code Error) {
     const auto Owner = Server.lock();
-    if (!Owner || IsClosed)
+    if (!Owner)
+      return;
+    if (Error == asio::error::eof) {
+      Error = beast::http::error::end_of_stream;
+      if (Parser->got_some())
+        Parser->put_eof(Error);
+    } else if (!Error) {
+      const std::size_t Used = Parser->put(Buffer.data(), Error);
+      Buffer.consume(Used);
+      MessageBytes += Used;
+    }
+    const bool NeedsMore = Error == beast::http::error::need_more;
+    if ((Error && !NeedsMore) || IsReadFinished) {
+      onRead(NeedsMore ? error_code() : Error);
       return;
-    if (Error || Parser->is_done() || IsReadFinished) {
-      onRead(Error);
+    }
+    if (!countBody(*Owner)) {
+      refuseRead(*Owner, "too many large requests at once");
       return;
     }
-    const std::size_t BodyBytes =
-        Parser->content_length().value_or(Owner->Settings.MaxBodyBytes);
-    if (Owner->TotalBodyBytes + BodyBytes > Owner->Settings.MaxTotalBodyBytes) {
-      IsReading = false;
-      refuse(*Owner, 503, "too many large requests at once",
-             {{"Retry-After", BodyRetryAfter}});
-      discardInput();
+    if (Parser->is_done()) {
+      onRead({});
       return;
     }
-    Owner->TotalBodyBytes += BodyBytes;
+    if (MessageBytes > MaxMessageBytes) {
+      onRead(beast::http::error::bad_chunk_extension);
+      return;
+    }
+    Memory.beginReading(Owner->Clock.now());
+    if (fitsRead(*Owner, Parser->get().body().size()))
+      readSome();
+    else
+      refuseForMemory(*Owner);
+  }
+
+  void refuseForMemory(detail::server_state &Owner) {
+    Owner.onMemoryShort("http_refused");
+    refuseRead(Owner, "too many requests at once");
+  }
+
+  /// Refuses the request that is being read.
+  void refuseRead(detail::server_state &Owner, const char *Message) {
+    IsReading = false;
+    refuse(Owner, 503, Message, {{"Retry-After", BodyRetryAfter}});
+    discardInput();
+  }
+
+  /// Frees what was read of a request that is not handled.
+  void dropRead() {
+    Parser.reset();
+    Buffer.clear();
+    Buffer.shrink_to_fit();
+    Memory.endReading();
+    ReadBytes = 0;
+    updateMemory();
+  }
+
+  /// Counts what has been read of a request.
+  bool fitsRead(detail::server_state &Owner, std::size_t BodyBytes) {
+    ReadBytes = requestBytes(Owner, BodyBytes);
+    updateMemory();
+    return Owner.Budget->fitsRequest(Memory, ReadBytes, Owner.Clock.now());
+  }
+
+  std::size_t requestBytes(const detail::server_state &Owner,
+                           std::size_t BodyBytes) const {
+    return std::min(MessageBytes, Owner.Settings.MaxHeaderBytes) + BodyBytes;
+  }
+
+  void updateMemory() {
+    Memory.setRequestBytes(PendingRequestBytes + ReadBytes + Buffer.capacity());
+    Memory.setResponseBytes(PendingResponseBytes);
+  }
+
+  /// Counts the body that is being read; false if it does not fit beside
+  /// others.
+  bool countBody(detail::server_state &Owner) {
+    const bool HasBody = Parser->is_header_done() &&
+                         (Parser->chunked() || Parser->content_length());
+    if (Owner.Settings.MaxTotalBodyBytes == 0 || !HasBody || ReadBodyBytes > 0)
+      return true;
+    const std::size_t BodyBytes =
+        Parser->content_length().value_or(Owner.Settings.MaxBodyBytes);
+    if (BodyBytes == 0)
+      return true;
+    while (Owner.TotalBodyBytes + BodyBytes > Owner.Settings.MaxTotalBodyBytes)
+      if (!closeSlowUpload(Owner))
+        return false;
+    Owner.TotalBodyBytes += BodyBytes;
     ReadBodyBytes = BodyBytes;
-    readMessage();
+    UploadStart = std::chrono::steady_clock::now();
+    UploadPosition = Owner.Uploads.insert(Owner.Uploads.end(), this);
+    return true;
+  }
+
+  /// Closes the connection of the upload that has taken longest.
+  static bool closeSlowUpload(detail::server_state &Owner) {
+    if (Owner.Uploads.empty())
+      return false;
+    session &Slowest = *Owner.Uploads.front();
+    if (std::chrono::steady_clock::now() - Slowest.UploadStart < SlowUploadTime)
+      return false;
+    Owner.Metrics.add("http_closed", "slow_upload");
+    Slowest.close();
+    return true;
+  }
+
+  void endUpload(detail::server_state &Owner) {
+    Owner.TotalBodyBytes -= std::exchange(ReadBodyBytes, 0);
+    if (UploadPosition)
+      Owner.Uploads.erase(*std::exchange(UploadPosition, std::nullopt));
   }
 
   void onRead(error_code Error) {
@@ -215,18 +401,26 @@
       return;
     }
     auto Message = Parser->release();
-    Owner->TotalBodyBytes -= std::exchange(ReadBodyBytes, 0);
+    endUpload(*Owner);
     // RFC 9110, 9.3.8; such a request cannot be forwarded.
     if (Message.method() == beast::http::verb::trace &&
         !Message.body().empty()) {
       refuse(*Owner, 400, "TRACE with content");
       return;
     }
+    if (!fitsRead(*Owner, Message.body().size())) {
+      refuseForMemory(*Owner);
+      return;
+    }
+    Memory.endReading();
     const bool KeepAlive = Message.keep_alive();
     IsReadFinished = !KeepAlive;
     const std::uint64_t Number = addSlot(*Owner, KeepAlive, Message.version());
     Pending.back().Token = ++Owner->LastToken;
     Pending.back().BodyBytes = Message.body().size();
+    Pending.back().RequestBytes = ReadBytes;
+    PendingRequestBytes += std::exchange(ReadBytes, 0);
+    updateMemory();
     Owner->TotalBodyBytes += Message.body().size();
     request Request{detail::toString(Message.method_string()),
                     detail::toString(Message.target()),
@@ -312,7 +506,9 @@
     unsigned Status = 400;
     if (Error == error::body_limit)
       Status = 413;
-    if (Error == error::header_limit)
+    const bool IsHeadTooLarge =
+        Error == error::buffer_overflow && !Parser->is_header_done();
+    if (Error == error::header_limit || IsHeadTooLarge)
       Status = 431;
     refuse(Owner, Status, Error.message());
   }
@@ -321,6 +517,8 @@
   void refuse(detail::server_state &Owner, unsigned Status,
               const std::string &Message, std::vector<header> Headers = {}) {
     Owner.Metrics.add("http_refused", std::to_string(Status));
+    endUpload(Owner);
+    dropRead();
     response Response;
     Response.Status = Status;
     Response.Body =
@@ -334,6 +532,7 @@
   /// Reads no more requests; pending responses are still written.
   void finishReading() {
     IsReadFinished = true;
+    dropRead();
     if (Pending.empty())
       close();
   }
@@ -341,6 +540,7 @@
   std::uint64_t addSlot(detail::server_state &Owner, bool KeepAlive,
                         unsigned Version) {
     ++Owner.InFlightRequests;
+    setIdle(Owner, false);
     response_slot &Slot = Pending.emplace_back();
     Slot.Number = NextNumber++;
     Slot.KeepAlive = KeepAlive;
@@ -352,8 +552,30 @@
     if (IsClosed || Pending.empty() || Number < Pending.front().Number)
       return;
     response_slot &Slot = Pending[Number - Pending.front().Number];
+    PendingRequestBytes -= std::exchange(Slot.RequestBytes, 0);
+    Slot.ResponseBytes = responseBytes(Response);
+    PendingResponseBytes += Slot.ResponseBytes;
     Slot.Response = std::move(Response);
+    updateMemory();
     writeNext();
+    const auto Owner = Server.lock();
+    if (Owner && !IsClosed)
+      Owner->Budget->fitsResponse(Memory, Owner->Clock.now());
+  }
+
+  /// Keeps its place among the connections that wait for a request.
+  void setIdle(detail::server_state &Owner, bool IsIdle) {
+    if (IdlePosition && !IsIdle)
+      Owner.IdleSessions.erase(*std::exchange(IdlePosition, std::nullopt));
+    if (!IdlePosition && IsIdle)
+      IdlePosition = Owner.IdleSessions.insert(Owner.IdleSessions.end(), this);
+  }
+
+  static std::size_t responseBytes(const response &Response) {
+    std::size_t Bytes = Response.Body.size();
+    for (const header &Each : Response.Headers)
+      Bytes += Each.Name.size() + Each.Value.size();
+    return Bytes;
   }
 
   void writeNext() {
@@ -367,33 +589,48 @@
       Slot.KeepAlive = false;
     if (!Slot.KeepAlive)
       IsReadFinished = true;
-    WireResponse = {};
-    WireResponse.version(Slot.Version);
-    WireResponse.result(Slot.Response->Status);
+    WireResponse.emplace();
+    WireResponse->version(Slot.Version);
+    WireResponse->result(Slot.Response->Status);
     if (!Slot.Response->ContentType.empty())
-      WireResponse.set(beast::http::field::content_type,
-                       Slot.Response->ContentType);
-    detail::addHeaders(WireResponse, Slot.Response->Headers);
-    WireResponse.keep_alive(Slot.KeepAlive);
+      WireResponse->set(beast::http::field::content_type,
+                        Slot.Response->ContentType);
+    detail::addHeaders(*WireResponse, Slot.Response->Headers);
+    WireResponse->keep_alive(Slot.KeepAlive);
     if (Owner && Slot.KeepAlive)
       announceIdleTimeout(Owner->Settings.IdleTimeout);
-    WireResponse.body() = std::move(Slot.Response->Body);
-    WireResponse.prepare_payload();
-    beast::http::async_write(
-        Socket, WireResponse,
+    WireResponse->body() = std::move(Slot.Response->Body);
+    WireResponse->prepare_payload();
+    if (Owner)
+      Memory.beginWriting(Owner->Clock.now());
+    Serializer.emplace(*WireResponse);
+    writeSome();
+  }
+
+  void writeSome() {
+    beast::http::async_write_some(
+        Socket, *Serializer,
         [Self = shared_from_this()](error_code Error, std::size_t) {
-          Self->onWritten(Error);
+          Self->onSomeWritten(Error);
         });
   }
 
+  void onSomeWritten(error_code Error) {
+    LastActivity = std::chrono::steady_clock::now();
+    if (IsClosed || Error || Serializer->is_done())
+      onWritten(Error);
+    else
+      writeSome();
+  }
+
   /// Tells the client how long it may keep the connection idle: less than the
   /// timeout itself, so that its next request does not cross the close.
   void announceIdleTimeout(millis Timeout) {
     const auto Seconds =
         static_cast<long>(Timeout.Count * AnnouncedIdleShare / 1000);
     if (Seconds > 0)
-      WireResponse.set(beast::http::field::keep_alive,
-                       "timeout=" + std::to_string(Seconds));
+      WireResponse->set(beast::http::field::keep_alive,
+                        "timeout=" + std::to_string(Seconds));
   }
 
   void onWritten(error_code Error) {
@@ -404,9 +641,16 @@
     const bool KeepAlive = Pending.front().KeepAlive;
     if (const auto Owner = Server.lock()) {
       --Owner->InFlightRequests;
+      if (Pending.size() == 1)
+        setIdle(*Owner, true);
       Owner->TotalBodyBytes -= Pending.front().BodyBytes;
     }
+    Serializer.reset();
+    WireResponse.reset();
+    PendingResponseBytes -= Pending.front().ResponseBytes;
     Pending.pop_front();
+    Memory.endWriting();
+    updateMemory();
     const bool IsLast = IsReadFinished && Pending.empty();
     if (Error) {
       close();
@@ -423,12 +667,22 @@
 
   tcp::socket Socket;
   std::weak_ptr<detail::server_state> Server;
+  memory_account Memory;
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
-  wire_response WireResponse;
+  std::optional<wire_response> WireResponse; ///< that is being written
+  std::optional<serializer> Serializer;      ///< of `WireResponse`
   std::deque<response_slot> Pending;
+  std::optional<std::list<session *>::iterator> IdlePosition;
+  std::optional<std::list<session *>::iterator> UploadPosition;
+  std::chrono::steady_clock::time_point UploadStart;
   std::uint64_t NextNumber = 0;
-  std::size_t ReadBodyBytes = 0; ///< of the body that is being read
+  std::size_t ReadBodyBytes = 0;        ///< of the body that is being read
+  std::size_t ReadBytes = 0;            ///< held of a request being read
+  std::size_t PendingRequestBytes = 0;  ///< of requests without a response
+  std::size_t PendingResponseBytes = 0; ///< of responses that are not written
+  std::size_t MessageBytes = 0;         ///< read of this message
+  std::size_t MaxMessageBytes = 0;      ///< including the framing of its chunks
   std::chrono::steady_clock::time_point LastActivity;
   std::array<char, 512> Discarded;
   bool IsReading = false;
@@ -440,14 +694,26 @@
 
 namespace {
 
+/// Closes the connection that has waited for a request for longest.
+bool makeRoom(detail::server_state &State) {
+  if (State.IdleSessions.empty() || !State.IdleSessions.front()->givesWay())
+    return false;
+  State.Metrics.add("http_closed", "connections");
+  State.IdleSessions.front()->close();
+  return true;
+}
+
 void startSession(const std::shared_ptr<detail::server_state> &State,
                   tcp::socket Socket) {
-  if (State->Sessions.size() >= State->Settings.MaxConnections) {
+  if (State->Sessions.size() >= State->Settings.MaxConnections &&
+      !makeRoom(*State)) {
     State->Metrics.add("http_refused", "too_many_connections");
     return;
   }
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               &MaxUnsentBytes, sizeof MaxUnsentBytes);
   auto Session = std::make_shared<session>(std::move(Socket), State);
   State->Sessions.insert(Session);
   Session->start();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -4,6 +4,7 @@
 #include "bulrushtray/clock.h"
 #include "bulrushtray/error.h"
 #include "bulrushtray/world.h"
+#include "http/memory_budget.h"
 #include "http/message.h"
 
 #include <cstddef>
@@ -24,23 +25,31 @@
 struct server_state;
 } // namespace detail
 
+constexpr std::size_t DefaultMemoryBytes = 64 << 20;
+
 /// Address and limits of a server. Connections and requests rejected because
 /// of a limit are counted in the metric `http_refused`.
 struct server_settings {
   address Listen;
+  /// A new connection beyond it takes the place of the one that has waited
+  /// for a request for longest; without such a one it is closed.
   std::size_t MaxConnections = 1000;
   std::size_t MaxPipelined = 64; ///< unanswered requests per connection
   std::size_t MaxBodyBytes = 1 << 20;
   /// Total size of the bodies that are being read or whose response has not
   /// been written; a request beyond it is refused with 503 at its header. A
-  /// body of unknown size counts as `MaxBodyBytes` while it is read. 0: no
-  /// bound.
+  /// body of unknown size counts as `MaxBodyBytes` while it is read. Uploads
+  /// that take long give way to it. 0: no bound.
   std::size_t MaxTotalBodyBytes = 0;
   std::size_t MaxHeaderBytes = 16 << 10;
   millis IdleTimeout{60'000}; ///< connections without unanswered requests
-  millis WriteTimeout{5'000}; ///< clients that do not read responses
+  millis WriteTimeout{5'000}; ///< clients that read nothing of a response
   /// Treats the requests of a client that closes its connection as cancelled.
   bool CancelOnDisconnect = false;
+  /// Shared by the servers of a process; none: one of its own of
+  /// `DefaultMemoryBytes`. Beyond it the newest requests are refused with 503,
+  /// and slow clients lose their connections.
+  std::shared_ptr<memory_budget> Budget;
 };
 
 /// Sends the response to one request; must be called exactly once, on the
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -1105,3 +1105,315 @@
   CHECK(Test.exchangeRaw(headOf("/three", 900) + Body, 1 << 20)
             .rfind("HTTP/1.1 200", 0) == 0);
 }
+
+namespace {
+
+const std::string ChunkedHead =
+    "PUT /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string trailers(int Count) {
+  std::string Out;
+  for (int I = 0; I < Count; ++I)
+    Out += "X-T" + std::to_string(I) + ": " + std::string(900, 'v') + "\r\n";
+  return Out;
+}
+
+} // namespace
+
+// Guards against a process that runs out of memory: the parser buffers trailers
+// and chunk headers until their end, and its limit on headers is not one on
+// these.
+TEST_CASE("trailers and chunk headers without end are refused", "[http]") {
+  const std::string LongText(64 << 10, '0');
+  const std::string Framing = GENERATE_COPY(
+      "1\r\na\r\n0\r\n" + trailers(64), "1\r\na\r\n0\r\nX-T: " + LongText,
+      "1;e=" + LongText, LongText, "1;e=\"" + LongText, "0;e=" + LongText);
+  fixture Test;
+  const std::string Response = Test.exchangeRaw(ChunkedHead + Framing, 1 << 20);
+  CHECK(Response.rfind("HTTP/1.1 400", 0) == 0);
+  CHECK(Test.Server.inFlightRequests() == 0);
+  CHECK(Test.Metrics.count("http_refused", "400") == 1);
+}
+
+// Guards against a client that makes the server read without end, as only the
+// content of chunks counts against the limit on bodies.
+TEST_CASE("chunks with long extensions are refused in total", "[http]") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 1000;
+  fixture Test(Settings);
+  std::string Chunks;
+  for (int I = 0; I < 100; ++I)
+    Chunks += "1;e=" + std::string(2000, 'v') + "\r\na\r\n";
+  const std::string Response = Test.exchangeRaw(ChunkedHead + Chunks, 1 << 20);
+  CHECK(Response.rfind("HTTP/1.1 400", 0) == 0);
+}
+
+// Guards against a bound on framing that refuses requests inside the limits.
+TEST_CASE("a body in chunks of one byte is served up to its limit", "[http]") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 50'000;
+  fixture Test(Settings);
+  std::string Chunks;
+  for (int I = 0; I < 50'000; ++I)
+    Chunks += "1\r\na\r\n";
+  const std::string Response = Test.exchangeRaw(
+      ChunkedHead + Chunks + "0;e=x\r\n" + trailers(2) +
+          "\r\nGET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+      1 << 20);
+  CHECK(Response.rfind("HTTP/1.1 200", 0) == 0);
+  CHECK(Response.find("/next") != std::string::npos);
+  const std::string TooLarge =
+      Test.exchangeRaw(ChunkedHead + Chunks + "1\r\na\r\n0\r\n\r\n", 1 << 20);
+  CHECK(TooLarge.rfind("HTTP/1.1 413", 0) == 0);
+}
+
+namespace {
+
+/// Answers each request with as many bytes as its target says.
+class sizing_handler final : public http::handler {
+public:
+  void handle(http::request Request, http::responder Respond) override {
+    http::response Response;
+    Response.Body = std::string(std::stoul(Request.Target.substr(1)), 'x');
+    if (IsHolding)
+      Held.push_back([Respond, Response] { Respond(Response); });
+    else
+      Respond(Response);
+  }
+  void onClientDisconnected(http::request_token) override { ++Disconnects; }
+  bool IsHolding = false;
+  int Disconnects = 0;
+  std::vector<std::function<void()>> Held;
+};
+
+constexpr std::size_t BudgetBytes = 4 << 20;
+
+struct bounded_server {
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  sizing_handler Handler;
+  std::shared_ptr<http::memory_budget> Budget =
+      std::make_shared<http::memory_budget>(BudgetBytes);
+  std::optional<http::server> Server;
+
+  bounded_server() {
+    http::server_settings Settings;
+    Settings.Listen = {"127.0.0.1", Port};
+    Settings.CancelOnDisconnect = true;
+    Settings.Budget = Budget;
+    Server.emplace(Io, Settings, Handler, Metrics);
+    REQUIRE(Server->start());
+  }
+
+  /// Sends while the server runs, until all has been sent or it is too slow.
+  void send(tcp::socket &Socket, const std::string &Bytes) {
+    const auto Copy = std::make_shared<std::string>(Bytes);
+    boost::asio::async_write(Socket, boost::asio::buffer(*Copy),
+                             [Copy](auto, std::size_t) {});
+    runFor(Io, 20);
+  }
+
+  /// A client that sends the bytes and reads nothing.
+  tcp::socket sendOnly(const std::string &Bytes) {
+    tcp::socket Socket(Io);
+    Socket.open(tcp::v4());
+    Socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+    send(Socket, Bytes);
+    return Socket;
+  }
+};
+
+std::string get(const std::string &Target) {
+  return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against responses that many clients do not read and that fill the
+// memory of the process.
+TEST_CASE("responses that nobody reads stay within the budget", "[http]") {
+  bounded_server Test;
+  std::vector<tcp::socket> Clients;
+  for (int I = 0; I < 20; ++I) {
+    Clients.push_back(Test.sendOnly(get("/1000000")));
+    CHECK(Test.Budget->usedBytes() <= BudgetBytes);
+  }
+  CHECK(Test.Metrics.count("http_closed", "memory") > 0);
+  raw_client Ordinary(Test.Io);
+  Ordinary.send(get("/100000"));
+  runFor(Test.Io, 50);
+  CHECK(Ordinary.Received.size() > 100'000);
+}
+
+// Guards against pipelined requests whose responses are held in any number.
+TEST_CASE("a connection with much unread data reads no further request",
+          "[http]") {
+  bounded_server Test;
+  std::string Requests;
+  for (int I = 0; I < 60; ++I)
+    Requests += get("/400000");
+  const tcp::socket Client = Test.sendOnly(Requests);
+  CHECK(Test.Budget->usedBytes() <= BudgetBytes / 4);
+  CHECK(Test.Server->inFlightRequests() < 10);
+}
+
+// Guards against a backlog of responses that is never read to its end.
+TEST_CASE("a connection that has read its responses goes on", "[http]") {
+  bounded_server Test;
+  raw_client Client(Test.Io);
+  for (int I = 0; I < 20; ++I)
+    Client.send(get("/400000"));
+  runFor(Test.Io, 500);
+  CHECK(Client.Received.size() > 20 * 400'000);
+  CHECK(Test.Server->inFlightRequests() == 0);
+  CHECK(Test.Budget->usedBytes() < 10'000);
+}
+
+// Guards against a request that runs on for a client that was dropped.
+TEST_CASE("the requests of a client that is dropped are cancelled", "[http]") {
+  bounded_server Test;
+  tcp::socket First = Test.sendOnly(get("/3000000"));
+  Test.Handler.IsHolding = true;
+  Test.send(First, get("/16"));
+  const tcp::socket Second = Test.sendOnly(get("/3000000"));
+  REQUIRE(!Test.Handler.Held.empty());
+  Test.Handler.Held.back()();
+  CHECK(Test.Metrics.count("http_closed", "memory") == 1);
+}
+
+// Guards against bodies that never end, each below the limit, which together
+// fill the memory of the process.
+TEST_CASE("uploads that never end stay within the budget", "[http]") {
+  bounded_server Test;
+  const std::string Upload = headOf("/16", 500'000) + std::string(499'000, 'b');
+  std::vector<tcp::socket> Clients;
+  for (int I = 0; I < 20; ++I)
+    Clients.push_back(Test.sendOnly(Upload));
+  runFor(Test.Io, 50);
+  CHECK(Test.Budget->usedBytes() <= BudgetBytes / 4 * 3);
+  CHECK(Test.Metrics.count("http_refused", "memory") > 0);
+  raw_client Ordinary(Test.Io);
+  Ordinary.send(headOf("/16", 1000) + std::string(1000, 'b'));
+  runFor(Test.Io, 50);
+  CHECK(Ordinary.Received.rfind("HTTP/1.1 200", 0) == 0);
+}
+
+// Guards against a refusal that is no promise: the request must not be handled.
+TEST_CASE("a request that does not fit gets 503 and does not run", "[http]") {
+  bounded_server Test;
+  Test.Handler.IsHolding = true;
+  const std::string Body(900'000, 'b');
+  std::vector<tcp::socket> Clients;
+  for (int I = 0; I < 2; ++I)
+    Clients.push_back(Test.sendOnly(headOf("/16", 900'000) + Body));
+  runFor(Test.Io, 50);
+  REQUIRE(Test.Handler.Held.size() == 2);
+  raw_client Newest(Test.Io);
+  Test.send(Newest.Socket, headOf("/16", 900'000) + Body);
+  runFor(Test.Io, 100);
+  CHECK(Newest.Received.rfind("HTTP/1.1 503", 0) == 0);
+  CHECK(Newest.Received.find("Retry-After: 1") != std::string::npos);
+  CHECK(Test.Handler.Held.size() == 2);
+}
+
+// Guards against silent connections that keep all others out.
+TEST_CASE("a new connection takes the place of the one idle for longest",
+          "[http]") {
+  http::server_settings Settings;
+  Settings.MaxConnections = 3;
+  fixture F(Settings);
+  raw_client Busy(F.Io);
+  Busy.send(HeldRequest);
+  raw_client Oldest(F.Io);
+  Oldest.send("GET /unfinished");
+  runFor(F.Io, 50);
+  raw_client Younger(F.Io);
+  runFor(F.Io, 50);
+  raw_client TooEarly(F.Io); // nobody has been idle for long
+  runFor(F.Io, 50);
+  CHECK(TooEarly.HasEnded);
+  CHECK(F.Metrics.count("http_refused", "too_many_connections") == 1);
+  runFor(F.Io, 1100);
+  raw_client Newest(F.Io);
+  Newest.send(KeepAliveRequest);
+  runFor(F.Io, 50);
+  CHECK(Newest.Received.find("/now") != std::string::npos);
+  CHECK(Oldest.HasEnded);
+  CHECK_FALSE(Younger.HasEnded);
+  CHECK_FALSE(Busy.HasEnded);
+  CHECK(F.Server.connectionCount() == 3);
+  CHECK(F.Metrics.count("http_closed", "connections") == 1);
+}
+
+// Guards against uploads without end that keep all others out until the idle
+// timeout.
+TEST_CASE("a slow upload gives way to another one", "[http]") {
+  http::server_settings Settings;
+  Settings.MaxBodyBytes = 1000;
+  Settings.MaxTotalBodyBytes = 2000;
+  fixture F(Settings);
+  raw_client Oldest(F.Io);
+  Oldest.send(headOf("/slow", 900) + "x");
+  runFor(F.Io, 50);
+  raw_client Second(F.Io);
+  Second.send(headOf("/slow", 900) + "x");
+  runFor(F.Io, 3100);
+  raw_client Newest(F.Io);
+  Newest.send(headOf("/now", 900) + std::string(900, 'x'));
+  runFor(F.Io, 50);
+  CHECK(Newest.Received.rfind("HTTP/1.1 200", 0) == 0);
+  CHECK(Oldest.HasEnded);
+  CHECK_FALSE(Second.HasEnded);
+  CHECK(F.Metrics.count("http_closed", "slow_upload") == 1);
+}
+
+// Guards against a timeout of the whole response, which would cut a client that
+// reads a long one slowly.
+TEST_CASE("a client that reads slowly gets its whole response", "[http]") {
+  http::server_settings Settings;
+  Settings.WriteTimeout = {600};
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  sizing_handler Handler;
+  Settings.Listen = {"127.0.0.1", Port};
+  http::server Server(Io, Settings, Handler, Metrics);
+  REQUIRE(Server.start());
+  constexpr std::size_t Size = 3 << 20;
+  tcp::socket Client(Io);
+  Client.open(tcp::v4());
+  Client.set_option(boost::asio::socket_base::receive_buffer_size(64 << 10));
+  Client.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+  boost::asio::write(Client,
+                     boost::asio::buffer(get("/" + std::to_string(Size))));
+  std::size_t Received = 0;
+  std::vector<char> Chunk(256 << 10);
+  for (int I = 0; I < 40 && Received < Size; ++I) {
+    runFor(Io, 100);
+    boost::system::error_code Error;
+    while (!Error && Client.available(Error) > 0)
+      Received += Client.read_some(boost::asio::buffer(Chunk), Error);
+  }
+  CHECK(Received > Size);
+}
+
+// Guards against a client that reads nothing and holds its response for ever.
+TEST_CASE("a client that stops reading loses its connection", "[http]") {
+  http::server_settings Settings;
+  Settings.WriteTimeout = {300};
+  Settings.Listen = {"127.0.0.1", Port};
+  boost::asio::io_context Io;
+  telemetry::metrics Metrics;
+  sizing_handler Handler;
+  http::server Server(Io, Settings, Handler, Metrics);
+  REQUIRE(Server.start());
+  tcp::socket Client(Io);
+  Client.open(tcp::v4());
+  Client.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  Client.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+  boost::asio::write(Client, boost::asio::buffer(get("/1000000")));
+  runFor(Io, 100);
+  CHECK(Server.inFlightRequests() == 1);
+  runFor(Io, 1500);
+  CHECK(Server.connectionCount() == 0);
+}
