Test timeouts of connections with a budget that they do not meet

Cause: a connection whose unread responses take a large part of the bound on memory is read no further, so that the second request of this test, behind a response of 64 MiB, was not read and its disconnect not told. Change: the test's server has a larger bound; its checks are unchanged.

--- a/test/shell/http_sweep_test.cpp
+++ b/test/shell/http_sweep_test.cpp
@@ -41,6 +41,9 @@
   Out.Listen = {"127.0.0.1", Port};
   Out.IdleTimeout = Out.WriteTimeout = {100};
   Out.CancelOnDisconnect = true;
+  // A connection that holds a large part of it is read no further.
+  Out.Budget =
+      std::make_shared<http::memory_budget>(100 * MoreThanSocketBuffers);
   return Out;
 }
 
