Bound what the HTTP client buffers of one response

An endpoint, or the platform's list, that sends trailers, a trailer line, a chunk extension or zeros of a chunk size without end makes the relay or the registry buffer all of it, for as long as the exchange lasts.

Cause: Beast's limits bind the head and the body. The parser also asks for more bytes until a chunk header or the trailers are complete, and the read buffer grows with them. The class: a limit on each part that is stored, and none on what is held to parse it.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -37,6 +37,9 @@
 constexpr millis StaleFailureWindow{150};
 /// A connection that remembers this many ids of failed requests is closed.
 constexpr std::size_t MaxFailedIds = 64;
+/// Bounds the head of a response, and each of its chunk headers, chunk
+/// extensions and trailers: the parser buffers these until they are complete.
+constexpr std::size_t MaxBufferBytes = std::size_t{16} << 10;
 /// Least status of a response after which a request may be sent again.
 constexpr unsigned MinFailureStatus = 400;
 
@@ -348,7 +351,7 @@
 
   std::weak_ptr<detail::client_state> Owner;
   tcp::socket Socket;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxBufferBytes};
   std::optional<parser> Parser;
   wire_request WireRequest;
   std::optional<exchange> Current;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,4 +1,8 @@
 /// An HTTP/1.1 client with a pool of keep-alive connections to one server.
+///
+/// A response ends as `malformed_response` if its head is longer than 8 KiB,
+/// a chunk header with its extensions or the trailers longer than 16 KiB, or
+/// its body longer than `MaxBodyBytes`.
 #pragma once
 
 #include "bulrushtray/clock.h"
