Bound one reading of the platform's list

What callers saw: nothing yet. A list whose pages never end makes the leading registry collect endpoints for ever, up to its limit of memory. Until then, and with empty pages for good, no reading is complete, so that relays stay with the last list and no log line says so.

Cause: each page is bounded and their number is not. The class: a limit on each part and none on the sum.

Change: a reading is given up beyond 50,000 entries, 20,000 pages or 16 MiB of pages: about three times 17,000 endpoints, and five times their bytes. The last whole reading stays in force, and endpoint_list_lost says which limit it was. A malformed page is named as such there. endpoint_list_regained is logged after a whole reading; it was logged after one page, which a list without end has, too.

--- a/src/fleet/endpoint_reader.cpp
+++ b/src/fleet/endpoint_reader.cpp
@@ -48,6 +48,8 @@
   if (Restart) {
     Endpoints.clear();
     Unreadable = 0;
+    Pages = 0;
+    Bytes = 0;
     PageToken.clear();
   }
   IsWaitingForPage = false;
@@ -85,14 +87,42 @@
 /// An exception of the codec is an unreadable page: the next reading may
 /// succeed.
 expected<endpoint_page>
-endpoint_reader::decode(const http::exchange_result &Result) const {
+endpoint_reader::decode(const http::exchange_result &Result) {
+  if (Result.Status == http::exchange_status::malformed_response)
+    return fail("endpoint list: malformed response");
   if (Result.Status != http::exchange_status::done)
     return fail("no response");
+  expected<endpoint_page> Page;
   try {
-    return Codec->decode(Result.Response);
+    Page = Codec->decode(Result.Response);
   } catch (const std::exception &Error) {
     return fail(Error.what());
   }
+  if (!Page)
+    return Page;
+  const auto Size = checkSize(Result.Response.Body.size(),
+                              Page->Endpoints.size() + Page->Unreadable);
+  if (!Size)
+    return tl::unexpected(Size.error());
+  return Page;
+}
+
+/// Counts a page. Returns an error if the list is longer than any list may be.
+expected<void> endpoint_reader::checkSize(std::size_t PageBytes,
+                                          std::size_t PageEntries) {
+  ++Pages;
+  Bytes += PageBytes;
+  const std::size_t Entries = Endpoints.size() + Unreadable + PageEntries;
+  const auto TooMany = [](std::size_t Limit, const char *Unit) {
+    return fail("endpoint list: more than " + std::to_string(Limit) + Unit);
+  };
+  if (Pages > Settings.MaxPages)
+    return TooMany(Settings.MaxPages, " pages");
+  if (Bytes > Settings.MaxBytes)
+    return TooMany(Settings.MaxBytes, " bytes");
+  if (Entries > Settings.MaxEntries)
+    return TooMany(Settings.MaxEntries, " entries");
+  return {};
 }
 
 void endpoint_reader::onPage(const http::exchange_result &Result) {
@@ -107,9 +137,6 @@
     schedule(Settings.RetryDelay, true);
     return;
   }
-  if (IsUnavailable)
-    telemetry::logEvent(severity::info, "endpoint_list_regained", {});
-  IsUnavailable = false;
   Unreadable += Page->Unreadable;
   for (relay::listed_endpoint &Each : Page->Endpoints)
     Endpoints.push_back(std::move(Each));
@@ -118,6 +145,9 @@
     readPage();
     return;
   }
+  if (IsUnavailable)
+    telemetry::logEvent(severity::info, "endpoint_list_regained", {});
+  IsUnavailable = false;
   if (Unreadable != LoggedUnreadable)
     telemetry::logEvent(severity::warning, "endpoint_list_unreadable_entries",
                         {{"count", Unreadable}});
--- a/src/fleet/endpoint_reader.h
+++ b/src/fleet/endpoint_reader.h
@@ -16,9 +16,14 @@
       1500}; ///< from the end of one reading to the next; each page has a cost
   millis RetryDelay{350};  ///< after a failed page, before reading starts over
   millis PageTimeout{900}; ///< per page
+  /// A reading beyond one of these is given up, as after a failed page.
+  std::size_t MaxEntries = 50'000;
+  std::size_t MaxPages = 20'000;
+  std::size_t MaxBytes = 16 << 20; ///< bodies of all pages
 };
 
-/// Called after each complete reading; `StartedAt` is when it began.
+/// Called after each complete reading; `StartedAt` is when it began. After one
+/// that failed, what the last complete one found stays in force.
 using directory_handler =
     std::function<void(std::vector<relay::listed_endpoint>, instant StartedAt)>;
 
@@ -35,7 +40,8 @@
 private:
   void readPage();
   void onPage(const http::exchange_result &Result);
-  expected<endpoint_page> decode(const http::exchange_result &Result) const;
+  expected<endpoint_page> decode(const http::exchange_result &Result);
+  expected<void> checkSize(std::size_t PageBytes, std::size_t PageEntries);
   void schedule(millis Delay, bool Restart);
   void onTimer();
 
@@ -47,6 +53,8 @@
   boost::asio::steady_timer Timer;
   std::vector<relay::listed_endpoint> Endpoints;
   std::uint32_t Unreadable = 0;
+  std::size_t Pages = 0;
+  std::size_t Bytes = 0;
   std::uint32_t LoggedUnreadable = 0;
   bool IsUnavailable = false;
   std::string PageToken;
