Refuse response bodies beyond the limit however they arrive

What callers saw: nothing yet. An endpoint that states a body of any length and sends its first byte together with the head makes the relay read all of it into memory; so does the platform's list at a registry. MaxBodyBytes did not hold.

Cause: Beast 1.74 checks the stated length at the end of the head, and then goes on with the bytes that are left, which overwrites the error (parser::put with `eager`). The check holds only if no byte of the body has arrived. A request parser is not affected: its state is left at the head (trial with 0, 5, 11 and 100 bytes, with and without `eager`).

Change: the client checks the length itself at the end of the head and turns `eager` off when it refuses. Bodies in chunks, and those that end with the connection, keep the library's limit, which is checked with each piece.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <charconv>
 #include <deque>
+#include <limits>
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
@@ -24,7 +25,6 @@
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 using error_code = boost::system::error_code;
-using parser = beast::http::response_parser<beast::http::string_body>;
 using wire_request = beast::http::request<beast::http::string_body>;
 using time_point = std::chrono::steady_clock::time_point;
 
@@ -43,6 +43,32 @@
 /// Least status of a response after which a request may be sent again.
 constexpr unsigned MinFailureStatus = 400;
 
+/// Refuses a response at its head. The library's own limit does not hold for a
+/// body of a stated length whose first bytes arrive with the head: its error is
+/// overwritten, as parsing goes on unless `eager` is off.
+class parser final
+    : public beast::http::response_parser<beast::http::string_body> {
+public:
+  explicit parser(std::size_t MaxBodyBytes) : MaxBodyBytes(MaxBodyBytes) {
+    body_limit(std::numeric_limits<std::uint64_t>::max());
+  }
+
+private:
+  void on_header_impl(error_code &Error) override {
+    using beast::http::error;
+    Error = {};
+    const bool HasBody = !is_done();
+    if (HasBody && content_length().value_or(0) > MaxBodyBytes)
+      Error = beast::http::make_error_code(error::body_limit);
+    else
+      body_limit(MaxBodyBytes); // of chunks, or until the connection ends
+    if (Error)
+      eager(false);
+  }
+
+  std::size_t MaxBodyBytes;
+};
+
 instant now() { return steady_clock_source().now(); }
 
 /// Parses the `timeout` of a Keep-Alive header, given in whole seconds;
@@ -243,9 +269,8 @@
   }
 
   void readResponse() {
-    Parser.emplace();
-    if (const auto Client = Owner.lock())
-      Parser->body_limit(Client->Settings.MaxBodyBytes);
+    const auto Client = Owner.lock();
+    Parser.emplace(Client ? Client->Settings.MaxBodyBytes : 0);
     beast::http::async_read(
         Socket, Buffer, *Parser,
         [Self = shared_from_this()](error_code Error, std::size_t) {
--- a/test/shell/http_client_test.cpp
+++ b/test/shell/http_client_test.cpp
@@ -101,15 +101,19 @@
   return Out;
 }
 
-http::exchange_result exchange(http::client &Client, asio::io_context &Io) {
+/// Runs one exchange; it must end long before its timeout.
+http::exchange_result
+exchange(http::client &Client, asio::io_context &Io,
+         std::chrono::milliseconds Limit = std::chrono::milliseconds(10'000)) {
   std::optional<http::exchange_result> Out;
   Client.send({"GET", "/", {}, {}},
               [&](http::exchange_result Result) { Out = std::move(Result); });
   Io.restart();
-  for (int I = 0; I < 500 && !Out; ++I)
-    Io.run_for(std::chrono::milliseconds(20));
-  REQUIRE(Out);
-  return *Out;
+  const auto Slice = std::chrono::milliseconds(20);
+  for (auto Waited = Slice; Waited < Limit && !Out; Waited += Slice)
+    Io.run_for(Slice);
+  CHECK(Out);
+  return Out.value_or(http::exchange_result());
 }
 
 } // namespace
@@ -140,8 +144,10 @@
       endless{"interim responses", "HTTP/1.1 100 Continue\r\n\r\n",
               "HTTP/1.1 100 Continue\r\n\r\n"},
       endless{"a body without length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+      endless{"a body of a length that cannot be stored",
+              "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n", "x"},
       endless{"a body longer than the limit",
-              "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n", "x"});
+              "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\nx", "x"});
   CAPTURE(Case.Name);
   asio::io_context Io;
   endless_server Server(Io, Case.Head, repeated(Case.Filler));
@@ -183,6 +189,34 @@
   CHECK(exchange(Client, Io).Response.Body == Body);
 }
 
+// Guards against a limit that holds only if the body arrives after the head.
+TEST_CASE("a body beyond the limit is refused however it arrives", "[http]") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(MaxBodyBytes + 1) +
+      "\r\n\r\n";
+  const std::size_t Count =
+      GENERATE(std::size_t{0}, std::size_t{1}, MaxBodyBytes + 1);
+  asio::io_context Io;
+  endless_server Server(Io, Head + std::string(Count, 'x'), "",
+                        std::chrono::minutes(10));
+  http::client Client(Io, settings());
+  const http::exchange_result Result = exchange(Client, Io);
+  CHECK(Result.Status == http::exchange_status::malformed_response);
+  CHECK(Result.Response.Body.empty());
+}
+
+// Guards against a limit that takes the length of a body that is not sent.
+TEST_CASE("the length of a body that is not sent is not limited", "[http]") {
+  const std::string Status = GENERATE("204 No Content", "304 Not Modified");
+  asio::io_context Io;
+  endless_server Server(Io,
+                        "HTTP/1.1 " + Status + "\r\nContent-Length: " +
+                            std::to_string(MaxBodyBytes + 1) + "\r\n\r\n",
+                        "", std::chrono::minutes(10));
+  http::client Client(Io, settings());
+  CHECK(exchange(Client, Io).Status == http::exchange_status::done);
+}
+
 // Guards against a response that arrives in small pieces for ever and holds its
 // connection.
 TEST_CASE("a response that arrives slowly and never ends is given up",
