Bound the time of one reading of the platform's list

What callers saw: nothing yet. A list whose pages never end, each shortly before its timeout, reaches no other limit for hours: 20,000 pages of up to 0.9 s. All the while relays stay with the last list, and no log line says so.

Cause and class: as for the size of a reading: each page is bounded in time and their sum is not.

Change: a reading of more than 300 s is given up as one that is too large is.

Evidence: "a list that takes too long is given up and read anew", with the limit set and not applied: one reading in 2 s; here three.

--- a/src/fleet/endpoint_reader.cpp
+++ b/src/fleet/endpoint_reader.cpp
@@ -100,16 +100,17 @@
   }
   if (!Page)
     return Page;
-  const auto Size = checkSize(Result.Response.Body.size(),
-                              Page->Endpoints.size() + Page->Unreadable);
-  if (!Size)
-    return tl::unexpected(Size.error());
+  const auto Checked = checkLimits(Result.Response.Body.size(),
+                                   Page->Endpoints.size() + Page->Unreadable);
+  if (!Checked)
+    return tl::unexpected(Checked.error());
   return Page;
 }
 
-/// Counts a page. Returns an error if the list is longer than any list may be.
-expected<void> endpoint_reader::checkSize(std::size_t PageBytes,
-                                          std::size_t PageEntries) {
+/// Counts a page. Returns an error if the list is longer, or takes longer, than
+/// any list may.
+expected<void> endpoint_reader::checkLimits(std::size_t PageBytes,
+                                            std::size_t PageEntries) {
   ++Pages;
   Bytes += PageBytes;
   const std::size_t Entries = Endpoints.size() + Unreadable + PageEntries;
@@ -122,6 +123,8 @@
     return TooMany(Settings.MaxBytes, " bytes");
   if (Entries > Settings.MaxEntries)
     return TooMany(Settings.MaxEntries, " entries");
+  if (Clock.now() - StartedAt > Settings.MaxTime)
+    return TooMany(static_cast<std::size_t>(Settings.MaxTime.Count), " ms");
   return {};
 }
 
--- a/src/fleet/endpoint_reader.h
+++ b/src/fleet/endpoint_reader.h
@@ -20,6 +20,7 @@
   std::size_t MaxEntries = 50'000;
   std::size_t MaxPages = 20'000;
   std::size_t MaxBytes = 16 << 20; ///< bodies of all pages
+  millis MaxTime{300'000};
 };
 
 /// Called after each complete reading; `StartedAt` is when it began. After one
@@ -41,7 +42,7 @@
   void readPage();
   void onPage(const http::exchange_result &Result);
   expected<endpoint_page> decode(const http::exchange_result &Result);
-  expected<void> checkSize(std::size_t PageBytes, std::size_t PageEntries);
+  expected<void> checkLimits(std::size_t PageBytes, std::size_t PageEntries);
   void schedule(millis Delay, bool Restart);
   void onTimer();
 
--- a/test/shell/endpoint_list_test.cpp
+++ b/test/shell/endpoint_list_test.cpp
@@ -78,7 +78,10 @@
 };
 
 struct reader_fixture {
-  reader_fixture() { Reader.start(); }
+  explicit reader_fixture(fleet::reader_settings Given = settings())
+      : Settings(std::move(Given)) {
+    Reader.start();
+  }
 
   static fleet::reader_settings settings() {
     fleet::reader_settings Out;
@@ -98,12 +101,13 @@
       Io.run_for(std::chrono::milliseconds(10));
   }
 
+  fleet::reader_settings Settings;
   asio::io_context Io;
   steady_clock_source Clock;
   list_server Server{Io};
   std::vector<std::size_t> Found;
   fleet::endpoint_reader Reader{
-      Io, settings(), std::make_shared<plain_list_codec>(), Clock,
+      Io, Settings, std::make_shared<plain_list_codec>(), Clock,
       [this](const std::vector<relay::listed_endpoint> &Endpoints, instant) {
         Found.push_back(Endpoints.size());
       }};
@@ -130,6 +134,19 @@
   CHECK(Test.Found.empty());
 }
 
+// Guards against a list whose pages never end and come so slowly that no other
+// limit is reached for hours.
+TEST_CASE("a list that takes too long is given up and read anew", "[list]") {
+  fleet::reader_settings Settings = reader_fixture::settings();
+  Settings.MaxPages = SIZE_MAX;
+  Settings.MaxBytes = SIZE_MAX;
+  Settings.MaxTime = {200};
+  reader_fixture Test(Settings);
+  Test.Server.Page = "0 0 more";
+  Test.runReadings(3);
+  CHECK(Test.Server.FirstPages == 3);
+}
+
 // Guards against a reader that does not recover from a list that never ends.
 TEST_CASE("after a list that never ends the next whole one is taken",
           "[list]") {
