Bound the replies that a relay reads at once

What callers saw: nothing yet. Endpoints whose replies stay below the limit of one body and do not end take a relay over its memory together: 100 replies of 2 MiB less one byte, on a relay with 96 MB, 232 to 236 MB.

Cause: a bound on each reply and none on their sum, as with bodies of requests.

Change: clients of endpoints count what they have read of bodies in a memory_budget of their own, a quarter of the relay's memory; replies of more than 16 KiB get half of that, so that ordinary ones fit beside them. One that does not fit ends as a malformed response, and one that has been read for 3 s gives way as a broken connection: the relay tries another endpoint where it may and answers 502 otherwise. The budget takes no part of the one for requests and responses of clients, so that endpoints cannot make the relay refuse clients. Bodies are counted each 16 KiB, as the client reads them.

What remains: a reply that was read whole is not counted while it waits for the other parts of its query.

--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -51,8 +51,10 @@
                 std::uint64_t SettingsStamp)
       : Adapter(Adapter), Settings(std::move(Given)),
         Relay(Settings.Relay, drawSeed()),
-        EndpointLinks(Io, Adapter.Requests, Metrics,
-                      [this](const relay::relay_event &Event) { step(Event); }),
+        EndpointLinks(
+            Io, Adapter.Requests, Metrics,
+            [this](const relay::relay_event &Event) { step(Event); },
+            makeMemoryBudget(Settings)),
         PeerLinks(
             Io, Settings.Relay.Self, Settings.FleetPort,
             [this](const relay::relay_event &Event) { step(Event); },
