bulrushctl: send an order again only if nothing can have been sent

What callers saw: nothing yet. An order that may be carried out once is sent to the next server when the first one's response cannot be read: a status that is none, other bytes, or a body that ends early. The first server may have carried it out.

Cause: only `lost` counted as sent. The other ends of an exchange that began, such as malformed_response, were added to the client later and fell through to the next server. The class: a decision that names one case where it means all but some.

Change: an exchange counts as sent unless its end says that nothing was sent.

Evidence: "a request with a malformed response is sent again only where allowed" fails before for all four malformed responses, and passes here; a closed connection without a response held before.

--- a/src/ctl/ask.cpp
+++ b/src/ctl/ask.cpp
@@ -26,6 +26,13 @@
   return Out;
 }
 
+/// Whether the server may have received the request.
+bool wasSent(http::exchange_status Status) {
+  return Status != http::exchange_status::connect_failed &&
+         Status != http::exchange_status::connect_refused &&
+         Status != http::exchange_status::not_sent;
+}
+
 } // namespace
 
 failover_client::failover_client(std::vector<address> Servers,
@@ -52,10 +59,9 @@
     if (Result.Status == http::exchange_status::done)
       return std::move(Result.Response);
     Tried += ' ' + Server.Host + ':' + std::to_string(Server.Port);
-    const bool WasSent = Result.Status == http::exchange_status::lost;
-    if (WasSent && Resend == resend::forbidden)
-      return fail("the connection was lost after the request was sent; repeat "
-                  "the command to learn the outcome; servers tried:" +
+    if (wasSent(Result.Status) && Resend == resend::forbidden)
+      return fail("no valid response after the request was sent; repeat the "
+                  "command to learn the outcome; servers tried:" +
                   Tried);
   }
   return fail("no response from" + Tried);
--- a/src/ctl/ask.h
+++ b/src/ctl/ask.h
@@ -14,7 +14,7 @@
 enum class resend { allowed, forbidden };
 
 /// Sends each request to the servers in turn until one responds. A server to
-/// which nothing could be sent is always skipped. If the connection breaks
+/// which nothing could be sent is always skipped. If no valid response comes
 /// after sending began, the next server is tried only if a resend is allowed.
 class failover_client {
 public:
