Refuse responses whose status is none of HTTP

What callers saw: a request of a plain route whose endpoint answered with status 000 got 504 at its deadline, instead of a second attempt or 502 at once. Status 600 to 999 reached the caller as an answer.

Cause: the library's parser takes any three digits. The client took a status below 200 for an interim response and waited for the final one, for as long as the exchange may last; a status of 600 and above counted as a final response. The same client reads health reports, the platform's list and what bulrushctl asks. The class: a value from outside that is used in comparisons of ranges and is never checked for its own range.

Change: the client refuses a response at its head, without waiting for its body, unless its status is 200 to 599 or that of an interim response; 101 answers no request of this client. The exchange ends as malformed_response at once, as with other bytes that are no response, and its connection is closed. So a relay tries another endpoint where it may, and answers 502 otherwise.

Here all rows pass, and 200 to 599 and HTTP/1.0 are still received.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -44,6 +44,12 @@
 /// Least status of a response after which a request may be sent again.
 constexpr unsigned MinFailureStatus = 400;
 
+/// Whether the status is that of an interim response. 101 would need a request
+/// to switch protocols.
+bool isInterimStatus(unsigned Status) {
+  return Status >= 100 && Status < 200 && Status != 101;
+}
+
 /// Refuses a response at its head. The library's own limit does not hold for a
 /// body of a stated length whose first bytes arrive with the head: its error is
 /// overwritten, as parsing goes on unless `eager` is off.
@@ -59,8 +65,11 @@
   void on_header_impl(error_code &Error) override {
     using beast::http::error;
     Error = {};
+    const unsigned Status = get().result_int();
     const bool HasBody = !is_done();
-    if (HasBody && content_length().value_or(0) > MaxBodyBytes)
+    if (!isFinalStatus(Status) && !isInterimStatus(Status))
+      Error = beast::http::make_error_code(error::bad_status);
+    else if (HasBody && content_length().value_or(0) > MaxBodyBytes)
       Error = beast::http::make_error_code(error::body_limit);
     else
       body_limit(MaxBodyBytes); // of chunks, or until the connection ends
@@ -320,7 +329,7 @@
       return;
     }
     auto Message = Parser->release();
-    const bool IsInterim = Message.result_int() < 200;
+    const bool IsInterim = isInterimStatus(Message.result_int());
     if (IsInterim || isMismatched(Message)) {
       if (++Skipped > MaxSkipped || !Message.keep_alive())
         finish(exchange_status::lost, {});
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -2,7 +2,7 @@
 ///
 /// A response ends as `malformed_response` if its head is longer than 8 KiB,
 /// a chunk header with its extensions or the trailers longer than 16 KiB, or
-/// its body longer than `MaxBodyBytes`.
+/// its body longer than `MaxBodyBytes`, or if its status is not one of HTTP.
 #pragma once
 
 #include "bulrushtray/clock.h"
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -35,6 +35,11 @@
   bool IsFirstOnConnection = false; ///< set by the server
 };
 
+/// Whether a final response may have this status (RFC 9110, 15).
+constexpr bool isFinalStatus(unsigned Status) {
+  return Status >= 200 && Status <= 599;
+}
+
 struct response {
   unsigned Status = 200;
   std::vector<header> Headers;
--- a/test/shell/http_client_test.cpp
+++ b/test/shell/http_client_test.cpp
@@ -240,6 +240,60 @@
   CHECK(Server.Open == 0);
 }
 
+namespace {
+
+/// Answers with `Response` and then keeps the connection open.
+http::exchange_result exchangeWith(const std::string &Response) {
+  asio::io_context Io;
+  endless_server Server(Io, Response, "", std::chrono::minutes(10));
+  http::client Client(Io, settings());
+  http::exchange_result Out =
+      exchange(Client, Io, std::chrono::milliseconds(2'000));
+  CHECK(Server.Requests == 1);
+  return Out;
+}
+
+} // namespace
+
+// Guards against a status that is none and is handed on as an answer, or that
+// keeps the client waiting for another one.
+TEST_CASE("a response whose status is none of a response is malformed",
+          "[http]") {
+  const std::string Line = GENERATE(
+      as<std::string>{}, "HTTP/1.1 000 x", "HTTP/1.1 001 x", "HTTP/1.1 099 x",
+      "HTTP/1.1 101 x", "HTTP/1.1 600 x", "HTTP/1.1 999 x", "HTTP/1.1 00 x",
+      "HTTP/1.1 0200 x", "HTTP/1.1 2000 x", "HTTP/1.1 +20 x", "HTTP/1.1 -200 x",
+      "HTTP/1.1 2x0 x", "HTTP/1.1 200", "HTTP/1.1  200 x", "HTTP/2.0 200 x",
+      "HTTP/0.9 200 x", "ICY 200 x");
+  const std::string Rest =
+      GENERATE(as<std::string>{}, "\r\nContent-Length: 0\r\n\r\n",
+               "\r\nContent-Length: 2\r\n\r\nab", "\r\n\r\n",
+               "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
+  CAPTURE(Line, Rest);
+  CHECK(exchangeWith(Line + Rest).Status ==
+        http::exchange_status::malformed_response);
+}
+
+// Guards against a check of the status that refuses one which is in use.
+TEST_CASE("every status of a final response is received", "[http]") {
+  const std::string Line =
+      GENERATE(as<std::string>{}, "HTTP/1.1 200 ", "HTTP/1.0 200 OK",
+               "HTTP/1.1 204 x", "HTTP/1.1 299 x", "HTTP/1.1 304 x",
+               "HTTP/1.1 404 x", "HTTP/1.1 500 x", "HTTP/1.1 599 x",
+               "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 x");
+  CAPTURE(Line);
+  CHECK(exchangeWith(Line + "\r\nContent-Length: 0\r\n\r\n").Status ==
+        http::exchange_status::done);
+}
+
+// Guards against interim responses that keep the client waiting.
+TEST_CASE("a fourth interim response ends the exchange", "[http]") {
+  std::string Response;
+  for (int I = 0; I < 4; ++I)
+    Response += "HTTP/1.1 100 Continue\r\n\r\n";
+  CHECK(exchangeWith(Response).Status == http::exchange_status::lost);
+}
+
 // Guards against responses that each keep to the limit and together take all
 // memory.
 TEST_CASE("responses that are read at once are bounded in total", "[http]") {
