Drop another relay's reply whose status is none of HTTP

What callers saw: nothing yet, by reading. A request that goes through another relay is answered with what that relay sends, and a relay of an older build forwards a searcher's status of 600 and above. A status beyond 999 ends the write of the answer with an exception, and the client waits for nothing.

Change: a shard reply with such a status carries no reply when it is decoded. The request then counts as one that may have run and is answered 502, unless the other relay states that it has not run.

Evidence: "a shard reply with a status that is none carries no reply" fails for all 7 values on the commit before and passes here. Parts of queries carry no status between relays.

--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -405,7 +405,8 @@
   To.IsReachLost = From.reach_lost();
   To.RetryAfter = {From.retry_after_ms()};
   To.Leaving = identitiesFromProto(From.leaving());
-  if (!From.has_reply())
+  // Without a reply, the outcome of the request counts as unknown.
+  if (!From.has_reply() || !http::isFinalStatus(From.reply().status()))
     return To;
   auto Reply = std::make_shared<relay::endpoint_reply>();
   Reply->Status = From.reply().status();
--- a/test/shell/fleet_codec_test.cpp
+++ b/test/shell/fleet_codec_test.cpp
@@ -273,3 +273,30 @@
                    {{"other"}, 0, 0, false, {}, {}}};
   CHECK(roundTrip(Grants).Grants == Grants.Grants);
 }
+
+// Guards against a relay of another build whose reply makes this one answer a
+// client with a status that is none.
+TEST_CASE("a shard reply with a status that is none carries no reply",
+          "[wire]") {
+  relay::shard_reply Reply;
+  Reply.ShardRequest = {7};
+  Reply.IsFinal = true;
+  relay::endpoint_reply Content;
+  Content.Signature = "s";
+  for (const unsigned Status : {0U, 99U, 100U, 199U, 600U, 999U, 1200U}) {
+    Content.Status = Status;
+    Reply.Reply = std::make_shared<const relay::endpoint_reply>(Content);
+    const relay::shard_reply Got = roundTrip(Reply);
+    INFO(Status);
+    CHECK(!Got.Reply);
+    CHECK(Got.IsFinal);
+    CHECK(!Got.IsNotRun);
+  }
+  for (const unsigned Status : {200U, 404U, 599U}) {
+    Content.Status = Status;
+    Reply.Reply = std::make_shared<const relay::endpoint_reply>(Content);
+    const relay::shard_reply Got = roundTrip(Reply);
+    REQUIRE(Got.Reply);
+    CHECK(Got.Reply->Status == Status);
+  }
+}
