Test that malformed responses are neither parts nor proofs

The relay's decisions held before: a malformed response is retried where the request may run twice, ends as 502 otherwise, and is no part of a query.

--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -227,6 +227,40 @@
   CHECK(Relay.count<send_attempt>() == 1);
 }
 
+// Guards against bytes that are no response and that count as "not run", or
+// make a request that must not run twice run again.
+TEST_CASE("a malformed response is retried only where a second run is allowed",
+          "[relay]") {
+  const bool IsIdempotent = GENERATE(true, false);
+  single_fixture Relay(IsIdempotent);
+  const query_id Request = Relay.sendRequest("/one/");
+  Relay.end(Relay.Sent.begin()->first, attempt_end::malformed_response, {});
+  if (IsIdempotent) {
+    REQUIRE(Relay.Sent.size() == 1);
+    REQUIRE(Relay.answerTo(Request) == nullptr);
+    Relay.end(Relay.Sent.begin()->first, attempt_end::malformed_response, {});
+  }
+  REQUIRE(Relay.answerTo(Request));
+  CHECK(Relay.answerTo(Request)->Status == 502);
+  CHECK(Relay.count<send_attempt>() == (IsIdempotent ? 2 : 1));
+}
+
+// Guards against a query that counts a malformed response as a part.
+TEST_CASE("a malformed response is no part of an answer", "[relay]") {
+  gather_fixture Relay;
+  const query_id Request = Relay.sendRequest("/all/x");
+  while (Relay.sentTo("a") > 0)
+    Relay.end(std::max(Relay.attemptAt("a-0"), Relay.attemptAt("a-1")),
+              attempt_end::malformed_response, {});
+  Relay.replyAll();
+  Relay.advance(100);
+  const send_answer *Answer = Relay.answerTo(Request);
+  REQUIRE(Answer);
+  CHECK(Answer->Status == 200);
+  CHECK(Answer->Missing == 1);
+  CHECK(Answer->Signatures.size() == 3);
+}
+
 TEST_CASE("a non-idempotent request is never hedged", "[relay]") {
   single_fixture Relay(false);
   Relay.sendRequest("/one/");
