Never write a status that is none of HTTP

What callers saw: nothing yet, by reading. A response whose status is 0 or above 599 was sent as it is. One of 100 to 199 or above 999, and one of 204 or 304 with a body, ended the write with an exception, and the connection hung until the write timeout.

Cause: the server hands status and body to the library unchecked, which either writes them or throws. The class: a value that is used without a check of its range, at the last place where it can be checked.

Change: such a status is replaced by 500 with a log line and a counter, and a body that its status forbids is left out.

Evidence: "a response with a status that is none is replaced by 500" fails on the commit before for each of 0, 99, 100, 199, 600, 999 and 1000, and "a response that may have no body is sent without it" for 204 and 304. Both pass here, as do the other cases of http_test.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -552,6 +552,7 @@
     if (IsClosed || Pending.empty() || Number < Pending.front().Number)
       return;
     response_slot &Slot = Pending[Number - Pending.front().Number];
+    Response = sendable(std::move(Response));
     PendingRequestBytes -= std::exchange(Slot.RequestBytes, 0);
     Slot.ResponseBytes = responseBytes(Response);
     PendingResponseBytes += Slot.ResponseBytes;
@@ -578,6 +579,22 @@
     return Bytes;
   }
 
+  /// What may be sent of a response: 500 if its status is none of HTTP, and no
+  /// body where its status forbids one.
+  response sendable(response Response) const {
+    if (!isFinalStatus(Response.Status)) {
+      if (const auto Owner = Server.lock())
+        Owner->Metrics.add("http_invalid_status", "");
+      telemetry::logEvent(telemetry::severity::error, "http_invalid_status",
+                          {{"status", Response.Status}});
+      Response = {};
+      Response.Status = 500;
+    }
+    if (Response.Status == 204 || Response.Status == 304)
+      Response.Body.clear();
+    return Response;
+  }
+
   void writeNext() {
     if (IsWriting || IsClosed || Pending.empty() || !Pending.front().Response)
       return;
--- a/test/shell/http_test.cpp
+++ b/test/shell/http_test.cpp
@@ -31,6 +31,7 @@
     Response.Body = Request.Target;
     if (Request.Target == "/throw")
       throw std::invalid_argument("refused by the handler");
+    Response.Status = Status;
     if (Request.Target == "/later")
       HeldResponse = [Respond, Response] { Respond(Response); };
     else
@@ -39,6 +40,7 @@
       HeldResponse();
   }
   std::function<void()> HeldResponse;
+  unsigned Status = 200;
 };
 
 struct fixture {
@@ -1417,3 +1419,32 @@
   runFor(Io, 1500);
   CHECK(Server.connectionCount() == 0);
 }
+
+// Guards against a status that is none and reaches a client, or that ends the
+// write with an exception and leaves the client waiting.
+TEST_CASE("a response with a status that is none is replaced by 500",
+          "[http]") {
+  fixture Test;
+  Test.Handler.Status = GENERATE(0U, 99U, 100U, 199U, 600U, 999U, 1000U);
+  INFO(Test.Handler.Status);
+  std::string Response;
+  CHECK_NOTHROW(Response = Test.exchangeRaw("GET /x HTTP/1.1\r\nHost: h\r\n"
+                                            "Connection: close\r\n\r\n",
+                                            1 << 20));
+  CHECK(Response.rfind("HTTP/1.1 500 ", 0) == 0);
+  CHECK(Response.find("/x") == std::string::npos);
+}
+
+// Guards against a body that its status forbids: the library refuses to write
+// the response, and the client waits.
+TEST_CASE("a response that may have no body is sent without it", "[http]") {
+  fixture Test;
+  Test.Handler.Status = GENERATE(204U, 304U);
+  std::string Response;
+  CHECK_NOTHROW(Response = Test.exchangeRaw("GET /x HTTP/1.1\r\nHost: h\r\n"
+                                            "Connection: close\r\n\r\n",
+                                            1 << 20));
+  CHECK(Response.rfind("HTTP/1.1 " + std::to_string(Test.Handler.Status), 0) ==
+        0);
+  CHECK(Response.find("/x") == std::string::npos);
+}
