--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -68,6 +68,9 @@
   Commit = Applied = Log.base();
   DurableIndex = Log.last();
   DurableTerm = Term;
+  // Recorded, as the files that show it may be removed.
+  BootstrapChanged =
+      State.HasFormerMember && !State.Bootstrap && group().Members.empty();
   // The snapshot is written before the hard state, so a crash in between leaves
   // a snapshot with a larger term.
   if (Log.lastTerm() > Term) {
--- a/src/store/durable_log.cpp
+++ b/src/store/durable_log.cpp
@@ -211,20 +211,30 @@
 }
 
 /// Size in bytes of the log and the snapshot under the names that end in
-/// `Suffix`. What can't be read as a file counts as empty.
-disk_result<std::size_t> sizeOfEntries(disk &Disk, const std::string &Suffix) {
+/// `Suffix`. What cannot be read counts as empty.
+std::size_t sizeOfEntries(disk &Disk, const std::string &Suffix) {
   std::size_t Size = 0;
   for (const std::string Name : {LogName, SnapshotName}) {
     const auto Bytes = Disk.read(Name + Suffix);
-    if (Bytes)
-      Size += Bytes->size();
-    else if (Bytes.error().Fault != disk_fault::not_found &&
-             Bytes.error().Fault != disk_fault::not_a_file)
-      return tl::unexpected<disk_error>(Bytes.error());
+    Size += Bytes ? Bytes->size() : 0;
   }
   return Size;
 }
 
+/// Whether the folder's files are kept instead of those that were set aside
+/// earlier. A snapshot shows that its member was in a group, so that the
+/// earlier files are of a member that was replaced; without one the files that
+/// hold more entries are kept.
+disk_result<bool> replacesSetAside(disk &Disk) {
+  const auto Names = Disk.list();
+  if (!Names)
+    return tl::unexpected<disk_error>(Names.error());
+  const bool HasSnapshot =
+      std::find(Names->begin(), Names->end(), SnapshotName) != Names->end();
+  return HasSnapshot ||
+         sizeOfEntries(Disk, "") >= sizeOfEntries(Disk, DamagedSuffix);
+}
+
 } // namespace
 
 struct durable_log::impl {
@@ -372,23 +382,18 @@
   return Log;
 }
 
-/// Files that were set aside earlier are replaced, unless they hold more: a
-/// folder may be damaged again before its member has joined a group, and the
+/// A folder may be damaged again before its member has joined a group, and the
 /// earlier files are the ones that hold entries then. The log goes first, as in
 /// `retire`.
 disk_result<void> durable_log::setAside(disk &Disk) {
-  const auto Found = sizeOfEntries(Disk, "");
-  if (!Found)
-    return tl::unexpected<disk_error>(Found.error());
-  const auto Kept = sizeOfEntries(Disk, DamagedSuffix);
-  if (!Kept)
-    return tl::unexpected<disk_error>(Kept.error());
-  const bool Replaces = *Found >= *Kept;
+  const auto Replaces = replacesSetAside(Disk);
+  if (!Replaces)
+    return tl::unexpected<disk_error>(Replaces.error());
   for (const std::string Name : {LogName, SnapshotName, BootstrapName}) {
     const std::string KeptName = Name + DamagedSuffix;
-    if (auto Done = Disk.remove(Replaces ? KeptName : Name); !Done)
+    if (auto Done = Disk.remove(*Replaces ? KeptName : Name); !Done)
       return Done;
-    if (Replaces)
+    if (*Replaces)
       if (auto Done = Disk.rename(Name, KeptName);
           !Done && Done.error().Fault != disk_fault::not_found)
         return Done;
--- a/test/unit/bootstrap_test.cpp
+++ b/test/unit/bootstrap_test.cpp
@@ -752,6 +752,31 @@
       }
 }
 
+// Guards against an empty group once the files that show a former member have
+// been removed.
+TEST_CASE("damaged folders remember that there was a group", "[bootstrap]") {
+  first_start_fleet Fleet(40);
+  Fleet.startAll();
+  REQUIRE(Fleet.isWhole(PatienceMs));
+  for (std::size_t I = 0; I < 3; ++I)
+    Fleet.damageDisk(Fleet.at(I));
+  for (std::size_t I = 3; I < 5; ++I)
+    Fleet.kill(Fleet.at(I));
+  for (std::size_t I = 0; I < 3; ++I)
+    Fleet.start(Fleet.at(I));
+  Fleet.run(1000);
+  for (std::size_t I = 0; I < 3; ++I) {
+    auto &Machine = Fleet.at(I);
+    Fleet.kill(Machine);
+    for (const char *Name : {"log", "snapshot", "bootstrap"})
+      REQUIRE(Machine.Disk.remove(std::string(Name) + ".damaged"));
+    Machine.HasStarted = false;
+    Fleet.start(Machine);
+  }
+  Fleet.run(30'000);
+  CHECK(Fleet.Formed.size() == 1);
+}
+
 // Guards against files that are of no use to an operator once a whole group was
 // taken for damaged.
 TEST_CASE("a group goes on from the files that were set aside", "[bootstrap]") {
--- a/test/unit/damaged_folder_test.cpp
+++ b/test/unit/damaged_folder_test.cpp
@@ -285,6 +285,38 @@
   CHECK(Disk.backup().size() <= Files);
 }
 
+// Guards against the files of a voter that are removed for those of a member
+// that was replaced long ago, as its log has been shortened since.
+TEST_CASE("files of a member of a group replace larger ones set aside",
+          "[store]") {
+  fake_disk Disk;
+  fill(Disk);
+  {
+    auto Log = durable_log::openRepaired(Disk, optionsOf(Successor));
+    Log->write(makeWrite(6, 120));
+    REQUIRE(Log->sync());
+  }
+  Disk.bytes("log")[20] ^= 0x55;
+  {
+    auto Log = durable_log::openRepaired(Disk, optionsOf(voter_id{88}));
+    REQUIRE(Log);
+    control::persist Joined = makeWrite(501, 510);
+    Joined.Snapshot = control::log_snapshot{
+        log_index{500}, term_id{3},
+        control::voter_group{}.with(
+            {voter_id{88}, vm_id{2}, control::member_role::voter}),
+        control::shareBytes("state")};
+    Joined.DropLog = true;
+    Log->write(Joined);
+    REQUIRE(Log->sync());
+  }
+  Disk.bytes("log")[20] ^= 0x55;
+  const std::string Later = Disk.bytes("log");
+  REQUIRE(Later.size() < Disk.bytes("log.damaged").size());
+  REQUIRE(durable_log::openRepaired(Disk, optionsOf(voter_id{99})));
+  CHECK(Disk.bytes("log.damaged") == Later);
+}
+
 // Guards against a folder that a refused write or a power failure leaves half
 // set aside, and that then counts as unused or is never opened.
 TEST_CASE("setting damaged files aside is completed after any interruption",
