--- a/src/fleet/endpoint_links.cpp
+++ b/src/fleet/endpoint_links.cpp
@@ -25,6 +25,22 @@
 /// Upper bound for every attempt; its request has timed out by then.
 constexpr millis ExchangeTimeout{60'000};
 
+http::client_settings settingsFor(const address &Server,
+                                  const request_codec &Codec) {
+  http::client_settings Out;
+  Out.Server = Server;
+  Out.ConnectTimeout = ConnectTimeout;
+  Out.UnackedTimeout = UnackedTimeout;
+  Out.IdleTimeout = IdleTimeout;
+  Out.MinIdle = MinIdle;
+  Out.SpareTimeout = SpareTimeout;
+  Out.ConnectBackoff = ConnectBackoff;
+  Out.ExchangeTimeout = ExchangeTimeout;
+  Out.EchoHeader = Codec.echoHeader();
+  Out.MaxBodyBytes = MaxReplyBytes;
+  return Out;
+}
+
 relay::attempt_end toAttemptEnd(http::exchange_status Status) {
   switch (Status) {
   case http::exchange_status::done:
@@ -51,10 +67,9 @@
 endpoint_links::endpoint_links(boost::asio::io_context &Io,
                                std::shared_ptr<const request_codec> Codec,
                                telemetry::metrics &Metrics,
-                               relay_event_handler OnEvent,
-                               std::shared_ptr<http::memory_budget> Replies)
+                               relay_event_handler OnEvent)
     : Io(Io), Codec(std::move(Codec)), Metrics(Metrics),
-      OnEvent(std::move(OnEvent)), Replies(std::move(Replies)) {}
+      OnEvent(std::move(OnEvent)) {}
 
 endpoint_links::link_ptr endpoint_links::find(relay::endpoint_no No) const {
   const auto Found = Links.find(No);
@@ -82,25 +97,9 @@
     clientOf(*Link).preconnect(1);
 }
 
-http::client_settings endpoint_links::settingsFor(const address &Server) const {
-  http::client_settings Out;
-  Out.Server = Server;
-  Out.ConnectTimeout = ConnectTimeout;
-  Out.UnackedTimeout = UnackedTimeout;
-  Out.IdleTimeout = IdleTimeout;
-  Out.MinIdle = MinIdle;
-  Out.SpareTimeout = SpareTimeout;
-  Out.ConnectBackoff = ConnectBackoff;
-  Out.ExchangeTimeout = ExchangeTimeout;
-  Out.EchoHeader = Codec->echoHeader();
-  Out.MaxBodyBytes = MaxReplyBytes;
-  Out.Budget = Replies;
-  return Out;
-}
-
 http::client &endpoint_links::clientOf(endpoint_link &Link) const {
   if (!Link.Client) {
-    http::client_settings Settings = settingsFor(Link.Listed.Address);
+    http::client_settings Settings = settingsFor(Link.Listed.Address, *Codec);
     Settings.MaxConnections = Link.Connections;
     Link.Client = std::make_unique<http::client>(Io, Settings);
   }
@@ -109,7 +108,7 @@
 
 http::client &endpoint_links::proberOf(endpoint_link &Link) const {
   if (!Link.Prober) {
-    http::client_settings Settings = settingsFor(Link.Listed.Address);
+    http::client_settings Settings = settingsFor(Link.Listed.Address, *Codec);
     Settings.MaxConnections = 1;
     Settings.ExchangeTimeout = ProbeTimeout;
     Settings.SweepInterval = ProbeSweepInterval;
--- a/src/fleet/endpoint_links.h
+++ b/src/fleet/endpoint_links.h
@@ -20,11 +20,9 @@
 /// `io_context`; the handler is never called from within a member function.
 class endpoint_links {
 public:
-  /// `Replies` bounds the replies that are being read; null: no bound.
   endpoint_links(boost::asio::io_context &Io,
                  std::shared_ptr<const request_codec> Codec,
-                 telemetry::metrics &Metrics, relay_event_handler OnEvent,
-                 std::shared_ptr<http::memory_budget> Replies = nullptr);
+                 telemetry::metrics &Metrics, relay_event_handler OnEvent);
 
   void open(const relay::open_endpoint &Action);
   void preconnect(const relay::preconnect_endpoint &Action);
@@ -47,7 +45,6 @@
   using link_ptr = std::shared_ptr<endpoint_link>;
 
   link_ptr find(relay::endpoint_no No) const;
-  http::client_settings settingsFor(const address &Server) const;
   http::client &clientOf(endpoint_link &Link) const;
   http::client &proberOf(endpoint_link &Link) const;
   void onExchangeEnded(const std::weak_ptr<endpoint_link> &Link,
@@ -63,7 +60,6 @@
   std::shared_ptr<const request_codec> Codec;
   telemetry::metrics &Metrics;
   relay_event_handler OnEvent;
-  std::shared_ptr<http::memory_budget> Replies;
   std::unordered_map<relay::endpoint_no, link_ptr> Links;
 };
 
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -51,10 +51,8 @@
                 std::uint64_t SettingsStamp)
       : Adapter(Adapter), Settings(std::move(Given)),
         Relay(Settings.Relay, drawSeed()),
-        EndpointLinks(
-            Io, Adapter.Requests, Metrics,
-            [this](const relay::relay_event &Event) { step(Event); },
-            makeMemoryBudget(Settings)),
+        EndpointLinks(Io, Adapter.Requests, Metrics,
+                      [this](const relay::relay_event &Event) { step(Event); }),
         PeerLinks(
             Io, Settings.Relay.Self, Settings.FleetPort,
             [this](const relay::relay_event &Event) { step(Event); },
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,7 +2,6 @@
 
 #include "http/detail.h"
 #include "http/idle_limit.h"
-#include "http/memory_budget.h"
 
 #include <algorithm>
 #include <boost/asio/connect.hpp>
@@ -58,7 +57,6 @@
 public:
   explicit parser(std::size_t MaxBodyBytes) : MaxBodyBytes(MaxBodyBytes) {
     body_limit(std::numeric_limits<std::uint64_t>::max());
-    eager(true);
   }
 
 private:
@@ -164,8 +162,7 @@
 };
 
 /// A connection that runs one exchange at a time.
-class connection : public std::enable_shared_from_this<connection>,
-                   public memory_holder {
+class connection : public std::enable_shared_from_this<connection> {
 public:
   explicit connection(const std::shared_ptr<detail::client_state> &Owner)
       : Owner(Owner), Socket(Owner->Io) {
@@ -236,7 +233,6 @@
   /// Closes the connection without calling the handler of its exchange.
   void abort() {
     Current.reset();
-    Memory.reset();
     close();
   }
   time_point lastUse() const { return LastUse; }
@@ -284,46 +280,16 @@
   void readResponse() {
     const auto Client = Owner.lock();
     Parser.emplace(Client ? Client->Settings.MaxBodyBytes : 0);
-    Memory.reset();
-    if (Client && Client->Settings.Budget) {
-      Memory.emplace(Client->Settings.Budget, *this);
-      Memory->beginReading(now());
-    }
-    readSome();
-  }
-
-  void readSome() {
-    beast::http::async_read_some(
+    beast::http::async_read(
         Socket, Buffer, *Parser,
         [Self = shared_from_this()](error_code Error, std::size_t) {
-          Self->onSomeRead(Error);
+          Self->onRead(Error);
         });
   }
 
-  void onSomeRead(error_code Error) {
+  void onRead(error_code Error) {
     if (!Current)
       return;
-    if (Error || Parser->is_done())
-      onRead(Error);
-    else if (fitsBudget())
-      readSome();
-    else
-      finish(exchange_status::malformed_response, {});
-  }
-
-  /// Counts what has been read of the body.
-  bool fitsBudget() {
-    const auto Client = Owner.lock();
-    if (!Client || !Memory)
-      return true;
-    const std::size_t Bytes = Parser->get().body().size();
-    Memory->setRequestBytes(Bytes);
-    return Client->Settings.Budget->fitsRequest(*Memory, Bytes, now());
-  }
-
-  void evict() override { close(); }
-
-  void onRead(error_code Error) {
     if (Error) {
       finish(statusOf(Error), {});
       return;
@@ -394,7 +360,6 @@
   void finish(exchange_status Status, response Response) {
     const bool IsStaleConnection = isStaleConnection(Status);
     touch();
-    Memory.reset();
     const auto Self = shared_from_this();
     exchange Finished = std::move(*Current);
     Current.reset();
@@ -422,7 +387,6 @@
   tcp::socket Socket;
   beast::flat_buffer Buffer{MaxBufferBytes};
   std::optional<parser> Parser;
-  std::optional<memory_account> Memory; ///< while a response is read
   wire_request WireRequest;
   std::optional<exchange> Current;
   time_point LastUse;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -20,8 +20,6 @@
 
 namespace bulrush::http {
 
-class memory_budget;
-
 namespace detail {
 struct client_state;
 } // namespace detail
@@ -31,10 +29,6 @@
   std::size_t MaxConnections = 8;
   std::size_t MaxWaiting = 1000; ///< requests queued for a connection
   std::size_t MaxBodyBytes = 4 << 20;
-  /// Bounds the bodies of responses that are being read, of all clients that
-  /// share it; null: no bound. A response that does not fit ends as
-  /// `malformed_response`, one that gives way to others as `lost`.
-  std::shared_ptr<memory_budget> Budget = nullptr;
   /// If an idle connection turns out to be closed by the server, fails the
   /// request with `connect_failed`, since the server may have restarted.
   /// Otherwise the request uses another connection. If set, neither the idle
