--- a/src/fleet/process_start.cpp
+++ b/src/fleet/process_start.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::seconds WaitLogInterval{5};
 /// Part of the memory of a process that its clients' requests and responses may
 /// take; the rest is for copies of them and for state.
-constexpr std::size_t ClientMemoryShare = 4;
+constexpr std::size_t ClientMemoryShare = 2;
 
 /// Whether the process can use its addresses.
 expected<void> checkAddresses(const process_settings &Settings,
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -30,7 +30,7 @@
 /// responses are sent.
 constexpr millis ShutdownMargin{400};
 constexpr std::size_t MaxClientConnections = 3000;
-constexpr std::size_t MaxReadinessConnections = 64;
+constexpr std::size_t MaxReadinessConnections = 250;
 /// Accounts with a quota that have metrics of their own.
 constexpr std::size_t MaxAccountSeries = 100;
 
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -8,7 +8,10 @@
 /// gives way to others.
 constexpr millis SlowReadTime{3000};
 constexpr millis SlowWriteTime{1000};
+/// What holds less than this frees too little to give way.
 constexpr std::size_t SmallRequestBytes = 16 << 10;
+/// Accounts that are looked at for one that gives way.
+constexpr std::size_t MaxCandidates = 64;
 /// Part of the bound that the others may hold beside an account that counts as
 /// alone.
 constexpr std::size_t AloneShare = 16;
@@ -21,10 +24,14 @@
 
 memory_account *memory_budget::findSlowReader(const memory_account &Newest,
                                               instant Now) const {
-  if (Readers.empty() || Readers.front() == &Newest ||
-      Now - Readers.front()->Reading->Since < SlowReadTime)
-    return nullptr;
-  return Readers.front();
+  std::size_t Seen = 0;
+  for (memory_account *Each : Readers) {
+    if (++Seen > MaxCandidates || Now - Each->Reading->Since < SlowReadTime)
+      break;
+    if (Each != &Newest && Each->bytes() > SmallRequestBytes)
+      return Each;
+  }
+  return nullptr;
 }
 
 memory_account *memory_budget::findSlowWriter(instant Now) const {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 #include "telemetry/log.h"
 #include "telemetry/metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -50,6 +51,15 @@
 /// A connection that has waited for a request for less time is not closed for a
 /// new one.
 constexpr millis MinIdleTime{1000};
+/// The same for a connection on which nothing has arrived yet, and for one in
+/// the middle of a request.
+constexpr millis MinUnusedTime{200};
+constexpr millis MinStallTime{3000};
+/// Silent connections that are looked at for one that gives way.
+constexpr std::size_t MaxCandidates = 16;
+/// Memory for each field of a head and each request beside their text.
+constexpr std::size_t BytesPerField = 160;
+constexpr std::size_t BytesPerRequest = 2048;
 /// Input beyond the size limit of a head that a connection may hold: a chunk
 /// header, or the trailers of a request.
 constexpr std::size_t MaxFramingBytes = 4096;
@@ -125,7 +135,8 @@
           const std::shared_ptr<detail::server_state> &Server)
       : Socket(std::move(Socket)), Server(Server),
         Memory(Server->Budget, *this),
-        LastActivity(std::chrono::steady_clock::now()) {}
+        LastActivity(std::chrono::steady_clock::now()),
+        LastInput(LastActivity) {}
 
   void start() {
     if (const auto Owner = Server.lock())
@@ -179,8 +190,23 @@
 
   /// Whether it may be closed in favour of a new connection.
   bool givesWay() const {
-    return std::chrono::steady_clock::now() - LastActivity >=
-           detail::toChrono(MinIdleTime);
+    error_code Ignored;
+    if (!IsSendingFinished && Socket.available(Ignored) > 0)
+      return false;
+    millis MinSilence = MinIdleTime;
+    if (IsSendingFinished || isUnused())
+      MinSilence = {};
+    else if (hasInput())
+      MinSilence = MinStallTime;
+    return std::chrono::steady_clock::now() - LastInput >=
+           detail::toChrono(MinSilence);
+  }
+
+  /// Whether the client has sent nothing yet, for some time.
+  bool isUnused() const {
+    return NextNumber == 0 && !hasInput() &&
+           std::chrono::steady_clock::now() - LastInput >=
+               detail::toChrono(MinUnusedTime);
   }
 
   /// Whether bytes of a further request have arrived.
@@ -232,7 +258,7 @@
     if (Buffer.size() == 0 && Buffer.capacity() > MaxIdleBufferBytes)
       Buffer.shrink_to_fit();
     IsReading = true;
-    MessageBytes = 0;
+    MessageBytes = FieldCount = 0;
     Parser.emplace();
     Parser->eager(true);
     Parser->body_limit(Owner->Settings.MaxBodyBytes);
@@ -266,10 +292,21 @@
           if (Self->IsClosed)
             return;
           Self->Buffer.commit(Bytes);
+          if (Bytes > 0)
+            Self->onInput();
           Self->parse(Error);
         });
   }
 
+  /// Puts the connection behind those that have been silent for longer.
+  void onInput() {
+    LastInput = std::chrono::steady_clock::now();
+    const auto Owner = Server.lock();
+    if (Owner && IdlePosition)
+      Owner->IdleSessions.splice(Owner->IdleSessions.end(), Owner->IdleSessions,
+                                 *IdlePosition);
+  }
+
   /// Parses what has arrived, up to the end of one request.
   void parse(error_code Error) {
     const auto Owner = Server.lock();
@@ -289,6 +326,7 @@
       onRead(NeedsMore ? error_code() : Error);
       return;
     }
+    countFields();
     if (!countBody(*Owner)) {
       refuseRead(*Owner, "too many large requests at once");
       return;
@@ -339,7 +377,15 @@
 
   std::size_t requestBytes(const detail::server_state &Owner,
                            std::size_t BodyBytes) const {
-    return std::min(MessageBytes, Owner.Settings.MaxHeaderBytes) + BodyBytes;
+    return std::min(MessageBytes, Owner.Settings.MaxHeaderBytes) +
+           FieldCount * BytesPerField + BytesPerRequest + BodyBytes;
+  }
+
+  void countFields() {
+    const auto &Fields = Parser->get();
+    if (FieldCount == 0 && Parser->is_header_done())
+      FieldCount =
+          static_cast<std::size_t>(std::distance(Fields.begin(), Fields.end()));
   }
 
   void updateMemory() {
@@ -568,8 +614,10 @@
   void setIdle(detail::server_state &Owner, bool IsIdle) {
     if (IdlePosition && !IsIdle)
       Owner.IdleSessions.erase(*std::exchange(IdlePosition, std::nullopt));
-    if (!IdlePosition && IsIdle)
-      IdlePosition = Owner.IdleSessions.insert(Owner.IdleSessions.end(), this);
+    if (IdlePosition || !IsIdle)
+      return;
+    LastInput = std::chrono::steady_clock::now();
+    IdlePosition = Owner.IdleSessions.insert(Owner.IdleSessions.end(), this);
   }
 
   static std::size_t responseBytes(const response &Response) {
@@ -699,8 +747,10 @@
   std::size_t PendingRequestBytes = 0;  ///< of requests without a response
   std::size_t PendingResponseBytes = 0; ///< of responses that are not written
   std::size_t MessageBytes = 0;         ///< read of this message
+  std::size_t FieldCount = 0;           ///< of its head
   std::size_t MaxMessageBytes = 0;      ///< including the framing of its chunks
   std::chrono::steady_clock::time_point LastActivity;
+  std::chrono::steady_clock::time_point LastInput; ///< or since it is idle
   std::array<char, 512> Discarded;
   bool IsReading = false;
   bool IsReadFinished = false; ///< no further request is handled
@@ -711,12 +761,22 @@
 
 namespace {
 
-/// Closes the connection that has waited for a request for longest.
+/// Closes one of the connections that have been silent for longest: one on
+/// which no request has come yet, or else one that gives way.
 bool makeRoom(detail::server_state &State) {
-  if (State.IdleSessions.empty() || !State.IdleSessions.front()->givesWay())
+  const auto End = State.IdleSessions.size() > MaxCandidates
+                       ? std::next(State.IdleSessions.begin(), MaxCandidates)
+                       : State.IdleSessions.end();
+  auto Found =
+      std::find_if(State.IdleSessions.begin(), End,
+                   [](const session *Each) { return Each->isUnused(); });
+  if (Found == End)
+    Found = std::find_if(State.IdleSessions.begin(), End,
+                         [](const session *Each) { return Each->givesWay(); });
+  if (Found == End)
     return false;
   State.Metrics.add("http_closed", "connections");
-  State.IdleSessions.front()->close();
+  (*Found)->close();
   return true;
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -31,8 +31,8 @@
 /// of a limit are counted in the metric `http_refused`.
 struct server_settings {
   address Listen;
-  /// A new connection beyond it takes the place of the one that has waited
-  /// for a request for longest; without such a one it is closed.
+  /// A new connection beyond it takes the place of one that has been silent
+  /// for some time; without such a one it is closed.
   std::size_t MaxConnections = 1000;
   std::size_t MaxPipelined = 64; ///< unanswered requests per connection
   std::size_t MaxBodyBytes = 1 << 20;
