--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -34,9 +34,9 @@
   std::size_t usedBytes() const { return RequestBytes + ResponseBytes; }
 
   /// To be called after the request bytes of `Newest` have grown; the request
-  /// that is arriving has `Bytes` so far. Evicts holders that have been reading
-  /// or writing for long; returns whether the request then fits. One that does
-  /// not must be refused.
+  /// that is arriving has `Bytes` so far. Evicts holders that have been
+  /// writing, or reading a large request, for long; returns whether the request
+  /// then fits. One that does not must be refused.
   bool fitsRequest(const memory_account &Newest, std::size_t Bytes,
                    instant Now);
   /// To be called after the response bytes of `Newest` have grown. Evicts
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -90,7 +90,8 @@
   std::optional<listener> Listener; ///< set by `server::start`
   asio::steady_timer SweepTimer;
   std::unordered_set<std::shared_ptr<session>> Sessions;
-  /// Those without an unanswered request, in the order in which they became so.
+  /// Those without an unanswered request, the one that has been silent for
+  /// longest first.
   std::list<session *> IdleSessions;
   /// Those with a body in `TotalBodyBytes` that is being read, in the order in
   /// which they began.
