--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -108,20 +108,6 @@
         for machine in self.fronts:
             await self.wait_for(f"{machine.name} ready", machine.is_ready, 25)
 
-    async def move_list(self):
-        """The platform's list moves: for 5 s it answers at both addresses. The settings of all machines name the new one, SIGHUP
-        says so."""
-        old = self.platform
-        self.platform = Platform(self, f"{self.net}.251", self.list_port)
-        await self.platform.start()
-        self.record("list_moved", to=self.platform.host)
-        for machine in self.cores + self.fronts:
-            machine.write_settings(bootstrap=False)
-            machine.signal(signal.SIGHUP)
-        await asyncio.sleep(5)
-        old.stop()
-        self.record("old_list_stopped", at=old.host)
-
     async def wait_for(self, what, check, limit):
         deadline = time.monotonic() + limit
         while not await check():
@@ -205,14 +191,9 @@
                 "config_mode": "highest",
                 "cloud": {"address": f"{rig.platform.host}:{rig.list_port}", "ratePerS": 42.0, "duties": [], "maxLagMs": 800}}
 
-    def write_settings(self, bootstrap=False):
-        path = self.rig.folder / f"{self.name}.json"
-        path.with_suffix(".new").write_text(json.dumps(self.settings(bootstrap)))
-        path.with_suffix(".new").rename(path)
-        return path
-
     def start(self, bootstrap=False):
-        path = self.write_settings(bootstrap)
+        path = self.rig.folder / f"{self.name}.json"
+        path.write_text(json.dumps(self.settings(bootstrap)))
         command = self.rig.commands[self.kind]
         program = ROOT / command[0]
         if not program.exists():
@@ -225,9 +206,6 @@
         self.told_to_end = False
         self.rig.record("process_started", node=self.name, ip=self.ip)
 
-    def log_text(self):
-        return (self.rig.folder / f"{self.name}.log").read_text(errors="replace")
-
     def ended_itself(self):
         return self.child is not None and self.child.poll() is not None and not self.told_to_end
 
@@ -260,7 +238,7 @@
         self.cold_arrivals = []
         self.draining = False
         self.listed = True
-        self.running = self.queued = 0
+        self.queued = 0
         self.free = asyncio.Semaphore(slots)
         self.server, self.tasks = None, set()
         self.runs = []
@@ -293,35 +271,42 @@
                 head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 30)
                 method, path, headers = parse_request(head)
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                await self.answer(writer, method, path, headers, body)
-        except (asyncio.IncompleteReadError, asyncio.TimeoutError, asyncio.CancelledError, ConnectionError, OSError):
+                if await self.answer(writer, method, path, headers, body):
+                    await self.close_in_order(reader, writer)
+                    break
+        except (asyncio.IncompleteReadError, TimeoutError, asyncio.CancelledError, ConnectionError, OSError):
             pass
         finally:
             self.tasks.discard(task)
             writer.transport.abort()
 
+    @staticmethod
+    async def close_in_order(reader, writer):
+        """After `Connection: close`: closes once the other end has, or after a second."""
+        writer.write_eof()
+        async with asyncio.timeout(1):
+            while await reader.read(4096):
+                pass
+
     async def answer(self, writer, method, path, headers, body):
+        """Returns whether the answer says that the connection closes."""
         if path == "/health":
             status = 503 if self.draining else 200
             more = [f"X-Bulrushtray-Instance-Id: {self.id}", f"X-Bulrushtray-Warmup-Ms: {self.cold_ms()}"]
-            await self.write(writer, method, status, more, b"")
-            return
+            return await self.write(writer, method, status, more, b"")
         request = headers.get("x-bulrushtray-request-id", "")
         echo = [f"X-Bulrushtray-Request-Id: {request}"]
         if headers.get("x-bulrushtray-expect-instance", self.id) != self.id:
             self.rig.record("other_instance", id=request, at=self.id)
-            await self.write(writer, method, 421, [*echo, "X-Bulrushtray-Not-Executed: 1"], b"")
-            return
+            return await self.write(writer, method, 421, [*echo, "X-Bulrushtray-Not-Executed: 1"], b"")
         if not request:
-            await self.write(writer, method, 400, ["X-Bulrushtray-Not-Executed: 1"], b"")
-            return
+            return await self.write(writer, method, 400, ["X-Bulrushtray-Not-Executed: 1"], b"")
         if self.cold_ms() > 0:
             self.cold_arrivals.append((time.monotonic(), request))
             self.rig.record("cold_arrival", id=request, at=self.id, cold_ms=self.cold_ms())
         if self.queued >= self.queue:
             self.rig.record("rejected", id=request, at=self.id)
-            await self.write(writer, method, 503, [*echo, "X-Bulrushtray-Not-Executed: 1"], b"")
-            return
+            return await self.write(writer, method, 503, [*echo, "X-Bulrushtray-Not-Executed: 1"], b"")
         self.queued += 1
         try:
             await self.free.acquire()
@@ -336,13 +321,15 @@
             self.free.release()
         stamp = f"{self.number:04x}.{self.sequence:x}.{request}"
         content = self.body if self.body is not None else b"".join(random.randbytes(16) for _ in range(self.records))
-        await self.write(writer, method, 200, [*echo, f"X-Bulrushtray-Stamp: {stamp}"], content)
+        return await self.write(writer, method, 200, [*echo, f"X-Bulrushtray-Stamp: {stamp}"], content)
 
-    @staticmethod
-    async def write(writer, method, status, headers, body):
-        lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "Keep-Alive: timeout=30", "", ""]
+    async def write(self, writer, method, status, headers, body):
+        closes = self.draining
+        kept = "Connection: close" if closes else "Keep-Alive: timeout=30"
+        lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", kept, "", ""]
         writer.write("\r\n".join(lines).encode() + (b"" if method == "HEAD" else body))
         await writer.drain()
+        return closes
 
 
 class Platform:
@@ -351,16 +338,10 @@
 
     def __init__(self, rig, host, port):
         self.rig, self.host, self.port = rig, host, port
-        self.server, self.writers = None, set()
         self.reads = asyncio.Event()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.host, self.port, backlog=100)
-
-    def stop(self):
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        await asyncio.start_server(self.serve, self.host, self.port, backlog=100)
 
     async def next_read(self):
         """Waits until the list has been read once more."""
@@ -371,7 +352,6 @@
         return [each.entry() for each in self.rig.searchers if each.listed] + list(self.rig.other_entries)
 
     async def serve(self, reader, writer):
-        self.writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -389,7 +369,6 @@
         except (asyncio.IncompleteReadError, ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
 
@@ -454,6 +433,7 @@
 def main(case, play, **sizes):
     """Runs `play(rig)`, which returns what broke the rule, or None."""
     rig = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     try:
         rig = Rig(case, **sizes)
         async def limited():
@@ -462,15 +442,10 @@
         broken = asyncio.run(limited())
     except (CannotRun, TimeoutError, OSError) as error:
         print(f"cannot run: {error or type(error).__name__}")
-        if os.environ.get("KEEP_LOGS") and rig:
-            for machine in rig.cores + rig.fronts:
-                print(machine.name, machine.log_text()[-1500:])
         return CANNOT_RUN
     finally:
         if rig:
             rig.check_alive()
-            if os.environ.get("KEEP_LOGS"):
-                shutil.copytree(rig.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
             rig.stop()
     print(f"rule broken: {broken}" if broken else "rule held")
     return BROKEN if broken else HELD
