--- a/review/10/case.py
+++ b/review/10/case.py
@@ -23,6 +23,7 @@
     async def answer(self, writer, method, path, headers, body):
         if self.crashed_at is None and sum(at > time.monotonic() - 1 for at, _ in self.cold_arrivals) > CRASHES_AT:
             self.crash()
+            raise ConnectionResetError
         return await super().answer(writer, method, path, headers, body)
 
     def crash(self):
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -440,8 +440,8 @@
             async with asyncio.timeout(110):
                 return await play(rig)
         broken = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
-        print(f"cannot run: {error or type(error).__name__}")
+    except Exception as error:  # an error of the case is no broken rule
+        print(f"cannot run: {type(error).__name__}: {error}")
         return CANNOT_RUN
     finally:
         if rig:
