--- a/review/10/case.py
+++ b/review/10/case.py
@@ -67,8 +67,10 @@
     sending = False
     await clients
     answers = await asyncio.gather(*tasks)
-    times = [at for at, _ in added.cold_arrivals]
-    worst = max((sum(start <= at < start + 1 for at in times) for start in times), default=0)
+    sent = {each.request: each.sent_at for each in answers}
+    times = [(sent[request], at) for at, request in added.cold_arrivals]
+    # As the rule counts: both sent and arrived inside the second.
+    worst = max((sum(start <= sent_at and at < start + 1 for sent_at, at in times) for start, _ in times), default=0)
     lost = sum(each.status in (0, 502, 504) for each in answers)
     rig.record("judged", cold_arrivals=len(times), worst_second=worst, crashed=added.crashed_at is not None, lost=lost)
     print(f"{len(times)} requests at the cold searcher, {worst} in the worst second, of {BOUND:.0f} allowed; "
