Log an acknowledged configuration that changes nothing

The registry now logs `catalog_unchanged` with the version sent, the version held and the cause (older, resent, other_content), counts it in `bulrush_catalogs_unchanged_total`, and names the version held in the body of the acknowledgement. The result of a command says whether it gave the state a new revision.

--- a/src/control/registry_machine.cpp
+++ b/src/control/registry_machine.cpp
@@ -65,6 +65,7 @@
   Result = {};
   const bool IsChanged =
       std::visit([this](const auto &Each) { return on(Each); }, Command);
+  Result.HasNewRevision = IsChanged;
   if (IsChanged)
     State.Revision = {Index.Value};
   return IsChanged;
--- a/src/control/rollout.h
+++ b/src/control/rollout.h
@@ -81,6 +81,7 @@
   /// command was not refused.
   relay::software_version Conflict;
   bool IsRefused = false;
+  bool HasNewRevision = false; ///< the command has changed what daemons act on
 };
 
 } // namespace bulrush::control
--- a/src/fleet/adapter.h
+++ b/src/fleet/adapter.h
@@ -140,6 +140,9 @@
   /// progress.
   virtual http::response
   encodeConflict(const relay::software_version &Running) const = 0;
+  /// Acknowledges a catalog that changes nothing, as the one of `HeldVersion`
+  /// stays in force.
+  virtual http::response encodeUnchanged(std::uint64_t HeldVersion) const = 0;
 };
 
 /// The implementations of one platform.
--- a/src/fleet/operator_handler.cpp
+++ b/src/fleet/operator_handler.cpp
@@ -62,6 +62,9 @@
   const call_id Id{++LastId.Value};
   pending_call &New =
       Calls[Id] = {std::move(Respond), Request.Target, Call.Kind, Call.Service};
+  if (const auto *Catalog = std::get_if<control::put_catalog>(&Call.Command))
+    if (Call.Kind == kind::command)
+      New.Catalog = *Catalog;
   const bool IsCommand =
       Call.Kind == kind::command || Call.Kind == kind::order_rollout;
   if (Call.Kind == kind::order_rollout && Host.isUnknown(Call.Service)) {
@@ -76,8 +79,9 @@
   }
 }
 
-void operator_handler::complete(call_id Id, call_end End,
-                                const relay::software_version &Running) {
+void operator_handler::complete(const call_ended &Ended) {
+  const call_id Id = Ended.Call;
+  const call_end End = Ended.End;
   const auto Found = Calls.find(Id);
   if (Found == Calls.end())
     return;
@@ -101,18 +105,34 @@
                         {{"call", Call.Target},
                          {"service", Call.Service.Value},
                          {"outcome", Outcome}});
-  Call.Respond(makeResponse(Call, End, Running));
+  if (End == call_end::done && Call.Catalog && !Ended.HasNewRevision)
+    reportUnchangedCatalog(*Call.Catalog);
+  Call.Respond(makeResponse(Call, Ended));
 }
 
-http::response
-operator_handler::makeResponse(const pending_call &Call, call_end End,
-                               const relay::software_version &Running) const {
+/// The call is acknowledged all the same; without this line nothing would show
+/// why the catalog that was sent is not in force.
+void operator_handler::reportUnchangedCatalog(
+    const control::put_catalog &Sent) {
+  const control::registry_state &State = Host.state();
+  const char *Cause = "older";
+  if (Sent.Version == State.CatalogVersion)
+    Cause = *Sent.Bytes == *State.Catalog ? "resent" : "other_content";
+  Metrics.add("catalogs_unchanged", Cause);
+  telemetry::logEvent(severity::warning, "catalog_unchanged",
+                      {{"version", Sent.Version},
+                       {"held_version", State.CatalogVersion},
+                       {"cause", Cause}});
+}
+
+http::response operator_handler::makeResponse(const pending_call &Call,
+                                              const call_ended &Ended) const {
   http::response Out;
-  switch (End) {
+  switch (Ended.End) {
   case call_end::done:
-    return makeAnswer(Call);
+    return makeAnswer(Call, Ended);
   case call_end::conflict:
-    return Codec.encodeConflict(Running);
+    return Codec.encodeConflict(Ended.Running);
   case call_end::not_leading:
     Out = makeRedirect(Call);
     break;
@@ -143,7 +163,10 @@
   return Out;
 }
 
-http::response operator_handler::makeAnswer(const pending_call &Call) const {
+http::response operator_handler::makeAnswer(const pending_call &Call,
+                                            const call_ended &Ended) const {
+  if (Call.Catalog && !Ended.HasNewRevision)
+    return Codec.encodeUnchanged(Host.state().CatalogVersion);
   http::response Out;
   Out.Status = Ok;
   Out.Body = "{}";
@@ -169,7 +192,7 @@
 
 void operator_handler::completeAll(call_end End) {
   while (!Calls.empty())
-    complete(Calls.begin()->first, End);
+    complete({Calls.begin()->first, End});
 }
 
 } // namespace bulrush::fleet
--- a/src/fleet/operator_handler.h
+++ b/src/fleet/operator_handler.h
@@ -34,9 +34,7 @@
       : Codec(Codec), Host(Host), Metrics(Metrics) {}
 
   void handle(http::request Request, http::responder Respond) override;
-  /// `Running` is the target of the rollout in progress if `End` is `conflict`.
-  void complete(call_id Call, call_end End,
-                const relay::software_version &Running = {});
+  void complete(const call_ended &Ended);
   void completeAll(call_end End);
 
 private:
@@ -48,12 +46,15 @@
     /// An order of a service that the catalog lacked: the order waits for a
     /// read that confirms the catalog.
     std::optional<control::registry_command> Order = {};
+    std::optional<control::put_catalog> Catalog = {}; ///< that the call puts
   };
 
-  http::response makeResponse(const pending_call &Call, call_end End,
-                              const relay::software_version &Running) const;
+  http::response makeResponse(const pending_call &Call,
+                              const call_ended &Ended) const;
   http::response makeRedirect(const pending_call &Call) const;
-  http::response makeAnswer(const pending_call &Call) const;
+  http::response makeAnswer(const pending_call &Call,
+                            const call_ended &Ended) const;
+  void reportUnchangedCatalog(const control::put_catalog &Sent);
 
   const operator_codec &Codec;
   operator_handler_host &Host;
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -480,9 +480,7 @@
                         {{"node", Settings.Node}});
     asio::post(Io, [this] { Folder.replace(); });
   }
-  void on(call_ended &Action) {
-    OperatorHandler.complete(Action.Call, Action.End, Action.Running);
-  }
+  void on(call_ended &Action) { OperatorHandler.complete(Action); }
   void on(state_changed &) {
     const control::registry_state &State = Node->state();
     Metrics.set("registry_revision", "",
@@ -649,13 +647,13 @@
     if (Node)
       step(command_received{Call, std::move(Command)});
     else
-      OperatorHandler.complete(Call, call_end::unclear);
+      OperatorHandler.complete({Call, call_end::unclear});
   }
   void submitRead(call_id Call) override {
     if (Node)
       step(read_received{Call});
     else
-      OperatorHandler.complete(Call, call_end::unclear);
+      OperatorHandler.complete({Call, call_end::unclear});
   }
   std::optional<address> leader() const override {
     const auto Vm = Node ? leaderOrMember(Node->status()) : std::nullopt;
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -210,7 +210,8 @@
       Order->Known = Latest->second.Id;
     Order->KnownElapsed = rolloutElapsed(Order->Service, Now);
   }
-  Commands.push_back({Event.Call, {LastProposal.Value + 1}, Now, Never, {}});
+  Commands.push_back(
+      {Event.Call, {LastProposal.Value + 1}, Now, Never, {}, false});
   propose(Command);
 }
 
@@ -416,13 +417,14 @@
   const control::command_result &Result = StateMachine.lastResult();
   if (Action.Outcome == outcome::answered && Result.IsRefused) {
     Out->push_back(
-        call_ended{Found->Call, call_end::conflict, Result.Conflict});
+        call_ended{Found->Call, call_end::conflict, Result.Conflict, false});
     Commands.erase(Found);
     return;
   }
   if (Action.Outcome == outcome::answered) {
     Found->CommittedAt = Now;
     Found->Revision = StateMachine.state().Revision;
+    Found->HasNewRevision = Result.HasNewRevision;
     return;
   }
   complete(Found->Call, Action.Outcome == outcome::not_run
@@ -448,7 +450,8 @@
         Now - Command.ArrivedAt >= Settings.PropagationTimeout;
     if (!IsTimedOut && !isPropagated(Command.Revision))
       return false;
-    complete(Command.Call, call_end::done);
+    Out->push_back(
+        call_ended{Command.Call, call_end::done, {}, Command.HasNewRevision});
     return true;
   });
 }
--- a/src/fleet/registry_node.h
+++ b/src/fleet/registry_node.h
@@ -70,6 +70,8 @@
   call_id Call;
   call_end End = call_end::unclear;
   relay::software_version Running = {}; ///< target of that rollout, if refused
+  /// Whether a command that is `done` has changed what daemons act on.
+  bool HasNewRevision = true;
 };
 
 /// The registry's state has changed and is to be sent to subscribers.
@@ -172,6 +174,7 @@
     instant ArrivedAt;
     instant CommittedAt = Never;
     revision Revision; ///< of the state that contains the command
+    bool HasNewRevision = false;
   };
   /// The time since the order of a rollout was `Elapsed` at `At`.
   struct rollout_clock {
@@ -223,7 +226,7 @@
   bool hasEnoughVoters() const { return voterWait() <= millis{0}; }
   void setIsLeader(bool Value);
   void complete(call_id Call, call_end End) {
-    Out->push_back(call_ended{Call, End, {}});
+    Out->push_back(call_ended{Call, End});
   }
 
   node_settings Settings;
--- a/test/shell/operator_handler_test.cpp
+++ b/test/shell/operator_handler_test.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-/// Takes the target of a request as the service and its body as the version.
+/// Takes the target of a request as the service and its body as the version,
+/// of a catalog if the method is PUT.
 struct plain_codec final : operator_codec {
   operator_call decode(const http::request &Request) const override {
     operator_call Out;
@@ -15,6 +16,12 @@
     Out.Kind = operator_call::kind::read_rollout;
     if (Request.Method == "GET")
       return Out;
+    if (Request.Method == "PUT") {
+      Out.Kind = operator_call::kind::command;
+      Out.Command = control::put_catalog{std::stoull(Request.Body),
+                                         control::shareBytes(Request.Body)};
+      return Out;
+    }
     Out.Kind = operator_call::kind::order_rollout;
     if (Request.Body.empty())
       Out.Error = "no version";
@@ -35,6 +42,12 @@
     Out.Body = Running.Value;
     return Out;
   }
+  http::response encodeUnchanged(std::uint64_t HeldVersion) const override {
+    http::response Out;
+    Out.Status = 200;
+    Out.Body = "still " + std::to_string(HeldVersion);
+    return Out;
+  }
 };
 
 struct handler_fixture final : operator_handler_host {
@@ -77,7 +90,7 @@
     Fixture.send("POST", "a", "v2");
     REQUIRE(Fixture.Commands.size() == 1);
     CHECK(!Fixture.Answer);
-    Fixture.Handler.complete(Fixture.Commands[0], End);
+    Fixture.Handler.complete({Fixture.Commands[0], End});
     REQUIRE(Fixture.Answer);
     CHECK(Fixture.Answer->Status == 503);
     CHECK(http::findHeader(Fixture.Answer->Headers, "Retry-After"));
@@ -89,15 +102,16 @@
   // against an order that ends at a voter that does not lead.
   handler_fixture Fixture;
   Fixture.send("POST", "a", "v2");
-  Fixture.Handler.complete(Fixture.Commands.back(), call_end::done);
+  Fixture.Handler.complete({Fixture.Commands.back(), call_end::done});
   CHECK(Fixture.Answer->Status == 200);
   Fixture.send("POST", "a", "v3");
-  Fixture.Handler.complete(Fixture.Commands.back(), call_end::conflict, {"v2"});
+  Fixture.Handler.complete(
+      {Fixture.Commands.back(), call_end::conflict, {"v2"}});
   CHECK(Fixture.Answer->Status == 409);
   CHECK(Fixture.Answer->Body == "v2");
   Fixture.Leader = address{"10.0.0.9", 8106};
   Fixture.send("POST", "a", "v2");
-  Fixture.Handler.complete(Fixture.Commands.back(), call_end::not_leading);
+  Fixture.Handler.complete({Fixture.Commands.back(), call_end::not_leading});
   CHECK(Fixture.Answer->Status == 307);
   CHECK(*http::findHeader(Fixture.Answer->Headers, "Location") ==
         "http://10.0.0.9:8106a");
@@ -113,20 +127,20 @@
   Fixture.send("POST", "b", "v2");
   CHECK(Fixture.Commands.empty());
   REQUIRE(Fixture.Reads.size() == 1);
-  Fixture.Handler.complete(Fixture.Reads[0], call_end::unclear);
+  Fixture.Handler.complete({Fixture.Reads[0], call_end::unclear});
   CHECK(Fixture.Answer->Status == 503);
   CHECK(http::findHeader(Fixture.Answer->Headers, "Retry-After"));
   Fixture.send("POST", "b", "v2");
-  Fixture.Handler.complete(Fixture.Reads[1], call_end::done);
+  Fixture.Handler.complete({Fixture.Reads[1], call_end::done});
   CHECK(Fixture.Answer->Status == 404);
   CHECK(Fixture.Commands.empty());
   // The catalog has changed by the time the read is confirmed.
   Fixture.send("POST", "b", "v2");
   Fixture.Services.insert({"b"});
-  Fixture.Handler.complete(Fixture.Reads[2], call_end::done);
+  Fixture.Handler.complete({Fixture.Reads[2], call_end::done});
   CHECK(!Fixture.Answer);
   REQUIRE(Fixture.Commands == std::vector<call_id>{Fixture.Reads[2]});
-  Fixture.Handler.complete(Fixture.Commands[0], call_end::done);
+  Fixture.Handler.complete({Fixture.Commands[0], call_end::done});
   CHECK(Fixture.Answer->Status == 200);
 }
 
@@ -137,14 +151,39 @@
   Fixture.send("GET", "a");
   REQUIRE(Fixture.Reads.size() == 1);
   CHECK(!Fixture.Answer);
-  Fixture.Handler.complete(Fixture.Reads[0], call_end::done);
+  Fixture.Handler.complete({Fixture.Reads[0], call_end::done});
   CHECK(Fixture.Answer->Status == 404);
   Fixture.State.Rollouts[{"a"}].Target = {"v2"};
   Fixture.send("GET", "a");
-  Fixture.Handler.complete(Fixture.Reads[1], call_end::done);
+  Fixture.Handler.complete({Fixture.Reads[1], call_end::done});
   CHECK(Fixture.Answer->Status == 200);
   CHECK(Fixture.Answer->Body == "v2");
   Fixture.send("GET", "a");
-  Fixture.Handler.complete(Fixture.Reads[2], call_end::unclear);
+  Fixture.Handler.complete({Fixture.Reads[2], call_end::unclear});
   CHECK(Fixture.Answer->Status == 503);
 }
+
+TEST_CASE(
+    "a catalog that changes nothing is acknowledged with the version held",
+    "[operators]") {
+  // Guards against an operator who cannot tell that a configuration has no
+  // effect.
+  handler_fixture Fixture;
+  Fixture.State.CatalogVersion = 9;
+  Fixture.State.Catalog = control::shareBytes("9");
+  const auto Put = [&](const std::string &Version, bool HasNewRevision) {
+    Fixture.send("PUT", "/", Version);
+    Fixture.Handler.complete(
+        {Fixture.Commands.back(), call_end::done, {}, HasNewRevision});
+    REQUIRE(Fixture.Answer);
+    CHECK(Fixture.Answer->Status == 200);
+    return Fixture.Answer->Body;
+  };
+  CHECK(Put("10", true) == "{}");
+  CHECK(Put("8", false) == "still 9");
+  CHECK(Put("9", false) == "still 9");
+  Fixture.State.Catalog = control::shareBytes("other");
+  CHECK(Put("9", false) == "still 9");
+  for (const char *Cause : {"older", "resent", "other_content"})
+    CHECK(Fixture.Metrics.count("catalogs_unchanged", Cause) == 1);
+}
--- a/test/shell/registry_node_test.cpp
+++ b/test/shell/registry_node_test.cpp
@@ -30,8 +30,11 @@
   registry_fixture Registry;
   Registry.run(3000);
   CHECK(Registry.submitCommand(1, makeCatalog(7, "seven")) == call_end::done);
+  CHECK(Registry.leader()->EndedCalls.back().HasNewRevision);
   CHECK(Registry.submitCommand(2, makeCatalog(5, "five")) == call_end::done);
+  CHECK(!Registry.leader()->EndedCalls.back().HasNewRevision);
   CHECK(Registry.submitCommand(3, makeCatalog(7, "other")) == call_end::done);
+  CHECK(!Registry.leader()->EndedCalls.back().HasNewRevision);
   CHECK(*Registry.leader()->Node->state().Catalog == "seven");
 }
 
