Show all digits of a whole number in a gauge

Gauges were doubles printed with six digits: versions, revisions and sizes that differ read the same in a graph, and versions above 2^53 changed on the way.

Whole numbers are kept as they are and printed with all digits, others as the shortest text that reads back as the same number.

--- a/src/daemon/entry_leases.cpp
+++ b/src/daemon/entry_leases.cpp
@@ -36,7 +36,7 @@
             {"intents", Config.Intents.size()},
             {"zones_out", Config.ZonesOut.size()},
             {"leaving", Config.Leaving.size()}});
-  Metrics.set("revision", {}, static_cast<double>(Config.Revision.Value));
+  Metrics.set("revision", {}, Config.Revision.Value);
   Batcher->push(query::router_event(query::config_changed{Config}));
   Batcher->push(query::owner_event(query::config_changed{Config}));
 }
@@ -64,7 +64,7 @@
     if (!Granted.contains(Endpoint))
       Gateway->retire(Endpoint);
   Owned = std::move(Granted);
-  Metrics.set("owned_endpoints", {}, static_cast<double>(Owned.size()));
+  Metrics.set("owned_endpoints", {}, Owned.size());
   Batcher->push(query::owner_event(std::move(Event)));
 }
 
--- a/src/fleet/decision_log.cpp
+++ b/src/fleet/decision_log.cpp
@@ -251,8 +251,8 @@
     New += Each.New.Sent;
   }
   const std::string &Service = Report.Service.Value;
-  Metrics.set("rollout_requests", Service + "/old", static_cast<double>(Old));
-  Metrics.set("rollout_requests", Service + "/new", static_cast<double>(New));
+  Metrics.set("rollout_requests", Service + "/old", Old);
+  Metrics.set("rollout_requests", Service + "/new", New);
   Metrics.set("rollout_share", Service, Report.Share);
 }
 
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -483,8 +483,7 @@
   void on(call_ended &Action) { OperatorHandler.complete(Action); }
   void on(state_changed &) {
     const control::registry_state &State = Node->state();
-    Metrics.set("registry_revision", "",
-                static_cast<double>(State.Revision.Value));
+    Metrics.set("registry_revision", "", State.Revision.Value);
     if (!Node->isLeader())
       return;
     telemetry::logEvent(severity::info, "state_changed",
@@ -677,7 +676,7 @@
 
   void setGauges() {
     const auto Set = [this](const char *Name, auto Value) {
-      Metrics.set(Name, "", static_cast<double>(Value));
+      Metrics.set(Name, "", Value);
     };
     Set("listening_operators", Operators->isListening() ? 1 : 0);
     Set("listening_registries", Listener.isOpen() ? 1 : 0);
--- a/src/fleet/relay_daemon.cpp
+++ b/src/fleet/relay_daemon.cpp
@@ -330,7 +330,7 @@
   void setGauges() {
     const relay::relay_gauges Now = Relay.gauges(Clock.now());
     const auto Set = [this](const char *Name, auto Value) {
-      Metrics.set(Name, "", static_cast<double>(Value));
+      Metrics.set(Name, "", Value);
     };
     Set("requests_active", Now.Requests);
     Set("requests_waiting", Now.Waiting);
@@ -357,16 +357,14 @@
     std::size_t Count = 0;
     relay::quota_counters Rest;
     const auto Set = [this](const std::string &Account, const auto &Counters) {
-      Metrics.set("account_admitted", Account,
-                  static_cast<double>(Counters.Admitted));
-      Metrics.set("account_over_quota", Account,
-                  static_cast<double>(Counters.OverQuota));
+      Metrics.set("account_admitted", Account, Counters.Admitted);
+      Metrics.set("account_over_quota", Account, Counters.OverQuota);
     };
     for (const auto &[Name, Each] : Relay.quotas(Clock.now())) {
       if (++Count <= MaxAccountSeries) {
         Set(Name.Value, Each);
         Metrics.set("account_quota_state", Name.Value,
-                    static_cast<double>(Each.State));
+                    static_cast<std::uint32_t>(Each.State));
         continue;
       }
       Rest.Admitted += Each.Admitted;
--- a/src/fleet/rollout_runner.cpp
+++ b/src/fleet/rollout_runner.cpp
@@ -191,7 +191,7 @@
 }
 
 void rollout_runner::setGauges() {
-  Metrics.set("registry_rollouts", "", static_cast<double>(Manager.count()));
+  Metrics.set("registry_rollouts", "", Manager.count());
   for (const auto &[Service, Step] : Manager.latestSteps())
     setGaugesOf(Step);
   for (const relay::version_policy &Policy : Manager.policies()) {
@@ -200,8 +200,7 @@
       continue;
     for (const auto &[Version, Endpoints] : *Versions)
       Metrics.set("rollout_endpoints",
-                  Policy.Service.Value + '/' + Version.Value,
-                  static_cast<double>(Endpoints));
+                  Policy.Service.Value + '/' + Version.Value, Endpoints);
   }
 }
 
@@ -211,8 +210,8 @@
   const std::string Old = Step.Service.Value + '/' + OtherVersions;
   const auto Set = [&](const char *Name, std::uint64_t OldValue,
                        std::uint64_t NewValue) {
-    Metrics.set(Name, Old, static_cast<double>(OldValue));
-    Metrics.set(Name, New, static_cast<double>(NewValue));
+    Metrics.set(Name, Old, OldValue);
+    Metrics.set(Name, New, NewValue);
   };
   const std::uint64_t Exposed = std::min(Decision.Exposed, Decision.Reached);
   Set("rollout_requests", Decision.Reached - Exposed, Decision.Exposed);
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -1,5 +1,7 @@
 #include "telemetry/metrics.h"
 
+#include "world/number_text.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
@@ -7,6 +9,7 @@
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <cmath>
 #include <map>
 #include <mutex>
 #include <sstream>
@@ -142,7 +145,7 @@
   }
   const std::uint64_t Total = acc::count(Series.Mean);
   Out << nameOf(Key, "_ms_bucket", "+Inf") << ' ' << Total << '\n';
-  Out << nameOf(Key, "_ms_sum") << ' ' << Series.Sum << '\n';
+  Out << nameOf(Key, "_ms_sum") << ' ' << toShortestText(Series.Sum) << '\n';
   Out << nameOf(Key, "_ms_count") << ' ' << Total << '\n';
 }
 
@@ -151,7 +154,7 @@
 struct metrics::state {
   mutable std::mutex Mutex;
   series_map<std::uint64_t> Counters;
-  series_map<double> Gauges;
+  series_map<std::string> Gauges; ///< values as they are printed
   series_map<latency_series> Latencies;
 };
 
@@ -164,9 +167,18 @@
   findOrCreate(State->Counters, Name, Label) += Amount;
 }
 
-void metrics::set(std::string_view Name, std::string_view Label, double Value) {
+void metrics::setGauge(std::string_view Name, std::string_view Label,
+                       std::string Value) {
   const std::lock_guard Lock(State->Mutex);
-  findOrCreate(State->Gauges, Name, Label) = Value;
+  findOrCreate(State->Gauges, Name, Label) = std::move(Value);
+}
+
+std::string metrics::toText(double Value) {
+  if (std::isnan(Value))
+    return "NaN";
+  if (std::isinf(Value))
+    return Value > 0 ? "+Inf" : "-Inf";
+  return toShortestText(Value);
 }
 
 void metrics::observe(std::string_view Name, std::string_view Label,
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace bulrush::telemetry {
 
@@ -34,8 +35,16 @@
            std::uint64_t Amount = 1);
   void countRefusal(refusal Reason) { add("refused", toString(Reason)); }
   void countRetry(retry_reason Reason) { add("retried", toString(Reason)); }
-  /// Sets a gauge.
-  void set(std::string_view Name, std::string_view Label, double Value);
+  /// Sets a gauge. Whole numbers are kept exactly, as versions need all of
+  /// their digits.
+  template <class Number>
+  requires std::is_arithmetic_v<Number>
+  void set(std::string_view Name, std::string_view Label, Number Value) {
+    if constexpr (std::is_integral_v<Number>)
+      setGauge(Name, Label, std::to_string(Value));
+    else
+      setGauge(Name, Label, toText(Value));
+  }
   /// Adds one observation to a latency histogram.
   void observe(std::string_view Name, std::string_view Label, millis Latency);
 
@@ -49,6 +58,10 @@
   std::string text() const;
 
 private:
+  void setGauge(std::string_view Name, std::string_view Label,
+                std::string Value);
+  static std::string toText(double Value);
+
   struct state;
   std::unique_ptr<state> State;
 };
--- a/test/unit/telemetry_test.cpp
+++ b/test/unit/telemetry_test.cpp
@@ -92,3 +92,16 @@
   ::close(Pipe[0]);
   ::close(Pipe[1]);
 }
+
+TEST_CASE("a gauge shows all digits of a whole number", "[telemetry]") {
+  // Guards against versions that differ and read the same in a graph.
+  metrics Metrics;
+  Metrics.set("version", "", std::uint64_t{18446744073709551614U});
+  Metrics.set("share", "", 0.1234567);
+  Metrics.set("offset", "", -3);
+  const std::string Text = Metrics.text();
+  CHECK(Text.find("bulrush_version 18446744073709551614\n") !=
+        std::string::npos);
+  CHECK(Text.find("bulrush_share 0.1234567\n") != std::string::npos);
+  CHECK(Text.find("bulrush_offset -3\n") != std::string::npos);
+}
