Read whole numbers of documents exactly or refuse them

Callers saw: configurations with versions above 2^53 were acknowledged with 200 and had no effect.

Cause: `field_reader::number` returned a double, which callers cast to the type of the field. Versions that differ became equal, and a configuration of the version held is acknowledged and changes nothing.

Change: a number is read into the type that holds it, within a range, or the document is refused with field, value and range. One pair of functions (settings/json_number) serves settings, configurations and the list.

A catalog that an older build has accepted is restored with its numbers moved into their ranges. Where that build has rounded the version, relays keep the higher of the logged and the stated one, and a version that the log would swallow is refused with 409 and the version to exceed.

--- a/cmake/shells.cmake
+++ b/cmake/shells.cmake
@@ -12,7 +12,7 @@
 add_library(bulrush_platform STATIC platform/adapter.cpp platform/catalogs.cpp platform/endpoints.cpp
             platform/fields.cpp platform/operators.cpp platform/requests.cpp platform/settings.cpp)
 target_include_directories(bulrush_platform PUBLIC ${CMAKE_SOURCE_DIR})
-target_link_libraries(bulrush_platform PUBLIC bulrush_fleet)
+target_link_libraries(bulrush_platform PUBLIC bulrush_fleet bulrush_settings)
 
 foreach(Name bulrush-relay bulrush-registry)
   add_executable(${Name} programs/${Name}.cpp programs/early_start.cpp)
--- a/src/fleet/adapter.h
+++ b/src/fleet/adapter.h
@@ -59,8 +59,13 @@
 class catalog_codec {
 public:
   virtual ~catalog_codec() = default;
-  /// Returns an error if the catalog is malformed or inconsistent.
+  /// Returns an error if the catalog is malformed or inconsistent, or if a
+  /// number is outside its range.
   virtual expected<relay::catalog> decode(const std::string &Bytes) const = 0;
+  /// Decodes a catalog that was accepted before, maybe by a build that checked
+  /// no ranges: a number outside its range counts as the nearest one inside.
+  /// The version is 0 if the text does not state one that is in range.
+  virtual expected<relay::catalog> restore(const std::string &Bytes) const = 0;
 };
 
 /// A client's request and how long the client waits for its answer.
--- a/src/fleet/operator_handler.cpp
+++ b/src/fleet/operator_handler.cpp
@@ -14,6 +14,7 @@
 constexpr unsigned TemporaryRedirect = 307;
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
+constexpr unsigned Conflict = 409;
 constexpr unsigned ServiceUnavailable = 503;
 /// In seconds, for orders that were not accepted: an election takes less.
 constexpr char RetryAfter[] = "1";
@@ -67,7 +68,7 @@
       New.Catalog = *Catalog;
   const bool IsCommand =
       Call.Kind == kind::command || Call.Kind == kind::order_rollout;
-  if (Call.Kind == kind::order_rollout && Host.isUnknown(Call.Service)) {
+  if (isRefused(New)) {
     // Refused only by the catalog of a confirmed leader, as the refusal is
     // final: a leader that was replaced may have an old catalog.
     New.Order = std::move(Call.Command);
@@ -86,7 +87,7 @@
   if (Found == Calls.end())
     return;
   if (End == call_end::done && Found->second.Order &&
-      !Host.isUnknown(Found->second.Service)) {
+      !isRefused(Found->second)) {
     auto Order = std::move(*Found->second.Order);
     Found->second.Order.reset();
     Host.submitCommand(Id, std::move(Order));
@@ -97,7 +98,9 @@
   const bool IsCommand = Call.Kind == operator_call::kind::command ||
                          Call.Kind == operator_call::kind::order_rollout;
   const bool IsRefused = End == call_end::done && Call.Order;
-  const char *Outcome = IsRefused ? "unknown_service" : toString(End);
+  const char *Outcome = toString(End);
+  if (IsRefused)
+    Outcome = Call.Catalog ? "rounded_version" : "unknown_service";
   Metrics.add(IsCommand ? "orders" : "reads", Outcome);
   if (IsCommand || End != call_end::done)
     telemetry::logEvent(severity::info,
@@ -105,7 +108,8 @@
                         {{"call", Call.Target},
                          {"service", Call.Service.Value},
                          {"outcome", Outcome}});
-  if (End == call_end::done && Call.Catalog && !Ended.HasNewRevision)
+  const bool IsUnchanged = IsRefused || !Ended.HasNewRevision;
+  if (End == call_end::done && Call.Catalog && IsUnchanged)
     reportUnchangedCatalog(*Call.Catalog);
   Call.Respond(makeResponse(Call, Ended));
 }
@@ -114,15 +118,14 @@
 /// why the catalog that was sent is not in force.
 void operator_handler::reportUnchangedCatalog(
     const control::put_catalog &Sent) {
-  const control::registry_state &State = Host.state();
-  const char *Cause = "older";
-  if (Sent.Version == State.CatalogVersion)
-    Cause = *Sent.Bytes == *State.Catalog ? "resent" : "other_content";
+  const std::uint64_t Held = Host.statedVersion();
+  const char *Cause = Sent.Version < Held ? "older" : "rounded_version";
+  if (Sent.Version == Held)
+    Cause = *Sent.Bytes == *Host.state().Catalog ? "resent" : "other_content";
   Metrics.add("catalogs_unchanged", Cause);
-  telemetry::logEvent(severity::warning, "catalog_unchanged",
-                      {{"version", Sent.Version},
-                       {"held_version", State.CatalogVersion},
-                       {"cause", Cause}});
+  telemetry::logEvent(
+      severity::warning, "catalog_unchanged",
+      {{"version", Sent.Version}, {"held_version", Held}, {"cause", Cause}});
 }
 
 http::response operator_handler::makeResponse(const pending_call &Call,
@@ -163,15 +166,35 @@
   return Out;
 }
 
+bool operator_handler::isRefused(const pending_call &Call) const {
+  if (Call.Kind == operator_call::kind::order_rollout)
+    return Host.isUnknown(Call.Service);
+  return Call.Catalog && Host.isBetweenVersions(Call.Catalog->Version);
+}
+
+http::response operator_handler::makeRefusal(const pending_call &Call) const {
+  if (!Call.Catalog)
+    return errorResponse(NotFound, Call.Service.Value + ": no such service");
+  const std::uint64_t Held = Host.statedVersion();
+  if (Call.Catalog->Version <= Held)
+    return Codec.encodeUnchanged(Held);
+  return errorResponse(
+      Conflict,
+      "config: /version: found " + std::to_string(Call.Catalog->Version) +
+          ", wanted more than " + std::to_string(Host.state().CatalogVersion) +
+          ", to which an earlier build has rounded version " +
+          std::to_string(Held));
+}
+
 http::response operator_handler::makeAnswer(const pending_call &Call,
                                             const call_ended &Ended) const {
+  if (Call.Order)
+    return makeRefusal(Call);
   if (Call.Catalog && !Ended.HasNewRevision)
-    return Codec.encodeUnchanged(Host.state().CatalogVersion);
+    return Codec.encodeUnchanged(Host.statedVersion());
   http::response Out;
   Out.Status = Ok;
   Out.Body = "{}";
-  if (Call.Order)
-    return errorResponse(NotFound, Call.Service.Value + ": no such service");
   if (Call.Kind == operator_call::kind::read_rollout) {
     const auto &Rollouts = Host.state().Rollouts;
     const auto Found = Rollouts.find(Call.Service);
--- a/src/fleet/operator_handler.h
+++ b/src/fleet/operator_handler.h
@@ -25,6 +25,11 @@
   /// Returns whether this process leads and the catalog in force lacks the
   /// service.
   virtual bool isUnknown(const relay::service_name &Service) const = 0;
+  /// Returns whether this process leads and its log cannot order a catalog of
+  /// this version: see `catalog_updates`.
+  virtual bool isBetweenVersions(std::uint64_t Version) const = 0;
+  /// Returns the version of the catalog in force, as operators stated it.
+  virtual std::uint64_t statedVersion() const = 0;
 };
 
 class operator_handler final : public http::handler {
@@ -43,12 +48,14 @@
     std::string Target;
     operator_call::kind Kind = operator_call::kind::unknown;
     relay::service_name Service = {};
-    /// An order of a service that the catalog lacked: the order waits for a
+    /// An order that the catalog in force speaks against: the order waits for a
     /// read that confirms the catalog.
     std::optional<control::registry_command> Order = {};
     std::optional<control::put_catalog> Catalog = {}; ///< that the call puts
   };
 
+  bool isRefused(const pending_call &Call) const;
+  http::response makeRefusal(const pending_call &Call) const;
   http::response makeResponse(const pending_call &Call,
                               const call_ended &Ended) const;
   http::response makeRedirect(const pending_call &Call) const;
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -666,6 +666,13 @@
   bool isUnknown(const relay::service_name &Service) const override {
     return Node && Node->isLeader() && !CatalogUpdates.current().find(Service);
   }
+  bool isBetweenVersions(std::uint64_t Version) const override {
+    return Node && Node->isLeader() &&
+           CatalogUpdates.isBetweenVersions(Version);
+  }
+  std::uint64_t statedVersion() const override {
+    return CatalogUpdates.statedVersion();
+  }
 
   // Rollouts.
 
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -5,6 +5,7 @@
 #include "telemetry/log.h"
 #include "wire/fleet_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrush::fleet {
@@ -228,11 +229,13 @@
                             const std::vector<vm_id> &Voters) {
   if (Encoded.Revision != State.Revision || Encoded.Voters != Voters)
     Encoded = {State.Revision, Voters, {}};
+  const std::uint64_t Version =
+      std::max(State.CatalogVersion, CatalogUpdates.current().Version.Value);
   std::string &Bytes = Encoded.Bytes[Subscriber.CatalogVersion];
   if (Bytes.empty()) {
     fleet_state Message;
     Message.Revision = State.Revision;
-    Message.CatalogVersion = State.CatalogVersion;
+    Message.CatalogVersion = Version;
     Message.Catalog = CatalogUpdates.changeSince(Subscriber.CatalogVersion);
     Message.ZonesOut = {State.ZonesOut.begin(), State.ZonesOut.end()};
     Message.Voters = Voters;
@@ -240,8 +243,7 @@
     Message.Policies = Policies;
     Bytes = wire::encode(Message);
   }
-  Subscriber.CatalogVersion =
-      std::max(Subscriber.CatalogVersion, State.CatalogVersion);
+  Subscriber.CatalogVersion = std::max(Subscriber.CatalogVersion, Version);
   Subscriber.Link->send(Bytes);
 }
 
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -1,7 +1,10 @@
 #include "settings/json_reader.h"
 
+#include "settings/json_number.h"
+#include "world/number_text.h"
+
+#include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -18,15 +21,9 @@
   return Text;
 }
 
-std::string formatNumber(double Value) {
-  std::ostringstream Out;
-  Out << Value;
-  return Out.str();
-}
-
 std::string describeRange(const object_reader::number_rule &Rule) {
-  return "a number from " + formatNumber(Rule.Least) + " to " +
-         formatNumber(Rule.Most);
+  return "a number from " + toShortestText(Rule.Least) + " to " +
+         toShortestText(Rule.Most);
 }
 
 std::optional<address> parseAddress(const std::string &Text) {
@@ -70,21 +67,23 @@
       Errors.report(pathOf(Key), "nothing", describeRange(Rule));
     return Rule.Fallback.value_or(Rule.Least);
   }
-  const bool IsAllowed = Value->is_number() &&
-                         Value->get<double>() >= Rule.Least &&
-                         Value->get<double>() <= Rule.Most;
-  if (IsAllowed)
-    return Value->get<double>();
+  if (const auto Number = readNumber(*Value, Rule.Least, Rule.Most))
+    return *Number;
   Errors.report(pathOf(Key), truncatedDump(*Value), describeRange(Rule));
   return Rule.Least;
 }
 
-double object_reader::wholeNumber(const char *Key, number_rule Rule) {
-  const double Value = number(Key, Rule);
-  if (Value == std::floor(Value))
-    return Value;
-  Errors.report(pathOf(Key), formatNumber(Value), "an integer");
-  return Rule.Least;
+std::uint64_t object_reader::wholeNumber(const char *Key, number_rule Rule,
+                                         std::uint64_t Max) {
+  Rule.Most = std::min(Rule.Most, static_cast<double>(Max));
+  const double Checked = number(Key, Rule);
+  const nlohmann::json *Value = find(Key);
+  if (!Value || !readNumber(*Value, Rule.Least, Rule.Most))
+    return static_cast<std::uint64_t>(Checked);
+  if (const auto Whole = readWhole(*Value, 0, Max))
+    return *Whole;
+  Errors.report(pathOf(Key), truncatedDump(*Value), "an integer");
+  return static_cast<std::uint64_t>(Rule.Least);
 }
 
 std::string object_reader::text(const char *Key,
--- a/src/settings/json_reader.h
+++ b/src/settings/json_reader.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -44,7 +45,8 @@
   };
   double number(const char *Key, number_rule Rule);
   template <class Whole> Whole whole(const char *Key, number_rule Rule) {
-    return static_cast<Whole>(wholeNumber(Key, Rule));
+    return static_cast<Whole>(
+        wholeNumber(Key, Rule, std::numeric_limits<Whole>::max()));
   }
   millis duration(const char *Key, number_rule Rule) {
     return {number(Key, Rule)};
@@ -72,7 +74,8 @@
 
 private:
   const nlohmann::json *find(const char *Key);
-  double wholeNumber(const char *Key, number_rule Rule);
+  std::uint64_t wholeNumber(const char *Key, number_rule Rule,
+                            std::uint64_t Max);
   std::string pathOf(const std::string &Key) const { return Path + '/' + Key; }
 
   const nlohmann::json &Object;
--- a/test/shell/operator_handler_test.cpp
+++ b/test/shell/operator_handler_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/operator_handler.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace bulrush;
@@ -58,6 +59,7 @@
   std::vector<call_id> Reads;
   std::optional<address> Leader;
   control::registry_state State;
+  std::uint64_t Stated = 0; ///< version in the text of the state's catalog
   std::set<relay::service_name> Services{{"a"}};
   std::optional<http::response> Answer;
 
@@ -70,6 +72,11 @@
   bool isUnknown(const relay::service_name &Service) const override {
     return !Services.count(Service);
   }
+  bool isBetweenVersions(std::uint64_t Version) const override {
+    const auto [Low, High] = std::minmax(State.CatalogVersion, Stated);
+    return Version > Low && Version <= High;
+  }
+  std::uint64_t statedVersion() const override { return Stated; }
 
   void send(const std::string &Method, const std::string &Target,
             const std::string &Body = {}) {
@@ -169,7 +176,7 @@
   // Guards against an operator who cannot tell that a configuration has no
   // effect.
   handler_fixture Fixture;
-  Fixture.State.CatalogVersion = 9;
+  Fixture.State.CatalogVersion = Fixture.Stated = 9;
   Fixture.State.Catalog = control::shareBytes("9");
   const auto Put = [&](const std::string &Version, bool HasNewRevision) {
     Fixture.send("PUT", "/", Version);
@@ -187,3 +194,49 @@
   for (const char *Cause : {"older", "resent", "other_content"})
     CHECK(Fixture.Metrics.count("catalogs_unchanged", Cause) == 1);
 }
+
+TEST_CASE("a version that an older build has rounded up hides no later one",
+          "[operators]") {
+  // Guards against a configuration that is acknowledged and never in force,
+  // because the log holds a higher version than the operator's last one.
+  handler_fixture Fixture;
+  Fixture.Stated = 17;
+  Fixture.State.CatalogVersion = 32;
+  Fixture.State.Catalog = control::shareBytes("17");
+  Fixture.send("PUT", "/", "20");
+  CHECK(Fixture.Commands.empty());
+  REQUIRE(Fixture.Reads.size() == 1);
+  Fixture.Handler.complete({Fixture.Reads[0], call_end::done});
+  CHECK(Fixture.Answer->Status == 409);
+  CHECK(Fixture.Answer->Body ==
+        R"({"error":"config: /version: found 20, wanted more than 32, to )"
+        R"(which an earlier build has rounded version 17"})");
+  // A leader that is not confirmed refuses nothing.
+  Fixture.send("PUT", "/", "20");
+  Fixture.Handler.complete({Fixture.Reads[1], call_end::unclear});
+  CHECK(Fixture.Answer->Status == 503);
+  for (const char *Sent : {"17", "33"}) {
+    Fixture.send("PUT", "/", Sent);
+    CHECK(!Fixture.Answer);
+  }
+  CHECK(Fixture.Commands.size() == 2);
+  CHECK(Fixture.Reads.size() == 2);
+}
+
+TEST_CASE("a version that an older build has rounded down stays in force",
+          "[operators]") {
+  // Guards against other content under the version held, which the log would
+  // take for a newer one.
+  handler_fixture Fixture;
+  Fixture.Stated = 17;
+  Fixture.State.CatalogVersion = 16;
+  Fixture.State.Catalog = control::shareBytes("17");
+  Fixture.send("PUT", "/", "17");
+  CHECK(Fixture.Commands.empty());
+  REQUIRE(Fixture.Reads.size() == 1);
+  Fixture.Handler.complete({Fixture.Reads[0], call_end::done});
+  CHECK(Fixture.Answer->Status == 200);
+  CHECK(Fixture.Answer->Body == "still 17");
+  Fixture.send("PUT", "/", "18");
+  CHECK(Fixture.Commands.size() == 1);
+}
--- a/test/shell/subscribers_test.cpp
+++ b/test/shell/subscribers_test.cpp
@@ -18,6 +18,9 @@
   expected<relay::catalog> decode(const std::string &) const override {
     return fail("none");
   }
+  expected<relay::catalog> restore(const std::string &) const override {
+    return fail("none");
+  }
 };
 
 /// The leader's side of links to relays on loopback.
--- a/test/unit/settings_test.cpp
+++ b/test/unit/settings_test.cpp
@@ -1,8 +1,10 @@
 #include "settings/deployment.h"
+#include "settings/json_number.h"
 #include "settings/json_reader.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <limits>
 #include <string>
 
 using namespace bulrush;
@@ -80,3 +82,21 @@
   CHECK(KeyError.find(LongKey) == std::string::npos);
   CHECK(errorOf("{").find("d.json: not JSON at byte") == 0);
 }
+
+TEST_CASE("a whole number is read exactly or not at all") {
+  // Guards against numbers that change on the way from a document to an id or
+  // a version.
+  const std::uint64_t Max = std::numeric_limits<std::uint64_t>::max();
+  const auto Read = [&](const char *Text, std::uint64_t Most) {
+    return readWhole(nlohmann::json::parse(Text), 1, Most);
+  };
+  CHECK(Read("9007199254740993", Max) == 9007199254740993U);
+  CHECK(Read("18446744073709551615", Max) == Max);
+  CHECK(Read("7.0", Max) == 7);
+  CHECK(Read("1e3", Max) == 1000);
+  for (const char *Text :
+       {"0", "-1", "7.5", "9007199254740992.0", "1.8e18",
+        "18446744073709551616", "1e300", "\"7\"", "true", "null", "[7]"})
+    CHECK(!Read(Text, Max));
+  CHECK(!Read("4294967296", 4294967295U));
+}
