Publish when a cold endpoint becomes cold again, and check before use

Cause: readings of the platform's list were compared by what was left of the cold time. Less than before counted as a count-down, whatever time lay between the readings, so the registry published nothing. Evidence: its log has `endpoint_listed cold_ms=2400` and no change after it, though the list was read again with the new cold time.

Change: readings are compared by the end of the cold time. A later end is published, and one that is earlier by more than 0.5 s. Relays that join get the ends that the others hold. A page's cold times count from its arrival. At the relay one class holds the rule for what the list and the endpoint say; the list may shorten a cold time, too. An endpoint that was cold gets a health check before requests, from the relays that need it. Waiting attempts are withdrawn when an endpoint turns cold.

Why it works: an end does not depend on when it is looked at, and the check covers what the list tells too late or nobody reads: an endpoint that becomes cold again right before the end, or while no registry leads.

`an endpoint whose probe reports it cold gets no requests` expected requests right after the stated time; it now expects a check there, requests only after its success, and no check before.

--- a/src/fleet/adapter.h
+++ b/src/fleet/adapter.h
@@ -78,9 +78,9 @@
 struct endpoint_health {
   bool IsHealthy = false;
   std::string Instance;
-  millis ColdFor;
-  bool IsLeaving = false; ///< the endpoint states that it stops soon
-  millis RetryAfter;      ///< time for which it wants no requests; 0: none
+  std::optional<millis> ColdFor; ///< remaining cold time; none if not stated
+  bool IsLeaving = false;        ///< the endpoint states that it stops soon
+  millis RetryAfter; ///< time for which it wants no requests; 0: none
   /// Requests that it takes from all relays together; none if not stated.
   std::optional<request_rate> RateLimit;
 };
--- a/src/fleet/endpoint_reader.cpp
+++ b/src/fleet/endpoint_reader.cpp
@@ -141,8 +141,14 @@
     return;
   }
   Unreadable += Page->Unreadable;
-  for (relay::listed_endpoint &Each : Page->Endpoints)
+  // A page is made at some time until it arrives. Counted from its arrival, a
+  // cold time does not end too early.
+  const millis SinceStart = Clock.now() - StartedAt;
+  for (relay::listed_endpoint &Each : Page->Endpoints) {
+    if (Each.ColdFor > millis{0})
+      Each.ColdFor += SinceStart;
     Endpoints.push_back(std::move(Each));
+  }
   if (!Page->NextToken.empty()) {
     PageToken = Page->NextToken;
     readPage();
--- a/src/fleet/endpoint_reader.h
+++ b/src/fleet/endpoint_reader.h
@@ -23,8 +23,9 @@
   millis MaxTime{300'000};
 };
 
-/// Called after each complete reading; `StartedAt` is when it began. After one
-/// that failed, what the last complete one found stays in force.
+/// Called after each complete reading; `StartedAt` is when it began, from which
+/// cold times are counted. After one that failed, what the last complete one
+/// found stays in force.
 using directory_handler =
     std::function<void(std::vector<relay::listed_endpoint>, instant StartedAt)>;
 
--- a/src/fleet/registry_daemon.cpp
+++ b/src/fleet/registry_daemon.cpp
@@ -598,12 +598,16 @@
     relay::directory Directory;
     Directory.Endpoints = std::move(Found);
     Directory.Version = {Node->status().Term.Value, Sequence + 1};
+    Directory.ReadAt = DirectoryReadAt;
+    if (Sequence > 0)
+      relay::keepCountDowns(LastDirectory, Directory);
     relay::directory_change Change =
         Sequence == 0 ? fullChange(Directory)
                       : changeBetween(LastDirectory, Directory);
     if (!Change.isFull() && Change.Endpoints.empty() &&
         Change.Removed.empty()) {
       LastDirectory.Endpoints = std::move(Directory.Endpoints);
+      LastDirectory.ReadAt = Directory.ReadAt;
       return;
     }
     ++Sequence;
@@ -615,7 +619,7 @@
     logChange(Change);
     LastDirectory = Directory;
     Subscribers.setDirectory(std::move(Directory), std::move(Change),
-                             DirectoryReadAt, Clock.now());
+                             Clock.now());
   }
 
   /// Logs a directory change once for all relays. Relays don't log it: they
--- a/src/fleet/subscribers.cpp
+++ b/src/fleet/subscribers.cpp
@@ -262,13 +262,11 @@
 }
 
 void subscribers::setDirectory(relay::directory New,
-                               relay::directory_change Change, instant ReadAt,
-                               instant Now) {
+                               relay::directory_change Change, instant Now) {
   Directory = std::move(New);
-  DirectoryReadAt = ReadAt;
   EncodedDirectoryAt = instant{-1e300};
-  const std::string Bytes =
-      wire::encode(endpoint_directory{std::move(Change), Now - ReadAt});
+  const std::string Bytes = wire::encode(
+      endpoint_directory{std::move(Change), Now - Directory.ReadAt});
   for (auto &[Key, Each] : All)
     Each.Link->send(Bytes);
 }
@@ -280,7 +278,7 @@
     return;
   if (Now - EncodedDirectoryAt > ReuseTime) {
     EncodedDirectory = wire::encode(
-        endpoint_directory{fullChange(Directory), Now - DirectoryReadAt});
+        endpoint_directory{fullChange(Directory), Now - Directory.ReadAt});
     EncodedDirectoryAt = Now;
   }
   Subscriber.Link->send(EncodedDirectory);
--- a/src/fleet/subscribers.h
+++ b/src/fleet/subscribers.h
@@ -63,10 +63,9 @@
   /// Sends policies that changed to all subscribers that can apply them.
   void sendPolicies(const version_policies &Changed);
   /// Replaces the directory and sends `Change`, the difference from the
-  /// previous directory, to all subscribers. `ReadAt` is when reading the
-  /// directory began.
+  /// previous directory, to all subscribers.
   void setDirectory(relay::directory Directory, relay::directory_change Change,
-                    instant ReadAt, instant Now);
+                    instant Now);
   void sendHeartbeat(revision Revision, std::uint32_t FleetSize);
   /// Sends the changes of the set of active relays since the last call, if any.
   void sendRosterChange();
@@ -131,7 +130,6 @@
   subscriber_id LastId;
   std::vector<relay::version_policy> Policies;
   relay::directory Directory;
-  instant DirectoryReadAt;
   relay_list SentRelays;
   relay::limit_allocator Limits;
   relay::crash_history Crashes;
--- a/src/relay/directory.h
+++ b/src/relay/directory.h
@@ -49,6 +49,9 @@
 struct directory {
   directory_version Version;
   std::vector<listed_endpoint> Endpoints;
+  /// On the clock of the registry that read the list: when it began. The cold
+  /// times of the endpoints are counted from then.
+  instant ReadAt;
 };
 
 } // namespace bulrush::relay
--- a/src/relay/directory_change.cpp
+++ b/src/relay/directory_change.cpp
@@ -1,5 +1,6 @@
 #include "relay/directory_change.h"
 
+#include <algorithm>
 #include <map>
 
 namespace bulrush::relay {
@@ -15,13 +16,22 @@
   return Out;
 }
 
-bool isUnchanged(const listed_endpoint &Old, const listed_endpoint &New) {
-  listed_endpoint Copy = New;
-  const bool IsCountingDown =
-      Old.ColdFor > millis{0} && New.ColdFor <= Old.ColdFor;
-  if (IsCountingDown)
-    Copy.ColdFor = Old.ColdFor;
-  return Copy == Old;
+millis elapsed(millis ColdFor, millis Time) {
+  return std::max(ColdFor - Time, millis{0});
+}
+
+/// `Left` is what remains of the known cold time.
+bool isCountDown(millis Left, millis ColdFor) {
+  return ColdFor <= Left && Left - ColdFor <= MaxEarlierEnd;
+}
+
+bool isUnchanged(const listed_endpoint &Old, const listed_endpoint &New,
+                 millis Between) {
+  listed_endpoint Expected = Old;
+  Expected.ColdFor = elapsed(Old.ColdFor, Between);
+  if (isCountDown(Expected.ColdFor, New.ColdFor))
+    Expected.ColdFor = New.ColdFor;
+  return New == Expected;
 }
 
 } // namespace
@@ -38,7 +48,8 @@
   const endpoint_map After = byIdentity(New.Endpoints);
   for (const auto &[Identity, Entry] : After) {
     const auto Known = Before.find(Identity);
-    if (Known == Before.end() || !isUnchanged(*Known->second, *Entry))
+    if (Known == Before.end() ||
+        !isUnchanged(*Known->second, *Entry, New.ReadAt - Old.ReadAt))
       Out.Endpoints.push_back(*Entry);
   }
   for (const auto &[Identity, Entry] : Before)
@@ -47,4 +58,17 @@
   return Out;
 }
 
+void keepCountDowns(const directory &Old, directory &New) {
+  const endpoint_map Before = byIdentity(Old.Endpoints);
+  const millis Between = New.ReadAt - Old.ReadAt;
+  for (listed_endpoint &Entry : New.Endpoints) {
+    const auto Known = Before.find(Entry.Identity);
+    if (Known == Before.end())
+      continue;
+    const millis Left = elapsed(Known->second->ColdFor, Between);
+    if (isCountDown(Left, Entry.ColdFor))
+      Entry.ColdFor = Left;
+  }
+}
+
 } // namespace bulrush::relay
--- a/src/relay/directory_change.h
+++ b/src/relay/directory_change.h
@@ -19,7 +19,17 @@
 /// Returns a change that holds the full directory.
 directory_change fullChange(const directory &Directory);
 /// Returns the difference from `Old` to `New`. Leaves out endpoints that differ
-/// only by a shorter remaining cold time, which elapses by itself.
+/// only by a cold time that counts down from `Old`: see `keepCountDowns`.
 directory_change changeBetween(const directory &Old, const directory &New);
 
+/// A cold time that ends earlier than published by at most this much counts as
+/// the same one, since readings of the list vary.
+inline constexpr millis MaxEarlierEnd{500};
+
+/// Replaces the cold times of `New` that are those of `Old`, less the time
+/// between the two readings, by what relays that hold `Old` count down to. A
+/// cold time that ends later, however little, is another one: the endpoint may
+/// have become cold again. So the end that relays know is never too early.
+void keepCountDowns(const directory &Old, directory &New);
+
 } // namespace bulrush::relay
--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -244,7 +244,7 @@
                        relay_actions &Out) {
   const endpoint_no No{++LastEndpointNo};
   auto State = std::make_unique<endpoint_state>(No, Entry);
-  State->update(Entry, AsOf);
+  State->update(Entry, AsOf, Settings.ListLag);
   State->setZoneOut(ZonesOut.count(Entry.Zone) > 0);
   if (LeavingSince.count(Entry.Identity))
     State->announceLeaving();
@@ -258,17 +258,19 @@
 
 void endpoint_set::refresh(endpoint_state &Endpoint,
                            const listed_endpoint &Entry, instant AsOf,
-                           instant Now, relay_actions &Out) {
+                           instant Now, relay_actions &Out) const {
   const bool WasLeaving = Endpoint.listed().IsLeaving;
   const bool WasCold = Endpoint.isCold(Now);
-  Endpoint.update(Entry, AsOf);
+  Endpoint.update(Entry, AsOf, Settings.ListLag);
   if (Entry.IsLeaving && !WasLeaving) {
     Out.push_back(makeLogEvent(Endpoint, endpoint_state_change::leaving));
     Out.push_back(withdraw_attempts{Endpoint.number()});
   }
-  if (Endpoint.isCold(Now) && !WasCold)
+  if (Endpoint.isCold(Now) && !WasCold) {
     Out.push_back(
         makeLogEvent(Endpoint, endpoint_state_change::cold, Entry.ColdFor));
+    Out.push_back(withdraw_attempts{Endpoint.number()});
+  }
 }
 
 void endpoint_set::remove(endpoint_state &Endpoint, relay_actions &Out) {
@@ -384,8 +386,15 @@
   const std::size_t Limit = connectionLimit(Service);
   for (const endpoint_no No : Service.Endpoints) {
     endpoint_state &Each = *Endpoints.at(No);
-    if (!Roles.contains(Each.versionRole()) || contains(Tried, No) ||
-        !Each.canAcceptAtAnyRate(Limit, Now) || !isInTime(Each, Timing, Now))
+    if (!Roles.contains(Each.versionRole()) || contains(Tried, No))
+      continue;
+    // Checked by the relays that need it only, so that a warm endpoint does not
+    // get a connection of each relay at the same moment.
+    if (Each.isCheckDue(Now)) {
+      Each.markSuspect(Now);
+      Suspects.insert(No);
+    }
+    if (!Each.canAcceptAtAnyRate(Limit, Now) || !isInTime(Each, Timing, Now))
       continue;
     const candidate New{&Each, cost(Each, Timing.TypicalLatency, Now),
                         isPreferred(Each, Timing, Now)};
@@ -631,6 +640,17 @@
   const std::string &Expected = Endpoint->listed().Identity.Instance;
   const bool IsSame = Event.Instance.empty() || Event.Instance == Expected;
   const bool IsHealthy = Event.IsHealthy && IsSame;
+  if (IsSame && Event.ColdFor) {
+    const bool WasCold = Endpoint->isCold(Now);
+    Endpoint->setColdFor(*Event.ColdFor, Now);
+    if (Endpoint->isCold(Now))
+      Out.push_back(
+          makeLogEvent(*Endpoint, endpoint_state_change::cold, *Event.ColdFor));
+    if (Endpoint->isCold(Now) && !WasCold)
+      Out.push_back(withdraw_attempts{Endpoint->number()});
+  }
+  if (IsHealthy)
+    Endpoint->onHealthy(Now);
   // A probe that only tests this relay's reach leaves the health as it is.
   const bool WasSuspect = Endpoint->isProbing();
   if (WasSuspect)
@@ -641,12 +661,7 @@
     pause(*Endpoint, Event.RetryAfter, Now, Out);
   if (IsSame && Event.RateLimit)
     onRateLimit(*Endpoint, Event.RateLimit, Now, Now, Out);
-  if (IsHealthy && Event.ColdFor > millis{0}) {
-    Endpoint->setColdFor(Event.ColdFor, Now);
-    Out.push_back(
-        makeLogEvent(*Endpoint, endpoint_state_change::cold, Event.ColdFor));
-  }
-  if (!WasSuspect)
+  if (!WasSuspect || (IsHealthy && Endpoint->isCold(Now)))
     return;
   if (IsHealthy)
     Suspects.erase(Event.Endpoint);
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -249,8 +249,8 @@
   /// has listed the service.
   void emitOpen(endpoint_state &Endpoint, relay_actions &Out) const;
   void add(const listed_endpoint &Entry, instant AsOf, relay_actions &Out);
-  static void refresh(endpoint_state &Endpoint, const listed_endpoint &Entry,
-                      instant AsOf, instant Now, relay_actions &Out);
+  void refresh(endpoint_state &Endpoint, const listed_endpoint &Entry,
+               instant AsOf, instant Now, relay_actions &Out) const;
   void remove(endpoint_state &Endpoint, relay_actions &Out);
   bool isLastOfService(const endpoint_state &Endpoint, instant Now) const;
   void forgetOldAnnouncements(instant Now);
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -25,10 +25,10 @@
 
 } // namespace
 
-void endpoint_state::update(const listed_endpoint &Entry, instant AsOf) {
+void endpoint_state::update(const listed_endpoint &Entry, instant AsOf,
+                            millis ListLag) {
   Listed = Entry;
-  if (Entry.ColdFor > millis{0})
-    ColdUntil = std::max(ColdUntil, AsOf + Entry.ColdFor);
+  Cold.onListed(Entry.ColdFor, AsOf, ListLag);
 }
 
 void endpoint_state::onSent(attempt_no Attempt, instant Now) {
@@ -80,7 +80,7 @@
 
 bool endpoint_state::canAcceptAtAnyRate(std::size_t MaxInFlight,
                                         instant Now) const {
-  if (isWithdrawn() || isCold(Now) || Now < PausedUntil ||
+  if (isWithdrawn() || isCold(Now) || !Cold.isVerified() || Now < PausedUntil ||
       Health == health_status::suspect)
     return false;
   if (Health == health_status::probation)
@@ -129,7 +129,7 @@
 instant endpoint_state::nextProbe(instant Now) const {
   if (Health != health_status::suspect || isWithdrawn())
     return Never;
-  return std::max({ProbeAt, ColdUntil, pausedUntil(Now)});
+  return std::max({ProbeAt, Cold.end(), pausedUntil(Now)});
 }
 
 void endpoint_state::pauseUntil(instant Until) {
@@ -141,7 +141,7 @@
 instant endpoint_state::pauseEnd(instant Now) const {
   const instant Until = pausedUntil(Now);
   const bool IsOnlyPaused =
-      Now < Until && !isWithdrawn() && !isDown() && ColdUntil <= Until;
+      Now < Until && !isWithdrawn() && !isDown() && Cold.end() <= Until;
   return IsOnlyPaused ? Until : Never;
 }
 
@@ -181,6 +181,10 @@
 
 void endpoint_state::onProbeEnded(bool IsHealthy, instant Now) {
   IsProbing = false;
+  if (IsHealthy && isCold(Now)) {
+    ProbeAt = Now; // due when the cold time ends
+    return;
+  }
   if (IsHealthy) {
     Health = health_status::probation;
     return;
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -1,6 +1,7 @@
 /// Health, load and latency estimates that one relay keeps for one endpoint.
 #pragma once
 
+#include "relay/cold_time.h"
 #include "relay/concurrency_limit.h"
 #include "relay/demand_meter.h"
 #include "relay/directory.h"
@@ -49,8 +50,8 @@
   health_status health() const { return Health; }
 
   /// Updates the listed data of the same identity; `AsOf` is when the list was
-  /// read.
-  void update(const listed_endpoint &Entry, instant AsOf);
+  /// read, which shows what was true at most `ListLag` before.
+  void update(const listed_endpoint &Entry, instant AsOf, millis ListLag);
   /// Sets whether the endpoint's zone is out of service and gets no requests.
   void setZoneOut(bool IsOut) { IsZoneOut = IsOut; }
   /// What the policy of the service says about the endpoint's version.
@@ -59,9 +60,17 @@
   /// Records that the directory no longer lists the endpoint.
   void markRemoved() { IsRemoved = true; }
   bool isRemoved() const { return IsRemoved; }
-  bool isCold(instant Now) const { return Now < ColdUntil; }
+  bool isCold(instant Now) const { return Cold.isCold(Now); }
   /// Applies the remaining cold time that the endpoint itself reported.
-  void setColdFor(millis Left, instant Now) { ColdUntil = Now + Left; }
+  void setColdFor(millis Left, instant Now) { Cold.onStated(Left, Now); }
+  /// Records a reply to a health check that says that the endpoint is healthy.
+  void onHealthy(instant Now) { Cold.onHealthy(Now); }
+  /// Whether the endpoint was cold and needs a health check before it gets
+  /// requests again, which may be sent now.
+  bool isCheckDue(instant Now) const {
+    return !Cold.isVerified() && Health != health_status::suspect &&
+           !isExcluded(Now);
+  }
 
   /// Returns true on the first call only.
   bool markPreconnected() { return !std::exchange(IsPreconnected, true); }
@@ -163,6 +172,7 @@
   /// change of the directory or of the zones out can permit one.
   instant nextProbe(instant Now) const;
   void onProbeSent(instant Now);
+  /// An endpoint that is healthy and cold stays suspect.
   void onProbeEnded(bool IsHealthy, instant Now);
   /// Stops requests and schedules probes until one succeeds.
   void markSuspect(instant Now);
@@ -189,7 +199,7 @@
   bool IsZoneOut = false;
   bool IsPreconnected = false;
   bool HasAnnouncedLeaving = false;
-  instant ColdUntil{-1e300};
+  cold_time Cold;
   instant PausedUntil{-1e300};
   struct in_flight_attempt {
     instant SentAt;
--- a/src/relay/events.h
+++ b/src/relay/events.h
@@ -179,10 +179,10 @@
 struct probe_ended {
   endpoint_no Endpoint;
   bool IsHealthy = false;
-  std::string Instance;   ///< empty if not reported
-  millis ColdFor;         ///< remaining cold time
-  bool IsLeaving = false; ///< the endpoint states that it stops soon
-  millis RetryAfter;      ///< time for which it wants no requests; 0: none
+  std::string Instance;          ///< empty if not reported
+  std::optional<millis> ColdFor; ///< remaining cold time; none if not stated
+  bool IsLeaving = false;        ///< the endpoint states that it stops soon
+  millis RetryAfter; ///< time for which it wants no requests; 0: none
   /// Requests that it takes from all relays together; none if not stated.
   std::optional<request_rate> RateLimit = std::nullopt;
   /// A reply arrived, healthy or not.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -397,6 +397,9 @@
   Endpoints.on(Event, Now, *Out);
   if (Event.IsLeaving)
     Slices.clearCache();
+  const endpoint_state *Endpoint = Endpoints.find(Event.Endpoint);
+  if (Endpoint && Endpoint->isCold(Now))
+    endWaitForCold(Endpoints.service(Endpoint->listed().Service));
   markAllFreed();
 }
 
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -135,6 +135,8 @@
   void markAllFreed();
   void dispatchFreed();
   void dispatch(service_state &Service);
+  bool startNext(service_state &Service, std::vector<work_item> &Blocked);
+  void endWaitForCold(service_state &Service);
 
   // relay_attempts.cpp: attempts of one part
   instant waitLimit(const request_state &Request) const;
--- a/src/relay/relay_order.cpp
+++ b/src/relay/relay_order.cpp
@@ -134,29 +134,49 @@
   Service.IsHeadBlocked = false;
   std::vector<work_item> Blocked;
   while (Endpoints.available(Service, Now) == availability::open) {
-    const work_item *Next = Service.Queue.next(Blocked);
+    const bool IsStarted = startNext(Service, Blocked);
     Service.IsHeadBlocked = !Blocked.empty();
-    if (!Next || Blocked.size() >= MaxBlockedTries)
+    if (!IsStarted)
       return;
-    const work_item Item = *Next;
-    request_state *Request = find(Item.Request);
-    if (!Request || !Request->Parts[Item.Part].Queued) {
-      Service.Queue.remove(Item);
-      continue;
-    }
-    request_part &Part = Request->Parts[Item.Part];
-    if (Now > Item.SendBy && Service.Queue.size() > 1) {
-      // Its reply would come too late, while others are still in time.
-      unqueue(Part);
-      Part.Phase = part_phase::failed;
-    } else {
-      startPart(*Request, Part, true);
-    }
-    if (Part.Phase == part_phase::waiting)
-      Blocked.push_back(Item);
-    settle(*Request);
   }
   Service.IsHeadBlocked = false;
 }
 
+/// Starts the first waiting part of the service that is not in `Blocked`, and
+/// adds it to `Blocked` if it still waits. Returns false if there is none, or
+/// if too many are blocked.
+bool relay::impl::startNext(service_state &Service,
+                            std::vector<work_item> &Blocked) {
+  const work_item *Next = Service.Queue.next(Blocked);
+  if (!Next || Blocked.size() >= MaxBlockedTries)
+    return false;
+  const work_item Item = *Next;
+  request_state *Request = find(Item.Request);
+  if (!Request || !Request->Parts[Item.Part].Queued) {
+    Service.Queue.remove(Item);
+    return true;
+  }
+  request_part &Part = Request->Parts[Item.Part];
+  if (Now > Item.SendBy && Service.Queue.size() > 1) {
+    // Its reply would come too late, while others are still in time.
+    unqueue(Part);
+    Part.Phase = part_phase::failed;
+  } else {
+    startPart(*Request, Part, true);
+  }
+  if (Part.Phase == part_phase::waiting)
+    Blocked.push_back(Item);
+  settle(*Request);
+  return true;
+}
+
+/// Ends the wait of parts for an endpoint that turned out to be cold, unless
+/// another one of the service may take them.
+void relay::impl::endWaitForCold(service_state &Service) {
+  std::vector<work_item> Blocked;
+  while (Endpoints.available(Service, Now) == availability::none &&
+         startNext(Service, Blocked)) {
+  }
+}
+
 } // namespace bulrush::relay
--- a/src/relay/settings.h
+++ b/src/relay/settings.h
@@ -37,6 +37,8 @@
   /// Name of the header that tells endpoints and other relays the account of
   /// the client; empty: none is sent.
   std::string AccountHeader;
+  /// The platform's list shows what was true at most this long ago.
+  millis ListLag{1000};
 
   bool operator==(const relay_settings &) const = default;
 };
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -32,6 +32,7 @@
   directory Directory;
   std::map<std::uint64_t, send_attempt> Sent; ///< in flight, by attempt
   std::map<std::uint32_t, std::string> Names; ///< instance names, by endpoint
+  std::vector<endpoint_no> Probed;            ///< for `replyHealthyToAll`
   std::uint64_t NextRequest = 0;
 
   void step(const relay_event &Event) {
@@ -181,6 +182,26 @@
         }));
   }
 
+  endpoint_no numberOf(const std::string &Instance) const {
+    for (const auto &[Number, Name] : Names)
+      if (Name == Instance)
+        return {Number};
+    return {};
+  }
+  /// Replies to a health check of the instance, which states that it is cold
+  /// for `ColdFor`.
+  void replyHealthy(const std::string &Instance, millis ColdFor = {}) {
+    step(probe_ended{
+        numberOf(Instance), true, {}, ColdFor, false, {}, {}, true});
+  }
+  /// Replies to all health checks that have none yet.
+  void replyHealthyToAll() {
+    for (const endpoint_no Each : std::exchange(Probed, {}))
+      replyHealthy(Names.at(Each.Value));
+  }
+  std::size_t probesOf(const std::string &Instance) const {
+    return probesOf(numberOf(Instance));
+  }
   std::size_t probesOf(endpoint_no Endpoint) const {
     return static_cast<std::size_t>(std::count_if(
         Actions.begin(), Actions.end(), [&](const relay_action &Each) {
@@ -204,6 +225,8 @@
       Sent[Send->Attempt.Value] = *Send;
     if (const auto *Cancel = std::get_if<cancel_attempt>(&Action))
       Sent.erase(Cancel->Attempt.Value);
+    if (const auto *Probe = std::get_if<probe_endpoint>(&Action))
+      Probed.push_back(Probe->Endpoint);
     if (const auto *Open = std::get_if<open_endpoint>(&Action))
       Names[Open->Endpoint.Value] = Open->Listed.Identity.Instance;
   }
--- a/test/shell/endpoint_reader_test.cpp
+++ b/test/shell/endpoint_reader_test.cpp
@@ -13,9 +13,18 @@
 
 class empty_page final : public http::handler {
 public:
-  void handle(http::request, http::responder Respond) override { Respond({}); }
+  void handle(http::request, http::responder Respond) override {
+    RespondedAt = Clock.now();
+    Respond({});
+  }
+
+  boot_clock_source Clock;
+  instant RespondedAt;
 };
 
+/// Of the first of two endpoints; the other one is warm.
+constexpr millis PageColdFor{250};
+
 struct fixture {
   /// Throws in the first `Failures` calls.
   class throwing_codec final : public fleet::endpoint_list_codec {
@@ -28,7 +37,10 @@
     decode(const http::response &) const override {
       if (Failures-- > 0)
         throw std::invalid_argument("a name that is not UTF-8");
-      return fleet::endpoint_page{};
+      fleet::endpoint_page Out;
+      Out.Endpoints.resize(2);
+      Out.Endpoints[0].ColdFor = PageColdFor;
+      return Out;
     }
 
   private:
@@ -42,6 +54,8 @@
   http::server Server{Io, serverSettings(), Handler, Metrics};
   boot_clock_source Clock;
   int Readings = 0;
+  std::vector<relay::listed_endpoint> Listed; ///< at the last reading
+  instant ReadAt;
 
   static http::server_settings serverSettings() {
     http::server_settings Out;
@@ -60,9 +74,11 @@
     REQUIRE(Server.start());
     fleet::endpoint_reader Reader(
         Io, readerSettings(), std::make_shared<throwing_codec>(DecodeFailures),
-        Clock, [&](auto, instant) {
+        Clock, [&](auto Found, instant StartedAt) {
           if (++Readings == 2)
             Io.stop();
+          Listed = std::move(Found);
+          ReadAt = StartedAt;
           if (HandlerFailures-- > 0)
             throw std::runtime_error("a reading that cannot be published");
         });
@@ -92,3 +108,15 @@
   Test.read(1, 0);
   CHECK(Test.Readings == 2);
 }
+
+// Guards against a cold time that ends too early because its page was made
+// after the reading began.
+TEST_CASE("a cold time is counted from the arrival of its page",
+          "[endpoint_list][cold]") {
+  fixture Test;
+  Test.read(0, 0);
+  REQUIRE(Test.Listed.size() == 2);
+  CHECK(Test.ReadAt + Test.Listed[0].ColdFor >=
+        Test.Handler.RespondedAt + PageColdFor);
+  CHECK(Test.Listed[1].ColdFor == millis{0});
+}
--- a/test/unit/relay_change_test.cpp
+++ b/test/unit/relay_change_test.cpp
@@ -137,3 +137,74 @@
   Old.Endpoints[0].ColdFor = {};
   CHECK(changeBetween(Old, New).Endpoints.size() == 1);
 }
+
+TEST_CASE("a cold time that starts anew is a change, whatever it was before",
+          "[change][cold]") {
+  // Guards against an endpoint that becomes cold again while it warms up: what
+  // is left is less than at the reading before, and ends later.
+  relay_fixture Relay;
+  Relay.addService("one", 1);
+  directory Old = Relay.Directory;
+  Old.Endpoints[0].ColdFor = {2400};
+  directory New = Old;
+  New.ReadAt = Old.ReadAt + millis{1500};
+  New.Endpoints[0].ColdFor = {900};
+  CHECK(changeBetween(Old, New).Endpoints.empty());
+  New.Endpoints[0].ColdFor = {2100};
+  CHECK(changeBetween(Old, New).Endpoints.size() == 1);
+  New.Endpoints[0].ColdFor = {901};
+  CHECK(changeBetween(Old, New).Endpoints.size() == 1);
+  // Warm long before the end that was published.
+  New.Endpoints[0].ColdFor = {};
+  CHECK(changeBetween(Old, New).Endpoints.size() == 1);
+  New.ReadAt = Old.ReadAt + millis{2400};
+  CHECK(changeBetween(Old, New).Endpoints.empty());
+}
+
+TEST_CASE("relays know the cold time of the list, however they came to it",
+          "[change][cold]") {
+  // Guards against relays that go by a cold time of an earlier reading: those
+  // that had each change, and those that got the full directory later.
+  std::minstd_rand Random(7);
+  const auto Draw = [&](double Max) {
+    return Max * static_cast<double>(Random() % 1000) / 1000;
+  };
+  constexpr double MaxJitter = 40;
+  for (int Run = 0; Run < 200; ++Run) {
+    directory Published;
+    instant WarmAt{0}; ///< of the endpoint
+    instant Known{0};  ///< end of the cold time, at a relay with all changes
+    instant Now{0};
+    for (int I = 0; I < 30; ++I) {
+      Now = Now + millis{200 + Draw(1800)};
+      if (Random() % 4 == 0)
+        WarmAt = Now + millis{Draw(3000)};
+      directory Read;
+      Read.Version = {1, Published.Version.Sequence + 1};
+      Read.ReadAt = Now;
+      listed_endpoint &Entry = Read.Endpoints.emplace_back();
+      Entry.Identity = {"a", 1};
+      // The list may say it a little late, never early.
+      if (WarmAt > Now)
+        Entry.ColdFor = WarmAt - Now + millis{Draw(MaxJitter)};
+      directory_change Change = fullChange(Read);
+      if (I > 0) {
+        keepCountDowns(Published, Read);
+        Change = changeBetween(Published, Read);
+      }
+      Published = Read;
+      for (const listed_endpoint &Each : Change.Endpoints)
+        Known = Now + Each.ColdFor;
+      // A relay that joins now.
+      const instant Joined = Now + Published.Endpoints[0].ColdFor;
+      if (WarmAt > Now) {
+        CHECK(Known >= WarmAt);
+        CHECK(Joined >= WarmAt);
+        CHECK(Known <= WarmAt + millis{MaxJitter} + MaxEarlierEnd);
+      } else {
+        CHECK(Known <= Now + MaxEarlierEnd);
+      }
+      CHECK(std::abs((std::max(Known, Now) - Joined).Count) < 1e-6);
+    }
+  }
+}
--- a/test/unit/relay_hedge_test.cpp
+++ b/test/unit/relay_hedge_test.cpp
@@ -27,8 +27,10 @@
   int timeToHedge(int Max, client_path Client = {}) {
     sendRequest("/all/", {800}, Client);
     int Ms = 0;
-    while (Sent.size() < 2 && ++Ms <= Max)
+    while (Sent.size() < 2 && ++Ms <= Max) {
       advance(1);
+      replyHealthyToAll();
+    }
     HedgedTo = Sent.size() == 2 ? instanceOf(Sent.rbegin()->second) : "";
     const bool IsHedged = Sent.size() == 2;
     replyAll();
@@ -93,6 +95,7 @@
     Relay.replyAll();
   }
   Relay.advance(300);
+  Relay.replyHealthy("a-0");
   Relay.sendRequest("/all/", {800}, {{62}, false});
   REQUIRE(Relay.attemptAt("a-0") != 0);
   Relay.reply(Relay.attemptAt("b-0"));
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -336,11 +336,19 @@
   Relay.sendRequest("/one/");
   const auto [Number, Attempt] = *Relay.Sent.begin();
   Relay.breakConnection(Number);
-  Relay.step(probe_ended{Attempt.Endpoint, true, {}, {3000}, false, {}});
+  Relay.step(probe_ended{Attempt.Endpoint, true, {}, millis{3000}, false, {}});
   for (int I = 0; I < 9; ++I)
     Relay.sendRequest("/one/");
   CHECK(Relay.attemptAt(Relay.instanceOf(Attempt)) == 0);
-  Relay.advance(3001);
+  const std::size_t Probes = Relay.probesOf(Attempt.Endpoint);
+  Relay.advance(2999);
+  CHECK(Relay.probesOf(Attempt.Endpoint) == Probes);
+  Relay.advance(2);
+  CHECK(Relay.probesOf(Attempt.Endpoint) == Probes + 1);
+  for (int I = 0; I < 9; ++I)
+    Relay.sendRequest("/one/");
+  CHECK(Relay.attemptAt(Relay.instanceOf(Attempt)) == 0);
+  Relay.step(probe_ended{Attempt.Endpoint, true, {}, millis{0}, false, {}});
   for (int I = 0; I < 9; ++I)
     Relay.sendRequest("/one/");
   CHECK(Relay.attemptAt(Relay.instanceOf(Attempt)) != 0);
