A checked endpoint that has not failed needs no probation

The check before the first use of an endpoint that was cold made it suspect, so that it got one request at a time until one succeeded. It had not failed, and warm endpoints came into use later than before.

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -391,7 +391,7 @@
     // Checked by the relays that need it only, so that a warm endpoint does not
     // get a connection of each relay at the same moment.
     if (Each.isCheckDue(Now)) {
-      Each.markSuspect(Now);
+      Each.startCheck(Now);
       Suspects.insert(No);
     }
     if (!Each.canAcceptAtAnyRate(Limit, Now) || !isInTime(Each, Timing, Now))
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -113,7 +113,13 @@
   SlowdownAt = Now;
 }
 
+void endpoint_state::startCheck(instant Now) {
+  markSuspect(Now);
+  IsOnlyChecked = true;
+}
+
 void endpoint_state::markSuspect(instant Now) {
+  IsOnlyChecked = false;
   if (Health == health_status::suspect)
     return;
   Health = health_status::suspect;
@@ -186,9 +192,10 @@
     return;
   }
   if (IsHealthy) {
-    Health = health_status::probation;
+    Health = IsOnlyChecked ? health_status::healthy : health_status::probation;
     return;
   }
+  IsOnlyChecked = false;
   const double Delay =
       FirstProbeDelay.Count * std::exp2(std::min(FailedProbes, 5U));
   ++FailedProbes;
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -172,6 +172,9 @@
   /// change of the directory or of the zones out can permit one.
   instant nextProbe(instant Now) const;
   void onProbeSent(instant Now);
+  /// Schedules probes until one succeeds, of an endpoint that has not failed.
+  /// It needs no probation then.
+  void startCheck(instant Now);
   /// An endpoint that is healthy and cold stays suspect.
   void onProbeEnded(bool IsHealthy, instant Now);
   /// Stops requests and schedules probes until one succeeds.
@@ -215,6 +218,7 @@
   std::optional<rate_limit> RateLimit;
   instant LimitStatedAt{-1e300};
   bool IsProbing = false;
+  bool IsOnlyChecked = false; ///< suspect for a check, not for a failure
   std::uint32_t FailedProbes = 0;
   instant ProbeAt = Never;
 };
--- a/test/unit/cold_time_test.cpp
+++ b/test/unit/cold_time_test.cpp
@@ -93,6 +93,10 @@
   }
   CHECK(Relay.probesOf("one-0") == 5);
   Relay.replyHealthy("one-0");
+  for (int I = 0; I < 2; ++I)
+    Relay.sendRequest("/one/");
+  CHECK(Relay.sentTo("one") == 2); // it has not failed: no probation
+  Relay.replyAll();
   CHECK(Relay.sends());
   Relay.advance(10'000);
   CHECK(Relay.sends());
