Check endpoints that were cold for parts that wait behind others, too

A part that waits behind others of its service chose no endpoint, so that it did not start the check of one that had become warm: with all other endpoints busy, the warm one stayed unused until one of them was free. Shown by `an endpoint whose probe reports it cold gets no requests` once the check at the end of a stated cold time was left to the relays that need the endpoint.

The checks that are due start whenever a part is started or sent. A healthy reply that says "cold" ends the suspicion, so that relays do not all probe the endpoint at the moment when its cold time ends.

--- a/src/relay/endpoint_set.cpp
+++ b/src/relay/endpoint_set.cpp
@@ -245,6 +245,7 @@
   const endpoint_no No{++LastEndpointNo};
   auto State = std::make_unique<endpoint_state>(No, Entry);
   State->update(Entry, AsOf, Settings.ListLag);
+  noteVerification(*State);
   State->setZoneOut(ZonesOut.count(Entry.Zone) > 0);
   if (LeavingSince.count(Entry.Identity))
     State->announceLeaving();
@@ -258,10 +259,11 @@
 
 void endpoint_set::refresh(endpoint_state &Endpoint,
                            const listed_endpoint &Entry, instant AsOf,
-                           instant Now, relay_actions &Out) const {
+                           instant Now, relay_actions &Out) {
   const bool WasLeaving = Endpoint.listed().IsLeaving;
   const bool WasCold = Endpoint.isCold(Now);
   Endpoint.update(Entry, AsOf, Settings.ListLag);
+  noteVerification(Endpoint);
   if (Entry.IsLeaving && !WasLeaving) {
     Out.push_back(makeLogEvent(Endpoint, endpoint_state_change::leaving));
     Out.push_back(withdraw_attempts{Endpoint.number()});
@@ -273,10 +275,16 @@
   }
 }
 
+void endpoint_set::noteVerification(const endpoint_state &Endpoint) {
+  if (!Endpoint.isVerified() && !Endpoint.isRemoved())
+    Unverified.insert(Endpoint.number());
+}
+
 void endpoint_set::remove(endpoint_state &Endpoint, relay_actions &Out) {
   Endpoint.markRemoved();
   ByIdentity.erase(Endpoint.listed().Identity);
   Suspects.erase(Endpoint.number());
+  Unverified.erase(Endpoint.number());
   Limited.erase(Endpoint.number());
   Asking.erase(Endpoint.number());
   std::erase(service(Endpoint.listed().Service).Endpoints, Endpoint.number());
@@ -386,15 +394,8 @@
   const std::size_t Limit = connectionLimit(Service);
   for (const endpoint_no No : Service.Endpoints) {
     endpoint_state &Each = *Endpoints.at(No);
-    if (!Roles.contains(Each.versionRole()) || contains(Tried, No))
-      continue;
-    // Checked by the relays that need it only, so that a warm endpoint does not
-    // get a connection of each relay at the same moment.
-    if (Each.isCheckDue(Now)) {
-      Each.startCheck(Now);
-      Suspects.insert(No);
-    }
-    if (!Each.canAcceptAtAnyRate(Limit, Now) || !isInTime(Each, Timing, Now))
+    if (!Roles.contains(Each.versionRole()) || contains(Tried, No) ||
+        !Each.canAcceptAtAnyRate(Limit, Now) || !isInTime(Each, Timing, Now))
       continue;
     const candidate New{&Each, cost(Each, Timing.TypicalLatency, Now),
                         isPreferred(Each, Timing, Now)};
@@ -609,6 +610,24 @@
   return Max * (static_cast<double>(Random() % 1024) / 1024);
 }
 
+void endpoint_set::startDueChecks(const service_state &Service, instant Now) {
+  const role_set Roles = Service.Split ? Service.Split->used() : AllRoles;
+  for (auto Next = Unverified.begin(); Next != Unverified.end();) {
+    const endpoint_no No = *Next;
+    endpoint_state &Each = *Endpoints.at(No);
+    if (Each.isVerified()) {
+      Next = Unverified.erase(Next);
+      continue;
+    }
+    ++Next;
+    if (Each.listed().Service != Service.Name || !Each.isCheckDue(Now) ||
+        !Roles.contains(Each.versionRole()))
+      continue;
+    Each.startCheck(Now);
+    Suspects.insert(No);
+  }
+}
+
 std::vector<endpoint_no> endpoint_set::sendDueProbes(instant Now,
                                                      relay_actions &Out) {
   std::vector<endpoint_no> Probed;
@@ -643,6 +662,7 @@
   if (IsSame && Event.ColdFor) {
     const bool WasCold = Endpoint->isCold(Now);
     Endpoint->setColdFor(*Event.ColdFor, Now);
+    noteVerification(*Endpoint);
     if (Endpoint->isCold(Now))
       Out.push_back(
           makeLogEvent(*Endpoint, endpoint_state_change::cold, *Event.ColdFor));
@@ -661,7 +681,7 @@
     pause(*Endpoint, Event.RetryAfter, Now, Out);
   if (IsSame && Event.RateLimit)
     onRateLimit(*Endpoint, Event.RateLimit, Now, Now, Out);
-  if (!WasSuspect || (IsHealthy && Endpoint->isCold(Now)))
+  if (!WasSuspect)
     return;
   if (IsHealthy)
     Suspects.erase(Event.Endpoint);
--- a/src/relay/endpoint_set.h
+++ b/src/relay/endpoint_set.h
@@ -179,6 +179,10 @@
   /// A random time from 0 to `Max`.
   millis drawTime(millis Max);
 
+  /// Starts the health checks that endpoints of the service need before they
+  /// get requests. Called by the relays that need them only, so that a warm
+  /// endpoint does not get a connection of each relay at the same moment.
+  void startDueChecks(const service_state &Service, instant Now);
   /// Emits the health probes that are due; returns the endpoints.
   std::vector<endpoint_no> sendDueProbes(instant Now, relay_actions &Out);
   /// When the next probe is due; `Never` if none is scheduled.
@@ -250,7 +254,8 @@
   void emitOpen(endpoint_state &Endpoint, relay_actions &Out) const;
   void add(const listed_endpoint &Entry, instant AsOf, relay_actions &Out);
   void refresh(endpoint_state &Endpoint, const listed_endpoint &Entry,
-               instant AsOf, instant Now, relay_actions &Out) const;
+               instant AsOf, instant Now, relay_actions &Out);
+  void noteVerification(const endpoint_state &Endpoint);
   void remove(endpoint_state &Endpoint, relay_actions &Out);
   bool isLastOfService(const endpoint_state &Endpoint, instant Now) const;
   void forgetOldAnnouncements(instant Now);
@@ -278,7 +283,8 @@
   std::unordered_map<endpoint_no, std::unique_ptr<endpoint_state>> Endpoints;
   std::map<endpoint_identity, endpoint_no> ByIdentity;
   std::set<endpoint_no> Suspects;
-  std::set<endpoint_no> Limited; ///< endpoints with a rate limit
+  std::set<endpoint_no> Unverified; ///< may hold some that are verified
+  std::set<endpoint_no> Limited;    ///< endpoints with a rate limit
   /// Statements of a lifted limit to be reported.
   std::vector<limit_statement> Lifted;
   instant LimitsReportedAt{-1e300};
--- a/src/relay/endpoint_state.cpp
+++ b/src/relay/endpoint_state.cpp
@@ -187,10 +187,6 @@
 
 void endpoint_state::onProbeEnded(bool IsHealthy, instant Now) {
   IsProbing = false;
-  if (IsHealthy && isCold(Now)) {
-    ProbeAt = Now; // due when the cold time ends
-    return;
-  }
   if (IsHealthy) {
     Health = IsOnlyChecked ? health_status::healthy : health_status::probation;
     return;
--- a/src/relay/endpoint_state.h
+++ b/src/relay/endpoint_state.h
@@ -65,6 +65,8 @@
   void setColdFor(millis Left, instant Now) { Cold.onStated(Left, Now); }
   /// Records a reply to a health check that says that the endpoint is healthy.
   void onHealthy(instant Now) { Cold.onHealthy(Now); }
+  /// Whether the endpoint has not been cold, or is known to be warm since.
+  bool isVerified() const { return Cold.isVerified(); }
   /// Whether the endpoint was cold and needs a health check before it gets
   /// requests again, which may be sent now.
   bool isCheckDue(instant Now) const {
@@ -175,7 +177,6 @@
   /// Schedules probes until one succeeds, of an endpoint that has not failed.
   /// It needs no probation then.
   void startCheck(instant Now);
-  /// An endpoint that is healthy and cold stays suspect.
   void onProbeEnded(bool IsHealthy, instant Now);
   /// Stops requests and schedules probes until one succeeds.
   void markSuspect(instant Now);
--- a/src/relay/relay_attempts.cpp
+++ b/src/relay/relay_attempts.cpp
@@ -74,6 +74,7 @@
     Part.Phase = part_phase::failed;
     return;
   }
+  Endpoints.startDueChecks(*Part.Service, Now);
   Part.IsUnreachable = false;
   if (isUnreachable(Part)) {
     markUnreachable(Request, Part);
@@ -182,6 +183,7 @@
 bool relay::impl::sendPart(request_state &Request, request_part &Part,
                            const reply_timing &Timing, repeat_reason Reason,
                            double Reserve) {
+  Endpoints.startDueChecks(*Part.Service, Now);
   service_budget &Budget = Part.Service->Budget;
   Budget.refill(Now);
   const bool IsExtraAttempt = Part.Deliveries > 0;
--- a/test/unit/cold_time_test.cpp
+++ b/test/unit/cold_time_test.cpp
@@ -91,6 +91,7 @@
     CHECK(Relay.probesOf("one-0") == I);
     Relay.advance(1);
   }
+  CHECK(!Relay.sends());
   CHECK(Relay.probesOf("one-0") == 5);
   Relay.replyHealthy("one-0");
   for (int I = 0; I < 2; ++I)
@@ -145,3 +146,45 @@
   Relay.replyHealthy("one-0");
   CHECK(Relay.sends());
 }
+
+TEST_CASE("an endpoint of a zone that returns is checked when it is warm",
+          "[relay][cold]") {
+  // Guards against requests to an endpoint that became cold while its zone was
+  // out, and again since, and against a check by all relays at one moment.
+  cold_fixture Relay;
+  Relay.list({0});
+  const std::string Zone = Relay.listedEntry("one-0").Zone;
+  Relay.step(zones_out_changed{{Zone}});
+  Relay.step(zones_out_changed{{}});
+  CHECK(Relay.probesOf("one-0") == 1);
+  Relay.replyHealthy("one-0", {3000});
+  Relay.advance(3000);
+  CHECK(Relay.probesOf("one-0") == 1);
+  CHECK(!Relay.sends());
+  CHECK(Relay.probesOf("one-0") == 2);
+  Relay.replyHealthy("one-0");
+  CHECK(Relay.sends());
+}
+
+TEST_CASE("an endpoint that is gone needs no check", "[relay][cold]") {
+  // Guards against a step that fails because a reply of an endpoint arrived
+  // after it was unlisted.
+  cold_fixture Relay;
+  Relay.addService("two", 1);
+  Relay.list({0});
+  Relay.sends();
+  Relay.replyHealthy("one-0");
+  Relay.sendRequest("/one/");
+  const std::uint64_t Attempt = Relay.attemptAt("one-0");
+  REQUIRE(Attempt != 0);
+  const listed_endpoint Gone = Relay.listedEntry("one-0");
+  std::erase(Relay.Directory.Endpoints, Gone);
+  Relay.publishDirectory();
+  Relay.replyHealthy("one-0", {3000}); // while its last request runs
+  Relay.reply(Attempt);
+  Relay.Directory.Endpoints.push_back(Gone);
+  Relay.listedEntry("one-0").Identity.StartTimeMs = 2;
+  Relay.publishDirectory();
+  Relay.advance(5000);
+  CHECK(Relay.sends());
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -342,12 +342,13 @@
   CHECK(Relay.attemptAt(Relay.instanceOf(Attempt)) == 0);
   const std::size_t Probes = Relay.probesOf(Attempt.Endpoint);
   Relay.advance(2999);
+  Relay.sendRequest("/one/");
   CHECK(Relay.probesOf(Attempt.Endpoint) == Probes);
   Relay.advance(2);
-  CHECK(Relay.probesOf(Attempt.Endpoint) == Probes + 1);
   for (int I = 0; I < 9; ++I)
     Relay.sendRequest("/one/");
   CHECK(Relay.attemptAt(Relay.instanceOf(Attempt)) == 0);
+  CHECK(Relay.probesOf(Attempt.Endpoint) == Probes + 1);
   Relay.step(probe_ended{Attempt.Endpoint, true, {}, millis{0}, false, {}});
   for (int I = 0; I < 9; ++I)
     Relay.sendRequest("/one/");
