--- a/src/fleet/catalog_updates.h
+++ b/src/fleet/catalog_updates.h
@@ -9,8 +9,8 @@
 /// Decodes each catalog once for all relays and keeps the change from the
 /// previous catalog.
 ///
-/// Builds up to commit 12859f4 round versions above 2^53, so that the version in
-/// the log and the one in the catalog's text may differ. Relays then get the
+/// Builds up to commit 12859f4 round versions above 2^53, so that the version
+/// in the log and the one in the catalog's text may differ. Relays then get the
 /// higher of the two, since they never go back to a lower one.
 class catalog_updates {
 public:
