Test: a rollout that has ended gets a new id when it is ordered again

The state was rolled_back before the last policy, and an attempt of the rollout was still in flight. The test then put the same rollout, with the same id, in progress again, so that its answer counted in new counts. In the product an id is the log index of an order, and an ended rollout stays ended (registry_machine::on(end_rollout)), so the sequence cannot occur.

The fixture now gives an order after an end a new id; all checks stay.

--- a/test/unit/relay_rollout_test.cpp
+++ b/test/unit/relay_rollout_test.cpp
@@ -24,11 +24,19 @@
     addPlainRoute("/one/", "one");
   }
 
+  std::uint64_t Rollout = 9; ///< id of the latest one
+  bool HasEnded = false;
+
   void setPolicy(rollout_state State, double Share = 0,
                  const std::string &Established = {}, bool IsFull = false) {
+    // A rollout that has ended is never in progress again.
+    if (State == rollout_state::in_progress && HasEnded)
+      ++Rollout;
+    HasEnded =
+        State == rollout_state::complete || State == rollout_state::rolled_back;
     version_policy Policy;
     Policy.Service = {"one"};
-    Policy.Rollout = {State == rollout_state::none ? 0U : 9U};
+    Policy.Rollout = {State == rollout_state::none ? 0U : Rollout};
     Policy.State = State;
     if (State != rollout_state::none)
       Policy.Target = {"v2"};
