--- a/src/fleet/operator_handler.cpp
+++ b/src/fleet/operator_handler.cpp
@@ -114,8 +114,8 @@
   Call.Respond(makeResponse(Call, Ended));
 }
 
-/// The call is acknowledged all the same; without this line nothing would show
-/// why the catalog that was sent is not in force.
+/// Most such calls are acknowledged; without this line nothing would show why
+/// the catalog that was sent is not in force.
 void operator_handler::reportUnchangedCatalog(
     const control::put_catalog &Sent) {
   const std::uint64_t Held = Host.statedVersion();
